--- /dev/null
+++ b/main.go
@@ -0,0 +1,4 @@
+// Command masticladder routes language-model requests with long shared prompts.
+package main
+
+func main() {}
--- /dev/null
+++ b/masticerror/error.go
@@ -0,0 +1,89 @@
+package masticerror
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Error is an error with a kind from the closed list. It is immutable.
+type Error struct {
+	kind       Kind
+	message    string
+	retryAfter time.Duration
+	sent       bool
+	cause      error
+}
+
+// New returns an error of kind k.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{kind: k, message: fmt.Sprintf(format, args...), retryAfter: AnswerFor(k).RetryAfter}
+}
+
+// Wrap returns an error of kind k with cause err.
+func Wrap(err error, k Kind, format string, args ...any) *Error {
+	e := New(k, format, args...)
+	e.cause = eris.Wrap(err, e.message)
+	return e
+}
+
+// WithRetryAfter returns a copy with another time to come back.
+func (e Error) WithRetryAfter(d time.Duration) *Error {
+	e.retryAfter = d
+	return &e
+}
+
+// WithSent returns a copy that records that a byte of the request may have reached a backend server.
+func (e Error) WithSent() *Error {
+	e.sent = true
+	return &e
+}
+
+// Kind returns the kind.
+func (e *Error) Kind() Kind { return e.kind }
+
+// RetryAfter returns the time to come back; zero means that a retry does not help.
+func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
+
+// Status returns the HTTP status.
+func (e *Error) Status() int { return AnswerFor(e.kind).Status }
+
+// NotRun reports whether no byte of the request reached a backend server and none can later.
+func (e *Error) NotRun() bool {
+	if e.sent {
+		return false
+	}
+	return AnswerFor(e.kind).Outcome != OutcomeUnknown
+}
+
+// Error returns the message with its kind.
+func (e *Error) Error() string { return string(e.kind) + ": " + e.message }
+
+// Message returns the message without the kind.
+func (e *Error) Message() string { return e.message }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// From returns err as an *Error; an error without a kind becomes KindInternal
+// and counts as possibly sent.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, KindInternal, "%v", err).WithSent()
+}
+
+// KindOf returns the kind of err, and the empty kind for nil.
+func KindOf(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	return From(err).Kind()
+}
--- /dev/null
+++ b/masticerror/table.go
@@ -0,0 +1,82 @@
+package masticerror
+
+import (
+	"net/http"
+	"time"
+)
+
+// Outcome says what is known of whether a request ran.
+type Outcome int
+
+// The outcomes that a kind can have.
+const (
+	// OutcomeNotRun holds where no byte reached a backend server and none can later.
+	OutcomeNotRun Outcome = iota
+	// OutcomeUnknown holds where the request may have run.
+	OutcomeUnknown
+	// OutcomeByError leaves the choice to the error's own evidence.
+	OutcomeByError
+)
+
+// Answer is what a caller is told for a kind.
+type Answer struct {
+	Kind    Kind
+	Status  int
+	Outcome Outcome
+	// RetryAfter is the default time to come back; zero means that a retry does not help.
+	RetryAfter time.Duration
+	Meaning    string
+}
+
+var table = []Answer{
+	{KindBadRequest, http.StatusBadRequest, OutcomeNotRun, 0, "The request could not be read."},
+	{KindBodyTooLarge, http.StatusRequestEntityTooLarge, OutcomeNotRun, 0, "The body is over the limit."},
+	{KindUnauthenticated, http.StatusUnauthorized, OutcomeNotRun, 0, "The key is missing, unknown or withdrawn."},
+	{KindForbidden, http.StatusForbidden, OutcomeNotRun, 0, "The key's workspace may not use this profile, model or service."},
+	{KindNotFound, http.StatusNotFound, OutcomeNotRun, 0, "There is no such path, service or item."},
+	{KindUnknownModel, http.StatusNotFound, OutcomeNotRun, 0, "No such model is configured."},
+	{KindConflict, http.StatusConflict, OutcomeNotRun, 0, "The change was built on another revision than the current one."},
+	{KindKeyReused, http.StatusUnprocessableEntity, OutcomeNotRun, 0, "The idempotency key was used for another request."},
+	{KindKeyTooOld, http.StatusUnprocessableEntity, OutcomeUnknown, 0, "The idempotency key is older than the retention of its record."},
+	{KindRateLimited, http.StatusTooManyRequests, OutcomeNotRun, time.Second, "The workspace is over its rate."},
+	{KindOverloaded, http.StatusServiceUnavailable, OutcomeNotRun, time.Second, "No backend server can meet the request's deadline now."},
+	{KindDeadline, http.StatusGatewayTimeout, OutcomeByError, time.Second, "The request's deadline passed."},
+	{KindNoServer, http.StatusServiceUnavailable, OutcomeNotRun, time.Second, "No backend server for this model or service is available."},
+	{KindNoLease, http.StatusServiceUnavailable, OutcomeNotRun, time.Second, "This host's view lease has ended; use another address."},
+	{KindNoQuorum, http.StatusServiceUnavailable, OutcomeByError, time.Second, "Control has no quorum."},
+	{KindNotLeader, http.StatusServiceUnavailable, OutcomeNotRun, time.Second, "This host does not lead control."},
+	{KindDraining, http.StatusServiceUnavailable, OutcomeNotRun, time.Second, "This host is shutting down; use another address."},
+	{KindQuarantined, http.StatusUnprocessableEntity, OutcomeNotRun, time.Minute, "Requests with this content ended more than one backend server."},
+	{KindRetryBudget, http.StatusServiceUnavailable, OutcomeByError, time.Second, "The workspace's retry budget is spent."},
+	{KindBackendRefused, http.StatusBadGateway, OutcomeByError, time.Second, "The backend server refused the request."},
+	{KindBackendFailed, http.StatusBadGateway, OutcomeUnknown, time.Second, "The backend server failed after it may have received the request."},
+	{KindStreamBroken, http.StatusBadGateway, OutcomeUnknown, time.Second, "The stream could not be completed."},
+	{KindOutcomeUnknown, http.StatusBadGateway, OutcomeUnknown, 0, "The call may have run; it is not run again."},
+	{KindCommittedNotInForce, http.StatusAccepted, OutcomeUnknown, time.Second, "The change is committed but not yet in force on every host."},
+	{KindCancelled, 499, OutcomeByError, 0, "The caller went away."},
+	{KindInternal, http.StatusInternalServerError, OutcomeByError, time.Second, "An unexpected error."},
+}
+
+var byKind = index(table)
+
+func index(answers []Answer) map[Kind]Answer {
+	m := make(map[Kind]Answer, len(answers))
+	for _, a := range answers {
+		m[a.Kind] = a
+	}
+	return m
+}
+
+// Table returns the answers for all kinds, in the order of the list.
+func Table() []Answer {
+	return append([]Answer(nil), table...)
+}
+
+// AnswerFor returns the answer for k, and that of KindInternal for a kind outside the list.
+func AnswerFor(k Kind) Answer {
+	a, ok := byKind[k]
+	if !ok {
+		return byKind[KindInternal]
+	}
+	return a
+}
--- /dev/null
+++ b/masticproto/doc.go
@@ -0,0 +1,2 @@
+// Package masticproto holds the generated messages of the log, of the files and between hosts.
+package masticproto
