--- /dev/null
+++ b/masticview/check.go
@@ -0,0 +1,244 @@
+package masticview
+
+import (
+	"net/netip"
+	"net/url"
+	"slices"
+	"time"
+
+	"masticladder/masticerror"
+	"masticladder/masticproto"
+)
+
+func refuse(format string, args ...any) error {
+	return masticerror.New(masticerror.KindBadRequest, format, args...)
+}
+
+// checkDistinct refuses an empty change and one that names an item twice.
+func checkDistinct(c *masticproto.ViewChange) error {
+	counts := []error{
+		distinct("workspace", c.GetWorkspaces(), (*masticproto.Workspace).GetName),
+		distinct("profile", c.GetProfiles(), (*masticproto.Profile).GetName),
+		distinct("key", c.GetKeys(), (*masticproto.Key).GetId),
+		distinct("host", c.GetHosts(), (*masticproto.Host).GetName),
+		distinct("server", c.GetServers(), (*masticproto.Server).GetName),
+		distinct("service", c.GetServices(), (*masticproto.Service).GetName),
+	}
+	for _, err := range counts {
+		if err != nil {
+			return err
+		}
+	}
+	if itemCount(c) == 0 {
+		return refuse("the change is empty")
+	}
+	return nil
+}
+
+func itemCount(c *masticproto.ViewChange) int {
+	n := len(c.GetWorkspaces()) + len(c.GetProfiles()) + len(c.GetKeys()) + len(c.GetHosts())
+	return n + len(c.GetServers()) + len(c.GetServices()) + len(c.GetQuarantines()) + len(c.GetEndedQuarantines())
+}
+
+func distinct[P any](what string, items []P, name func(P) string) error {
+	seen := make(map[string]bool, len(items))
+	for _, i := range items {
+		n := name(i)
+		if n == "" || len(n) > MaxNameBytes {
+			return refuse("a %s needs a name of 1 to %d bytes", what, MaxNameBytes)
+		}
+		if seen[n] {
+			return refuse("%s %q stands twice in the change", what, n)
+		}
+		seen[n] = true
+	}
+	return nil
+}
+
+// checkChange checks the changed items of next, and that no reference of it is left open.
+func checkChange(v, next View, c *masticproto.ViewChange, at time.Time) error {
+	for _, p := range c.GetWorkspaces() {
+		if err := checkWorkspace(v, WorkspaceFromProto(p)); err != nil {
+			return err
+		}
+	}
+	for _, p := range c.GetProfiles() {
+		if err := checkProfile(v, next, ProfileFromProto(p)); err != nil {
+			return err
+		}
+	}
+	for _, p := range c.GetKeys() {
+		k, _ := next.Key(p.GetId())
+		if err := checkKey(v, next, k); err != nil {
+			return err
+		}
+	}
+	for _, p := range c.GetServers() {
+		if err := checkServer(v, ServerFromProto(p)); err != nil {
+			return err
+		}
+	}
+	for _, p := range c.GetServices() {
+		if err := checkService(next, ServiceFromProto(p)); err != nil {
+			return err
+		}
+	}
+	if err := checkHosts(v, next, c.GetHosts()); err != nil {
+		return err
+	}
+	return checkQuarantines(next, c.GetQuarantines(), at)
+}
+
+func checkWorkspace(v View, w Workspace) error {
+	if w.Owner == "" {
+		return refuse("workspace %q has no owner", w.Name)
+	}
+	if w.RateTokensPerSecond <= 0 || w.RateTokensPerSecond > MaxRateTokens {
+		return refuse("workspace %q: the rate is not in 1 to %d", w.Name, int64(MaxRateTokens))
+	}
+	if w.BurstTokens <= 0 || w.BurstTokens > MaxRateTokens {
+		return refuse("workspace %q: the burst is not in 1 to %d", w.Name, int64(MaxRateTokens))
+	}
+	if w.Weight < 0 {
+		return refuse("workspace %q: the weight is negative", w.Name)
+	}
+	if old, ok := v.Workspace(w.Name); ok && old.Owner != w.Owner {
+		return refuse("workspace %q belongs to %q, which does not change", w.Name, old.Owner)
+	}
+	return nil
+}
+
+func checkProfile(v, next View, p Profile) error {
+	if _, ok := next.Workspace(p.Workspace); !ok {
+		return refuse("profile %q: there is no workspace %q", p.Name, p.Workspace)
+	}
+	if old, ok := v.Profile(p.Name); ok && old.Workspace != p.Workspace {
+		return refuse("profile %q belongs to workspace %q, which does not change", p.Name, old.Workspace)
+	}
+	if p.Class != ClassQuick && p.Class != ClassLong && p.Class != ClassBulk {
+		return refuse("profile %q: there is no class %q", p.Name, p.Class)
+	}
+	if p.FirstTokenMillis <= 0 || p.MaxOutputTokens <= 0 || p.MaxOutputTokens > MaxRateTokens {
+		return refuse("profile %q: its limits are not positive", p.Name)
+	}
+	if slices.Contains(p.Models, "") {
+		return refuse("profile %q: a model without a name", p.Name)
+	}
+	for _, s := range p.Services {
+		if _, ok := next.Service(s); !ok {
+			return refuse("profile %q: there is no service %q", p.Name, s)
+		}
+	}
+	return nil
+}
+
+func checkKey(v, next View, k Key) error {
+	p, ok := next.Profile(k.Profile)
+	if !ok {
+		return refuse("key %q: there is no profile %q", k.ID, k.Profile)
+	}
+	if p.Workspace != k.Workspace {
+		return refuse("key %q: profile %q is of workspace %q", k.ID, p.Name, p.Workspace)
+	}
+	if k.State != KeyActive && k.State != KeyWithdrawn {
+		return refuse("key %q: there is no state %q", k.ID, k.State)
+	}
+	if id, _ := next.digests.get(k.Digest); id != k.ID {
+		return refuse("key %q: another key has its digest", k.ID)
+	}
+	if id, ok := v.digests.get(k.Digest); ok && id != k.ID {
+		return refuse("key %q: another key has its digest", k.ID)
+	}
+	old, ok := v.Key(k.ID)
+	if !ok {
+		return nil
+	}
+	if old.State == KeyWithdrawn && k.State != KeyWithdrawn {
+		return refuse("key %q is withdrawn and stays so", k.ID)
+	}
+	if old.Digest != k.Digest || old.Workspace != k.Workspace {
+		return refuse("key %q keeps its digest and workspace", k.ID)
+	}
+	return nil
+}
+
+func checkHosts(v, next View, changed []*masticproto.Host) error {
+	if len(changed) == 0 {
+		return nil
+	}
+	for _, p := range changed {
+		if err := checkHost(v, HostFromProto(p)); err != nil {
+			return err
+		}
+	}
+	names := make(map[string]string)
+	for _, h := range next.Hosts() {
+		if h.State == HostRetired {
+			continue
+		}
+		for _, a := range []string{h.Address, h.Admin, h.Peer} {
+			if other, ok := names[a]; ok && other != h.Name && a != "" {
+				return refuse("hosts %q and %q have the same address %s", other, h.Name, a)
+			}
+			names[a] = h.Name
+		}
+	}
+	return nil
+}
+
+func checkHost(v View, h Host) error {
+	if h.State != HostLive && h.State != HostLeaving && h.State != HostRetired {
+		return refuse("host %q: there is no state %q", h.Name, h.State)
+	}
+	if h.Zone == "" || h.Weight < 0 {
+		return refuse("host %q: it needs a zone and a weight of zero or more", h.Name)
+	}
+	if _, err := netip.ParseAddrPort(h.Address); err != nil {
+		return refuse("host %q: %q is not IP:port", h.Name, h.Address)
+	}
+	if old, ok := v.Host(h.Name); ok && old.State == HostRetired && h.State != HostRetired {
+		return refuse("host %q is retired and stays so; use another name", h.Name)
+	}
+	return nil
+}
+
+func checkServer(v View, s Server) error {
+	if s.Kind != ServerEngine && s.Kind != ServerService {
+		return refuse("server %q: there is no kind %q", s.Name, s.Kind)
+	}
+	if s.State != ServerActive && s.State != ServerLeaving && s.State != ServerRetired {
+		return refuse("server %q: there is no state %q", s.Name, s.State)
+	}
+	if u, err := url.Parse(s.URL); err != nil || u.Scheme == "" || u.Host == "" {
+		return refuse("server %q: %q is not a base address", s.Name, s.URL)
+	}
+	if old, ok := v.Server(s.Name); ok && old.Kind != s.Kind {
+		return refuse("server %q is of kind %q, which does not change", s.Name, old.Kind)
+	}
+	return nil
+}
+
+func checkService(next View, s Service) error {
+	for _, n := range s.Servers {
+		server, ok := next.Server(n)
+		if !ok {
+			return refuse("service %q: there is no server %q", s.Name, n)
+		}
+		if server.Kind != ServerService {
+			return refuse("service %q: server %q is of kind %q", s.Name, n, server.Kind)
+		}
+	}
+	return nil
+}
+
+func checkQuarantines(next View, changed []*masticproto.Quarantine, at time.Time) error {
+	if next.quarantine.count > MaxQuarantines {
+		return refuse("there are more than %d quarantines", MaxQuarantines)
+	}
+	for _, p := range changed {
+		if !time.UnixMilli(p.GetUntilUnixMs()).After(at) {
+			return refuse("a quarantine ends before it begins")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/masticview/codec.go
@@ -0,0 +1,124 @@
+package masticview
+
+import (
+	"time"
+
+	"masticladder/masticerror"
+	"masticladder/masticproto"
+)
+
+// ToProto returns the wire form.
+func (w Workspace) ToProto() *masticproto.Workspace {
+	return &masticproto.Workspace{
+		Name: w.Name, Owner: w.Owner, RateTokensPerSecond: w.RateTokensPerSecond,
+		BurstTokens: w.BurstTokens, Weight: w.Weight,
+	}
+}
+
+// WorkspaceFromProto returns the workspace that p describes.
+func WorkspaceFromProto(p *masticproto.Workspace) Workspace {
+	return Workspace{
+		Name: p.GetName(), Owner: p.GetOwner(), RateTokensPerSecond: p.GetRateTokensPerSecond(),
+		BurstTokens: p.GetBurstTokens(), Weight: p.GetWeight(),
+	}
+}
+
+// ToProto returns the wire form.
+func (p Profile) ToProto() *masticproto.Profile {
+	return &masticproto.Profile{
+		Name: p.Name, Workspace: p.Workspace, Models: p.Models, Services: p.Services,
+		Class: string(p.Class), FirstTokenMillis: p.FirstTokenMillis, MaxOutputTokens: p.MaxOutputTokens,
+	}
+}
+
+// ProfileFromProto returns the profile that p describes.
+func ProfileFromProto(p *masticproto.Profile) Profile {
+	return Profile{
+		Name: p.GetName(), Workspace: p.GetWorkspace(), Models: p.GetModels(), Services: p.GetServices(),
+		Class: Class(p.GetClass()), FirstTokenMillis: p.GetFirstTokenMillis(), MaxOutputTokens: p.GetMaxOutputTokens(),
+	}
+}
+
+// ToProto returns the wire form.
+func (k Key) ToProto() *masticproto.Key {
+	return &masticproto.Key{
+		Id: k.ID, Digest: k.Digest[:], Workspace: k.Workspace, Profile: k.Profile, State: string(k.State),
+	}
+}
+
+// KeyFromProto returns the key that p describes. Error: badRequest for a digest of another length.
+func KeyFromProto(p *masticproto.Key) (Key, error) {
+	d, err := DigestFromBytes(p.GetDigest())
+	if err != nil {
+		return Key{}, err
+	}
+	return Key{
+		ID: p.GetId(), Digest: d, Workspace: p.GetWorkspace(), Profile: p.GetProfile(), State: KeyState(p.GetState()),
+	}, nil
+}
+
+// ToProto returns the wire form.
+func (h Host) ToProto() *masticproto.Host {
+	return &masticproto.Host{
+		Name: h.Name, Address: h.Address, Admin: h.Admin, Peer: h.Peer,
+		Zone: h.Zone, Owner: h.Owner, Weight: h.Weight, State: string(h.State),
+	}
+}
+
+// HostFromProto returns the host that p describes.
+func HostFromProto(p *masticproto.Host) Host {
+	return Host{
+		Name: p.GetName(), Address: p.GetAddress(), Admin: p.GetAdmin(), Peer: p.GetPeer(),
+		Zone: p.GetZone(), Owner: p.GetOwner(), Weight: p.GetWeight(), State: HostState(p.GetState()),
+	}
+}
+
+// ToProto returns the wire form.
+func (s Server) ToProto() *masticproto.Server {
+	return &masticproto.Server{
+		Name: s.Name, Kind: string(s.Kind), Url: s.URL, Owner: s.Owner, Zone: s.Zone, Models: s.Models,
+		WeightsVersion: s.WeightsVersion, ChecksFencing: s.ChecksFencing, State: string(s.State),
+	}
+}
+
+// ServerFromProto returns the backend server that p describes.
+func ServerFromProto(p *masticproto.Server) Server {
+	return Server{
+		Name: p.GetName(), Kind: ServerKind(p.GetKind()), URL: p.GetUrl(), Owner: p.GetOwner(), Zone: p.GetZone(), Models: p.GetModels(),
+		WeightsVersion: p.GetWeightsVersion(), ChecksFencing: p.GetChecksFencing(), State: ServerState(p.GetState()),
+	}
+}
+
+// ToProto returns the wire form.
+func (s Service) ToProto() *masticproto.Service {
+	return &masticproto.Service{Name: s.Name, Servers: s.Servers, Repeatable: s.Repeatable, Open: s.Open}
+}
+
+// ServiceFromProto returns the plain service that p describes.
+func ServiceFromProto(p *masticproto.Service) Service {
+	return Service{Name: p.GetName(), Servers: p.GetServers(), Repeatable: p.GetRepeatable(), Open: p.GetOpen()}
+}
+
+// ToProto returns the wire form.
+func (q Quarantine) ToProto() *masticproto.Quarantine {
+	return &masticproto.Quarantine{Digest: q.Digest[:], UntilUnixMs: q.Until.UnixMilli()}
+}
+
+// QuarantineFromProto returns the quarantine that p describes. Error: badRequest for a digest of another length.
+func QuarantineFromProto(p *masticproto.Quarantine) (Quarantine, error) {
+	d, err := DigestFromBytes(p.GetDigest())
+	if err != nil {
+		return Quarantine{}, err
+	}
+	return Quarantine{Digest: d, Until: time.UnixMilli(p.GetUntilUnixMs())}, nil
+}
+
+// DigestFromBytes returns b as a digest. Error: badRequest for another length.
+func DigestFromBytes(b []byte) (Digest, error) {
+	var d Digest
+	if len(b) != len(d) {
+		return d, masticerror.New(masticerror.KindBadRequest, "a digest has %d bytes, not %d", len(d), len(b))
+	}
+	copy(d[:], b)
+	return d, nil
+}
--- /dev/null
+++ b/masticview/snapshot.go
@@ -0,0 +1,37 @@
+package masticview
+
+import "masticladder/masticproto"
+
+// Snapshot returns the whole view in wire form, in a fixed order.
+func (v View) Snapshot() *masticproto.ViewSnapshot {
+	return &masticproto.ViewSnapshot{
+		Revision: v.revision,
+		Items: &masticproto.ViewChange{
+			Workspaces:  encode(v.Workspaces(), Workspace.ToProto),
+			Profiles:    encode(v.Profiles(), Profile.ToProto),
+			Keys:        encode(v.Keys(), Key.ToProto),
+			Hosts:       encode(v.Hosts(), Host.ToProto),
+			Servers:     encode(v.Servers(), Server.ToProto),
+			Services:    encode(v.Services(), Service.ToProto),
+			Quarantines: encode(v.Quarantines(), Quarantine.ToProto),
+		},
+	}
+}
+
+// FromSnapshot returns the view that s holds, without checking references again.
+// Error: badRequest for a malformed item.
+func FromSnapshot(s *masticproto.ViewSnapshot) (View, error) {
+	d := newDraft(View{})
+	if err := d.put(s.GetItems()); err != nil {
+		return View{}, err
+	}
+	return d.view().WithRevision(s.GetRevision()), nil
+}
+
+func encode[T, P any](items []T, f func(T) P) []P {
+	out := make([]P, 0, len(items))
+	for _, i := range items {
+		out = append(out, f(i))
+	}
+	return out
+}
