--- /dev/null
+++ b/masticledger/expiry.go
@@ -0,0 +1,32 @@
+package masticledger
+
+import (
+	"maps"
+	"slices"
+)
+
+// expirySlotMillis is the width of one slot of retention deadlines, in milliseconds.
+const expirySlotMillis = 60_000
+
+// expiry finds the records that are due. An identifier may stand in several slots.
+type expiry struct{ slots map[int64][]orderID }
+
+func newExpiry() expiry { return expiry{slots: make(map[int64][]orderID)} }
+
+func (e expiry) add(id orderID, untilMs int64) {
+	s := untilMs/expirySlotMillis + 1
+	e.slots[s] = append(e.slots[s], id)
+}
+
+// due removes and returns the identifiers of all slots that have ended by nowMs.
+func (e expiry) due(nowMs int64) []orderID {
+	var out []orderID
+	for _, s := range slices.Sorted(maps.Keys(e.slots)) {
+		if s*expirySlotMillis > nowMs {
+			break
+		}
+		out = append(out, e.slots[s]...)
+		delete(e.slots, s)
+	}
+	return out
+}
