--- /dev/null
+++ b/masticusage/counter.go
@@ -0,0 +1,90 @@
+package masticusage
+
+import (
+	"maps"
+	"slices"
+
+	"masticladder/masticcall"
+	"masticladder/masticproto"
+)
+
+// MaxRows bounds the rows of one daemon incarnation that name a profile; use beyond it is
+// counted on rows without one.
+const MaxRows = 16_384
+
+// Counter is the daemon's side. It is used by one goroutine.
+type Counter struct {
+	host, incarnation string
+	sequence          uint64
+	acknowledged      uint64
+	rows              map[Row]counted[Counts]
+	served            map[ServedRow]counted[Served]
+}
+
+// counted are counters and the number of the first report that carries their last change.
+type counted[T any] struct {
+	counts T
+	report uint64
+}
+
+// NewCounter returns the counter of a daemon incarnation.
+func NewCounter(host, incarnation string) *Counter {
+	return &Counter{
+		host: host, incarnation: incarnation,
+		rows: make(map[Row]counted[Counts]), served: make(map[ServedRow]counted[Served]),
+	}
+}
+
+// Add counts what one request used, or its refusal.
+func (c *Counter) Add(u masticcall.UsageRecord) {
+	r := Row{u.Workspace, u.Profile, u.Model, u.ServerOwner}
+	if _, ok := c.rows[r]; !ok && len(c.rows) >= MaxRows {
+		r.Profile = ""
+	}
+	c.rows[r] = counted[Counts]{counts: c.rows[r].counts.plus(countsOf(u)), report: c.sequence + 1}
+	if u.Refusal != "" {
+		return
+	}
+	s := ServedRow{u.ServerOwner, u.Model}
+	one := Served{Requests: 1, InputTokens: u.InputTokens, OutputTokens: u.OutputTokens}
+	c.served[s] = counted[Served]{counts: c.served[s].counts.combine(one, sum), report: c.sequence + 1}
+}
+
+func countsOf(u masticcall.UsageRecord) Counts {
+	if u.Refusal != "" {
+		return Counts{Refusals: map[string]int64{u.Refusal: 1}}
+	}
+	c := Counts{
+		Requests: 1, InputTokens: u.InputTokens, OutputTokens: u.OutputTokens,
+		CachedTokens: u.CachedTokens, RecomputedTokens: u.RecomputedTokens,
+	}
+	if u.Order {
+		c.Orders = 1
+	}
+	return c
+}
+
+// Report returns the rows that changed since the last acknowledged report, or nil if none did.
+func (c *Counter) Report() *masticproto.UsageReport {
+	out := &masticproto.UsageReport{Host: c.host, Incarnation: c.incarnation, Sequence: c.sequence + 1}
+	for _, r := range slices.SortedFunc(maps.Keys(c.rows), compareRows) {
+		if n := c.rows[r]; n.report > c.acknowledged {
+			out.Counters = append(out.Counters, encodeCounts(r, n.counts))
+		}
+	}
+	for _, r := range slices.SortedFunc(maps.Keys(c.served), compareServedRows) {
+		if n := c.served[r]; n.report > c.acknowledged {
+			out.Served = append(out.Served, encodeServed(r, n.counts))
+		}
+	}
+	if len(out.Counters)+len(out.Served) == 0 {
+		return nil
+	}
+	c.sequence++
+	return out
+}
+
+// Acknowledged notes that the report with the given sequence was taken.
+func (c *Counter) Acknowledged(sequence uint64) {
+	c.acknowledged = max(c.acknowledged, min(sequence, c.sequence))
+}
