--- /dev/null
+++ b/masticplace/orders.go
@@ -0,0 +1,81 @@
+package masticplace
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"masticladder/masticproto"
+)
+
+// ToProto returns the order as a command of the log.
+func (o Order) ToProto(done bool) *masticproto.LoadOrder {
+	return &masticproto.LoadOrder{
+		Server: o.Server, Model: o.Model, WeightsVersion: o.WeightsVersion,
+		FenceTerm: o.Fence.Term, FenceSequence: o.Fence.Sequence,
+		DeadlineUnixMs: o.Deadline.UnixMilli(), Done: done, Owner: o.Owner, ChecksFencing: o.ChecksFencing,
+	}
+}
+
+// OrderFromProto returns the order that p records.
+func OrderFromProto(p *masticproto.LoadOrder) Order {
+	return Order{
+		Load: Load{
+			Server: p.GetServer(), Owner: p.GetOwner(), Model: p.GetModel(),
+			WeightsVersion: p.GetWeightsVersion(), ChecksFencing: p.GetChecksFencing(),
+		},
+		Fence:    fenceOf(p),
+		Deadline: time.UnixMilli(p.GetDeadlineUnixMs()),
+	}
+}
+
+func fenceOf(p *masticproto.LoadOrder) Fence { return Fence{p.GetFenceTerm(), p.GetFenceSequence()} }
+
+// Orders is the replicated record of the last order to each backend server.
+type Orders struct {
+	last map[string]*masticproto.LoadOrder
+}
+
+// NewOrders returns the orders that records hold, in any order.
+func NewOrders(records []*masticproto.LoadOrder) *Orders {
+	s := &Orders{last: make(map[string]*masticproto.LoadOrder)}
+	for _, p := range records {
+		s.Apply(p)
+	}
+	return s
+}
+
+// Apply records p and reports whether it is now the last order to its backend server. An
+// order with a lower fencing number is ignored, and so is one that would reopen an ended one.
+func (s *Orders) Apply(p *masticproto.LoadOrder) bool {
+	old, ok := s.last[p.GetServer()]
+	if ok && fenceOf(p).Less(fenceOf(old)) {
+		return false
+	}
+	if ok && fenceOf(p) == fenceOf(old) && old.GetDone() {
+		return p.GetDone()
+	}
+	s.last[p.GetServer()] = p
+	return true
+}
+
+// Records returns the last order to each backend server, in the order of their names.
+func (s *Orders) Records() []*masticproto.LoadOrder {
+	out := make([]*masticproto.LoadOrder, 0, len(s.last))
+	for _, n := range slices.Sorted(maps.Keys(s.last)) {
+		out = append(out, s.last[n])
+	}
+	return out
+}
+
+// Open returns the orders that are not known to be done and whose deadline is after now.
+func (s *Orders) Open(now time.Time) []Order {
+	var out []Order
+	for _, p := range s.Records() {
+		o := OrderFromProto(p)
+		if !p.GetDone() && now.Before(o.Deadline) {
+			out = append(out, o)
+		}
+	}
+	return out
+}
