--- /dev/null
+++ b/masticsuspect/snapshot.go
@@ -0,0 +1,38 @@
+package masticsuspect
+
+import (
+	"maps"
+	"slices"
+
+	"masticladder/masticproto"
+	"masticladder/masticview"
+)
+
+// Snapshot returns all suspects and holds in wire form, in a fixed order.
+func (t *Tracker) Snapshot() *masticproto.SuspectSnapshot {
+	out := &masticproto.SuspectSnapshot{}
+	for _, d := range t.sorted() {
+		s := t.suspects[d]
+		out.Suspects = append(out.Suspects, &masticproto.SuspectRecord{Digest: d[:], Ended: s.ended, UntilUnixMs: s.until})
+	}
+	for _, n := range slices.Sorted(maps.Keys(t.holds)) {
+		out.Holds = append(out.Holds, t.holds[n])
+	}
+	return out
+}
+
+// Restore returns the tracker that s holds. Error: badRequest for a malformed digest.
+func Restore(s *masticproto.SuspectSnapshot) (*Tracker, error) {
+	t := New()
+	for _, r := range s.GetSuspects() {
+		d, err := masticview.DigestFromBytes(r.GetDigest())
+		if err != nil {
+			return nil, err
+		}
+		t.suspects[d] = suspect{ended: r.GetEnded(), until: r.GetUntilUnixMs()}
+	}
+	for _, h := range s.GetHolds() {
+		t.holds[h.GetServer()] = h
+	}
+	return t, nil
+}
