--- /dev/null
+++ b/masticstate/snapshot.go
@@ -0,0 +1,76 @@
+package masticstate
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"masticladder/masticerror"
+	"masticladder/masticledger"
+	"masticladder/masticplace"
+	"masticladder/masticproto"
+	"masticladder/masticsuspect"
+	"masticladder/masticusage"
+	"masticladder/masticview"
+)
+
+// Snapshot returns the whole state; equal states give equal bytes.
+func (s *State) Snapshot() []byte {
+	horizon, tombstones := s.publishes.ages.Save()
+	p := &masticproto.StateSnapshot{
+		NowUnixMs:            s.now.UnixMilli(),
+		Applied:              s.applied,
+		View:                 s.view.Snapshot(),
+		Ledger:               s.ledger.Snapshot(),
+		Publishes:            s.publishes.save(),
+		PublishTombstones:    tombstones,
+		PublishHorizonUnixMs: horizon,
+		QuotaTerm:            s.quota.term,
+		QuotaSequence:        s.quota.sequence,
+		Usage:                s.usage.Snapshot(),
+		Suspects:             s.suspects.Snapshot(),
+		Loads:                s.loads.Records(),
+	}
+	for _, n := range slices.Sorted(maps.Keys(s.quota.used)) {
+		p.QuotaLevels = append(p.QuotaLevels, &masticproto.QuotaLevel{Workspace: n, UsedTokens: s.quota.used[n]})
+	}
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(p)
+	if err != nil {
+		panic("masticstate: a snapshot that cannot be encoded: " + err.Error())
+	}
+	return b
+}
+
+// Restore replaces the state by that of a snapshot. Error: badRequest, after which the
+// state is unchanged.
+func (s *State) Restore(b []byte) error {
+	p := &masticproto.StateSnapshot{}
+	if err := proto.Unmarshal(b, p); err != nil {
+		return masticerror.Wrap(err, masticerror.KindBadRequest, "a snapshot that cannot be decoded")
+	}
+	next := New()
+	next.now = time.UnixMilli(p.GetNowUnixMs())
+	next.applied = p.GetApplied()
+	var err error
+	if next.view, err = masticview.FromSnapshot(p.GetView()); err != nil {
+		return err
+	}
+	if next.ledger, err = masticledger.Restore(p.GetLedger()); err != nil {
+		return err
+	}
+	if next.suspects, err = masticsuspect.Restore(p.GetSuspects()); err != nil {
+		return err
+	}
+	next.publishes.restore(p.GetPublishes())
+	next.publishes.ages = masticledger.RestoreAges(p.GetPublishHorizonUnixMs(), p.GetPublishTombstones())
+	next.quota.term, next.quota.sequence = p.GetQuotaTerm(), p.GetQuotaSequence()
+	for _, l := range p.GetQuotaLevels() {
+		next.quota.used[l.GetWorkspace()] = l.GetUsedTokens()
+	}
+	next.usage = masticusage.Restore(p.GetUsage())
+	next.loads = masticplace.NewOrders(p.GetLoads())
+	*s = *next
+	return nil
+}
--- /dev/null
+++ b/masticstate/state.go
@@ -0,0 +1,151 @@
+// Package masticstate is the replicated state machine: it applies the commands of the log
+// in their order and joins the view, the order ledger, the quota bounds, the usage totals,
+// the suspects and the load orders. It is deterministic. Time comes from the commands only
+// and never goes back.
+package masticstate
+
+import (
+	"time"
+
+	"masticladder/masticerror"
+	"masticladder/masticledger"
+	"masticladder/masticplace"
+	"masticladder/masticproto"
+	"masticladder/masticsuspect"
+	"masticladder/masticusage"
+	"masticladder/masticview"
+)
+
+// MaxDeltas bounds the kept deltas; a host that lags further behind is sent a snapshot.
+const MaxDeltas = 1024
+
+// State is the replicated state. It is changed by one goroutine only.
+type State struct {
+	now       time.Time
+	applied   uint64
+	view      masticview.View
+	deltas    []*masticproto.ViewDelta
+	publishes publishes
+	ledger    *masticledger.Ledger
+	quota     quota
+	usage     *masticusage.Totals
+	suspects  *masticsuspect.Tracker
+	loads     *masticplace.Orders
+}
+
+// quota are the bounds of the last checkpoint.
+type quota struct {
+	term, sequence uint64
+	used           map[string]int64
+}
+
+// New returns the empty state.
+func New() *State {
+	return &State{
+		now:       time.UnixMilli(0),
+		publishes: newPublishes(),
+		ledger:    masticledger.New(),
+		quota:     quota{used: make(map[string]int64)},
+		usage:     masticusage.NewTotals(),
+		suspects:  masticsuspect.New(),
+		loads:     masticplace.NewOrders(nil),
+	}
+}
+
+// Apply applies the command at index of the log and returns what it did. An index that was
+// applied before returns an InvalidResult and changes nothing.
+func (s *State) Apply(index uint64, c *masticproto.Command) Result {
+	if index <= s.applied {
+		return InvalidResult{Err: masticerror.New(masticerror.KindInternal, "index %d was applied before", index)}
+	}
+	s.applied = index
+	if at := time.UnixMilli(c.GetAtUnixMs()); at.After(s.now) {
+		s.now = at
+	}
+	s.ledger.Drop(s.now)
+	s.publishes.expire(s.now)
+	return s.dispatch(c)
+}
+
+func (s *State) dispatch(c *masticproto.Command) Result {
+	switch k := c.GetKind().(type) {
+	case *masticproto.Command_Publish:
+		return s.publish(k.Publish)
+	case *masticproto.Command_Reserve:
+		r, err := s.ledger.Reserve(s.now, k.Reserve)
+		return ReserveResult{Reservation: r, Err: err}
+	case *masticproto.Command_Release:
+		return ReleaseResult{Released: s.ledger.Release(s.now, k.Release)}
+	case *masticproto.Command_Record:
+		return RecordResult{Recorded: s.ledger.Record(k.Record)}
+	case *masticproto.Command_Quota:
+		return s.checkpoint(k.Quota)
+	case *masticproto.Command_Usage:
+		return UsageResult{Sequence: k.Usage.GetSequence(), Open: s.usage.Merge(s.now, k.Usage)}
+	case *masticproto.Command_Suspect:
+		return s.suspect(k.Suspect)
+	case *masticproto.Command_SuspectHold:
+		return HoldResult{Held: s.suspects.Hold(s.now, k.SuspectHold)}
+	case *masticproto.Command_SuspectEnd:
+		s.suspects.End(k.SuspectEnd)
+		return EndResult{}
+	case *masticproto.Command_Load:
+		return LoadResult{Applied: s.loads.Apply(k.Load)}
+	case *masticproto.Command_Tick:
+		s.usage.Close(s.now)
+		s.suspects.Drop(s.now)
+		return TickResult{}
+	default:
+		return InvalidResult{Err: masticerror.New(masticerror.KindBadRequest, "a command of an unknown kind")}
+	}
+}
+
+// change makes the next revision of the view.
+func (s *State) change(c *masticproto.ViewChange) error {
+	next, err := s.view.Apply(c, s.now)
+	if err != nil {
+		return err
+	}
+	s.view = next
+	s.deltas = append(s.deltas, &masticproto.ViewDelta{Revision: next.Revision(), AtUnixMs: s.now.UnixMilli(), Change: c})
+	if len(s.deltas) > MaxDeltas {
+		s.deltas = s.deltas[1:]
+	}
+	return nil
+}
+
+func (s *State) checkpoint(c *masticproto.QuotaCheckpoint) QuotaResult {
+	out := QuotaResult{Term: c.GetTerm(), Sequence: c.GetSequence()}
+	if c.GetTerm() < s.quota.term || (c.GetTerm() == s.quota.term && c.GetSequence() <= s.quota.sequence) {
+		return out
+	}
+	s.quota.term, s.quota.sequence = c.GetTerm(), c.GetSequence()
+	for _, l := range c.GetLevels() {
+		s.quota.used[l.GetWorkspace()] = l.GetUsedTokens()
+	}
+	out.Applied = true
+	return out
+}
+
+// suspect takes a report and quarantines the requests that it proves. The quarantines come
+// into force with the next revision of the view.
+func (s *State) suspect(r *masticproto.SuspectReport) SuspectResult {
+	digests, err := s.suspects.Report(s.now, r)
+	if err != nil || len(digests) == 0 {
+		return SuspectResult{Err: err}
+	}
+	until := max(r.GetQuarantineUntilUnixMs(), s.now.Add(minQuarantine).UnixMilli())
+	c := &masticproto.ViewChange{}
+	for _, d := range digests {
+		q, _ := s.view.Quarantine(d)
+		end := max(until, q.Until.UnixMilli())
+		c.Quarantines = append(c.Quarantines, &masticproto.Quarantine{Digest: d[:], UntilUnixMs: end})
+	}
+	if err := s.change(c); err != nil {
+		return SuspectResult{Err: err}
+	}
+	return SuspectResult{Quarantined: digests}
+}
+
+// minQuarantine is the least length of a quarantine.
+const minQuarantine = time.Minute
