--- a/masticquota/bucket.go
+++ b/masticquota/bucket.go
@@ -49,17 +49,19 @@
 
 // drain regains whole tokens up to now and leaves the rest of the time for later.
 func (b *bucket) drain(now time.Time) {
-	if !now.After(b.at) {
-		return
+	b.backlog, b.at = drained(b.limit.RateTokensPerSecond, b.backlog, b.at, now)
+}
+
+// drained returns what is left of backlog at now, and up to when the time was used.
+func drained(rate, backlog int64, at, now time.Time) (int64, time.Time) {
+	if !now.After(at) {
+		return backlog, at
 	}
-	regained := tokensIn(b.limit.RateTokensPerSecond, now.Sub(b.at))
-	if regained >= b.backlog {
-		b.backlog = 0
-		b.at = now
-		return
+	regained := tokensIn(rate, now.Sub(at))
+	if regained >= backlog {
+		return 0, now
 	}
-	b.backlog -= regained
-	b.at = b.at.Add(timeFor(b.limit.RateTokensPerSecond, regained))
+	return backlog - regained, at.Add(timeFor(rate, regained))
 }
 
 func (b *bucket) used() int64 { return b.backlog + b.held }
@@ -96,23 +98,19 @@
 
 // wait returns the least time from now until tokens are free, if nothing else is granted.
 func (b *bucket) wait(now time.Time, tokens int64) time.Duration {
+	rate := b.limit.RateTokensPerSecond
 	missing := tokens - b.free()
-	t := now
-	backlog := b.backlog
+	backlog, at := b.backlog, b.at
 	for _, g := range b.grants {
 		if missing <= backlog {
 			break
 		}
-		regained := min(backlog, tokensIn(b.limit.RateTokensPerSecond, g.until.Sub(t)))
-		missing -= regained
-		backlog += g.tokens - regained
-		if missing <= 0 {
-			break
-		}
-		t = g.until
+		left, next := drained(rate, backlog, at, g.until)
+		missing -= backlog - left
+		backlog, at = left+g.tokens, next
 	}
-	rest := min(maxRetryAfter, timeFor(b.limit.RateTokensPerSecond, missing))
-	return min(maxRetryAfter, t.Sub(now)+rest)
+	rest := min(maxRetryAfter, timeFor(rate, missing))
+	return min(maxRetryAfter, max(0, at.Sub(now)+rest))
 }
 
 // tokensIn returns the whole tokens that rate gives in d.
--- a/masticquota/owner.go
+++ b/masticquota/owner.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxRetryAfter bounds a time to come back.
-	maxRetryAfter = 24 * time.Hour
+	maxRetryAfter = 365 * 24 * time.Hour
 	// promiseDelay is the time to come back when a checkpoint has to be committed first.
 	promiseDelay = 20 * time.Millisecond
 	// stockRetryAfter is the time to come back when nothing is free for a request without a need.
