Give unused quota back to the owner after a grant has ended

Cause: a request reserves its whole output and mostly uses little of it; the unused part came back only while its grant lasted (2 s), so that a workspace inside its rate was refused. Change: holders report a growing sum per ended grant; the owner lowers the backlog by what it would be lower without those tokens (charges with low-water marks).

--- a/masticquota/bucket.go
+++ b/masticquota/bucket.go
@@ -23,6 +23,9 @@
 	// grants are outstanding, the first to end first.
 	grants []outstanding
 	held   int64
+	// settled are the tokens given back so far by grant, of the grants that may still be settled.
+	settled map[uint64]int64
+	credits credits
 	// promise bounds backlog + held while a later owner may rely on it.
 	promise  int64
 	proposed int64
@@ -40,12 +43,15 @@
 		b.grants = b.grants[1:]
 		b.drain(g.until)
 		b.held -= g.tokens
-		b.charge(g.tokens)
+		b.charge(g.id, g.tokens)
 	}
 	b.drain(now)
 }
 
-func (b *bucket) charge(tokens int64) { b.backlog += tokens }
+func (b *bucket) charge(grantID uint64, tokens int64) {
+	b.credits.note(grantID, tokens, b.backlog)
+	b.backlog += tokens
+}
 
 // drain regains whole tokens up to now and leaves the rest of the time for later.
 func (b *bucket) drain(now time.Time) {
@@ -88,7 +94,22 @@
 	g := b.grants[i]
 	b.grants = slices.Delete(b.grants, i, i+1)
 	b.held -= g.tokens
-	b.charge(g.tokens - min(max(returned, 0), g.tokens))
+	b.charge(id, g.tokens-min(max(returned, 0), g.tokens))
+}
+
+// settle gives back tokens of grant id which its holder admitted and which were not used.
+func (b *bucket) settle(id uint64, tokens int64) {
+	if tokens <= 0 {
+		return
+	}
+	i := slices.IndexFunc(b.grants, func(o outstanding) bool { return o.id == id })
+	if i < 0 {
+		b.backlog -= b.credits.credit(id, tokens, b.backlog)
+		return
+	}
+	tokens = min(tokens, b.grants[i].tokens)
+	b.grants[i].tokens -= tokens
+	b.held -= tokens
 }
 
 // span is the lifetime of a grant: at most half the time in which the rate fills the burst.
--- a/masticquota/holder.go
+++ b/masticquota/holder.go
@@ -41,8 +41,8 @@
 
 // taken are the tokens that a ticket took from a grant.
 type taken struct {
-	grantID uint64
-	tokens  int64
+	grantID, term uint64
+	tokens        int64
 }
 
 // Holder admits the requests of one daemon incarnation. It is used by one goroutine.
@@ -101,7 +101,7 @@
 }
 
 // Settle ends an admitted ticket that used the given tokens. What it did not use can be
-// spent again until the deadline of its grant and is then lost.
+// spent again until the deadline of its grant, and is given back to the owner after it.
 func (h *Holder) Settle(now time.Time, id uint64, usedTokens int64) []Decision {
 	t, ok := h.admitted[id]
 	if !ok {
--- a/masticquota/message.go
+++ b/masticquota/message.go
@@ -10,6 +10,10 @@
 // whole burst stays grantable to one request. The lifetime of a grant is at most half the
 // time in which the rate fills the burst, so that outstanding grants do not take the rate away.
 //
+// A request is charged for its prompt and its reserved output. What it did not use is given
+// back: to its grant while that lasts at the holder, and else to the owner, which lowers the
+// backlog by what it would be lower without those tokens.
+//
 // A new owner knows nothing of the grants of earlier ones. It begins with one outstanding
 // grant that stands for all of them: the bound of the last QuotaCheckpoint, else the whole
 // burst, until one longest lifetime after its takeover.
@@ -29,12 +33,18 @@
 	BurstTokens         int64
 }
 
-// GrantReport says that a holder will spend no more of a grant.
+// GrantReport is what a holder tells of a grant.
 type GrantReport struct {
 	GrantID uint64
 	Term    uint64
-	// ReturnedTokens were not spent.
+	// Ended states that the holder will spend no more of the grant.
+	Ended bool
+	// ReturnedTokens were not spent; they count only with Ended.
 	ReturnedTokens int64
+	// SettledTokens is the sum of the tokens that were spent, turned out not to be used and
+	// can't be spent again by the holder. It only grows, so that a lost or repeated report
+	// does no harm.
+	SettledTokens int64
 }
 
 // GrantRequest asks an owner for tokens of one workspace.
--- a/masticquota/owner.go
+++ b/masticquota/owner.go
@@ -74,7 +74,7 @@
 
 // open returns the account as it stood at the takeover.
 func (o *Owner) open(workspace string, limit Limit) *bucket {
-	b := &bucket{limit: limit, at: o.takeover, promise: math.MaxInt64, proposed: math.MaxInt64, hosts: make(map[string]asker)}
+	b := &bucket{limit: limit, at: o.takeover, promise: math.MaxInt64, proposed: math.MaxInt64, hosts: make(map[string]asker), settled: make(map[uint64]int64)}
 	unknown := limit.BurstTokens
 	if used, ok := o.bounds[workspace]; ok {
 		b.promise = used
@@ -94,7 +94,7 @@
 		return out
 	}
 	for _, p := range r.Reports {
-		o.closeGrant(b, p)
+		o.report(b, p)
 	}
 	if r.NeedTokens > b.limit.BurstTokens {
 		out.Never = true
@@ -140,10 +140,18 @@
 	return need + extra, stockRetryAfter
 }
 
-func (o *Owner) closeGrant(b *bucket, p GrantReport) {
-	if p.Term == o.term && p.GrantID != 0 {
+// report takes p, unless it is about a grant of another owner.
+func (o *Owner) report(b *bucket, p GrantReport) {
+	if p.Term != o.term || p.GrantID == 0 || p.GrantID > o.lastID {
+		return
+	}
+	if p.Ended {
 		b.close(p.GrantID, p.ReturnedTokens)
 	}
+	if more := p.SettledTokens - b.settled[p.GrantID]; more > 0 {
+		b.noteSettled(p.GrantID, p.SettledTokens)
+		b.settle(p.GrantID, more)
+	}
 }
 
 // Return takes reports about grants of workspace without a request for more.
@@ -153,6 +161,6 @@
 		return
 	}
 	for _, p := range reports {
-		o.closeGrant(b, p)
+		o.report(b, p)
 	}
 }
--- a/masticquota/owner_test.go
+++ b/masticquota/owner_test.go
@@ -22,9 +22,13 @@
 	want := max(1, s.limit.BurstTokens/pick(s.t, "want part", int64(1), 2, 3, 10))
 	need := want * pick(s.t, "need", int64(0), 1)
 	r := GrantRequest{ID: s.id, Host: pick(s.t, "host", "a", "b"), Workspace: mill, NeedTokens: need, WantTokens: want}
-	if pick(s.t, "report", true, false) {
-		r.Reports, s.reports = s.reports, nil
-	}
+	s.reports = slices.DeleteFunc(s.reports, func(p GrantReport) bool {
+		if !pick(s.t, "report", true, false, false, false) {
+			return false
+		}
+		r.Reports = append(r.Reports, p)
+		return pick(s.t, "once", true, true, true, false)
+	})
 	a := s.owner.Grant(s.now, r)
 	if a.Tokens == 0 {
 		return
@@ -34,14 +38,15 @@
 	if late {
 		at = at.Add(lifetime(a.Span) - 1)
 	}
-	returned := a.Tokens / pick(s.t, "returned", a.Tokens+1, 1, 2)
+	r1 := GrantReport{GrantID: a.GrantID, Term: a.Term, Ended: true}
+	r1.ReturnedTokens = a.Tokens / pick(s.t, "returned", a.Tokens+1, 1, 2)
 	if late {
-		returned = 0
-	}
-	s.admissions = append(s.admissions, admission{at: at, tokens: a.Tokens - returned})
-	if !late {
-		s.reports = append(s.reports, GrantReport{GrantID: a.GrantID, Term: a.Term, ReturnedTokens: returned})
+		r1 = GrantReport{GrantID: a.GrantID, Term: a.Term}
 	}
+	spent := a.Tokens - r1.ReturnedTokens
+	r1.SettledTokens = spent / pick(s.t, "settled", spent+1, 1, 2)
+	s.admissions = append(s.admissions, admission{at: at, tokens: spent - r1.SettledTokens})
+	s.reports = append(s.reports, r1)
 }
 
 func TestGrantsSpentAtWorst(t *testing.T) {
@@ -145,3 +150,45 @@
 	b, _ := o.bucket(late.Add(slow), mill)
 	c.Assert(b.held, qt.Equals, int64(100))
 }
+
+// TestUnusedIsGivenBack sees that requests which use a tenth of what they reserve get
+// the whole rate in tokens used, though their grants have ended when the use is known.
+func TestUnusedIsGivenBack(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(Limit{RateTokensPerSecond: 1000, BurstTokens: 50_000})
+	now := begin.Add(time.Hour)
+	type running struct {
+		settleAt time.Time
+		a        GrantAnswer
+	}
+	var runs []running
+	var used int64
+	for i := range uint64(60_000) {
+		now = now.Add(time.Millisecond)
+		r := GrantRequest{ID: i + 1, Host: "a", Workspace: mill}
+		for len(runs) > 0 && !now.Before(runs[0].settleAt) {
+			a := runs[0].a
+			r.Reports = append(r.Reports, GrantReport{GrantID: a.GrantID, Term: 1, SettledTokens: a.Tokens * 9 / 10})
+			runs = runs[1:]
+		}
+		if i%10 == 0 {
+			r.NeedTokens = 100
+		}
+		if a := o.Grant(now, r); a.Tokens > 0 {
+			runs = append(runs, running{now.Add(3 * time.Second), a})
+			used += 10
+		}
+	}
+	c.Assert(used > 55_000, qt.IsTrue, qt.Commentf("%d of 60000 tokens", used))
+}
+
+// TestFormerGrantsAreWaitedOut sees that a new owner regains nothing of what earlier ones
+// may have granted before the last of it has ended.
+func TestFormerGrantsAreWaitedOut(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(Limit{RateTokensPerSecond: 1000, BurstTokens: 10_000})
+	end := begin.Add(lifetime(DefaultSpan))
+	c.Assert(o.Grant(end, GrantRequest{ID: 1, Host: "a", Workspace: mill, WantTokens: 10}).Tokens, qt.Equals, int64(0))
+	later := end.Add(5 * time.Millisecond)
+	c.Assert(o.Grant(later, GrantRequest{ID: 2, Host: "a", Workspace: mill, WantTokens: 10}).Tokens, qt.Equals, int64(5))
+}
--- a/masticquota/pool.go
+++ b/masticquota/pool.go
@@ -7,7 +7,11 @@
 
 // maxReports bounds the reports that wait to be sent; older ones are dropped, which
 // leaves their grants to their deadlines.
-const maxReports = 64
+const maxReports = 256
+
+// maxSettled bounds the ended grants of which sums of given back tokens are kept. An older
+// one that is settled again begins a new sum, which the owner takes for a repetition.
+const maxSettled = 1024
 
 // minAskInterval is the least time between two requests for stock, without a waiting ticket.
 const minAskInterval = 20 * time.Millisecond
@@ -32,6 +36,7 @@
 	grants    []held
 	queue     []ticket
 	reports   []GrantReport
+	settled   []GrantReport
 	// asked is the request that awaits an answer, zero for none.
 	asked     uint64
 	askedAt   time.Time
@@ -95,26 +100,52 @@
 		}
 		p.grants[i].tokens -= n
 		tokens -= n
-		out = append(out, taken{grantID: p.grants[i].id, tokens: n})
+		out = append(out, taken{grantID: p.grants[i].id, term: p.grants[i].term, tokens: n})
 	}
 	return out, true
 }
 
-// giveBack returns what t did not use to those of its grants that have not ended.
+// giveBack returns what t did not use: to those of its grants that have not ended, else
+// to the owner.
 func (p *pool) giveBack(t ticket, used int64) {
 	for _, k := range t.grants {
 		n := min(used, k.tokens)
 		used -= n
-		i := slices.IndexFunc(p.grants, func(g held) bool { return g.id == k.grantID })
+		if n == k.tokens {
+			continue
+		}
+		i := slices.IndexFunc(p.grants, func(g held) bool { return g.id == k.grantID && g.term == k.term })
 		if i >= 0 {
 			p.grants[i].tokens += k.tokens - n
+		} else {
+			p.settle(k, k.tokens-n)
 		}
 	}
 }
 
+// settle adds tokens to what was given back of an ended grant.
+func (p *pool) settle(k taken, tokens int64) {
+	i := slices.IndexFunc(p.settled, func(r GrantReport) bool { return r.GrantID == k.grantID && r.Term == k.term })
+	if i < 0 {
+		p.settled = append(p.settled, GrantReport{GrantID: k.grantID, Term: k.term})
+		if len(p.settled) > maxSettled {
+			p.settled = p.settled[1:]
+		}
+		i = len(p.settled) - 1
+	}
+	p.settled[i].SettledTokens += tokens
+	same := func(r GrantReport) bool { return r.GrantID == k.grantID && r.Term == k.term && !r.Ended }
+	p.reports = slices.DeleteFunc(p.reports, same)
+	p.addReport(p.settled[i])
+}
+
 // report notes for the owner that g has ended and what it still holds.
 func (p *pool) report(g held) {
-	p.reports = append(p.reports, GrantReport{GrantID: g.id, Term: g.term, ReturnedTokens: g.tokens})
+	p.addReport(GrantReport{GrantID: g.id, Term: g.term, Ended: true, ReturnedTokens: g.tokens})
+}
+
+func (p *pool) addReport(r GrantReport) {
+	p.reports = append(p.reports, r)
 	if len(p.reports) > maxReports {
 		p.reports = p.reports[1:]
 	}
