Prove that no host serves an old revision after it was said to be in force

Change: a rapid property on the real Grantor and Holder over restarts with old views, elections, former leaders that answer late, drifting clocks and a network that loses, repeats, delays and reorders; the time by which a revision is said to be in force must hold too.

--- /dev/null
+++ b/masticlease/property_test.go
@@ -0,0 +1,239 @@
+package masticlease
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "400")
+}
+
+var begin = time.Unix(1_800_000_000, 0)
+
+// pick draws one of from, each as likely as the others; rapid favours the first ones.
+func pick[T any](t *rapid.T, label string, from ...T) T {
+	n := 0
+	for range 5 {
+		n *= 2
+		if rapid.Bool().Draw(t, label) {
+			n++
+		}
+	}
+	return from[n%len(from)]
+}
+
+// host is a daemon with the revision that it serves.
+type host struct {
+	name    string
+	holder  *Holder
+	serving uint64
+	drift   int64
+}
+
+// message is a renewal or a grant on its way, for delivery at a time.
+type message struct {
+	at      time.Time
+	host    int
+	to      *Holder
+	term    uint64
+	renewal *Renewal
+	grant   *Grant
+}
+
+// leader is one leader's term. It may renew until quorumUntil.
+type leader struct {
+	term        uint64
+	grantor     *Grantor
+	quorumUntil time.Time
+}
+
+// promise names a revision that a leader said to be in force by some time.
+type promise struct {
+	term     int
+	revision uint64
+}
+
+// fleet is hosts, a leader after the other, and a network that loses, repeats, delays and
+// reorders. A former leader goes on until its quorum lease ends.
+type fleet struct {
+	t         *rapid.T
+	now       time.Time
+	hosts     []*host
+	names     []string
+	born      int
+	leaders   []leader
+	committed uint64
+	inForce   uint64
+	network   []message
+	promises  map[promise]time.Time
+}
+
+const span = time.Second
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{t: t, now: begin, committed: 1, promises: make(map[promise]time.Time)}
+	for i := range pick(t, "hosts", 1, 2, 3) {
+		f.hosts = append(f.hosts, &host{name: fmt.Sprintf("h%d", i), drift: pick(t, "drift", int64(-3), 0, 3)})
+		f.names = append(f.names, f.hosts[i].name)
+		f.restart(i)
+	}
+	f.lead()
+	return f
+}
+
+// restart begins a new incarnation with any view, as a peer may have given it.
+func (f *fleet) restart(i int) {
+	f.born++
+	h := f.hosts[i]
+	h.holder = NewHolder(h.name, fmt.Sprint(f.born))
+	h.serving = max(1, f.committed-min(f.committed, pick(f.t, "behind", uint64(0), 1, 3)))
+	h.holder.Installed(h.serving)
+}
+
+func (f *fleet) lead() {
+	term := uint64(len(f.leaders) + 1)
+	g := NewGrantor(f.now, term, f.committed, WithSpan(span), WithHosts(f.names))
+	f.leaders = append(f.leaders, leader{term: term, grantor: g})
+	f.heartbeat()
+}
+
+// heartbeat extends the present leader's quorum lease.
+func (f *fleet) heartbeat() {
+	f.leaders[len(f.leaders)-1].quorumUntil = f.now.Add(300 * time.Millisecond)
+}
+
+// elect starts a new leader once the former's quorum lease has ended.
+func (f *fleet) elect() {
+	if until := f.leaders[len(f.leaders)-1].quorumUntil; f.now.Before(until) {
+		f.now = until
+	}
+	f.lead()
+}
+
+func (f *fleet) clock(h *host) time.Time {
+	return f.now.Add(f.now.Sub(begin) * time.Duration(h.drift) / 256)
+}
+
+func (f *fleet) send(m message) {
+	for range pick(f.t, "copies", 0, 1, 1, 1, 1, 1, 1, 2) {
+		m.at = f.now.Add(time.Duration(pick(f.t, "delay ms", 0, 0, 0, 1, 5, 50, 400, 1500)) * time.Millisecond)
+		f.network = append(f.network, m)
+	}
+}
+
+func (f *fleet) deliver() {
+	due := f.network
+	f.network = nil
+	for _, m := range due {
+		if m.at.After(f.now) {
+			f.network = append(f.network, m)
+			continue
+		}
+		f.receive(m)
+	}
+}
+
+func (f *fleet) receive(m message) {
+	if m.grant != nil {
+		m.to.Granted(*m.grant)
+		return
+	}
+	l := f.leaders[m.term-1]
+	g := l.grantor.Renew(f.now, l.quorumUntil, *m.renewal)
+	f.send(message{host: m.host, to: m.to, grant: &g})
+}
+
+func (f *fleet) step() {
+	f.now = f.now.Add(time.Duration(pick(f.t, "pass ms", 0, 1, 5, 20, 50, 100, 300, 700)) * time.Millisecond)
+	f.deliver()
+	last := f.leaders[len(f.leaders)-1]
+	i := pick(f.t, "host", 0, 1, 2) % len(f.hosts)
+	h := f.hosts[i]
+	switch pick(f.t, "action", "restart", "elect", "publish", "install", "install", "renew", "renew", "renew") {
+	case "restart":
+		if pick(f.t, "fault", true, false, false) {
+			f.restart(i)
+		}
+	case "elect":
+		if pick(f.t, "fault", true, false, false) {
+			f.elect()
+		}
+	case "publish":
+		f.committed++
+		last.grantor.Committed(f.now, f.committed)
+	case "install":
+		h.serving = f.committed
+		h.holder.Installed(h.serving)
+	case "renew":
+		r := h.holder.Renewal(f.clock(h))
+		term := max(1, int64(last.term)-pick(f.t, "former leader", int64(0), 0, 1))
+		f.send(message{host: i, to: h.holder, term: uint64(term), renewal: &r})
+	}
+	if pick(f.t, "heartbeat", true, true, false) && f.now.Before(f.leaders[len(f.leaders)-1].quorumUntil) {
+		f.heartbeat()
+	}
+	f.deliver()
+	f.check()
+}
+
+// check asks whether the newest revision is in force and that no leased host serves an older one than was said.
+func (f *fleet) check() {
+	g := f.leaders[len(f.leaders)-1].grantor
+	ok, by := g.InForce(f.now, f.committed)
+	k := promise{len(f.leaders), f.committed}
+	if said, known := f.promises[k]; !ok && known && !f.now.Before(said) {
+		f.t.Fatalf("revision %d is not in force %v after the time that was said", f.committed, f.now.Sub(said))
+	}
+	if ok {
+		f.inForce = max(f.inForce, f.committed)
+	} else if _, known := f.promises[k]; !known {
+		f.promises[k] = by
+	}
+	for _, h := range f.hosts {
+		if h.holder.Held(f.clock(h)) && h.serving < f.inForce {
+			f.t.Fatalf("%s serves revision %d after %d was said to be in force", h.name, h.serving, f.inForce)
+		}
+	}
+}
+
+func TestNoOldRevisionAfterInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		for range 150 {
+			f.step()
+		}
+	})
+}
+
+func TestNoRenewalBelowInForce(t *testing.T) {
+	c := qt.New(t)
+	g := NewGrantor(begin, 1, 1, WithSpan(span), WithHosts(nil))
+	g.Committed(begin, 2)
+	ok, _ := g.InForce(begin, 2)
+	c.Assert(ok, qt.IsTrue)
+	late := g.Renew(begin, begin.Add(span), Renewal{ID: 1, Host: "a", Incarnation: "1", Acknowledged: 1})
+	c.Assert(late, qt.Equals, Grant{ID: 1, Term: 1, Revision: 2})
+	fresh := g.Renew(begin, begin.Add(span), Renewal{ID: 2, Host: "a", Incarnation: "1", Acknowledged: 2})
+	c.Assert(fresh.Span, qt.Equals, span)
+}
+
+func TestHolderIgnores(t *testing.T) {
+	c := qt.New(t)
+	h := NewHolder("a", "1")
+	first, second := h.Renewal(begin), h.Renewal(begin.Add(time.Second))
+	c.Assert(h.Granted(Grant{ID: 9, Term: 1, Span: span}), qt.IsFalse)
+	c.Assert(h.Granted(Grant{ID: second.ID, Term: 2, Span: span}), qt.IsTrue)
+	c.Assert(h.Granted(Grant{ID: second.ID, Term: 2, Span: 9 * span}), qt.IsFalse)
+	c.Assert(h.Granted(Grant{ID: first.ID, Term: 2, Span: 9 * span}), qt.IsFalse)
+	third := h.Renewal(begin.Add(time.Second))
+	c.Assert(h.Granted(Grant{ID: third.ID, Term: 1, Span: 9 * span}), qt.IsFalse)
+	c.Assert(h.Until(), qt.Equals, begin.Add(time.Second+span))
+}
