--- a/masticledger/body.go
+++ b/masticledger/body.go
@@ -51,9 +51,6 @@
 // forgetBodies removes the queue's entries that no longer stand for a body.
 func (g *Ledger) forgetBodies() {
 	q := &g.bodies
-	for len(q.queue) > 0 && g.orders[q.queue[0]].bodyAt == 0 {
-		q.queue = q.queue[1:]
-	}
 	if len(q.queue) > 2*len(g.orders)+1024 {
 		q.queue = slices.DeleteFunc(q.queue, g.hasNoBody)
 	}
--- /dev/null
+++ b/masticledger/ledger_test.go
@@ -0,0 +1,98 @@
+package masticledger
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticcall"
+	"masticladder/masticerror"
+	"masticladder/masticproto"
+)
+
+func reserveOf(now time.Time, key string, request, attempt int) *masticproto.Reserve {
+	d := digestOf(request)
+	return &masticproto.Reserve{
+		Workspace: "mill", IdempotencyKey: key, RequestDigest: d[:], Host: "h", Incarnation: "1", Attempt: uint64(attempt),
+		DeadlineUnixMs: now.Add(time.Minute).UnixMilli(), RetainUntilUnixMs: now.Add(time.Hour).UnixMilli(),
+	}
+}
+
+func TestReserveRefuses(t *testing.T) {
+	c := qt.New(t)
+	g := New(WithLimits(Limits{Orders: 3, OpaqueKeys: 1, BodyBytes: 10}))
+	_, err := g.Reserve(begin, reserveOf(begin, "a", 1, 1))
+	c.Assert(err, qt.IsNil)
+	_, err = g.Reserve(begin, reserveOf(begin, "a", 2, 2))
+	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindKeyReused)
+	_, err = g.Reserve(begin, reserveOf(begin, "b", 1, 3))
+	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindKeyTooOld)
+	for i := range 2 {
+		_, err = g.Reserve(begin, reserveOf(begin, uuidAt(begin.Add(time.Duration(-i)*time.Second)), 1, 4+i))
+		c.Assert(err, qt.IsNil)
+	}
+	_, err = g.Reserve(begin, reserveOf(begin, uuidAt(begin.Add(-9*time.Second)), 1, 9))
+	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindOverloaded)
+	_, err = g.Reserve(begin.Add(time.Hour), reserveOf(begin, "c", 1, 9))
+	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindDeadline)
+}
+
+// TestRepeatedReserveAfterRelease sees that a Reserve which arrives twice does not hold the
+// key again after its attempt released it.
+func TestRepeatedReserveAfterRelease(t *testing.T) {
+	c := qt.New(t)
+	g := New()
+	r := reserveOf(begin, "a", 1, 1)
+	_, err := g.Reserve(begin, r)
+	c.Assert(err, qt.IsNil)
+	c.Assert(g.Release(begin, &masticproto.Release{Workspace: "mill", IdempotencyKey: "a", Host: "h", Incarnation: "1", Attempt: 1}), qt.IsTrue)
+	again, _ := g.Reserve(begin, r)
+	c.Assert(again.State, qt.Equals, masticcall.OrderInFlight)
+	next, _ := g.Reserve(begin, reserveOf(begin, "a", 1, 2))
+	c.Assert(next.State, qt.Equals, masticcall.OrderReserved)
+}
+
+func TestBodiesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	g := New(WithLimits(Limits{Orders: 5000, OpaqueKeys: 5000, BodyBytes: 100}))
+	now := begin
+	for i := range 4000 {
+		now = now.Add(10 * time.Second)
+		g.Drop(now)
+		key := fmt.Sprint("key", i)
+		_, err := g.Reserve(now, reserveOf(now, key, 1, i))
+		c.Assert(err, qt.IsNil)
+		g.Record(&masticproto.Record{
+			Workspace: "mill", IdempotencyKey: key, Host: "h", Incarnation: "1", Attempt: uint64(i),
+			Answer: &masticproto.StoredAnswer{Status: 200, Body: []byte(strings.Repeat("x", i%60))},
+		})
+		c.Assert(g.bodies.bytes <= 100, qt.IsTrue)
+		c.Assert(len(g.bodies.queue) <= 500, qt.IsTrue)
+	}
+	c.Assert(g.Orders() < 500, qt.IsTrue)
+}
+
+func TestKeyTime(t *testing.T) {
+	c := qt.New(t)
+	cases := []struct {
+		key   string
+		bears bool
+	}{
+		{uuidAt(begin), true},
+		{strings.ToUpper(uuidAt(begin)), true},
+		{uuidAt(begin.Add(MaxKeyAhead)), true},
+		{uuidAt(begin.Add(MaxKeyAhead + time.Millisecond)), false},
+		{uuidAt(time.UnixMilli(0)), false},
+		{"01a31893-3e80-4000-8000-000000000000", false},
+		{"01JZ8QC9G0ABCDEFGHJKMNPQRS", true},
+		{"01JZ8QC9G0ABCDEFGHJKMNPQRU", false},
+		{"order 17", false},
+	}
+	for _, k := range cases {
+		_, ok := KeyTime(k.key, begin)
+		c.Assert(ok, qt.Equals, k.bears, qt.Commentf(k.key))
+	}
+}
