--- a/masticstate/state_test.go
+++ b/masticstate/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -13,6 +14,7 @@
 func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "80")
 }
 
 func workspaceChange(name string, rate int64) *masticproto.ViewChange {
@@ -43,3 +45,43 @@
 	w, _ := s.View().Workspace("mill")
 	c.Assert(w.RateTokensPerSecond, qt.Equals, int64(2))
 }
+
+// TestCheckpointsKeepTheirOrder sees that a checkpoint that is committed again later does
+// not replace a newer one.
+func TestCheckpointsKeepTheirOrder(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	checkpoint := func(index, term, sequence uint64, used int64) bool {
+		q := &masticproto.QuotaCheckpoint{Term: term, Sequence: sequence, Levels: []*masticproto.QuotaLevel{{Workspace: "mill", UsedTokens: used}}}
+		return s.Apply(index, &masticproto.Command{Kind: &masticproto.Command_Quota{Quota: q}}).(QuotaResult).Applied
+	}
+	c.Assert(checkpoint(1, 2, 1, 10), qt.IsTrue)
+	c.Assert(checkpoint(2, 2, 2, 50), qt.IsTrue)
+	c.Assert(checkpoint(3, 2, 1, 10), qt.IsFalse)
+	c.Assert(checkpoint(4, 1, 9, 10), qt.IsFalse)
+	c.Assert(s.QuotaBounds(), qt.DeepEquals, map[string]int64{"mill": 50})
+}
+
+func TestDeltasFeedAView(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	v := s.View()
+	for i := range uint64(MaxDeltas + 1) {
+		s.Apply(i+1, publishCommand(1, fmt.Sprint(i), 0, workspaceChange("mill", int64(i+1))))
+		if i == 2 {
+			deltas, ok := s.Deltas(0)
+			c.Assert(ok, qt.IsTrue)
+			for _, d := range deltas {
+				var err error
+				v, err = v.ApplyDelta(d)
+				c.Assert(err, qt.IsNil)
+			}
+			c.Assert(v.Revision(), qt.Equals, s.View().Revision())
+		}
+	}
+	_, ok := s.Deltas(0)
+	c.Assert(ok, qt.IsFalse)
+	deltas, ok := s.Deltas(1)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(deltas, qt.HasLen, MaxDeltas)
+}
