--- /dev/null
+++ b/masticsettings/settings.go
@@ -0,0 +1,110 @@
+// Package masticsettings reads and checks the settings of a host: JSON with comments.
+package masticsettings
+
+// Role is a duty that a host takes on.
+type Role string
+
+// The roles of a host.
+const (
+	// RoleEntry serves callers.
+	RoleEntry Role = "entry"
+	// RoleControl keeps the replicated log on its disk.
+	RoleControl Role = "control"
+)
+
+// Settings are the settings of one host. Addresses are IP:port.
+type Settings struct {
+	Host  string `json:"host" validate:"required,max=64"`
+	Owner string `json:"owner" validate:"required"`
+	// Zone is the availability zone.
+	Zone  string `json:"zone" validate:"required"`
+	Roles []Role `json:"roles" validate:"required,unique,dive,oneof=entry control"`
+	// Listen serves callers, Admin operators, Peer other hosts.
+	Listen string `json:"listen" validate:"required,ip_port"`
+	Admin  string `json:"admin" validate:"required,ip_port"`
+	Peer   string `json:"peer" validate:"required,ip_port"`
+	// Weight is the host's share of callers relative to other hosts.
+	Weight int64 `json:"weight" validate:"gte=1,lte=1000"`
+	// DataFolder holds all files of a control host.
+	DataFolder string `json:"dataFolder"`
+	// Control lists the control hosts that the fleet starts with.
+	Control []ControlHost `json:"control" validate:"required,unique=Host,dive"`
+	// OperatorKeys are SHA-256 digests of operators' keys, in hexadecimal.
+	OperatorKeys []string  `json:"operatorKeys" validate:"dive,len=64,hexadecimal"`
+	Log          Log       `json:"log"`
+	Timing       Timing    `json:"timing"`
+	Placement    Placement `json:"placement"`
+	TLS          TLS       `json:"tls"`
+}
+
+// ControlHost is one control host.
+type ControlHost struct {
+	Host string `json:"host" validate:"required"`
+	Peer string `json:"peer" validate:"required,ip_port"`
+	Zone string `json:"zone"`
+}
+
+// Log states how decisions are logged.
+type Log struct {
+	Format string `json:"format" validate:"oneof=json text"`
+	Level  string `json:"level" validate:"oneof=debug info warn error"`
+}
+
+// Timing holds spans in milliseconds.
+type Timing struct {
+	ViewLeaseMillis   int64 `json:"viewLeaseMillis" validate:"gte=200,lte=16000"`
+	HeartbeatMillis   int64 `json:"heartbeatMillis" validate:"gte=10,lte=5000"`
+	ElectionMillis    int64 `json:"electionMillis" validate:"gte=50,lte=15000"`
+	AddressListMillis int64 `json:"addressListMillis" validate:"gte=100,lte=300000"`
+	DrainMillis       int64 `json:"drainMillis" validate:"gte=0,lte=3600000"`
+	UsageReportMillis int64 `json:"usageReportMillis" validate:"gte=100,lte=60000"`
+}
+
+// Placement bounds the loading of weights.
+type Placement struct {
+	// ConcurrentLoads is the number of backend servers that may load weights at once.
+	ConcurrentLoads int `json:"concurrentLoads" validate:"gte=1,lte=100"`
+	// LoadsPerMinute is the rate that the weight store allows.
+	LoadsPerMinute int `json:"loadsPerMinute" validate:"gte=1,lte=100000"`
+}
+
+// TLS names certificate files; empty names mean plain connections, which Plain has to state.
+type TLS struct {
+	// Plain states that connections are not encrypted.
+	Plain bool `json:"plain"`
+	// Certificate and Key serve callers and operators.
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	// PeerCertificate, PeerKey and PeerAuthority authenticate hosts to one another.
+	PeerCertificate string `json:"peerCertificate"`
+	PeerKey         string `json:"peerKey"`
+	PeerAuthority   string `json:"peerAuthority"`
+}
+
+// Default returns settings with the default of each field that has one.
+func Default() Settings {
+	return Settings{
+		Roles:  []Role{RoleEntry},
+		Weight: 1,
+		Log:    Log{Format: "json", Level: "info"},
+		Timing: Timing{
+			ViewLeaseMillis:   2000,
+			HeartbeatMillis:   100,
+			ElectionMillis:    500,
+			AddressListMillis: 5000,
+			DrainMillis:       60000,
+			UsageReportMillis: 2000,
+		},
+		Placement: Placement{ConcurrentLoads: 3, LoadsPerMinute: 600},
+	}
+}
+
+// Has reports whether the host has role r.
+func (s Settings) Has(r Role) bool {
+	for _, x := range s.Roles {
+		if x == r {
+			return true
+		}
+	}
+	return false
+}
