--- /dev/null
+++ b/masticadmin/answer.go
@@ -0,0 +1,72 @@
+package masticadmin
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"masticladder/masticerror"
+	"masticladder/masticview"
+)
+
+// Document is the readable form of a view.
+type Document struct {
+	Revision    uint64                  `json:"revision"`
+	Workspaces  []masticview.Workspace  `json:"workspaces"`
+	Profiles    []masticview.Profile    `json:"profiles"`
+	Keys        []masticview.Key        `json:"keys"`
+	Hosts       []masticview.Host       `json:"hosts"`
+	Servers     []masticview.Server     `json:"servers"`
+	Services    []masticview.Service    `json:"services"`
+	Quarantines []masticview.Quarantine `json:"quarantines"`
+}
+
+func documentOf(v masticview.View) Document {
+	return Document{
+		Revision:    v.Revision(),
+		Workspaces:  v.Workspaces(),
+		Profiles:    v.Profiles(),
+		Keys:        v.Keys(),
+		Hosts:       v.Hosts(),
+		Servers:     v.Servers(),
+		Services:    v.Services(),
+		Quarantines: v.Quarantines(),
+	}
+}
+
+// Fault is the body of an error answer.
+type Fault struct {
+	Error FaultDetail `json:"error"`
+}
+
+// FaultDetail tells a program and a person what went wrong.
+type FaultDetail struct {
+	Message        string           `json:"message"`
+	Kind           masticerror.Kind `json:"kind"`
+	NotRun         bool             `json:"notRun"`
+	OutcomeUnknown bool             `json:"outcomeUnknown"`
+}
+
+func writeAnswer(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	e := masticerror.From(err)
+	if d := e.RetryAfter(); d > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Seconds()))))
+	}
+	detail := FaultDetail{Message: e.Message(), Kind: e.Kind(), NotRun: e.NotRun(), OutcomeUnknown: !e.NotRun()}
+	writeJSON(w, e.Status(), Fault{detail})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/masticadmin/server.go
@@ -0,0 +1,183 @@
+// Package masticadmin serves operators over HTTP with JSON and calls such a server.
+package masticadmin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"masticladder/masticcall"
+	"masticladder/masticerror"
+	"masticladder/masticproto"
+	"masticladder/masticview"
+)
+
+// MaxBodyBytes bounds an operator's request.
+const MaxBodyBytes = 4 << 20
+
+// Server is the http.Handler for operators.
+type Server struct {
+	operator masticcall.Operator
+	views    masticcall.Views
+	registry metrics.Registry
+	digests  map[masticview.Digest]bool
+	mux      *http.ServeMux
+}
+
+// Option sets a part of a Server.
+type Option func(*Server)
+
+// WithOperator sets what carries out operators' orders.
+func WithOperator(o masticcall.Operator) Option { return func(s *Server) { s.operator = o } }
+
+// WithViews sets where the view is read.
+func WithViews(v masticcall.Views) Option { return func(s *Server) { s.views = v } }
+
+// WithRegistry sets the metrics that are served.
+func WithRegistry(r metrics.Registry) Option { return func(s *Server) { s.registry = r } }
+
+// WithOperatorKeys sets the digests of operators' keys; without any, no key is asked for.
+func WithOperatorKeys(digests ...masticview.Digest) Option {
+	return func(s *Server) {
+		for _, d := range digests {
+			s.digests[d] = true
+		}
+	}
+}
+
+// New returns a Server.
+func New(options ...Option) *Server {
+	s := &Server{digests: map[masticview.Digest]bool{}, mux: http.NewServeMux(), registry: metrics.NewRegistry()}
+	for _, o := range options {
+		o(s)
+	}
+	s.routes()
+	return s
+}
+
+func (s *Server) routes() {
+	s.mux.HandleFunc("GET /healthz", s.health)
+	s.mux.HandleFunc("GET /metrics", s.metrics)
+	s.mux.HandleFunc("GET /v1/status", s.status)
+	s.mux.HandleFunc("GET /v1/usage", s.usage)
+	s.mux.HandleFunc("POST /v1/publish", s.publish)
+	s.mux.HandleFunc("GET /v1/view", s.view)
+	s.mux.HandleFunc("POST /v1/keys/{id}/withdraw", s.withdrawKey)
+	s.mux.HandleFunc("POST /v1/hosts/{name}/retire", s.retireHost)
+	s.mux.HandleFunc("POST /v1/servers/{name}/retire", s.retireServer)
+	s.mux.HandleFunc("POST /v1/members/{host}", s.changeMember)
+	s.mux.HandleFunc("DELETE /v1/members/{host}", s.removeMember)
+}
+
+// ServeHTTP checks the operator's key and serves the request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/healthz" && !s.authorized(r) {
+		writeError(w, masticerror.New(masticerror.KindUnauthenticated, "an operator's key is needed"))
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) authorized(r *http.Request) bool {
+	if len(s.digests) == 0 {
+		return true
+	}
+	const prefix = "Bearer "
+	h := r.Header.Get("Authorization")
+	if len(h) <= len(prefix) || h[:len(prefix)] != prefix {
+		return false
+	}
+	return s.digests[masticview.DigestOf([]byte(h[len(prefix):]))]
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	status, err := s.operator.Status(r.Context())
+	writeAnswer(w, status, err)
+}
+
+func (s *Server) usage(w http.ResponseWriter, r *http.Request) {
+	totals, err := s.operator.Usage(r.Context())
+	writeAnswer(w, totals, err)
+}
+
+func (s *Server) view(w http.ResponseWriter, _ *http.Request) {
+	writeAnswer(w, documentOf(s.views.View()), nil)
+}
+
+func (s *Server) publish(w http.ResponseWriter, r *http.Request) {
+	p, err := readPublish(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	s.change(w, r, p)
+}
+
+func readPublish(r *http.Request) (*masticproto.Publish, error) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	p := &masticproto.Publish{}
+	if err := protojson.Unmarshal(b, p); err != nil {
+		return nil, masticerror.New(masticerror.KindBadRequest, "the change cannot be read: %v", err)
+	}
+	if p.RequestId == "" || p.Change == nil {
+		return nil, masticerror.New(masticerror.KindBadRequest, "requestId and change are needed")
+	}
+	if len(p.Change.Quarantines) > 0 {
+		return nil, masticerror.New(masticerror.KindBadRequest, "quarantines are not published")
+	}
+	return p, nil
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return masticerror.New(masticerror.KindBodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
+	}
+	return masticerror.Wrap(err, masticerror.KindBadRequest, "the body cannot be read")
+}
+
+func (s *Server) change(w http.ResponseWriter, r *http.Request, p *masticproto.Publish) {
+	published, err := s.operator.Publish(r.Context(), p.RequestId, p.BaseRevision, p.Change)
+	writeAnswer(w, published, err)
+}
+
+func (s *Server) changeMember(w http.ResponseWriter, r *http.Request) {
+	var m memberRequest
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		writeError(w, masticerror.New(masticerror.KindBadRequest, "the member cannot be read: %v", err))
+		return
+	}
+	host := r.PathValue("host")
+	member := &masticproto.Member{Id: host, Voter: m.Voter, Address: m.Peer}
+	writeAnswer(w, done{true}, s.operator.ChangeMember(r.Context(), host, member))
+}
+
+func (s *Server) removeMember(w http.ResponseWriter, r *http.Request) {
+	writeAnswer(w, done{true}, s.operator.ChangeMember(r.Context(), r.PathValue("host"), nil))
+}
+
+type memberRequest struct {
+	Peer  string `json:"peer"`
+	Voter bool   `json:"voter"`
+}
+
+type done struct {
+	Done bool `json:"done"`
+}
+
+// requestID returns the caller's identifier, so that a repeated order is recognised.
+func requestID(r *http.Request) string {
+	return r.Header.Get("Mastic-Request-Id")
+}
--- a/masticcall/operator.go
+++ b/masticcall/operator.go
@@ -9,42 +9,48 @@
 
 // Published is the answer to an accepted change.
 type Published struct {
-	Revision uint64
+	Revision uint64 `json:"revision"`
 	// InForce reports that every unexpired lease has acknowledged the revision or has run out.
 	// When false the change is committed and comes into force within one lease span.
-	InForce bool
+	InForce bool `json:"inForce"`
 	// Repeated reports that this is the first answer again, to a change sent twice.
-	Repeated bool
+	Repeated bool `json:"repeated"`
 }
 
 // UsageTotal is one row of the usage kept by control.
 type UsageTotal struct {
-	Workspace, Profile, Model, ServerOwner string
-	Requests, Orders                       int64
-	InputTokens, OutputTokens              int64
-	CachedTokens, RecomputedTokens         int64
-	Refusals                               map[string]int64
+	Workspace        string           `json:"workspace"`
+	Profile          string           `json:"profile"`
+	Model            string           `json:"model"`
+	ServerOwner      string           `json:"serverOwner"`
+	Requests         int64            `json:"requests"`
+	Orders           int64            `json:"orders"`
+	InputTokens      int64            `json:"inputTokens"`
+	OutputTokens     int64            `json:"outputTokens"`
+	CachedTokens     int64            `json:"cachedTokens"`
+	RecomputedTokens int64            `json:"recomputedTokens"`
+	Refusals         map[string]int64 `json:"refusals"`
 }
 
 // ControlStatus is what this host knows of control.
 type ControlStatus struct {
-	Host          string
-	Leader        string
-	Term          uint64
-	Commit        uint64
-	Revision      uint64
-	LeaseUntil    time.Time
-	Members       []ControlMember
-	ActiveLeases  int
-	StateBytes    int64
-	LastCommitted time.Time
+	Host          string          `json:"host"`
+	Leader        string          `json:"leader"`
+	Term          uint64          `json:"term"`
+	Commit        uint64          `json:"commit"`
+	Revision      uint64          `json:"revision"`
+	LeaseUntil    time.Time       `json:"leaseUntil"`
+	Members       []ControlMember `json:"members"`
+	ActiveLeases  int             `json:"activeLeases"`
+	StateBytes    int64           `json:"stateBytes"`
+	LastCommitted time.Time       `json:"lastCommitted"`
 }
 
 // ControlMember is one host that keeps the replicated log.
 type ControlMember struct {
-	Host    string
-	Voter   bool
-	Address string
+	Host    string `json:"host"`
+	Voter   bool   `json:"voter"`
+	Address string `json:"address"`
 }
 
 // Operator is what operators ask of control, from any host.
