Add dispatcher, scheduler core and address answers

Cause: the whole path needs a Dispatcher and Addresses to be wired against. Change: piece identifiers, beliefs, candidates and prediction, fair queue, retry budget, health, the scheduler core that joins them without I/O, the loop that owns it, and address answers by weighted rendezvous hashing over zones. Seen to fail: with the state check removed, an answer lists a leaving host; with the number of hosts hashed into the rank, a subset changes when an unrelated host leaves.

--- /dev/null
+++ b/masticcache/event.go
@@ -0,0 +1,91 @@
+package masticcache
+
+import (
+	"time"
+
+	"masticladder/masticprompt"
+)
+
+// EventKind tells the events of a cache apart.
+type EventKind int
+
+// The kinds of cache events.
+const (
+	// Stored says that a piece was put into the cache.
+	Stored EventKind = iota
+	// Removed says that a piece was evicted.
+	Removed
+	// Cleared says that the cache was emptied.
+	Cleared
+)
+
+// Event is one change of a backend server's cache.
+type Event struct {
+	Kind  EventKind
+	Piece masticprompt.PieceID
+}
+
+// Batch is a run of events with consecutive numbers.
+type Batch struct {
+	// First is the number of the first event.
+	First  uint64
+	Events []Event
+}
+
+// Applied says what Apply did with a batch.
+type Applied struct {
+	// Late counts events that were dropped since later ones had been applied.
+	Late int
+	// Gap reports that events are missing before this batch.
+	Gap bool
+}
+
+// Apply changes the beliefs about slot by a batch of its current incarnation's events.
+// Events older than those applied are dropped; a gap makes all earlier beliefs worth less.
+func (b *Beliefs) Apply(now time.Time, slot Slot, batch Batch) Applied {
+	var a Applied
+	s := b.server(slot)
+	events := batch.Events
+	if s.streaming && batch.First < s.next {
+		a.Late = int(min(s.next-batch.First, uint64(len(events))))
+		events = events[a.Late:]
+	}
+	if len(events) == 0 {
+		return a
+	}
+	if s.streaming && batch.First > s.next {
+		a.Gap = true
+		s.gaps++
+	}
+	s.streaming = true
+	s.next = batch.First + uint64(len(batch.Events))
+	s.lastEvent = now
+	for _, e := range events {
+		b.apply(now, slot, e)
+	}
+	return a
+}
+
+func (b *Beliefs) apply(now time.Time, slot Slot, e Event) {
+	switch e.Kind {
+	case Stored:
+		h := b.hold(e.Piece, slot)
+		if h.at.IsZero() {
+			h.at = now
+		}
+		h.listed = true
+		h.gaps = b.server(slot).gaps
+	case Removed:
+		if r, ok := b.pieces[e.Piece]; ok {
+			r.remove(slot)
+		}
+	case Cleared:
+		b.clear(slot)
+	}
+}
+
+// clear voids the beliefs about slot and keeps its place in the stream.
+func (b *Beliefs) clear(slot Slot) {
+	s := b.server(slot)
+	s.epoch++
+}
--- /dev/null
+++ b/masticdispatch/assignment.go
@@ -0,0 +1,51 @@
+package masticdispatch
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"masticladder/masticcall"
+	"masticladder/masticschedule"
+	"masticladder/masticview"
+)
+
+// saltBytes is the length of a cache salt before it is written in hexadecimal.
+const saltBytes = 16
+
+// assignment implements masticcall.Assignment.
+type assignment struct {
+	dispatcher *Dispatcher
+	outcome    masticschedule.Outcome
+	workspace  string
+	class      masticview.Class
+}
+
+func (d *Dispatcher) assignment(o masticschedule.Outcome, workspace string, c masticview.Class) *assignment {
+	return &assignment{d, o, workspace, c}
+}
+
+// Server returns the backend server.
+func (a *assignment) Server() masticview.Server { return a.outcome.Server }
+
+// Priority returns the engine's priority; a smaller one is more urgent.
+func (a *assignment) Priority() int { return masticschedule.Priority(a.class) }
+
+// CachedTokens returns the number of prompt tokens believed to be cached.
+func (a *assignment) CachedTokens() int64 { return int64(a.outcome.Decision.Cached) }
+
+// CacheSalt returns the salt that separates the engine's cache by workspace.
+func (a *assignment) CacheSalt() string {
+	sum := sha256.Sum256([]byte("cacheSalt\x00" + a.workspace))
+	return hex.EncodeToString(sum[:saltBytes])
+}
+
+// FirstToken records when the first token came.
+func (a *assignment) FirstToken(now time.Time) {
+	a.dispatcher.must(&firstToken{a.outcome.Ticket, now})
+}
+
+// Done records how the attempt ended.
+func (a *assignment) Done(now time.Time, r masticcall.Result) {
+	a.dispatcher.must(&done{a.outcome.Ticket, now, r})
+}
--- /dev/null
+++ b/masticdispatch/dispatcher_test.go
@@ -0,0 +1,131 @@
+package masticdispatch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"masticladder/masticcall"
+	"masticladder/masticerror"
+	"masticladder/masticview"
+)
+
+// bench is a running Dispatcher with its log.
+type bench struct {
+	*Dispatcher
+	log *bytes.Buffer
+}
+
+func (b *bench) run() { _ = b.Run() }
+
+func newBench(t *testing.T, engines int) *bench {
+	t.Helper()
+	l := logrus.New()
+	log := &bytes.Buffer{}
+	l.SetOutput(io.Writer(log))
+	b := &bench{New(WithSeed(1), WithLog(logrus.NewEntry(l))), log}
+	go b.run()
+	b.SetView(viewOf(engines))
+	synctest.Wait()
+	return b
+}
+
+func viewOf(engines int) masticview.View {
+	var v masticview.View
+	for i := range engines {
+		v = v.WithServer(masticview.Server{
+			Name: fmt.Sprintf("engine%d", i), Kind: masticview.ServerEngine,
+			Models: []string{"saw"}, State: masticview.ServerActive,
+		})
+	}
+	return v
+}
+
+func requestOf(id, text string) masticcall.Request {
+	return masticcall.Request{
+		ID: id, Workspace: "mill", Weight: 1, Model: "saw", Class: masticview.ClassLong,
+		Levels: []masticcall.Level{{Role: "system", Text: text}},
+	}
+}
+
+func TestAcquireAndDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 3)
+		defer b.Stop(nil)
+		a, err := b.Acquire(t.Context(), requestOf("r1", "secret handbook"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(a.Server().Name, qt.Matches, "engine[012]")
+		a.FirstToken(time.Now())
+		a.Done(time.Now(), masticcall.Result{})
+		synctest.Wait()
+		c.Assert(b.log.String(), qt.Contains, "request routed")
+		c.Assert(b.log.String(), qt.Contains, "candidates=")
+		c.Assert(b.log.String(), qt.Not(qt.Contains), "secret")
+	})
+}
+
+func TestCacheSaltDiffersByWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		defer b.Stop(nil)
+		salts := map[string]bool{}
+		for _, w := range []string{"mill", "fitter", "fitter"} {
+			r := requestOf("r", "text")
+			r.Workspace = w
+			a, err := b.Acquire(t.Context(), r)
+			c.Assert(err, qt.IsNil)
+			salts[a.CacheSalt()] = true
+			a.Done(time.Now(), masticcall.Result{})
+		}
+		c.Assert(salts, qt.HasLen, 2)
+	})
+}
+
+func TestNoServerIsRefusedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 0)
+		defer b.Stop(nil)
+		_, err := b.Acquire(t.Context(), requestOf("r1", "text"))
+		c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindNoServer)
+		c.Assert(masticerror.From(err).NotRun(), qt.IsTrue)
+	})
+}
+
+func TestQueuedRequestEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		defer b.Stop(nil)
+		long := requestOf("r1", string(bytes.Repeat([]byte("saw "), 40000)))
+		first, err := b.Acquire(t.Context(), long)
+		c.Assert(err, qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err = b.Acquire(ctx, requestOf("r2", "other"))
+		c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindDeadline)
+		synctest.Wait()
+		c.Assert(b.scheduler.Queued(), qt.Equals, 0)
+		first.Done(time.Now(), masticcall.Result{})
+	})
+}
+
+func TestStopAnswersWaiters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		b.Stop(nil)
+		synctest.Wait()
+		_, err := b.Acquire(t.Context(), requestOf("r1", "text"))
+		c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindDraining)
+	})
+}
--- /dev/null
+++ b/masticprompt/seed.go
@@ -0,0 +1,32 @@
+// Package masticprompt cuts a prompt into pieces and names each piece by a chained
+// hash, so that equal prefixes have equal identifiers.
+package masticprompt
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+)
+
+// Seed separates identifiers: pieces of two prompts can only be equal when their seeds are.
+type Seed struct {
+	Workspace, Model, Adapter, WeightsVersion string
+}
+
+// digest returns a hash of the fields, each with its length before it.
+func (s Seed) digest() [sha256.Size]byte {
+	h := sha256.New()
+	for _, f := range []string{s.Workspace, s.Model, s.Adapter, s.WeightsVersion} {
+		writeField(h, f)
+	}
+	var d [sha256.Size]byte
+	h.Sum(d[:0])
+	return d
+}
+
+func writeField(h hash.Hash, f string) {
+	var n [8]byte
+	binary.BigEndian.PutUint64(n[:], uint64(len(f)))
+	_, _ = h.Write(n[:])
+	_, _ = h.Write([]byte(f))
+}
--- /dev/null
+++ b/masticroute/decide.go
@@ -0,0 +1,211 @@
+package masticroute
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"masticladder/masticcache"
+	"masticladder/masticprompt"
+	"masticladder/masticview"
+)
+
+const (
+	// maxCandidates bounds the backend servers weighed in one decision.
+	maxCandidates = 16
+	// homesPerLevel is the number of ring candidates of each level of the prompt.
+	homesPerLevel = 2
+	// walkLimit bounds the points of the ring that are seen for one level.
+	walkLimit = 24
+	// maxHolderCandidates bounds the believed holders weighed.
+	maxHolderCandidates = 6
+	// randomCandidates is the number of random ones weighed.
+	randomCandidates = 2
+)
+
+// Reason says why a backend server was a candidate.
+type Reason string
+
+// The reasons, in the order in which candidates are sought.
+const (
+	ReasonHolder Reason = "holder"
+	ReasonHome   Reason = "home"
+	ReasonRandom Reason = "random"
+)
+
+// Query is what a decision depends on.
+type Query struct {
+	Model     string
+	Workspace string
+	Class     masticview.Class
+	Prompt    masticprompt.Prompt
+	// PromptTokens is the length of the prompt where it is known better than by estimate.
+	PromptTokens int64
+	Avoid        []string
+	// Suspect reports that the request may end the backend server that runs it.
+	Suspect bool
+}
+
+// Candidate is one backend server that was weighed.
+type Candidate struct {
+	Slot   masticcache.Slot
+	Reason Reason
+	// Cached is the expected number of cached tokens.
+	Cached float64
+	// Wait and Prefill add up to the predicted time to the first token.
+	Wait, Prefill time.Duration
+}
+
+// Predicted returns the predicted time to the first token.
+func (c Candidate) Predicted() time.Duration { return c.Wait + c.Prefill }
+
+// Decision is the outcome of Decide.
+type Decision struct {
+	Candidate
+	// Open reports that the backend server's window has room; else the request waits.
+	Open bool
+	// Pieces are the prompt's pieces under the weights of the chosen backend server.
+	Pieces   []masticprompt.Piece
+	Tokens   int64
+	Ahead    float64
+	LookUps  int
+	weighed  [maxCandidates]Candidate
+	nWeighed int
+}
+
+// Weighed returns all candidates, in the order in which they were found.
+func (d *Decision) Weighed() []Candidate { return d.weighed[:d.nWeighed] }
+
+// Decide weighs the candidates for q. It reports false when no backend server is usable.
+func (r *Router) Decide(now time.Time, q *Query) (Decision, bool) {
+	var d Decision
+	d.Prefill = math.MaxInt64 / 2
+	found := false
+	for i := range r.pools[q.Model] {
+		found = r.decideIn(now, &r.pools[q.Model][i], q, &d) || found
+	}
+	if !found {
+		return d, false
+	}
+	s := r.servers[d.Slot]
+	d.Open = r.open(now, s, d.Wait)
+	d.Ahead = s.load.own + s.load.othersNow(now)
+	return d, true
+}
+
+// decideIn weighs the candidates of one pool against the best so far in d.
+func (r *Router) decideIn(now time.Time, p *pool, q *Query, d *Decision) bool {
+	pieces := q.Prompt.Pieces(masticprompt.Seed{Workspace: q.Workspace, Model: q.Model, WeightsVersion: p.version})
+	tokens := max(q.Prompt.Tokens(), q.PromptTokens)
+	r.lookup = r.beliefs.Lookup(r.lookup, pieces)
+	d.LookUps += min(len(pieces), r.lookup.Looked()+1)
+	found := false
+	add := func(slot masticcache.Slot, reason Reason) bool {
+		if d.nWeighed == maxCandidates {
+			return false
+		}
+		s := r.servers[slot]
+		if d.has(slot) || !r.fits(now, s, q) {
+			return true
+		}
+		c := r.predict(now, slot, reason, q.Class, tokens)
+		d.weighed[d.nWeighed] = c
+		d.nWeighed++
+		if c.Predicted() < d.Predicted() {
+			d.Candidate = c
+			d.Pieces = pieces
+			d.Tokens = tokens
+			found = true
+		}
+		return true
+	}
+	r.addHolders(add)
+	r.addHomes(p, pieces, add)
+	r.addRandom(p, add)
+	if d.nWeighed == 0 {
+		r.addAny(p, add)
+	}
+	return found
+}
+
+func (d *Decision) has(slot masticcache.Slot) bool {
+	for _, c := range d.Weighed() {
+		if c.Slot == slot {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Router) fits(now time.Time, s *server, q *Query) bool {
+	if !s.usable(now) || slices.Contains(q.Avoid, s.info.Name) {
+		return false
+	}
+	return !q.Suspect || s.suspects == 0
+}
+
+func (r *Router) predict(now time.Time, slot masticcache.Slot, reason Reason, class masticview.Class, tokens int64) Candidate {
+	s := r.servers[slot]
+	speed := s.speed(now, r.speeds)
+	cached := r.lookup.Cached(now, slot)
+	uncached := max(0, float64(tokens)-cached)
+	return Candidate{
+		Slot: slot, Reason: reason, Cached: cached,
+		Wait: s.wait(now, class, speed, r.urgentShare), Prefill: seconds(uncached / speed),
+	}
+}
+
+// open reports whether s may get work with the predicted wait at once.
+func (r *Router) open(now time.Time, s *server, wait time.Duration) bool {
+	if s.load.running == 0 {
+		return true
+	}
+	if slots := s.load.report.Slots; slots > 0 && int64(s.load.running)+s.load.othersRunning >= slots+maxExtraRunning {
+		return false
+	}
+	return wait <= windowSpan
+}
+
+func (r *Router) addHolders(add func(masticcache.Slot, Reason) bool) {
+	n := 0
+	r.lookup.Holders(func(slot masticcache.Slot) bool {
+		n++
+		return add(slot, ReasonHolder) && n < maxHolderCandidates
+	})
+}
+
+// addHomes adds the first backend servers on the ring for each level but the last,
+// which seldom comes again.
+func (r *Router) addHomes(p *pool, pieces []masticprompt.Piece, add func(masticcache.Slot, Reason) bool) {
+	for i := len(pieces) - 1; i >= 0; i-- {
+		if !pieces[i].Last || (i == len(pieces)-1 && pieces[i].Level > 0) {
+			continue
+		}
+		seen := [homesPerLevel]masticcache.Slot{}
+		n := 0
+		p.ring.walk(pieces[i].ID.Hash(), walkLimit, func(slot masticcache.Slot) bool {
+			if slices.Contains(seen[:n], slot) {
+				return true
+			}
+			if r.servers[slot].active && add(slot, ReasonHome) {
+				seen[n] = slot
+				n++
+			}
+			return n < homesPerLevel
+		})
+	}
+}
+
+func (r *Router) addRandom(p *pool, add func(masticcache.Slot, Reason) bool) {
+	for range randomCandidates {
+		add(p.slots[r.source.IntN(len(p.slots))], ReasonRandom)
+	}
+}
+
+// addAny looks for one usable backend server where no candidate was.
+func (r *Router) addAny(p *pool, add func(masticcache.Slot, Reason) bool) {
+	from := r.source.IntN(len(p.slots))
+	for i := range p.slots {
+		add(p.slots[(from+i)%len(p.slots)], ReasonRandom)
+	}
+}
--- /dev/null
+++ b/masticroute/load.go
@@ -0,0 +1,143 @@
+package masticroute
+
+import (
+	"time"
+)
+
+const (
+	// priorSpeed is the prefill speed assumed before any is measured, in tokens per second.
+	priorSpeed = 10000.0
+	// speedGain is the weight of a new measurement of the prefill speed.
+	speedGain = 0.2
+	// minSample is the least work that measures a prefill speed, in tokens.
+	minSample = 256
+	// historyLength bounds the remembered changes of the own work on a backend server.
+	historyLength = 256
+	// reportAge is how long a load report is worth anything.
+	reportAge = 5 * time.Second
+)
+
+// Report is a load report of a backend server.
+type Report struct {
+	Server      string
+	Incarnation string
+	// AsOf is when the load was as reported, by this host's clock.
+	AsOf time.Time
+	// QueuedTokens is the work before the first token of everything waiting, in tokens.
+	QueuedTokens int64
+	// Running is the number of requests that hold a decode slot, Slots how many can.
+	Running, Slots int64
+}
+
+// change is the own work on a backend server from a time on.
+type change struct {
+	at      time.Time
+	tokens  float64
+	running int
+}
+
+// load is what a router knows of the work on one backend server.
+type load struct {
+	// speed is the measured prefill speed, in tokens per second; zero is unknown.
+	speed float64
+	// own is the uncached tokens of own requests without a first token.
+	own float64
+	// ownUrgent is the part of own that belongs to the quick class.
+	ownUrgent float64
+	// running counts own requests until they are done.
+	running int
+	// waiting counts own requests without a first token.
+	waiting int
+	// history holds own work by time, the oldest first.
+	history []change
+	report  Report
+	// others is the work of other hosts at the time of the report.
+	others float64
+	// othersRunning is the number of other hosts' requests at the time of the report.
+	othersRunning int64
+}
+
+func (l *load) remember(now time.Time) {
+	if len(l.history) == historyLength {
+		copy(l.history, l.history[1:])
+		l.history = l.history[:historyLength-1]
+	}
+	l.history = append(l.history, change{now, l.own, l.running})
+}
+
+// at returns the own work at time t.
+func (l *load) at(t time.Time) change {
+	var last change
+	for _, c := range l.history {
+		if c.at.After(t) {
+			break
+		}
+		last = c
+	}
+	return last
+}
+
+func (l *load) add(now time.Time, tokens float64, urgent bool) {
+	l.own += tokens
+	if urgent {
+		l.ownUrgent += tokens
+	}
+	l.running++
+	l.waiting++
+	l.remember(now)
+}
+
+func (l *load) firstToken(now time.Time, tokens float64, urgent bool) {
+	l.own = max(0, l.own-tokens)
+	if urgent {
+		l.ownUrgent = max(0, l.ownUrgent-tokens)
+	}
+	l.waiting--
+	l.remember(now)
+}
+
+func (l *load) done(now time.Time) {
+	l.running--
+	l.remember(now)
+}
+
+// take replaces the report; the own work of its time is taken off, so that what is
+// left is the work of other hosts.
+func (l *load) take(r Report) {
+	if r.AsOf.Before(l.report.AsOf) {
+		return
+	}
+	own := l.at(r.AsOf)
+	l.report = r
+	l.others = max(0, float64(r.QueuedTokens)-own.tokens)
+	l.othersRunning = max(0, r.Running-int64(own.running))
+}
+
+// othersNow returns the work of other hosts, less what was done since the report.
+func (l *load) othersNow(now time.Time) float64 {
+	age := now.Sub(l.report.AsOf)
+	if l.report.AsOf.IsZero() || age > reportAge {
+		return 0
+	}
+	return l.others
+}
+
+// measure learns the prefill speed from work that took the time elapsed.
+func (l *load) measure(tokens float64, elapsed time.Duration) {
+	if tokens < minSample || elapsed <= 0 {
+		return
+	}
+	sample := tokens / elapsed.Seconds()
+	if l.speed == 0 {
+		l.speed = sample
+		return
+	}
+	l.speed += speedGain * (sample - l.speed)
+}
+
+// forget drops what was reported by a former incarnation.
+func (l *load) forget() {
+	l.report = Report{Slots: l.report.Slots}
+	l.others = 0
+	l.othersRunning = 0
+}
--- /dev/null
+++ b/masticroute/ring.go
@@ -0,0 +1,57 @@
+package masticroute
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"masticladder/masticcache"
+)
+
+// ringPoints is the number of points of one backend server on a ring.
+const ringPoints = 24
+
+// point is one place of a backend server on a ring.
+type point struct {
+	hash uint64
+	slot masticcache.Slot
+}
+
+// ring orders backend servers by hash, so that all hosts find the same few for a
+// prefix without messages and a backend server's leaving moves only its own prefixes.
+type ring []point
+
+// newRing returns the ring of the named backend servers.
+func newRing(names map[masticcache.Slot]string) ring {
+	r := make(ring, 0, len(names)*ringPoints)
+	for slot, name := range names {
+		h := xxhash.Sum64String(name)
+		for i := range ringPoints {
+			r = append(r, point{mix(h + uint64(i)), slot})
+		}
+	}
+	slices.SortFunc(r, func(a, b point) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.slot, b.slot))
+	})
+	return r
+}
+
+// mix spreads the bits of x, as the finalizer of SplitMix64 does.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// walk calls use with backend servers from the place of key on, until use returns
+// false or limit points were seen. A slot may come more than once.
+func (r ring) walk(key uint64, limit int, use func(masticcache.Slot) bool) {
+	at, _ := slices.BinarySearchFunc(r, key, func(p point, k uint64) int { return cmp.Compare(p.hash, k) })
+	for i := range min(limit, len(r)) {
+		if !use(r[(at+i)%len(r)].slot) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/masticroute/service.go
@@ -0,0 +1,54 @@
+package masticroute
+
+import (
+	"slices"
+	"time"
+
+	"masticladder/masticcache"
+)
+
+// DecideService returns the usable one of the named backend servers with the fewest
+// own calls. It reports false when there is none.
+func (r *Router) DecideService(now time.Time, names, avoid []string) (masticcache.Slot, bool) {
+	best := masticcache.Slot(-1)
+	if len(names) == 0 {
+		return best, false
+	}
+	from := r.source.IntN(len(names))
+	for i := range names {
+		name := names[(from+i)%len(names)]
+		slot, ok := r.slots[name]
+		if !ok || !r.servers[slot].usable(now) || slices.Contains(avoid, name) {
+			continue
+		}
+		if best < 0 || r.servers[slot].load.running < r.servers[best].load.running {
+			best = slot
+		}
+	}
+	return best, best >= 0
+}
+
+// ServiceStart records that a call was sent to slot.
+func (r *Router) ServiceStart(now time.Time, slot masticcache.Slot) {
+	r.servers[slot].load.running++
+}
+
+// ServiceDone records that a call to slot has ended.
+func (r *Router) ServiceDone(now time.Time, slot masticcache.Slot, e End) {
+	s := r.servers[slot]
+	s.load.running--
+	r.Incarnate(slot, e.Incarnation)
+	r.judge(now, s, e)
+}
+
+// Drain returns how long the engines of model need for tokens of work.
+func (r *Router) Drain(model string, tokens int64) time.Duration {
+	speed := 0.0
+	for _, p := range r.pools[model] {
+		speed += r.speeds * float64(len(p.slots))
+	}
+	if speed == 0 {
+		return 0
+	}
+	return seconds(float64(tokens) / speed)
+}
--- /dev/null
+++ b/masticroute/work.go
@@ -0,0 +1,109 @@
+package masticroute
+
+import (
+	"time"
+
+	"masticladder/masticview"
+)
+
+const (
+	// shareGain is the weight of one request in the share of the quick class.
+	shareGain = 0.01
+	// speedsGain is the weight of one measurement in the mean of all speeds.
+	speedsGain = 0.02
+)
+
+// Start records that the request of q was sent by decision d.
+func (r *Router) Start(now time.Time, q *Query, d *Decision) Work {
+	w := Work{
+		Slot: d.Slot, Epoch: r.beliefs.Epoch(d.Slot), Class: q.Class,
+		Uncached: max(0, float64(d.Tokens)-d.Cached), Ahead: d.Ahead,
+		Pieces: d.Pieces, Suspect: q.Suspect, StartedAt: now,
+	}
+	s := r.servers[w.Slot]
+	s.load.add(now, w.Uncached, w.urgent())
+	if w.Suspect {
+		s.suspects++
+	}
+	r.learnShare(w)
+	r.beliefs.Touch(now, w.Slot, w.Epoch, w.Pieces)
+	return w
+}
+
+func (w *Work) urgent() bool { return w.Class == masticview.ClassQuick }
+
+func (r *Router) learnShare(w Work) {
+	share := 0.0
+	if w.urgent() {
+		share = 1
+	}
+	r.urgentShare += shareGain * (share - r.urgentShare)
+}
+
+// FirstToken records that w got its first token.
+func (r *Router) FirstToken(now time.Time, w *Work) {
+	if !w.FirstTokenAt.IsZero() {
+		return
+	}
+	w.FirstTokenAt = now
+	s := r.servers[w.Slot]
+	s.load.firstToken(now, w.Uncached, w.urgent())
+	if r.beliefs.Epoch(w.Slot) != w.Epoch {
+		return
+	}
+	ahead := w.Ahead
+	if w.urgent() {
+		ahead = 0
+	}
+	s.load.measure(w.Uncached+ahead, now.Sub(w.StartedAt))
+	r.speeds += speedsGain * (s.load.speed - r.speeds)
+}
+
+// End is how work ended.
+type End struct {
+	// Failed reports that the backend server did not answer properly.
+	Failed bool
+	// Partial reports that the request did not end by itself, so that its counts mean nothing.
+	Partial bool
+	// ServerEnded reports that the connection broke as if the backend server had ended.
+	ServerEnded  bool
+	Incarnation  string
+	CachedTokens int64
+}
+
+// Done records that w has ended.
+func (r *Router) Done(now time.Time, w *Work, e End) {
+	s := r.servers[w.Slot]
+	if w.FirstTokenAt.IsZero() {
+		s.load.firstToken(now, w.Uncached, w.urgent())
+	}
+	s.load.done(now)
+	if w.Suspect {
+		s.suspects--
+	}
+	current := r.Incarnate(w.Slot, e.Incarnation)
+	if e.ServerEnded && r.beliefs.Epoch(w.Slot) == w.Epoch {
+		r.beliefs.Reset(w.Slot)
+	}
+	r.judge(now, s, e)
+	if current && !e.Partial {
+		r.learn(now, s, w, e)
+	}
+}
+
+// judge moves the health of s by how work ended.
+func (r *Router) judge(now time.Time, s *server, e End) {
+	switch {
+	case e.Failed || e.ServerEnded:
+		s.health.Fail(now)
+	case !e.Partial:
+		s.health.Succeed(now)
+	}
+}
+
+func (r *Router) learn(now time.Time, s *server, w *Work, e End) {
+	if !w.FirstTokenAt.IsZero() {
+		s.measureHold(now.Sub(w.FirstTokenAt))
+	}
+	r.beliefs.Observe(now, w.Slot, w.Epoch, w.Pieces, e.CachedTokens)
+}
--- /dev/null
+++ b/masticschedule/scan.go
@@ -0,0 +1,48 @@
+package masticschedule
+
+import (
+	"time"
+
+	"masticladder/masticfair"
+	"masticladder/masticroute"
+)
+
+type item = masticfair.Item[*waiting]
+
+// scan sends the waiting requests whose chosen backend server has room, in the order
+// of the queue.
+func (s *Scheduler) scan(now time.Time) {
+	if s.queue.Len() == 0 {
+		return
+	}
+	s.expire(now)
+	s.unservable()
+	s.queue.Scan(scanLimit, func(i item) bool { return s.try(now, i.Value) })
+}
+
+// try sends w if the best backend server for it has room.
+func (s *Scheduler) try(now time.Time, w *waiting) bool {
+	w.query.Suspect = s.suspects[w.request.Digest]
+	d, ok := s.router.Decide(now, &w.query)
+	if !ok || !d.Open {
+		return false
+	}
+	s.start(now, w, &d)
+	return true
+}
+
+func (s *Scheduler) start(now time.Time, w *waiting, d *masticroute.Decision) {
+	s.running[w.ticket] = &running{work: s.router.Start(now, &w.query, d)}
+	s.outcomes = append(s.outcomes, Outcome{
+		Ticket: w.ticket, Decision: *d, Server: s.router.Server(d.Slot),
+		Names: s.names(d), Queued: now.Sub(w.queuedAt),
+	})
+}
+
+func (s *Scheduler) names(d *masticroute.Decision) []string {
+	var out []string
+	for _, c := range d.Weighed() {
+		out = append(out, s.router.Server(c.Slot).Name)
+	}
+	return out
+}
