Add gate, engine client and stream core

Cause: the request path needs its three parts before it can be wired. Change: masticstream (event decoder and sequence), masticengine (client with exact knowledge of what was sent) and masticgate (handler towards callers).

--- /dev/null
+++ b/masticengine/stream.go
@@ -0,0 +1,143 @@
+package masticengine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"time"
+
+	"masticladder/masticstream"
+)
+
+// drainSpan bounds the wait for the end of a connection's answer after its end mark.
+const drainSpan = 100 * time.Millisecond
+
+// Stream is a streamed answer. It holds at most one bounded decoder buffer, and is
+// read only as fast as its caller takes events. It has one user.
+type Stream struct {
+	exchange *exchange
+	decoder  *masticstream.Decoder
+	sequence masticstream.Sequence
+	span     time.Duration
+	// waiting is set from the first read for an event until one is delivered.
+	waiting bool
+}
+
+// Stream sends call and returns its streamed answer, or a *Failure.
+func (c *Client) Stream(ctx context.Context, call Call) (*Stream, error) {
+	x, f := c.begin(ctx, call, millis(c.limits.FirstAnswerMillis))
+	if f != nil {
+		return nil, f
+	}
+	if f := x.checkStream(); f != nil {
+		x.close()
+		return nil, f
+	}
+	return &Stream{
+		exchange: x,
+		decoder:  masticstream.NewDecoder(c.limits.MaxEventBytes),
+		sequence: call.Sequence,
+		span:     millis(c.limits.NextEventMillis),
+		waiting:  true,
+	}, nil
+}
+
+func (x *exchange) checkStream() *Failure {
+	switch status := x.answer.StatusCode; {
+	case isRefusal(status):
+		return x.refused()
+	case status != http.StatusOK:
+		a, f := x.whole()
+		if f != nil {
+			return f
+		}
+		return rejected(a)
+	}
+	media, _, _ := mime.ParseMediaType(x.answer.Header.Get("Content-Type"))
+	if media != "text/event-stream" {
+		return x.fail(errUnbounded)
+	}
+	return nil
+}
+
+// Incarnation returns the server's incarnation as it named it.
+func (s *Stream) Incarnation() string { return s.exchange.running.incarnation }
+
+// Sequence returns the progress of the answer, to be given to the next attempt.
+func (s *Stream) Sequence() masticstream.Sequence { return s.sequence }
+
+// Buffered reports whether another event may be there without waiting.
+func (s *Stream) Buffered() bool { return s.decoder.Buffered() > 0 }
+
+// Next returns the next event in order, the end mark last, or a *Failure. The
+// event's data is valid until the next call.
+func (s *Stream) Next() (masticstream.Event, error) {
+	for {
+		e, ok, err := s.decoder.Next()
+		if err != nil {
+			return e, s.exchange.fail(errTooLarge)
+		}
+		if !ok {
+			if f := s.read(); f != nil {
+				return e, f
+			}
+			continue
+		}
+		deliver, f := s.accept(e)
+		if f != nil {
+			return e, f
+		}
+		if deliver {
+			return e, nil
+		}
+	}
+}
+
+func (s *Stream) accept(e masticstream.Event) (bool, *Failure) {
+	next, verdict := s.sequence.Accept(e)
+	counters := &s.exchange.client.counters
+	switch verdict {
+	case masticstream.VerdictRepeated, masticstream.VerdictAfterEnd:
+		counters.Repeated.Add(1)
+		return false, nil
+	case masticstream.VerdictGap:
+		counters.Gaps.Add(1)
+		return false, s.exchange.fail(errGap)
+	case masticstream.VerdictCrossed:
+		counters.Crossed.Add(1)
+		return false, s.exchange.fail(errCrossed)
+	}
+	s.sequence = next
+	s.waiting = false
+	s.exchange.watch.suspend()
+	return true, nil
+}
+
+func (s *Stream) read() *Failure {
+	if !s.waiting {
+		s.waiting = true
+		s.exchange.watch.extend(s.span)
+	}
+	n, err := s.exchange.answer.Body.Read(s.decoder.Space())
+	s.decoder.Advance(n)
+	if n > 0 || err == nil {
+		return nil
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		s.exchange.client.counters.Cut.Add(1)
+		err = errCut
+	}
+	return s.exchange.fail(err)
+}
+
+// Close ends the call. A stream that is not at its end is cancelled on the server;
+// the connection of a whole one is used again.
+func (s *Stream) Close() {
+	if s.sequence.Ended() {
+		s.exchange.watch.extend(drainSpan)
+		_, _ = io.CopyN(io.Discard, s.exchange.answer.Body, 1)
+	}
+	s.exchange.close()
+}
--- /dev/null
+++ b/masticgate/answer.go
@@ -0,0 +1,125 @@
+package masticgate
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"masticladder/masticcall"
+	"masticladder/masticerror"
+)
+
+// ErrorBody is the JSON of an error answer and of an error event.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says what went wrong and what is known of the outcome.
+type ErrorDetail struct {
+	Message string           `json:"message"`
+	Type    string           `json:"type"`
+	Kind    masticerror.Kind `json:"kind"`
+	// NotRun is true only when no byte of the request reached a backend server and none can later.
+	NotRun         bool `json:"notRun"`
+	OutcomeUnknown bool `json:"outcomeUnknown"`
+	// Addresses are other hosts to use, when this one cannot serve.
+	Addresses []masticcall.Address `json:"addresses,omitempty"`
+}
+
+// errorType returns the type that clients of the usual protocol look at.
+func errorType(status int) string {
+	switch status {
+	case http.StatusUnauthorized:
+		return "authentication_error"
+	case http.StatusForbidden:
+		return "permission_error"
+	case http.StatusTooManyRequests:
+		return "rate_limit_error"
+	}
+	if status >= http.StatusInternalServerError {
+		return "server_error"
+	}
+	return "invalid_request_error"
+}
+
+func (q *inbound) errorBody(e *masticerror.Error) []byte {
+	d := ErrorDetail{
+		Message:        e.Message(),
+		Type:           errorType(e.Status()),
+		Kind:           e.Kind(),
+		NotRun:         e.NotRun(),
+		OutcomeUnknown: !e.NotRun(),
+	}
+	if k := e.Kind(); k == masticerror.KindNoLease || k == masticerror.KindDraining {
+		d.Addresses, _ = q.gate.addresses.For(q.identity.profile.Workspace, q.gate.now())
+	}
+	b, _ := json.Marshal(ErrorBody{Error: d})
+	return b
+}
+
+// refuse answers e, counts it and logs it.
+func (q *inbound) refuse(e *masticerror.Error) {
+	q.count(e)
+	q.answerError(e)
+	q.logEnd(e, "")
+}
+
+func (q *inbound) answerError(e *masticerror.Error) {
+	if d := e.RetryAfter(); d > 0 {
+		q.writer.Header().Set("Retry-After", retrySeconds(d))
+	}
+	q.answerJSON(e.Status(), q.errorBody(e))
+}
+
+func retrySeconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
+func (q *inbound) answerJSON(code int, body []byte) {
+	h := q.writer.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	q.status(code)
+	_ = q.write(body)
+}
+
+func (q *inbound) count(e *masticerror.Error) {
+	q.gate.usage.Add(masticcall.UsageRecord{
+		Workspace: q.identity.profile.Workspace,
+		Profile:   q.identity.profile.Name,
+		Model:     q.model,
+		Order:     q.service != "",
+		Refusal:   string(e.Kind()),
+	})
+}
+
+// logEnd writes the one line on how a request ended. It names only configured
+// things: nothing that a caller wrote goes into the log.
+func (q *inbound) logEnd(e *masticerror.Error, server string) {
+	f := logrus.Fields{
+		"request":   q.id,
+		"workspace": q.identity.profile.Workspace,
+		"profile":   q.identity.profile.Name,
+		"millis":    q.gate.now().Sub(q.started).Milliseconds(),
+	}
+	addField(f, "model", q.model)
+	addField(f, "service", q.service)
+	addField(f, "server", server)
+	if e == nil {
+		q.gate.log.WithFields(f).Info("request served")
+		return
+	}
+	f["kind"] = e.Kind()
+	f["notRun"] = e.NotRun()
+	f["reason"] = e.Message()
+	q.gate.log.WithFields(f).Info("request refused")
+}
+
+func addField(f logrus.Fields, name, value string) {
+	if value != "" {
+		f[name] = value
+	}
+}
--- /dev/null
+++ b/masticgate/drain.go
@@ -0,0 +1,83 @@
+package masticgate
+
+import (
+	"context"
+	"sync"
+)
+
+// drainState counts the running requests of a host that may be shutting down.
+type drainState struct {
+	mu       sync.Mutex
+	draining bool
+	running  int
+	// idle is closed when nothing runs any more; it is nil while nobody waits.
+	idle chan struct{}
+}
+
+func (d *drainState) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining {
+		return false
+	}
+	d.running++
+	return true
+}
+
+func (d *drainState) leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running--
+	if d.running == 0 && d.idle != nil {
+		close(d.idle)
+		d.idle = nil
+	}
+}
+
+func (d *drainState) isDraining() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.draining
+}
+
+// waiting returns nil when nothing runs, else a channel that is closed then.
+func (d *drainState) waiting() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running == 0 {
+		return nil
+	}
+	if d.idle == nil {
+		d.idle = make(chan struct{})
+	}
+	return d.idle
+}
+
+// Drain makes the gate refuse new work. Running requests go on to their end.
+func (g *Gate) Drain() {
+	g.drain.mu.Lock()
+	defer g.drain.mu.Unlock()
+	g.drain.draining = true
+}
+
+// Running returns the number of running requests.
+func (g *Gate) Running() int {
+	g.drain.mu.Lock()
+	defer g.drain.mu.Unlock()
+	return g.drain.running
+}
+
+// Wait waits until nothing runs, or until ctx ends.
+func (g *Gate) Wait(ctx context.Context) error {
+	for {
+		idle := g.drain.waiting()
+		if idle == nil {
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/masticgate/limits.go
@@ -0,0 +1,50 @@
+package masticgate
+
+import "time"
+
+// Limits bound what one caller may cost this host.
+type Limits struct {
+	MaxBodyBytes   int64 `json:"maxBodyBytes"`
+	MaxHeaderBytes int   `json:"maxHeaderBytes"`
+	// MaxJSONDepth bounds the nesting of a request body.
+	MaxJSONDepth int `json:"maxJsonDepth"`
+	// MaxStoredAnswerBytes bounds the copy of an answer that the ledger keeps.
+	MaxStoredAnswerBytes int `json:"maxStoredAnswerBytes"`
+	// MaxAttempts bounds the backend servers that one request is sent to.
+	MaxAttempts int `json:"maxAttempts"`
+	// HeaderMillis and BodyMillis bound the time in which a caller sends them.
+	HeaderMillis int64 `json:"headerMillis"`
+	BodyMillis   int64 `json:"bodyMillis"`
+	// IdleMillis bounds the time between two requests of a connection.
+	IdleMillis int64 `json:"idleMillis"`
+	// CallerWriteMillis bounds the time in which a caller takes one piece of an answer.
+	CallerWriteMillis int64 `json:"callerWriteMillis"`
+	// RequestMillis is the deadline of a request that states none, and MaxRequestMillis that of any.
+	RequestMillis    int64 `json:"requestMillis"`
+	MaxRequestMillis int64 `json:"maxRequestMillis"`
+	// OrderMillis is the deadline of a call that may not be repeated.
+	OrderMillis int64 `json:"orderMillis"`
+	// RecordMillis bounds the time spent on recording an outcome before the answer is given.
+	RecordMillis int64 `json:"recordMillis"`
+}
+
+// DefaultLimits returns the limits that New starts from.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxBodyBytes:         32 << 20,
+		MaxHeaderBytes:       64 << 10,
+		MaxJSONDepth:         64,
+		MaxStoredAnswerBytes: 64 << 10,
+		MaxAttempts:          4,
+		HeaderMillis:         10_000,
+		BodyMillis:           30_000,
+		IdleMillis:           120_000,
+		CallerWriteMillis:    30_000,
+		RequestMillis:        120_000,
+		MaxRequestMillis:     600_000,
+		OrderMillis:          30_000,
+		RecordMillis:         5_000,
+	}
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/masticgate/service.go
@@ -0,0 +1,205 @@
+package masticgate
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"masticladder/masticcall"
+	"masticladder/masticengine"
+	"masticladder/masticerror"
+	"masticladder/masticview"
+)
+
+// serviceCall is one call to a plain service.
+type serviceCall struct {
+	inbound *inbound
+	service masticview.Service
+	path    string
+	body    []byte
+	avoid   []string
+	server  string
+	owner   string
+	// sent reports that a byte may have reached a backend server.
+	sent bool
+}
+
+func (g *Gate) serveService(q *inbound) {
+	c, e := q.readService()
+	if e != nil {
+		q.refuse(e)
+		return
+	}
+	if c.service.Repeatable {
+		c.repeatable()
+		return
+	}
+	c.order()
+}
+
+func (q *inbound) readService() (*serviceCall, *masticerror.Error) {
+	name := q.request.PathValue("name")
+	s, ok := q.gate.views.View().Service(name)
+	if !s.Open {
+		if e := q.authenticate(); e != nil {
+			return nil, e
+		}
+	}
+	if !ok {
+		return nil, errNoService()
+	}
+	q.service = s.Name
+	if !s.Open && !q.identity.profile.AllowsService(s.Name) {
+		return nil, masticerror.New(masticerror.KindForbidden, "the profile may not use this service")
+	}
+	body, e := q.readBody()
+	if e != nil {
+		return nil, e
+	}
+	if q.holdsKey(body) {
+		return nil, errHoldsKey()
+	}
+	return &serviceCall{inbound: q, service: s, path: servicePath(q.request), body: body}, nil
+}
+
+// servicePath returns the escaped path behind /services/NAME.
+func servicePath(r *http.Request) string {
+	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/services/")
+	i := strings.IndexByte(rest, '/')
+	if i < 0 {
+		return "/"
+	}
+	return rest[i:]
+}
+
+func (c *serviceCall) allowedBy(p masticview.Profile) bool { return p.AllowsService(c.service.Name) }
+
+// recheck checks the key again, unless the service is open in the newest view.
+func (c *serviceCall) recheck() *masticerror.Error {
+	g := c.inbound.gate
+	if s, ok := g.views.View().Service(c.service.Name); !ok {
+		return errNoService()
+	} else if s.Open && c.service.Open {
+		return nil
+	}
+	return g.recheck(c.inbound.identity, c.allowedBy)
+}
+
+// acquire checks the key and finds a backend server.
+func (c *serviceCall) acquire(ctx context.Context) (masticcall.Assignment, *masticerror.Error) {
+	if e := c.recheck(); e != nil {
+		return nil, e
+	}
+	a, err := c.inbound.gate.dispatcher.AcquireService(ctx, c.service, c.avoid)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	if e := c.recheck(); e != nil {
+		a.Done(c.inbound.gate.now(), masticcall.Result{Failure: string(e.Kind())})
+		return nil, e
+	}
+	return a, nil
+}
+
+// dispatch sends the call to one backend server.
+func (c *serviceCall) dispatch(ctx context.Context, a masticcall.Assignment) (masticengine.Answer, *masticengine.Failure) {
+	c.server, c.owner = a.Server().Name, a.Server().Owner
+	answer, err := c.inbound.gate.engine.Do(ctx, masticengine.Call{
+		Server:    a.Server(),
+		RequestID: c.inbound.id,
+		Method:    c.inbound.request.Method,
+		Path:      c.path,
+		Query:     c.inbound.request.URL.RawQuery,
+		Header:    c.inbound.request.Header,
+		Body:      c.body,
+		Workspace: c.inbound.identity.profile.Workspace,
+		Once:      !c.service.Repeatable,
+	})
+	if err != nil {
+		f := failureOf(err)
+		c.sent = c.sent || f.Sent
+		a.Done(c.inbound.gate.now(), masticcall.Result{Failure: string(f.Err.Kind())})
+		return answer, f
+	}
+	c.sent = true
+	a.Done(c.inbound.gate.now(), masticcall.Result{})
+	return answer, nil
+}
+
+// repeatable sends the call to further backend servers until one answers.
+func (c *serviceCall) repeatable() {
+	ctx, cancel := context.WithDeadline(c.inbound.request.Context(), c.inbound.deadline())
+	defer cancel()
+	answer, e := c.retry(ctx)
+	if e != nil {
+		c.fail(e)
+		return
+	}
+	c.succeed(answer)
+}
+
+func (c *serviceCall) retry(ctx context.Context) (masticengine.Answer, *masticerror.Error) {
+	var busy *masticengine.Answer
+	var last *masticerror.Error
+	for range c.inbound.gate.limits.MaxAttempts {
+		a, e := c.acquire(ctx)
+		if e != nil {
+			if last == nil || e.Kind() != masticerror.KindNoServer {
+				last = e
+			}
+			break
+		}
+		answer, f := c.dispatch(ctx, a)
+		switch {
+		case f == nil && answer.Status != http.StatusServiceUnavailable:
+			return answer, nil
+		case f == nil:
+			busy = &answer
+		case !f.Retryable():
+			return answer, f.Err
+		default:
+			last = f.Err
+		}
+		c.avoid = append(c.avoid[:len(c.avoid):len(c.avoid)], c.server)
+	}
+	if busy != nil {
+		return *busy, nil
+	}
+	return masticengine.Answer{}, last
+}
+
+func (c *serviceCall) succeed(a masticengine.Answer) {
+	for name, values := range a.Header {
+		c.inbound.writer.Header()[name] = values
+	}
+	c.reply(a.Status, a.Body)
+}
+
+// reply answers with the service's own answer, fresh or recorded.
+func (c *serviceCall) reply(status int, body []byte) {
+	q := c.inbound
+	q.status(status)
+	_ = q.write(body)
+	q.gate.usage.Add(c.usage(""))
+	q.logEnd(nil, c.server)
+}
+
+func (c *serviceCall) fail(e *masticerror.Error) {
+	if c.sent {
+		e = e.WithSent()
+	}
+	c.inbound.gate.usage.Add(c.usage(string(e.Kind())))
+	c.inbound.answerError(e)
+	c.inbound.logEnd(e, c.server)
+}
+
+func (c *serviceCall) usage(refusal string) masticcall.UsageRecord {
+	p := c.inbound.identity.profile
+	return masticcall.UsageRecord{
+		Workspace:   p.Workspace,
+		Profile:     p.Name,
+		ServerOwner: c.owner,
+		Order:       !c.service.Repeatable,
+		Refusal:     refusal,
+	}
+}
--- /dev/null
+++ b/masticstream/sequence.go
@@ -0,0 +1,74 @@
+package masticstream
+
+// Event is one event of an answer stream.
+type Event struct {
+	// RequestID names the request that the event answers.
+	RequestID string
+	// Number counts the events of one answer from zero.
+	Number uint64
+	// Numbered reports that the event carried a request identifier and a number.
+	Numbered bool
+	// Data is the payload. It is valid until the decoder is used again.
+	Data []byte
+}
+
+// EndMark is the payload of the last event of a whole answer.
+const EndMark = "[DONE]"
+
+// IsEnd reports whether the event marks the end of a whole answer.
+func (e Event) IsEnd() bool { return string(e.Data) == EndMark }
+
+// Verdict is what is done with an event.
+type Verdict int
+
+// The verdicts on an event.
+const (
+	// VerdictDeliver passes the event on.
+	VerdictDeliver Verdict = iota
+	// VerdictEnd ends the answer: it is whole.
+	VerdictEnd
+	// VerdictRepeated drops an event that was already delivered.
+	VerdictRepeated
+	// VerdictGap asks for a resume from Next.
+	VerdictGap
+	// VerdictCrossed drops an event of another request; the connection is closed.
+	VerdictCrossed
+	// VerdictAfterEnd drops an event that follows the end mark.
+	VerdictAfterEnd
+)
+
+// Sequence is the progress of one answer over all its attempts. It is immutable.
+type Sequence struct {
+	requestID string
+	next      uint64
+	ended     bool
+}
+
+// NewSequence returns the start of the answer to requestID.
+func NewSequence(requestID string) Sequence { return Sequence{requestID: requestID} }
+
+// Next returns the number of the next event to deliver.
+func (s Sequence) Next() uint64 { return s.next }
+
+// Ended reports whether the end mark was accepted.
+func (s Sequence) Ended() bool { return s.ended }
+
+// Accept returns the sequence after e and what is done with e.
+func (s Sequence) Accept(e Event) (Sequence, Verdict) {
+	switch {
+	case !e.Numbered || e.RequestID != s.requestID:
+		return s, VerdictCrossed
+	case s.ended:
+		return s, VerdictAfterEnd
+	case e.Number < s.next:
+		return s, VerdictRepeated
+	case e.Number > s.next:
+		return s, VerdictGap
+	}
+	s.next++
+	if e.IsEnd() {
+		s.ended = true
+		return s, VerdictEnd
+	}
+	return s, VerdictDeliver
+}
