--- /dev/null
+++ b/masticfake/generate.go
@@ -0,0 +1,260 @@
+package masticfake
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"masticladder/masticstream"
+)
+
+// Headers of the protocol between the system and backend servers.
+const (
+	headerRequestID   = "X-Request-Id"
+	headerResumeFrom  = "X-Resume-From"
+	headerPriority    = "X-Priority"
+	headerCacheSalt   = "X-Cache-Salt"
+	headerIncarnation = "X-Server-Incarnation"
+)
+
+// bytesPerToken is the prompt text that counts as one token.
+const bytesPerToken = 4
+
+// modelRequest is a request of the usual protocol.
+type modelRequest struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	Prompt    string    `json:"prompt"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+	Options   struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// generation is one request that the engine works on.
+type generation struct {
+	engine      *Engine
+	writer      http.ResponseWriter
+	ctx         context.Context
+	request     modelRequest
+	id          string
+	chat        bool
+	mode        Mode
+	incarnation string
+	from        int
+	tokens      int
+	promptSize  int
+	cached      int
+	seed        uint64
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) { e.serve(w, r, true) }
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) { e.serve(w, r, false) }
+
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request, chat bool) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	g := &generation{engine: e, writer: w, chat: chat, id: r.Header.Get(headerRequestID)}
+	if json.Unmarshal(body, &g.request) != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	if !chat {
+		g.request.Messages = []Message{{Role: "prompt", Content: g.request.Prompt}}
+	}
+	g.from, _ = strconv.Atoi(r.Header.Get(headerResumeFrom))
+	priority, _ := strconv.Atoi(r.Header.Get(headerPriority))
+	life := e.accept(g, r, body)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	stop := context.AfterFunc(life, cancel)
+	defer stop()
+	g.ctx = ctx
+	g.run(life, priority)
+}
+
+// accept records the request and looks up its prompt in the cache.
+func (e *Engine) accept(g *generation, r *http.Request, body []byte) context.Context {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.received = append(e.received, Received{Path: r.URL.Path, Header: r.Header.Clone(), Body: body})
+	g.mode, g.incarnation = e.mode, e.incarnation
+	text := g.text()
+	weights := e.models[g.request.Model]
+	chain := chainOf(r.Header.Get(headerCacheSalt), g.request.Model, weights, text, e.blockBytes)
+	g.promptSize = (len(text) + bytesPerToken - 1) / bytesPerToken
+	g.cached = e.cache.use(chain) * e.blockBytes / bytesPerToken
+	g.tokens = e.output
+	if g.request.MaxTokens > 0 {
+		g.tokens = min(g.tokens, g.request.MaxTokens)
+	}
+	g.seed = seedOf(g.request.Model, g.request.Messages)
+	return e.life
+}
+
+func (g *generation) text() string {
+	var b strings.Builder
+	for _, m := range g.request.Messages {
+		b.WriteString(m.Role)
+		b.WriteByte(0)
+		b.WriteString(m.Content)
+	}
+	return b.String()
+}
+
+func (g *generation) run(life context.Context, priority int) {
+	e := g.engine
+	if e.killer != "" && strings.Contains(g.text(), e.killer) {
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	err := e.slots.acquire(g.ctx, priority)
+	if err == nil {
+		defer e.slots.release()
+		err = g.answer()
+	}
+	if life.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		e.mu.Lock()
+		e.cancelled++
+		e.mu.Unlock()
+	}
+}
+
+func (g *generation) answer() error {
+	h := g.writer.Header()
+	h.Set(headerRequestID, g.id)
+	h.Set(headerIncarnation, g.incarnation)
+	switch g.mode {
+	case ModeHang:
+		<-g.ctx.Done()
+		return g.ctx.Err()
+	case ModeRefuse:
+		http.Error(g.writer, "busy", http.StatusServiceUnavailable)
+		return nil
+	case ModeCrossed:
+		h.Set(headerRequestID, g.id+"-other")
+	}
+	if g.request.Stream {
+		return g.stream()
+	}
+	return g.whole()
+}
+
+func (g *generation) prefill() error {
+	return pause(g.ctx, float64(g.promptSize-g.cached), g.engine.prefillRate)
+}
+
+func pause(ctx context.Context, tokens, rate float64) error {
+	if rate <= 0 || tokens <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(time.Duration(tokens / rate * float64(time.Second)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (g *generation) whole() error {
+	if err := g.prefill(); err != nil {
+		return err
+	}
+	if err := pause(g.ctx, float64(g.tokens), g.engine.decodeRate); err != nil {
+		return err
+	}
+	var b strings.Builder
+	for i := range g.tokens {
+		b.WriteString(tokenOf(g.seed, i))
+	}
+	body := g.wholeBody(b.String())
+	g.writer.Header().Set("Content-Type", "application/json")
+	switch g.mode {
+	case ModeHalf:
+		_, err := g.writer.Write(body[:len(body)/2])
+		return err
+	case ModeCut:
+		g.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = g.writer.Write(body[:len(body)/2])
+		_ = http.NewResponseController(g.writer).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, err := g.writer.Write(body)
+	return err
+}
+
+func (g *generation) stream() error {
+	g.writer.Header().Set("Content-Type", "text/event-stream")
+	c := http.NewResponseController(g.writer)
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	if err := g.prefill(); err != nil {
+		return err
+	}
+	events := g.events()
+	for i := g.from; i < len(events); i++ {
+		if i < g.tokens {
+			if err := pause(g.ctx, 1, g.engine.decodeRate); err != nil {
+				return err
+			}
+		}
+		if done, err := g.disturb(c, i); done {
+			return err
+		}
+		if err := g.send(i, events[i]); err != nil {
+			return err
+		}
+		if g.engine.decodeRate > 0 {
+			_ = c.Flush()
+		}
+	}
+	return nil
+}
+
+// disturb does in the middle of a stream what the mode asks for, and reports
+// whether the stream is at its end.
+func (g *generation) disturb(c *http.ResponseController, i int) (bool, error) {
+	if i != g.tokens/2 {
+		return false, nil
+	}
+	switch g.mode {
+	case ModeHalf:
+		return true, nil
+	case ModeCut:
+		_ = c.Flush()
+		panic(http.ErrAbortHandler)
+	case ModeStall:
+		_ = c.Flush()
+		<-g.ctx.Done()
+		return true, g.ctx.Err()
+	case ModeCrossedEvents:
+		_, _ = g.writer.Write(masticstream.AppendEvent(nil, g.id+"-other", uint64(i), []byte(`{"other":true}`)))
+	}
+	return false, nil
+}
+
+func (g *generation) send(i int, data []byte) error {
+	if g.mode == ModeGap && i == g.tokens/2 {
+		return nil
+	}
+	b := masticstream.AppendEvent(nil, g.id, uint64(i), data)
+	if g.mode == ModeRepeat {
+		b = append(b, b...)
+	}
+	_, err := g.writer.Write(b)
+	return err
+}
--- /dev/null
+++ b/masticfake/service.go
@@ -0,0 +1,116 @@
+package masticfake
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// Service is a stand-in for a plain service. It is an http.Handler that counts how
+// often it ran each order. The order's identifier is the last part of the path.
+type Service struct {
+	name string
+
+	mu       sync.Mutex
+	mode     Mode
+	counts   map[string]int
+	received []Received
+	// release, when set, is waited for by orders that have already run.
+	release <-chan struct{}
+}
+
+// ServiceOption configures a Service.
+type ServiceOption func(*Service)
+
+// WithRelease makes orders wait for the channel after they ran and before they answer.
+func WithRelease(c <-chan struct{}) ServiceOption { return func(s *Service) { s.release = c } }
+
+// NewService returns a service called name.
+func NewService(name string, options ...ServiceOption) *Service {
+	s := &Service{name: name, mode: ModeNormal, counts: make(map[string]int)}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// SetMode makes the service fail, or work again.
+func (s *Service) SetMode(m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+}
+
+// Count returns how often the order ran.
+func (s *Service) Count(order string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[order]
+}
+
+// Received returns the calls that reached the service.
+func (s *Service) Received() []Received {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Received(nil), s.received...)
+}
+
+// ServeHTTP runs an order, or answers GET /count with all counts.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == "/count" {
+		s.serveCount(w)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	order := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+	s.answer(w, r, order, s.take(r, order, body))
+}
+
+func (s *Service) serveCount(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, http.StatusOK, s.counts)
+}
+
+// take records the call, and counts it unless it is refused.
+func (s *Service) take(r *http.Request, order string, body []byte) Mode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received = append(s.received, Received{Path: r.URL.RequestURI(), Header: r.Header.Clone(), Body: body})
+	if s.mode != ModeRefuse {
+		s.counts[order]++
+	}
+	return s.mode
+}
+
+// answer replies to an order that has run.
+func (s *Service) answer(w http.ResponseWriter, r *http.Request, order string, m Mode) {
+	if s.release != nil {
+		<-s.release
+	}
+	body := []byte(`{"service":"` + s.name + `","order":"` + order + `"}`)
+	id := r.Header.Get(headerRequestID)
+	w.Header().Set("Content-Type", "application/json")
+	switch m {
+	case ModeHang:
+		<-r.Context().Done()
+		return
+	case ModeRefuse:
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	case ModeCut, ModeHalf:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case ModeCrossed:
+		id += "-other"
+	}
+	w.Header().Set(headerRequestID, id)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/masticfake/text.go
@@ -0,0 +1,43 @@
+package masticfake
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Token returns the i-th token that every Engine answers to messages with model,
+// so that a reader can check that an answer is whole and belongs to its request.
+func Token(model string, messages []Message, i int) string {
+	return tokenOf(seedOf(model, messages), i)
+}
+
+// Text returns the first n tokens that every Engine answers.
+func Text(model string, messages []Message, n int) string {
+	seed := seedOf(model, messages)
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(tokenOf(seed, i))
+	}
+	return b.String()
+}
+
+func seedOf(model string, messages []Message) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(model)
+	for _, m := range messages {
+		_, _ = d.WriteString("\x00" + m.Role + "\x00" + m.Content)
+	}
+	return d.Sum64()
+}
+
+func tokenOf(seed uint64, i int) string {
+	return fmt.Sprintf("%08x ", uint32(seed+uint64(i)*0x9e3779b9))
+}
