Add the messages and the transport between hosts

Cause: hosts exchange log messages, leases, commands and views. Change: peer.proto, and masticwire over yamux and TCP: calls with deadlines and cancellation, ordered one-way messages through a bounded outbox, streams of answers bounded by yamux's window and a write timeout, mutual TLS 1.3 from the standard library with reloaded files, one connection per host made again after a jittered pause, a limit on messages, IP numbers only, and byte counters. Proof, each seen to fail with its mechanism taken out: the check of the peer's chain (a stranger's call was answered), the limit on read and on written messages (other error kinds), the write timeout (the slow reader's stream never ended, the test ran into its 10 s bound), the end of a call's context when the caller hangs up (ran into the bound), reloaded certificates (new member refused), a new connection after a cut (never answered).

--- /dev/null
+++ b/masticwire/answererror.go
@@ -0,0 +1,51 @@
+package masticwire
+
+import (
+	"errors"
+	"time"
+
+	"masticladder/masticerror"
+	"masticladder/masticproto"
+)
+
+// AnswerError is an error that the other host answered.
+type AnswerError struct {
+	cause *masticerror.Error
+	// Leader and LeaderAddress name the leader where the answering host knows it.
+	Leader, LeaderAddress string
+}
+
+// NewAnswerError returns err with the leader as the answering host knows it.
+func NewAnswerError(err error, leader, address string) *AnswerError {
+	return &AnswerError{cause: masticerror.From(err), Leader: leader, LeaderAddress: address}
+}
+
+// Error returns the message with its kind.
+func (e *AnswerError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the error with its kind.
+func (e *AnswerError) Unwrap() error { return e.cause }
+
+func encodeError(err error) *masticproto.PeerAnswer {
+	cause := masticerror.From(err)
+	p := &masticproto.PeerError{
+		Kind:         string(cause.Kind()),
+		Message:      cause.Message(),
+		RetryAfterMs: cause.RetryAfter().Milliseconds(),
+		Sent:         !cause.NotRun(),
+	}
+	var answer *AnswerError
+	if errors.As(err, &answer) {
+		p.Leader, p.LeaderAddress = answer.Leader, answer.LeaderAddress
+	}
+	return &masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Error{Error: p}}
+}
+
+func decodeError(p *masticproto.PeerError) error {
+	cause := masticerror.New(masticerror.Kind(p.GetKind()), "%s", p.GetMessage())
+	cause = cause.WithRetryAfter(time.Duration(p.GetRetryAfterMs()) * time.Millisecond)
+	if p.GetSent() {
+		cause = cause.WithSent()
+	}
+	return &AnswerError{cause: cause, Leader: p.GetLeader(), LeaderAddress: p.GetLeaderAddress()}
+}
--- /dev/null
+++ b/masticwire/call.go
@@ -0,0 +1,97 @@
+package masticwire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"masticladder/masticerror"
+	"masticladder/masticproto"
+)
+
+// Call sends q and waits for its answer until ctx ends. An error of kind noQuorum
+// says that q was not sent, outcomeUnknown that it may have been; an *AnswerError
+// is the other host's own.
+func (c *Client) Call(ctx context.Context, q *masticproto.PeerRequest) (*masticproto.PeerAnswer, error) {
+	s, err := c.Stream(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	return s.Next()
+}
+
+// Stream sends q and returns the stream of its answers. It ends with ctx.
+func (c *Client) Stream(ctx context.Context, q *masticproto.PeerRequest) (*Stream, error) {
+	session, err := c.connected(ctx)
+	if err != nil {
+		return nil, err
+	}
+	q = proto.Clone(q).(*masticproto.PeerRequest)
+	deadline, bounded := ctx.Deadline()
+	if bounded {
+		q.TimeoutMs = max(time.Until(deadline).Milliseconds(), 1)
+	}
+	if n := proto.Size(q); n > c.wire.frameBytes {
+		return nil, masticerror.New(masticerror.KindBodyTooLarge, "message of %d bytes is over the limit of %d", n, c.wire.frameBytes)
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		c.unheard(session)
+		return nil, masticerror.Wrap(err, masticerror.KindNoQuorum, "open a stream to %s", c.address)
+	}
+	s := &Stream{client: c, session: session, stream: stream, reader: bufio.NewReader(stream), context: ctx}
+	s.stopWatch = context.AfterFunc(ctx, s.interrupt)
+	_ = stream.SetWriteDeadline(time.Now().Add(c.wire.write))
+	if err := c.wire.writeFrame(stream, q); err != nil {
+		s.Close()
+		return nil, masticerror.Wrap(err, masticerror.KindOutcomeUnknown, "send to %s", c.address)
+	}
+	return s, nil
+}
+
+// Stream is a sequence of answers; one goroutine reads it.
+type Stream struct {
+	client    *Client
+	session   *yamux.Session
+	stream    *yamux.Stream
+	reader    *bufio.Reader
+	context   context.Context
+	stopWatch func() bool
+}
+
+// Next returns the next answer. After any error the stream is over.
+func (s *Stream) Next() (*masticproto.PeerAnswer, error) {
+	answer := new(masticproto.PeerAnswer)
+	if err := s.client.wire.readFrame(s.reader, answer); err != nil {
+		return nil, s.failed(err)
+	}
+	s.client.heard(s.session)
+	if e := answer.GetError(); e != nil {
+		return nil, decodeError(e)
+	}
+	return answer, nil
+}
+
+// Close ends the stream on both sides.
+func (s *Stream) Close() {
+	s.stopWatch()
+	_ = s.stream.Close()
+}
+
+func (s *Stream) interrupt() { _ = s.stream.SetReadDeadline(time.Now()) }
+
+func (s *Stream) failed(err error) error {
+	if cause := s.context.Err(); cause != nil {
+		if errors.Is(cause, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
+			s.client.unheard(s.session)
+		}
+		return masticerror.Wrap(cause, masticerror.KindOutcomeUnknown, "no answer from %s in time", s.client.address)
+	}
+	return masticerror.Wrap(err, masticerror.KindOutcomeUnknown, "read from %s", s.client.address)
+}
--- /dev/null
+++ b/masticwire/frame.go
@@ -0,0 +1,33 @@
+package masticwire
+
+import (
+	"bufio"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"masticladder/masticerror"
+)
+
+// writeFrame writes the message and its length in one write.
+func (w *Wire) writeFrame(to io.Writer, m proto.Message) error {
+	n := proto.Size(m)
+	if n > w.frameBytes {
+		return masticerror.New(masticerror.KindBodyTooLarge, "message of %d bytes is over the limit of %d", n, w.frameBytes)
+	}
+	frame := make([]byte, 0, n+protowire.SizeVarint(uint64(n)))
+	frame = protowire.AppendVarint(frame, uint64(n))
+	frame, err := proto.MarshalOptions{}.MarshalAppend(frame, m)
+	if err != nil {
+		return masticerror.Wrap(err, masticerror.KindInternal, "encode a message")
+	}
+	_, err = to.Write(frame)
+	return err
+}
+
+func (w *Wire) readFrame(from *bufio.Reader, m proto.Message) error {
+	o := protodelim.UnmarshalOptions{MaxSize: int64(w.frameBytes)}
+	return o.UnmarshalFrom(from, m)
+}
--- /dev/null
+++ b/masticwire/outbox.go
@@ -0,0 +1,82 @@
+package masticwire
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"masticladder/masticproto"
+	"masticladder/masticring"
+)
+
+// outbox sends one-way messages in order; those of a broken connection are lost.
+type outbox struct {
+	client *Client
+	ring   *masticring.Ring[*masticproto.PeerRequest]
+	start  sync.Once
+	ended  context.Context
+	cancel context.CancelFunc
+}
+
+func newOutbox(c *Client) *outbox {
+	o := &outbox{client: c, ring: masticring.New[*masticproto.PeerRequest]("outbox to "+c.address, c.wire.outbox)}
+	o.ended, o.cancel = context.WithCancel(context.Background())
+	return o
+}
+
+// Send queues a one-way message without waiting. The error has kind overloaded when
+// the queue is full. A nil error does not say that the message arrives.
+func (c *Client) Send(q *masticproto.PeerRequest) error {
+	c.outbox.start.Do(c.outbox.begin)
+	q.Mode = masticproto.PeerMode_PEER_ONE_WAY
+	return c.outbox.ring.Offer(q)
+}
+
+func (o *outbox) begin() { go o.run() }
+
+func (o *outbox) close() {
+	o.cancel()
+	o.ring.Close()
+}
+
+func (o *outbox) run() {
+	var stream *yamux.Stream
+	for q := range o.ring.Out() {
+		stream = o.send(stream, q)
+	}
+	if stream != nil {
+		_ = stream.Close()
+	}
+}
+
+// send returns the stream to use next, nil when the connection broke.
+func (o *outbox) send(stream *yamux.Stream, q *masticproto.PeerRequest) *yamux.Stream {
+	if stream == nil || stream.Session().IsClosed() {
+		stream = o.open()
+	}
+	if stream == nil {
+		return nil
+	}
+	_ = stream.SetWriteDeadline(time.Now().Add(o.client.wire.write))
+	if err := o.client.wire.writeFrame(stream, q); err != nil {
+		_ = stream.Close()
+		return nil
+	}
+	return stream
+}
+
+func (o *outbox) open() *yamux.Stream {
+	ctx, cancel := context.WithTimeout(o.ended, o.client.wire.dial)
+	defer cancel()
+	session, err := o.client.connected(ctx)
+	if err != nil {
+		return nil
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil
+	}
+	return stream
+}
--- /dev/null
+++ b/masticwire/relay_test.go
@@ -0,0 +1,64 @@
+package masticwire
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+)
+
+// relay forwards TCP connections to a target and can cut them.
+type relay struct {
+	listener net.Listener
+	target   string
+
+	mutex sync.Mutex
+	conns []net.Conn
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: l, target: target}
+	go r.run()
+	t.Cleanup(func() { _ = l.Close(); r.cut() })
+	return r
+}
+
+func (r *relay) run() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		r.mutex.Lock()
+		r.conns = append(r.conns, in, out)
+		r.mutex.Unlock()
+		go (&relayCopy{in, out}).run()
+		go (&relayCopy{out, in}).run()
+	}
+}
+
+// cut closes every connection.
+func (r *relay) cut() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+	r.conns = nil
+}
+
+type relayCopy struct{ from, to net.Conn }
+
+func (c *relayCopy) run() {
+	_, _ = io.Copy(c.to, c.from)
+	_ = c.to.Close()
+}
--- /dev/null
+++ b/masticwire/security.go
@@ -0,0 +1,118 @@
+package masticwire
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"masticladder/masticerror"
+)
+
+// Security holds the fleet's certificates. The files are read again when they change.
+type Security struct {
+	authorityFile, certificateFile, keyFile string
+
+	mutex  sync.Mutex
+	stamp  [3]time.Time
+	loaded *credentials
+}
+
+type credentials struct {
+	authority   *x509.CertPool
+	certificate tls.Certificate
+}
+
+// NewSecurity reads the fleet's authority and this host's certificate and key, all PEM files.
+func NewSecurity(authorityFile, certificateFile, keyFile string) (*Security, error) {
+	s := &Security{authorityFile: authorityFile, certificateFile: certificateFile, keyFile: keyFile}
+	if _, err := s.current(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// current returns the newest credentials that could be read.
+func (s *Security) current() (*credentials, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	stamp, err := s.modified()
+	if err == nil && s.loaded != nil && stamp == s.stamp {
+		return s.loaded, nil
+	}
+	var fresh *credentials
+	if err == nil {
+		fresh, err = s.read()
+	}
+	if err != nil {
+		if s.loaded != nil {
+			return s.loaded, nil
+		}
+		return nil, masticerror.Wrap(err, masticerror.KindInternal, "read the fleet's certificates")
+	}
+	s.loaded, s.stamp = fresh, stamp
+	return fresh, nil
+}
+
+func (s *Security) modified() ([3]time.Time, error) {
+	var stamp [3]time.Time
+	for i, name := range []string{s.authorityFile, s.certificateFile, s.keyFile} {
+		info, err := os.Stat(name)
+		if err != nil {
+			return stamp, err
+		}
+		stamp[i] = info.ModTime()
+	}
+	return stamp, nil
+}
+
+func (s *Security) read() (*credentials, error) {
+	pem, err := os.ReadFile(s.authorityFile)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, masticerror.New(masticerror.KindBadRequest, "%s holds no certificate", s.authorityFile)
+	}
+	pair, err := tls.LoadX509KeyPair(s.certificateFile, s.keyFile)
+	if err != nil {
+		return nil, err
+	}
+	return &credentials{authority: pool, certificate: pair}, nil
+}
+
+// config returns the TLS settings of both sides: hosts are known by the fleet's
+// authority and not by name, so verify replaces the standard library's check of names.
+func (s *Security) config(usage x509.ExtKeyUsage) (*tls.Config, error) {
+	current, err := s.current()
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{current.certificate},
+		ClientAuth:         tls.RequireAnyClientCert,
+		InsecureSkipVerify: true,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return verify(state, current.authority, usage)
+		},
+	}, nil
+}
+
+func verify(state tls.ConnectionState, authority *x509.CertPool, usage x509.ExtKeyUsage) error {
+	if len(state.PeerCertificates) == 0 {
+		return masticerror.New(masticerror.KindUnauthenticated, "the peer showed no certificate")
+	}
+	between := x509.NewCertPool()
+	for _, c := range state.PeerCertificates[1:] {
+		between.AddCert(c)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         authority,
+		Intermediates: between,
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	})
+	return err
+}
