Drop the messages for rejoining hosts

Cause: the consensus core knows a host that lost its folder by its storage incarnation, so no message of its own is needed for it. Change: peer.proto without hello and rejoin; such an answer has kind outcomeUnknown.

--- a/masticwire/answererror.go
+++ b/masticwire/answererror.go
@@ -1,6 +1,7 @@
 package masticwire
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -26,7 +27,12 @@
 // Unwrap returns the error with its kind.
 func (e *AnswerError) Unwrap() error { return e.cause }
 
+// encodeError gives a handler that ran into its caller's deadline the same kind as
+// the caller's own timeout.
 func encodeError(err error) *masticproto.PeerAnswer {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		err = masticerror.Wrap(err, masticerror.KindOutcomeUnknown, "the call ended before its answer")
+	}
 	cause := masticerror.From(err)
 	p := &masticproto.PeerError{
 		Kind:         string(cause.Kind()),
--- a/masticwire/wire_test.go
+++ b/masticwire/wire_test.go
@@ -27,7 +27,7 @@
 
 func (e *echo) Answer(ctx context.Context, q *masticproto.PeerRequest) (*masticproto.PeerAnswer, error) {
 	e.calls.Add(1)
-	name := q.GetRejoin().GetHost()
+	name := q.GetWatch().GetHost()
 	switch name {
 	case "fail":
 		cause := masticerror.New(masticerror.KindNotLeader, "not here")
@@ -39,15 +39,15 @@
 	case "large":
 		name = strings.Repeat("x", 2*testFrameBytes)
 	}
-	return helloAnswer(name), nil
+	return namedAnswer(name), nil
 }
 
-func (e *echo) Receive(q *masticproto.PeerRequest) { e.received <- q.GetRejoin().GetHost() }
+func (e *echo) Receive(q *masticproto.PeerRequest) { e.received <- q.GetWatch().GetHost() }
 
 func (e *echo) Stream(ctx context.Context, q *masticproto.PeerRequest, send func(*masticproto.PeerAnswer) error) error {
 	defer func() { e.ended <- struct{}{} }()
 	for ctx.Err() == nil {
-		if err := send(helloAnswer(strings.Repeat("y", 32<<10))); err != nil {
+		if err := send(namedAnswer(strings.Repeat("y", 32<<10))); err != nil {
 			return err
 		}
 		e.streamed.Add(1)
@@ -57,12 +57,12 @@
 
 const testFrameBytes = 64 << 10
 
-func helloAnswer(name string) *masticproto.PeerAnswer {
-	return &masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Hello{Hello: &masticproto.HelloAnswer{Host: name}}}
+func namedAnswer(name string) *masticproto.PeerAnswer {
+	return &masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Status{Status: &masticproto.StatusAnswer{Host: name}}}
 }
 
 func ask(name string) *masticproto.PeerRequest {
-	return &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Rejoin{Rejoin: &masticproto.RejoinRequest{Host: name}}}
+	return &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Watch{Watch: &masticproto.WatchRequest{Host: name}}}
 }
 
 func serve(t *testing.T, w *Wire) (*Server, *echo) {
@@ -110,7 +110,7 @@
 	client := connect(t, w, s.Address())
 	answer, err := client.Call(bounded(t, testBound), ask("one"))
 	c.Assert(err, quicktest.IsNil)
-	c.Assert(answer.GetHello().GetHost(), quicktest.Equals, "one")
+	c.Assert(answer.GetStatus().GetHost(), quicktest.Equals, "one")
 
 	_, err = client.Call(bounded(t, testBound), ask("fail"))
 	var remote *AnswerError
