Run control hosts and the hosts' side of control

Cause: the cores of consensus, state, leases and quota need sockets, files and timers. Change: masticcontrol has one loop that owns the core, the store and the state. A turn takes all waiting messages and calls, makes what they wrote durable with one sync, and answers. The leader grants view leases to hosts of the view, owns quota, answers a publish when it is in force or its bound has passed, restores voters whose folder was replaced. masticagent follows the leader through any control host, keeps the view copy by a watch and by renewals, holds the view lease from before the renewal's sending, and carries orders, quota, usage, suspects and operators' changes. A reservation that may be committed after its host gave up is released in the background. Messages of the log name the sender's address, so that a host outside the member list can answer.

--- /dev/null
+++ b/masticagent/ledger.go
@@ -0,0 +1,182 @@
+package masticagent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"masticladder/masticcall"
+	"masticladder/masticerror"
+	"masticladder/masticproto"
+	"masticladder/masticview"
+)
+
+// ledger implements masticcall.Ledger through the leader. Each reservation is an attempt
+// of its own, so that a delayed release or record of an earlier one cannot touch a later one.
+type ledger struct {
+	agent *Agent
+
+	mutex    sync.Mutex
+	attempts uint64
+	held     map[masticcall.OrderKey]reservation
+}
+
+// reservation is a right to dispatch that this host holds.
+type reservation struct {
+	attempt  uint64
+	deadline time.Time
+}
+
+// heldCheck is the number of reservations from which ended ones are looked for.
+const heldCheck = 1024
+
+func newLedger(a *Agent) *ledger {
+	return &ledger{agent: a, held: map[masticcall.OrderKey]reservation{}}
+}
+
+// Reserve asks for the right to dispatch.
+func (l *ledger) Reserve(ctx context.Context, k masticcall.OrderKey, request masticview.Digest, deadline time.Time) (masticcall.Reservation, error) {
+	attempt := l.nextAttempt()
+	bound := time.Now().Add(l.agent.reservePatience)
+	if deadline.Before(bound) {
+		bound = deadline
+	}
+	ctx, cancel := context.WithDeadline(ctx, bound)
+	defer cancel()
+	answer, err := l.agent.command(ctx, l.reserveCommand(k, attempt, request, deadline), l.agent.attempt)
+	if err != nil {
+		return masticcall.Reservation{}, l.notReserved(k, reservation{attempt: attempt, deadline: deadline}, err)
+	}
+	r := masticcall.Reservation{State: masticcall.OrderState(answer.GetOrderState())}
+	switch r.State {
+	case masticcall.OrderReserved:
+		l.hold(k, reservation{attempt: attempt, deadline: deadline})
+	case masticcall.OrderDone:
+		r.Answer = storedAnswer(answer.GetAnswer())
+	}
+	return r, nil
+}
+
+func (l *ledger) reserveCommand(k masticcall.OrderKey, attempt uint64, request masticview.Digest, deadline time.Time) *masticproto.Command {
+	return &masticproto.Command{Kind: &masticproto.Command_Reserve{Reserve: &masticproto.Reserve{
+		Workspace:         k.Workspace,
+		IdempotencyKey:    k.IdempotencyKey,
+		RequestDigest:     request[:],
+		Host:              l.agent.host,
+		Incarnation:       l.agent.incarnation,
+		Attempt:           attempt,
+		RetainUntilUnixMs: time.Now().Add(l.agent.orderRetention).UnixMilli(),
+		DeadlineUnixMs:    deadline.UnixMilli(),
+	}}}
+}
+
+// notReserved returns the error of a reservation that failed. One that may still be
+// committed is ended in the background, since nothing is dispatched for it.
+func (l *ledger) notReserved(k masticcall.OrderKey, r reservation, err error) error {
+	if masticerror.KindOf(err) != masticerror.KindOutcomeUnknown {
+		return err
+	}
+	l.agent.releaser.add(abandoned{release: l.releaseOf(k, r.attempt), deadline: r.deadline})
+	return masticerror.Wrap(err, masticerror.KindNoQuorum, "the reservation could not be confirmed in time")
+}
+
+func (l *ledger) releaseOf(k masticcall.OrderKey, attempt uint64) *masticproto.Release {
+	return &masticproto.Release{
+		Workspace:      k.Workspace,
+		IdempotencyKey: k.IdempotencyKey,
+		Host:           l.agent.host,
+		Incarnation:    l.agent.incarnation,
+		Attempt:        attempt,
+	}
+}
+
+// Record records the outcome; a nil answer means that the outcome is unknown.
+func (l *ledger) Record(ctx context.Context, k masticcall.OrderKey, answer *masticcall.StoredAnswer) error {
+	attempt, err := l.holder(k)
+	if err != nil {
+		return err
+	}
+	record := &masticproto.Record{
+		Workspace:      k.Workspace,
+		IdempotencyKey: k.IdempotencyKey,
+		Host:           l.agent.host,
+		Incarnation:    l.agent.incarnation,
+		Attempt:        attempt,
+		Unknown:        answer == nil,
+	}
+	if answer != nil {
+		record.Answer = &masticproto.StoredAnswer{
+			Status:      int32(answer.Status),
+			ContentType: answer.ContentType,
+			Body:        answer.Body,
+			Truncated:   answer.Truncated,
+		}
+	}
+	return l.finish(ctx, k, &masticproto.Command{Kind: &masticproto.Command_Record{Record: record}})
+}
+
+// Release ends the reservation; the caller proves that nothing was sent.
+func (l *ledger) Release(ctx context.Context, k masticcall.OrderKey) error {
+	attempt, err := l.holder(k)
+	if err != nil {
+		return err
+	}
+	return l.finish(ctx, k, &masticproto.Command{Kind: &masticproto.Command_Release{Release: l.releaseOf(k, attempt)}})
+}
+
+// finish commits the end of a reservation. After an error it is still held, so that
+// the caller can try again.
+func (l *ledger) finish(ctx context.Context, k masticcall.OrderKey, command *masticproto.Command) error {
+	_, err := l.agent.command(ctx, command, l.agent.attempt)
+	if err != nil {
+		return err
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.held, k)
+	return nil
+}
+
+func (l *ledger) nextAttempt() uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.attempts++
+	return l.attempts
+}
+
+func (l *ledger) hold(k masticcall.OrderKey, r reservation) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if len(l.held) >= heldCheck {
+		l.dropEnded(time.Now())
+	}
+	l.held[k] = r
+}
+
+// dropEnded drops what the leader has meanwhile declared unknown; the mutex is held.
+func (l *ledger) dropEnded(now time.Time) {
+	for k, r := range l.held {
+		if now.After(r.deadline.Add(l.agent.flush)) {
+			delete(l.held, k)
+		}
+	}
+}
+
+func (l *ledger) holder(k masticcall.OrderKey) (uint64, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	r, ok := l.held[k]
+	if !ok {
+		return 0, masticerror.New(masticerror.KindBadRequest, "this host holds no reservation of order %q of %q", k.IdempotencyKey, k.Workspace)
+	}
+	return r.attempt, nil
+}
+
+func storedAnswer(a *masticproto.StoredAnswer) masticcall.StoredAnswer {
+	return masticcall.StoredAnswer{
+		Status:      int(a.GetStatus()),
+		ContentType: a.GetContentType(),
+		Body:        a.GetBody(),
+		Truncated:   a.GetTruncated(),
+	}
+}
--- /dev/null
+++ b/masticagent/operator.go
@@ -0,0 +1,100 @@
+package masticagent
+
+import (
+	"context"
+	"time"
+
+	"masticladder/masticcall"
+	"masticladder/masticproto"
+)
+
+// operator implements masticcall.Operator through the leader.
+type operator struct{ agent *Agent }
+
+// Publish commits change built on revision base.
+func (o *operator) Publish(ctx context.Context, requestID string, base uint64, change *masticproto.ViewChange) (masticcall.Published, error) {
+	command := &masticproto.Command{Kind: &masticproto.Command_Publish{Publish: &masticproto.Publish{
+		RequestId:    requestID,
+		BaseRevision: base,
+		Change:       change,
+	}}}
+	answer, err := o.agent.command(ctx, command, o.agent.publishAttempt)
+	if err != nil {
+		return masticcall.Published{}, err
+	}
+	return masticcall.Published{
+		Revision: answer.GetRevision(),
+		InForce:  answer.GetInForce(),
+		Repeated: answer.GetRepeated(),
+	}, nil
+}
+
+// ChangeMember makes host a learner or voter, or removes it when member is nil.
+func (o *operator) ChangeMember(ctx context.Context, host string, member *masticproto.Member) error {
+	q := &masticproto.MemberRequest{Member: member, Remove: member == nil}
+	if member == nil {
+		q.Member = &masticproto.Member{}
+	}
+	q.Member.Id = host
+	request := &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Member{Member: q}}
+	_, err := o.agent.leader.ask(ctx, request, o.agent.publishAttempt)
+	return err
+}
+
+// Usage returns the totals as the leader knows them.
+func (o *operator) Usage(ctx context.Context) ([]masticcall.UsageTotal, error) {
+	request := &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Usage{Usage: &masticproto.UsageRequest{}}}
+	a, err := o.agent.leader.ask(ctx, request, o.agent.attempt)
+	if err != nil {
+		return nil, err
+	}
+	counters := a.answer.GetUsage().GetCounters()
+	totals := make([]masticcall.UsageTotal, len(counters))
+	for i, c := range counters {
+		totals[i] = usageTotal(c)
+	}
+	return totals, nil
+}
+
+func usageTotal(c *masticproto.UsageCounter) masticcall.UsageTotal {
+	t := masticcall.UsageTotal{
+		Workspace:        c.GetWorkspace(),
+		Profile:          c.GetProfile(),
+		Model:            c.GetModel(),
+		ServerOwner:      c.GetServerOwner(),
+		Requests:         c.GetRequests(),
+		Orders:           c.GetOrders(),
+		InputTokens:      c.GetInputTokens(),
+		OutputTokens:     c.GetOutputTokens(),
+		CachedTokens:     c.GetCachedTokens(),
+		RecomputedTokens: c.GetRecomputedTokens(),
+		Refusals:         map[string]int64{},
+	}
+	for _, r := range c.GetRefusals() {
+		t.Refusals[r.GetKind()] = r.GetCount()
+	}
+	return t
+}
+
+// Status returns what the leader knows of control, and this host's own lease. Without
+// a leader it returns what this host knows with the error.
+func (o *operator) Status(ctx context.Context) (masticcall.ControlStatus, error) {
+	own := masticcall.ControlStatus{
+		Host:       o.agent.host,
+		Revision:   o.agent.View().Revision(),
+		LeaseUntil: o.agent.views.leaseUntil(),
+	}
+	request := &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Status{Status: &masticproto.StatusRequest{}}}
+	a, err := o.agent.leader.ask(ctx, request, o.agent.attempt)
+	if err != nil {
+		return own, err
+	}
+	s := a.answer.GetStatus()
+	own.Leader, own.Term, own.Commit = s.GetLeader(), s.GetTerm(), s.GetCommit()
+	own.ActiveLeases, own.StateBytes = int(s.GetActiveLeases()), s.GetStateBytes()
+	own.LastCommitted = time.UnixMilli(s.GetLastCommittedUnixMs())
+	for _, m := range s.GetMembers() {
+		own.Members = append(own.Members, masticcall.ControlMember{Host: m.GetId(), Voter: m.GetVoter(), Address: m.GetAddress()})
+	}
+	return own, nil
+}
--- /dev/null
+++ b/masticagent/option.go
@@ -0,0 +1,69 @@
+package masticagent
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"masticladder/masticview"
+	"masticladder/masticwire"
+)
+
+// Defaults of the options.
+const (
+	DefaultRenewInterval   = 600 * time.Millisecond
+	DefaultRenewTimeout    = 400 * time.Millisecond
+	DefaultAttemptTimeout  = time.Second
+	DefaultPublishAttempt  = 5 * time.Second
+	DefaultRetryPause      = 50 * time.Millisecond
+	DefaultReportInterval  = 5 * time.Second
+	DefaultFlushTimeout    = 2 * time.Second
+	DefaultReservePatience = 3 * time.Second
+	DefaultPendingSuspects = 1024
+	DefaultOrderRetention  = 24 * time.Hour
+	DefaultQuarantine      = 10 * time.Minute
+)
+
+// Option sets one property of an Agent.
+type Option func(*Agent)
+
+// WithHost names this host.
+func WithHost(name string) Option { return func(a *Agent) { a.host = name } }
+
+// WithIncarnation names this run of the process; the default is random.
+func WithIncarnation(name string) Option { return func(a *Agent) { a.incarnation = name } }
+
+// WithControlPeers gives the IP:port of every control host, the nearest first.
+func WithControlPeers(addresses ...string) Option {
+	return func(a *Agent) { a.peers = addresses }
+}
+
+// WithWire sets how other hosts are reached.
+func WithWire(w *masticwire.Wire) Option { return func(a *Agent) { a.wire = w } }
+
+// WithOnView has f called, from one goroutine, with each view that this host begins to serve from.
+func WithOnView(f func(masticview.View)) Option { return func(a *Agent) { a.onView = f } }
+
+// WithLog sets the log.
+func WithLog(l logrus.FieldLogger) Option { return func(a *Agent) { a.log = l } }
+
+// WithRenewInterval sets the time between two renewals of the view lease.
+func WithRenewInterval(d time.Duration) Option { return func(a *Agent) { a.renewInterval = d } }
+
+// WithReportInterval sets the time between two usage reports.
+func WithReportInterval(d time.Duration) Option { return func(a *Agent) { a.reportInterval = d } }
+
+// WithAttemptTimeout bounds one attempt to reach the leader.
+func WithAttemptTimeout(d time.Duration) Option { return func(a *Agent) { a.attempt = d } }
+
+// WithPublishAttempt bounds one attempt to publish; it must be longer than the leader's bound.
+func WithPublishAttempt(d time.Duration) Option { return func(a *Agent) { a.publishAttempt = d } }
+
+// WithFlushTimeout bounds the last usage report at the stop.
+func WithFlushTimeout(d time.Duration) Option { return func(a *Agent) { a.flush = d } }
+
+// WithQuarantine sets for how long a request that ended backend servers is refused.
+func WithQuarantine(d time.Duration) Option { return func(a *Agent) { a.quarantine = d } }
+
+// WithOrderRetention sets how long the record of a call that may not be repeated is kept.
+func WithOrderRetention(d time.Duration) Option { return func(a *Agent) { a.orderRetention = d } }
--- /dev/null
+++ b/masticcontrol/lease.go
@@ -0,0 +1,71 @@
+package masticcontrol
+
+import (
+	"time"
+
+	"masticladder/masticlease"
+	"masticladder/masticproto"
+)
+
+// force is a publish that waits to be in force.
+type force struct {
+	call     *call
+	answer   *masticproto.CommandAnswer
+	deadline time.Time
+}
+
+// renew grants a view lease to a host of the view, and sends it what it lacks.
+func (d *leader) renew(now time.Time, c *call, r *masticproto.RenewRequest) {
+	answer := &masticproto.RenewAnswer{Id: r.GetId(), Term: d.term, Revision: d.loop.state.View().Revision()}
+	if _, known := d.loop.state.View().Host(r.GetHost()); known {
+		g := d.grantor.Renew(now, d.loop.status.LeaseUntil, masticlease.Renewal{
+			ID:           r.GetId(),
+			Host:         r.GetHost(),
+			Incarnation:  r.GetIncarnation(),
+			Acknowledged: r.GetRevision(),
+		})
+		answer.SpanUs = g.Span.Microseconds()
+	}
+	if r.GetRevision() < answer.GetRevision() {
+		answer.Update = d.loop.updateFrom(r.GetRevision())
+	}
+	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Renew{Renew: answer}})
+}
+
+// await keeps a committed publish until it is in force or its bound has passed.
+func (d *leader) await(now time.Time, c *call, answer *masticproto.CommandAnswer) {
+	deadline := now.Add(d.loop.viewLease + d.loop.forceMargin)
+	d.forces = append(d.forces, force{call: c, answer: answer, deadline: deadline})
+}
+
+// settle answers the publishes that are in force by now or past their bound.
+func (d *leader) settle(now time.Time) {
+	waiting := d.forces[:0]
+	for _, f := range d.forces {
+		f.answer.InForce, _ = d.grantor.InForce(now, f.answer.GetRevision())
+		if !f.answer.GetInForce() && now.Before(f.deadline) {
+			waiting = append(waiting, f)
+			continue
+		}
+		d.loop.log.WithField("revision", f.answer.GetRevision()).
+			WithField("inForce", f.answer.GetInForce()).Info("publish answered")
+		f.call.answer(commandAnswer(f.answer))
+	}
+	clear(d.forces[len(waiting):])
+	d.forces = waiting
+}
+
+// nextDeadline returns when settle or propose is due, or zero.
+func (d *leader) nextDeadline() time.Time {
+	next := d.nextTick
+	now := time.Now()
+	for _, f := range d.forces {
+		_, by := d.grantor.InForce(now, f.answer.GetRevision())
+		for _, t := range []time.Time{by, f.deadline} {
+			if t.Before(next) {
+				next = t
+			}
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/masticcontrol/loop.go
@@ -0,0 +1,124 @@
+package masticcontrol
+
+import (
+	"sync"
+	"time"
+
+	"masticladder/masticerror"
+	"masticladder/masticproto"
+	"masticladder/masticquorum"
+	"masticladder/masticring"
+	"masticladder/masticstate"
+	"masticladder/masticstore"
+)
+
+var errWatchEnded = masticerror.New(masticerror.KindOverloaded, "the watch fell behind or the host stops")
+
+// loop owns the core, the store and the state. A turn takes what waits, makes it
+// durable with one sync, and answers.
+type loop struct {
+	settings
+	core     *masticquorum.Core
+	store    *masticstore.Store
+	state    *masticstate.State
+	calls    *masticring.Ring[*call]
+	watches  *masticring.Ring[*watch]
+	messages *masticring.Ring[*masticproto.PeerRequest]
+	stopping chan struct{}
+	stopOnce sync.Once
+
+	peers         *peers
+	status        masticquorum.Status
+	pending       map[uint64]proposal
+	watchers      map[*watch]struct{}
+	leader        *leader
+	lastCommitted time.Time
+	stateBytes    int64
+}
+
+func newLoop(s settings, store *masticstore.Store, loaded masticstore.Loaded) (*loop, error) {
+	core, err := s.newCore(loaded)
+	if err != nil {
+		return nil, err
+	}
+	state, err := newState(loaded)
+	if err != nil {
+		return nil, err
+	}
+	return &loop{
+		settings:   s,
+		core:       core,
+		store:      store,
+		state:      state,
+		calls:      masticring.New[*call]("calls to control", DefaultCalls),
+		watches:    masticring.New[*watch]("watches of control", DefaultCalls),
+		messages:   masticring.New[*masticproto.PeerRequest]("messages of the log", DefaultMessages),
+		stopping:   make(chan struct{}),
+		peers:      newPeers(s.wire),
+		pending:    map[uint64]proposal{},
+		watchers:   map[*watch]struct{}{},
+		stateBytes: int64(len(loaded.Snapshot.GetData())),
+	}, nil
+}
+
+func (l *loop) stop() { l.stopOnce.Do(l.closeStopping) }
+
+func (l *loop) closeStopping() { close(l.stopping) }
+
+// run takes turns until stop or a failure of the store.
+func (l *loop) run() error {
+	defer l.end()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		first := &turn{loop: l}
+		select {
+		case m := <-l.messages.Out():
+			first.messages = append(first.messages, m)
+		case c := <-l.calls.Out():
+			first.calls = append(first.calls, c)
+		case w := <-l.watches.Out():
+			first.watches = append(first.watches, w)
+		case <-timer.C:
+		case <-l.stopping:
+			return nil
+		}
+		if err := first.run(); err != nil {
+			l.log.WithError(err).Error("the store failed; control stops")
+			return err
+		}
+		timer.Reset(time.Until(l.nextDeadline()))
+	}
+}
+
+func (l *loop) nextDeadline() time.Time {
+	deadline := l.core.NextDeadline()
+	if l.leader == nil {
+		return deadline
+	}
+	if d := l.leader.nextDeadline(); !d.IsZero() && d.Before(deadline) {
+		return d
+	}
+	return deadline
+}
+
+// end answers everything that was accepted: what was proposed is unknown, the rest was not run.
+func (l *loop) end() {
+	l.calls.Close()
+	l.watches.Close()
+	l.messages.Close()
+	l.dropLeader()
+	for c := range l.calls.Out() {
+		c.fail(masticerror.New(masticerror.KindDraining, "this control host stops"))
+	}
+	for w := range l.watches.Out() {
+		w.call.fail(masticerror.New(masticerror.KindDraining, "this control host stops"))
+	}
+	for w := range l.watchers {
+		w.updates.Close()
+	}
+	l.peers.close()
+	if err := l.store.Close(); err != nil {
+		l.log.WithError(err).Error("the store was not closed")
+	}
+}
--- /dev/null
+++ b/masticcontrol/peers.go
@@ -0,0 +1,69 @@
+package masticcontrol
+
+import (
+	"masticladder/masticproto"
+	"masticladder/masticwire"
+)
+
+// peers sends messages of the core to the other members.
+type peers struct {
+	wire    *masticwire.Wire
+	clients map[string]*masticwire.Client
+	// learned has the addresses that hosts named in their messages, for those not in the member list.
+	learned map[string]string
+}
+
+func newPeers(w *masticwire.Wire) *peers {
+	return &peers{wire: w, clients: map[string]*masticwire.Client{}, learned: map[string]string{}}
+}
+
+// send queues messages; the core repeats those that are lost.
+func (p *peers) send(messages []*masticproto.QuorumMessage, members []*masticproto.Member) {
+	for _, m := range messages {
+		address := addressOf(members, m.GetTo())
+		if address == "" {
+			address = p.learned[m.GetTo()]
+		}
+		c, err := p.client(address)
+		if err != nil {
+			continue
+		}
+		_ = c.Send(&masticproto.PeerRequest{
+			Address: addressOf(members, m.GetFrom()),
+			Kind:    &masticproto.PeerRequest_Quorum{Quorum: m},
+		})
+	}
+}
+
+func (p *peers) learn(q *masticproto.PeerRequest) {
+	if q.GetAddress() != "" {
+		p.learned[q.GetQuorum().GetFrom()] = q.GetAddress()
+	}
+}
+
+func (p *peers) client(address string) (*masticwire.Client, error) {
+	if c, ok := p.clients[address]; ok {
+		return c, nil
+	}
+	c, err := p.wire.Client(address)
+	if err != nil {
+		return nil, err
+	}
+	p.clients[address] = c
+	return c, nil
+}
+
+func (p *peers) close() {
+	for _, c := range p.clients {
+		c.Close()
+	}
+}
+
+func addressOf(members []*masticproto.Member, id string) string {
+	for _, m := range members {
+		if m.GetId() == id {
+			return m.GetAddress()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/masticcontrol/query.go
@@ -0,0 +1,53 @@
+package masticcontrol
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"masticladder/masticcall"
+	"masticladder/masticproto"
+)
+
+// usage answers the totals.
+func (l *loop) usage(c *call) {
+	answer := &masticproto.UsageAnswer{}
+	for _, t := range l.state.Usage().Sums() {
+		answer.Counters = append(answer.Counters, usageCounter(t))
+	}
+	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Usage{Usage: answer}})
+}
+
+func usageCounter(t masticcall.UsageTotal) *masticproto.UsageCounter {
+	u := &masticproto.UsageCounter{
+		Workspace:        t.Workspace,
+		Profile:          t.Profile,
+		Model:            t.Model,
+		ServerOwner:      t.ServerOwner,
+		Requests:         t.Requests,
+		Orders:           t.Orders,
+		InputTokens:      t.InputTokens,
+		OutputTokens:     t.OutputTokens,
+		CachedTokens:     t.CachedTokens,
+		RecomputedTokens: t.RecomputedTokens,
+	}
+	for _, kind := range slices.Sorted(maps.Keys(t.Refusals)) {
+		u.Refusals = append(u.Refusals, &masticproto.RefusalCount{Kind: kind, Count: t.Refusals[kind]})
+	}
+	return u
+}
+
+// answerStatus answers what the leader knows of control.
+func (l *loop) answerStatus(now time.Time, c *call) {
+	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Status{Status: &masticproto.StatusAnswer{
+		Host:                l.id,
+		Leader:              l.status.Leader,
+		Term:                l.status.Term,
+		Commit:              l.status.Commit,
+		Revision:            l.state.View().Revision(),
+		Members:             l.status.Members,
+		ActiveLeases:        int64(l.leader.grantor.Active(now)),
+		StateBytes:          l.stateBytes,
+		LastCommittedUnixMs: l.lastCommitted.UnixMilli(),
+	}}})
+}
--- /dev/null
+++ b/masticcontrol/quota.go
@@ -0,0 +1,56 @@
+package masticcontrol
+
+import (
+	"time"
+
+	"masticladder/masticproto"
+	"masticladder/masticquota"
+)
+
+// quota answers a host's demands for tokens. The owner grants only within the quorum's
+// lease, which was checked at now.
+func (d *leader) quota(now time.Time, c *call, q *masticproto.QuotaRequest) {
+	for _, r := range q.GetReturns() {
+		d.owner.Return(now, r.GetWorkspace(), reports(r.GetReports()))
+	}
+	answer := &masticproto.QuotaAnswer{}
+	for _, r := range q.GetDemands() {
+		answer.Grants = append(answer.Grants, quotaGrant(d.owner.Grant(now, quotaRequest(r))))
+	}
+	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Quota{Quota: answer}})
+}
+
+func quotaRequest(r *masticproto.QuotaDemand) masticquota.GrantRequest {
+	return masticquota.GrantRequest{
+		ID:          r.GetId(),
+		Host:        r.GetHost(),
+		Incarnation: r.GetIncarnation(),
+		Workspace:   r.GetWorkspace(),
+		NeedTokens:  r.GetNeedTokens(),
+		WantTokens:  r.GetWantTokens(),
+		Patience:    time.Duration(r.GetPatienceUs()) * time.Microsecond,
+		Reports:     reports(r.GetReports()),
+	}
+}
+
+func reports(list []*masticproto.QuotaReport) []masticquota.GrantReport {
+	out := make([]masticquota.GrantReport, len(list))
+	for i, r := range list {
+		out[i] = masticquota.GrantReport{GrantID: r.GetGrant(), Term: r.GetTerm(), ReturnedTokens: r.GetReturnedTokens()}
+	}
+	return out
+}
+
+// quotaGrant rounds the span down and the time to come back up.
+func quotaGrant(a masticquota.GrantAnswer) *masticproto.QuotaGrant {
+	return &masticproto.QuotaGrant{
+		Id:           a.ID,
+		Term:         a.Term,
+		Workspace:    a.Workspace,
+		Grant:        a.GrantID,
+		Tokens:       a.Tokens,
+		SpanUs:       a.Span.Microseconds(),
+		RetryAfterUs: (a.RetryAfter + time.Microsecond - 1).Microseconds(),
+		Never:        a.Never,
+	}
+}
--- /dev/null
+++ b/masticcontrol/service.go
@@ -0,0 +1,61 @@
+package masticcontrol
+
+import (
+	"context"
+
+	"masticladder/masticproto"
+	"masticladder/masticring"
+)
+
+// watchUpdates bounds the view updates that wait for one slow host.
+const watchUpdates = 64
+
+type updates = masticring.Ring[*masticproto.PeerAnswer]
+
+// service passes what other hosts send on to the loop.
+type service struct{ loop *loop }
+
+// Answer answers one call.
+func (s *service) Answer(ctx context.Context, q *masticproto.PeerRequest) (*masticproto.PeerAnswer, error) {
+	c := newCall(ctx, q)
+	if err := s.loop.calls.Offer(c); err != nil {
+		return nil, err
+	}
+	return c.wait()
+}
+
+// Receive takes a message of the consensus core; one that finds the ring full is lost,
+// and the core sends it again.
+func (s *service) Receive(q *masticproto.PeerRequest) {
+	if q.GetQuorum() != nil {
+		_ = s.loop.messages.Offer(q)
+	}
+}
+
+// Stream sends view updates. A host that does not keep up gets an error and asks again.
+func (s *service) Stream(ctx context.Context, q *masticproto.PeerRequest, send func(*masticproto.PeerAnswer) error) error {
+	w := &watch{
+		call:    newCall(ctx, q),
+		updates: masticring.New[*masticproto.PeerAnswer]("view updates", watchUpdates),
+	}
+	if err := s.loop.watches.Offer(w); err != nil {
+		return err
+	}
+	if _, err := w.call.wait(); err != nil {
+		return err
+	}
+	defer w.updates.Close()
+	for {
+		select {
+		case u, ok := <-w.updates.Out():
+			if !ok {
+				return errWatchEnded
+			}
+			if err := send(u); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/masticcontrol/watch.go
@@ -0,0 +1,56 @@
+package masticcontrol
+
+import (
+	"masticladder/masticproto"
+)
+
+// addWatcher sends what the host lacks and then every update.
+func (l *loop) addWatcher(w *watch) {
+	l.dropEndedWatchers()
+	l.watchers[w] = struct{}{}
+	revision := w.call.request.GetWatch().GetRevision()
+	w.call.answer(nil)
+	if revision < l.state.View().Revision() {
+		l.push(w, l.updateFrom(revision))
+	}
+}
+
+// notify pushes what followed revision to every watcher.
+func (l *loop) notify(revision uint64) {
+	if l.state.View().Revision() <= revision {
+		return
+	}
+	l.dropEndedWatchers()
+	if len(l.watchers) == 0 {
+		return
+	}
+	u := l.updateFrom(revision)
+	for w := range l.watchers {
+		l.push(w, u)
+	}
+}
+
+// push ends the watch of a host that does not keep up.
+func (l *loop) push(w *watch, u *masticproto.ViewUpdate) {
+	a := &masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_View{View: u}}
+	if err := w.updates.Offer(a); err != nil {
+		w.updates.Close()
+		delete(l.watchers, w)
+	}
+}
+
+func (l *loop) dropEndedWatchers() {
+	for w := range l.watchers {
+		if w.call.abandoned() {
+			delete(l.watchers, w)
+		}
+	}
+}
+
+// updateFrom returns what leads from revision to the present view.
+func (l *loop) updateFrom(revision uint64) *masticproto.ViewUpdate {
+	if deltas, ok := l.state.Deltas(revision); ok {
+		return &masticproto.ViewUpdate{Deltas: append([]*masticproto.ViewDelta(nil), deltas...)}
+	}
+	return &masticproto.ViewUpdate{Whole: l.state.View().Snapshot()}
+}
--- a/masticwire/client.go
+++ b/masticwire/client.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -108,7 +109,11 @@
 func (c *Client) dial(ctx context.Context) (net.Conn, *yamux.Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.wire.dial)
 	defer cancel()
-	plain, err := new(net.Dialer).DialContext(ctx, "tcp", c.address)
+	dialer := net.Dialer{}
+	if c.wire.source.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.wire.source, 0))
+	}
+	plain, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/masticwire/wire.go
+++ b/masticwire/wire.go
@@ -28,7 +28,7 @@
 
 const (
 	streamCloseTimeout = 30 * time.Second
-	maxSilentCalls     = 2
+	maxSilentCalls     = 3
 )
 
 // Wire holds what all connections of a host share.
@@ -37,6 +37,7 @@
 	frameBytes   int
 	sessionCalls int
 	outbox       int
+	source       netip.Addr
 	dial         time.Duration
 	handshake    time.Duration
 	write        time.Duration
@@ -53,6 +54,9 @@
 // WithSecurity makes every connection use mutual TLS.
 func WithSecurity(s *Security) Option { return func(w *Wire) { w.security = s } }
 
+// WithSource sets the IP number from which connections are made.
+func WithSource(source netip.Addr) Option { return func(w *Wire) { w.source = source } }
+
 // WithFrameBytes bounds one message, in bytes.
 func WithFrameBytes(n int) Option { return func(w *Wire) { w.frameBytes = n } }
 
