Test the gate against failing stand-ins; bound unwanted bodies

Cause: TestSlowBody hung for its 60 s: net/http goes on reading a body that the handler did not take, and the read bound was lifted by then. Change: the bound on the body is set on entry and lifted only after a whole read; the connection is closed after a broken body.

--- a/masticgate/gate.go
+++ b/masticgate/gate.go
@@ -83,6 +83,7 @@
 func (g *Gate) work(serve func(*inbound)) http.Handler {
 	return g.handler(func(q *inbound) {
 		defer q.finish()
+		q.boundBody()
 		if !g.drain.enter() {
 			q.refuse(masticerror.New(masticerror.KindDraining, "this host is shutting down"))
 			return
--- a/masticgate/identity.go
+++ b/masticgate/identity.go
@@ -35,12 +35,12 @@
 	if secret == "" {
 		return masticerror.New(masticerror.KindUnauthenticated, "a key is needed: Authorization: Bearer KEY")
 	}
+	v := q.gate.views.View()
+	k, e := activeKey(v, masticview.DigestOf([]byte(secret)))
 	if !q.gate.views.Leased(q.gate.now()) {
+		q.identity = nobody(k)
 		return errNoLease()
 	}
-	v := q.gate.views.View()
-	d := masticview.DigestOf([]byte(secret))
-	k, e := activeKey(v, d)
 	if e != nil {
 		return e
 	}
--- a/masticgate/inbound.go
+++ b/masticgate/inbound.go
@@ -77,19 +77,25 @@
 	if q.request.ContentLength > limit {
 		return nil, q.tooLarge()
 	}
-	_ = q.control.SetReadDeadline(time.Now().Add(millis(q.gate.limits.BodyMillis)))
 	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.request.Body, limit))
-	_ = q.control.SetReadDeadline(time.Time{})
 	var over *http.MaxBytesError
 	if errors.As(err, &over) {
 		return nil, q.tooLarge()
 	}
 	if err != nil {
+		q.writer.Header().Set("Connection", "close")
 		return nil, masticerror.New(masticerror.KindBadRequest, "the body could not be read to its end")
 	}
+	_ = q.control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
+// boundBody bounds the time in which the body has to come. The bound stays when
+// the body is not wanted: net/http still reads a part of it after the answer.
+func (q *inbound) boundBody() {
+	_ = q.control.SetReadDeadline(time.Now().Add(millis(q.gate.limits.BodyMillis)))
+}
+
 func (q *inbound) tooLarge() *masticerror.Error {
 	q.writer.Header().Set("Connection", "close")
 	return masticerror.New(masticerror.KindBodyTooLarge, "the body is over %d bytes", q.gate.limits.MaxBodyBytes)
--- /dev/null
+++ b/masticgate/order_test.go
@@ -0,0 +1,240 @@
+package masticgate
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticerror"
+	"masticladder/masticfake"
+	"masticladder/masticview"
+)
+
+const orderBody = `{"slot":7}`
+
+func (b *bed) addOrders(handlers ...http.Handler) []*masticfake.Server {
+	return b.addService(masticview.Service{Name: "orders"}, handlers...)
+}
+
+func (b *bed) order(id string, headers ...string) reply {
+	return b.send(http.MethodPost, "/services/orders/place/"+id, orderBody, headers...)
+}
+
+func TestOrderReplay(t *testing.T) {
+	b := newBed(t)
+	s := masticfake.NewService("orders")
+	b.addOrders(s)
+	b.start()
+	first := b.order("o1", HeaderIdempotencyKey, "k1")
+	again := b.order("o1", HeaderIdempotencyKey, "k1")
+	b.c.Assert(first.status, qt.Equals, http.StatusOK)
+	b.c.Assert(string(again.body), qt.Equals, string(first.body))
+	b.c.Assert(first.header.Get(HeaderReplay), qt.Equals, "")
+	b.c.Assert(again.header.Get(HeaderReplay), qt.Equals, "true")
+	b.c.Assert(s.Count("o1"), qt.Equals, 1)
+	other := b.order("o2", HeaderIdempotencyKey, "k1")
+	b.c.Assert(other.status, qt.Equals, http.StatusUnprocessableEntity)
+	b.c.Assert(other.detail(b.c).Kind, qt.Equals, masticerror.KindKeyReused)
+	b.c.Assert(s.Count("o2"), qt.Equals, 0)
+}
+
+// TestOrderUnknown checks that an order whose answer is lost runs once, also with a
+// second server at hand and when it is sent again.
+func TestOrderUnknown(t *testing.T) {
+	for _, mode := range []masticfake.Mode{masticfake.ModeCut, masticfake.ModeHang, masticfake.ModeCrossed} {
+		for _, key := range []string{"", "k1"} {
+			t.Run(string(mode)+key, func(t *testing.T) {
+				b := newBed(t)
+				b.client.WholeAnswerMillis = 200
+				first, second := masticfake.NewService("orders"), masticfake.NewService("orders")
+				first.SetMode(mode)
+				b.addOrders(first, second)
+				b.start()
+				headers := []string{HeaderIdempotencyKey, key}
+				if key == "" {
+					headers = nil
+				}
+				r := b.order("o1", headers...)
+				b.c.Assert(r.detail(b.c).Kind, qt.Equals, masticerror.KindOutcomeUnknown)
+				b.c.Assert(r.detail(b.c).NotRun, qt.IsFalse)
+				b.c.Assert(r.detail(b.c).OutcomeUnknown, qt.IsTrue)
+				if key != "" {
+					again := b.order("o1", headers...)
+					b.c.Assert(again.detail(b.c).Kind, qt.Equals, masticerror.KindOutcomeUnknown)
+				}
+				b.c.Assert(first.Count("o1")+second.Count("o1"), qt.Equals, 1)
+			})
+		}
+	}
+}
+
+func TestOrderNotSent(t *testing.T) {
+	b := newBed(t)
+	s := masticfake.NewService("orders")
+	servers := b.addOrders(s)
+	servers[0].Down()
+	b.start()
+	r := b.order("o1", HeaderIdempotencyKey, "k1")
+	b.c.Assert(r.detail(b.c).NotRun, qt.IsTrue)
+	b.c.Assert(b.ledger.released, qt.Equals, 1)
+	b.c.Assert(b.order("o1").detail(b.c).NotRun, qt.IsTrue)
+	b.c.Assert(servers[0].Up(), qt.IsNil)
+	b.c.Assert(b.order("o1", HeaderIdempotencyKey, "k1").status, qt.Equals, http.StatusOK)
+	b.c.Assert(s.Count("o1"), qt.Equals, 1)
+}
+
+func TestOrderMovesOnlyUnsent(t *testing.T) {
+	b := newBed(t)
+	first, second := masticfake.NewService("orders"), masticfake.NewService("orders")
+	servers := b.addOrders(first, second)
+	servers[0].Down()
+	b.start()
+	b.c.Assert(b.order("o1", HeaderIdempotencyKey, "k1").status, qt.Equals, http.StatusOK)
+	b.c.Assert(second.Count("o1"), qt.Equals, 1)
+}
+
+// TestOrderLedgerFails checks that nothing is dispatched without the ledger's word.
+func TestOrderLedgerFails(t *testing.T) {
+	b := newBed(t)
+	s := masticfake.NewService("orders")
+	b.addOrders(s)
+	b.ledger.fail = masticerror.New(masticerror.KindNoQuorum, "no quorum")
+	b.start()
+	r := b.order("o1", HeaderIdempotencyKey, "k1")
+	b.c.Assert(r.status, qt.Equals, http.StatusServiceUnavailable)
+	b.c.Assert(r.detail(b.c).NotRun, qt.IsFalse)
+	b.c.Assert(s.Count("o1"), qt.Equals, 0)
+}
+
+// sender sends one order in the background.
+type sender struct {
+	bed  *bed
+	ctx  context.Context
+	done chan struct{}
+}
+
+func (s sender) run() {
+	defer close(s.done)
+	q := s.bed.request(s.ctx, http.MethodPost, "/services/orders/place/o1", orderBody, HeaderIdempotencyKey, "k1")
+	if a, err := s.bed.server.Client().Do(q); err == nil {
+		_ = a.Body.Close()
+	}
+}
+
+// TestOrderCallerGone checks that a caller's going away does not lose the outcome, and
+// that a resend waits for an order in flight.
+func TestOrderCallerGone(t *testing.T) {
+	b := newBed(t)
+	release := make(chan struct{})
+	s := masticfake.NewService("orders", masticfake.WithRelease(release))
+	b.addOrders(s)
+	b.start()
+	ctx, cancel := context.WithCancel(context.Background())
+	first := sender{bed: b, ctx: ctx, done: make(chan struct{})}
+	go first.run()
+	b.eventually(func() bool { return s.Count("o1") == 1 })
+	cancel()
+	<-first.done
+	resend := sender{bed: b, ctx: context.Background(), done: make(chan struct{})}
+	go resend.run()
+	b.eventually(func() bool { return b.gate.Running() == 2 })
+	close(release)
+	<-resend.done
+	r := b.order("o1", HeaderIdempotencyKey, "k1")
+	b.c.Assert(r.status, qt.Equals, http.StatusOK)
+	b.c.Assert(r.header.Get(HeaderReplay), qt.Equals, "true")
+	b.c.Assert(s.Count("o1"), qt.Equals, 1)
+}
+
+// eventually waits until the condition holds; the test's own timeout is the bound.
+func (b *bed) eventually(condition func() bool) {
+	for !condition() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// staleServer answers the first request of each connection and takes every later one
+// without an answer, as a server that ends with the request in its hands.
+type staleServer struct {
+	listener net.Listener
+	requests chan string
+}
+
+func (s *staleServer) loop() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		k := staleConn{server: s, conn: c}
+		go k.run()
+	}
+}
+
+// staleConn is one connection of a staleServer.
+type staleConn struct {
+	server *staleServer
+	conn   net.Conn
+}
+
+func (k staleConn) run() {
+	defer k.conn.Close()
+	buffer := make([]byte, 64<<10)
+	n, _ := k.conn.Read(buffer)
+	k.server.requests <- string(buffer[:n])
+	_, _ = k.conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	n, _ = k.conn.Read(buffer)
+	if n > 0 {
+		k.server.requests <- string(buffer[:n])
+	}
+}
+
+// TestStaleConnection checks that an order never goes over a connection on which
+// net/http would send it a second time. GET is the method that it does repeat.
+func TestStaleConnection(t *testing.T) {
+	b := newBed(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	b.c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &staleServer{listener: l, requests: make(chan string, 100)}
+	go s.loop()
+	b.views.change(func(v masticview.View) masticview.View {
+		return v.WithServer(masticview.Server{Name: "stale", Kind: masticview.ServerService, URL: "http://" + l.Addr().String()}).
+			WithService(masticview.Service{Name: "lookups", Servers: []string{"stale"}, Repeatable: true}).
+			WithService(masticview.Service{Name: "orders", Servers: []string{"stale"}})
+	})
+	b.start()
+	b.c.Assert(b.send(http.MethodGet, "/services/lookups/stock", "").status, qt.Equals, http.StatusOK)
+	for range 3 {
+		b.send(http.MethodGet, "/services/orders/place/o1", "", HeaderIdempotencyKey, "k1")
+	}
+	b.send(http.MethodGet, "/services/orders/place/o2", "")
+	counts := make(map[string]int)
+	for len(s.requests) > 0 {
+		path, _, _ := strings.Cut(strings.TrimPrefix(<-s.requests, "GET "), " ")
+		counts[path]++
+	}
+	b.c.Assert(counts, qt.DeepEquals, map[string]int{"/stock": 1, "/place/o1": 1, "/place/o2": 1})
+}
+
+func TestRepeatableMoves(t *testing.T) {
+	for _, mode := range []masticfake.Mode{masticfake.ModeCut, masticfake.ModeHang, masticfake.ModeRefuse, masticfake.ModeCrossed} {
+		t.Run(string(mode), func(t *testing.T) {
+			b := newBed(t)
+			b.client.WholeAnswerMillis = 200
+			first, second := masticfake.NewService("lookups"), masticfake.NewService("lookups")
+			first.SetMode(mode)
+			b.addService(masticview.Service{Name: "lookups", Repeatable: true}, first, second)
+			b.start()
+			r := b.send(http.MethodGet, "/services/lookups/stock/17?zone=a", "")
+			b.c.Assert(r.status, qt.Equals, http.StatusOK)
+			b.c.Assert(string(r.body), qt.Equals, `{"service":"lookups","order":"17"}`)
+			b.c.Assert(second.Received()[0].Path, qt.Equals, "/stock/17?zone=a")
+		})
+	}
+}
--- /dev/null
+++ b/masticgate/stream_test.go
@@ -0,0 +1,130 @@
+package masticgate
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticfake"
+	"masticladder/masticview"
+)
+
+func TestStreamWhole(t *testing.T) {
+	b := newBed(t)
+	e, _ := b.addEngine("engine-1")
+	b.start()
+	_, s := b.stream("set the teeth")
+	b.c.Assert(s.text, qt.Equals, textFor("set the teeth", 32))
+	b.c.Assert(s.ended, qt.IsTrue)
+	b.c.Assert(b.usage.last().OutputTokens, qt.Equals, int64(32))
+	got := e.Received()[0]
+	b.c.Assert(got.Header.Get("X-Priority"), qt.Equals, "3")
+	b.c.Assert(got.Header.Get("X-Cache-Salt"), qt.Equals, "salt")
+	var sent struct {
+		MaxTokens int `json:"max_tokens"`
+	}
+	b.c.Assert(json.Unmarshal(got.Body, &sent), qt.IsNil)
+	b.c.Assert(sent.MaxTokens, qt.Equals, 64)
+}
+
+func TestAnswerWhole(t *testing.T) {
+	b := newBed(t)
+	b.addEngine("engine-1")
+	b.start()
+	r := b.send(http.MethodPost, "/v1/chat/completions", chatBody(false, "kerf"))
+	b.c.Assert(r.status, qt.Equals, http.StatusOK)
+	var a struct {
+		Choices []struct {
+			Message masticfake.Message `json:"message"`
+		} `json:"choices"`
+	}
+	b.c.Assert(json.Unmarshal(r.body, &a), qt.IsNil)
+	b.c.Assert(a.Choices[0].Message.Content, qt.Equals, textFor("kerf", 32))
+}
+
+// TestFailingEngine sends streams and plain requests to an engine that fails in each
+// way, with a good one behind it: the caller gets the whole answer.
+func TestFailingEngine(t *testing.T) {
+	modes := []masticfake.Mode{
+		masticfake.ModeHang, masticfake.ModeRefuse, masticfake.ModeHalf, masticfake.ModeCut,
+		masticfake.ModeCrossed, masticfake.ModeCrossedEvents, masticfake.ModeRepeat,
+		masticfake.ModeGap, masticfake.ModeStall,
+	}
+	for _, mode := range modes {
+		t.Run(string(mode), func(t *testing.T) {
+			b := newBed(t)
+			b.client.FirstAnswerMillis, b.client.NextEventMillis, b.client.WholeAnswerMillis = 200, 200, 200
+			bad, _ := b.addEngine("engine-1")
+			bad.SetMode(mode)
+			b.addEngine("engine-2")
+			b.start()
+			_, s := b.stream("quick line check")
+			b.c.Assert(s.err, qt.IsNil)
+			b.c.Assert(s.text, qt.Equals, textFor("quick line check", 32))
+			b.c.Assert(s.ended, qt.IsTrue)
+			r := b.send(http.MethodPost, "/v1/chat/completions", chatBody(false, "kerf"))
+			b.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+		})
+	}
+}
+
+// TestBrokenWithoutSecondServer checks that an answer that cannot be completed ends
+// with an explicit error event, never as if it were whole.
+func TestBrokenWithoutSecondServer(t *testing.T) {
+	for _, mode := range []masticfake.Mode{masticfake.ModeHalf, masticfake.ModeCut, masticfake.ModeGap, masticfake.ModeCrossedEvents} {
+		t.Run(string(mode), func(t *testing.T) {
+			b := newBed(t)
+			bad, _ := b.addEngine("engine-1")
+			bad.SetMode(mode)
+			b.start()
+			_, s := b.stream("price book")
+			b.c.Assert(s.ended, qt.IsFalse)
+			b.c.Assert(s.err, qt.Not(qt.IsNil))
+			b.c.Assert(s.err.NotRun, qt.IsFalse)
+			b.c.Assert(s.text, qt.Equals, textFor("price book", 16))
+		})
+	}
+}
+
+func TestDeadEngineNotRun(t *testing.T) {
+	b := newBed(t)
+	_, s := b.addEngine("engine-1")
+	s.Down()
+	b.start()
+	r, _ := b.stream("stock")
+	b.c.Assert(r.status, qt.Equals, http.StatusBadGateway)
+	b.c.Assert(r.detail(b.c).NotRun, qt.IsTrue)
+	b.c.Assert(b.limiter.settled, qt.DeepEquals, []int64{0})
+}
+
+// TestCrashIsReportedOnce lets a request crash each engine that runs it.
+func TestCrashIsReportedOnce(t *testing.T) {
+	b := newBed(t)
+	b.addEngine("engine-1", masticfake.WithKiller("poison"))
+	b.addEngine("engine-2", masticfake.WithKiller("poison"))
+	b.start()
+	r, _ := b.stream("poison")
+	b.c.Assert(r.status, qt.Equals, http.StatusBadGateway)
+	b.c.Assert(r.detail(b.c).NotRun, qt.IsFalse)
+	p, e := parsePrompt([]byte(chatBody(true, "poison")), readChat, b.limits, 64)
+	b.c.Assert(e == nil, qt.IsTrue)
+	b.c.Assert(b.suspects.all(), qt.DeepEquals, []ended{
+		{"engine-1", "engine-1-1", []masticview.Digest{p.digest}},
+		{"engine-2", "engine-2-1", []masticview.Digest{p.digest}},
+	})
+	for _, d := range b.dispatcher.done() {
+		b.c.Assert(d.ServerEnded, qt.IsTrue)
+	}
+}
+
+// TestHalfAnswerIsNoCrash checks that an engine that lives on is not reported.
+func TestHalfAnswerIsNoCrash(t *testing.T) {
+	b := newBed(t)
+	bad, _ := b.addEngine("engine-1")
+	bad.SetMode(masticfake.ModeCut)
+	b.start()
+	b.stream("moulding")
+	b.c.Assert(b.suspects.all(), qt.HasLen, 0)
+}
