--- a/masticagent/operator.go
+++ b/masticagent/operator.go
@@ -94,7 +94,12 @@
 	own.ActiveLeases, own.StateBytes = int(s.GetActiveLeases()), s.GetStateBytes()
 	own.LastCommitted = time.UnixMilli(s.GetLastCommittedUnixMs())
 	for _, m := range s.GetMembers() {
-		own.Members = append(own.Members, masticcall.ControlMember{Host: m.GetId(), Voter: m.GetVoter(), Address: m.GetAddress()})
+		own.Members = append(own.Members, masticcall.ControlMember{
+			Host:    m.GetId(),
+			Voter:   m.GetVoter(),
+			Address: m.GetAddress(),
+			Storage: m.GetStorage(),
+		})
 	}
 	return own, nil
 }
--- a/masticagent/releaser.go
+++ b/masticagent/releaser.go
@@ -37,10 +37,7 @@
 func (r *releaser) run(ctx context.Context) {
 	defer r.agent.running.Done()
 	for b := range r.releases.Out() {
-		if ctx.Err() != nil || !time.Now().Before(b.deadline) {
-			continue
-		}
-		if r.release(ctx, b) {
+		if !time.Now().Before(b.deadline) || r.release(ctx, b) || ctx.Err() != nil {
 			continue
 		}
 		r.add(b)
--- a/masticcall/operator.go
+++ b/masticcall/operator.go
@@ -51,6 +51,8 @@
 	Host    string `json:"host"`
 	Voter   bool   `json:"voter"`
 	Address string `json:"address"`
+	// Storage is the incarnation of a voter's data folder.
+	Storage string `json:"storage,omitempty"`
 }
 
 // Operator is what operators ask of control, from any host.
--- /dev/null
+++ b/masticcontrol/load_test.go
@@ -0,0 +1,166 @@
+package masticcontrol_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"masticladder/masticcall"
+	"masticladder/masticproto"
+	"masticladder/masticview"
+)
+
+// publisher publishes one new workspace after the other until it is stopped, and keeps
+// what was accepted. A publish without a clear answer is sent again under its identifier.
+type publisher struct {
+	cluster  *cluster
+	agent    *client
+	name     string
+	ended    context.Context
+	running  sync.WaitGroup
+	accepted []string
+	// count is the number of accepted ones, longest the longest time between two.
+	count   atomic.Int64
+	longest time.Duration
+}
+
+func (p *publisher) run() {
+	defer p.running.Done()
+	last := time.Now()
+	for i := 0; p.ended.Err() == nil; i++ {
+		name := fmt.Sprintf("%s-%d", p.name, i)
+		for p.ended.Err() == nil {
+			ctx, cancel := context.WithTimeout(p.ended, 2*time.Second)
+			_, err := p.agent.Operator().Publish(ctx, name, 0, workspaceChange(name))
+			cancel()
+			if err == nil {
+				p.accepted = append(p.accepted, name)
+				p.count.Add(1)
+				p.longest = max(p.longest, time.Since(last))
+				last = time.Now()
+				break
+			}
+		}
+	}
+}
+
+func workspaceChange(name string) *masticproto.ViewChange {
+	return &masticproto.ViewChange{Workspaces: []*masticproto.Workspace{
+		{Name: name, Owner: "association", RateTokensPerSecond: 1000, BurstTokens: 10_000},
+	}}
+}
+
+// runs counts how often each order was dispatched.
+type runs struct {
+	mutex sync.Mutex
+	count map[string]int
+}
+
+func (r *runs) add(key string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.count[key]++
+}
+
+// orderer sends the same orders as other orderers, each again until it is done or unknown.
+type orderer struct {
+	agent   *client
+	runs    *runs
+	ended   context.Context
+	running sync.WaitGroup
+	done    atomic.Int64
+}
+
+func (o *orderer) run() {
+	defer o.running.Done()
+	for i := 0; o.ended.Err() == nil; i++ {
+		o.order(fmt.Sprintf("order-%d", i))
+	}
+}
+
+func (o *orderer) order(key string) {
+	k := masticcall.OrderKey{Workspace: "saws", IdempotencyKey: key}
+	for o.ended.Err() == nil {
+		ctx, cancel := context.WithTimeout(o.ended, time.Second)
+		r, err := o.agent.Ledger().Reserve(ctx, k, masticview.DigestOf([]byte(key)), time.Now().Add(10*time.Second))
+		if err == nil && r.State == masticcall.OrderReserved {
+			o.runs.add(key)
+			_ = o.agent.Ledger().Record(ctx, k, &masticcall.StoredAnswer{Status: 201, Body: []byte(key)})
+		}
+		cancel()
+		if err == nil && (r.State == masticcall.OrderDone || r.State == masticcall.OrderUnknown) {
+			o.done.Add(1)
+			return
+		}
+	}
+}
+
+// load is publishers and orderers on some agents.
+type load struct {
+	publishers []*publisher
+	orderers   []*orderer
+	runs       *runs
+	cancel     context.CancelFunc
+}
+
+func (c *cluster) load(agents ...*client) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.t.Cleanup(cancel)
+	l := &load{runs: &runs{count: map[string]int{}}, cancel: cancel}
+	for i, a := range agents {
+		p := &publisher{cluster: c, agent: a, name: fmt.Sprintf("w%d", i), ended: ctx}
+		o := &orderer{agent: a, runs: l.runs, ended: ctx}
+		l.publishers, l.orderers = append(l.publishers, p), append(l.orderers, o)
+		p.running.Add(1)
+		o.running.Add(1)
+		go p.run()
+		go o.run()
+	}
+	return l
+}
+
+// progress waits until every publisher and orderer got n more answers.
+func (l *load) progress(c *cluster, n int64) {
+	c.t.Helper()
+	targets := map[*atomic.Int64]int64{}
+	for i := range l.publishers {
+		targets[&l.publishers[i].count] = l.publishers[i].count.Load() + n
+		targets[&l.orderers[i].done] = l.orderers[i].done.Load() + n
+	}
+	c.eventually("progress of the load", func() bool {
+		for counter, target := range targets {
+			if counter.Load() < target {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// check ends the load: every accepted change is in the view of a, and no order ran twice.
+func (l *load) check(c *cluster, a *client) {
+	c.t.Helper()
+	l.cancel()
+	for i := range l.publishers {
+		l.publishers[i].running.Wait()
+		l.orderers[i].running.Wait()
+	}
+	c.publish(a, "last", workspaceChange("last"))
+	c.eventually("the last change", func() bool { _, ok := a.View().Workspace("last"); return ok })
+	for _, p := range l.publishers {
+		for _, name := range p.accepted {
+			if _, ok := a.View().Workspace(name); !ok {
+				c.t.Errorf("accepted change %s is missing", name)
+			}
+		}
+		c.t.Logf("%s: %d accepted, longest wait %v", p.name, len(p.accepted), p.longest)
+	}
+	for key, n := range l.runs.count {
+		if n > 1 {
+			c.t.Errorf("order %s ran %d times", key, n)
+		}
+	}
+	c.t.Logf("%d orders ran", len(l.runs.count))
+}
--- a/masticcontrol/turn.go
+++ b/masticcontrol/turn.go
@@ -37,6 +37,7 @@
 	if err := l.advance(now); err != nil {
 		return err
 	}
+	now = time.Now()
 	l.observe(now)
 	if l.leader != nil {
 		l.leader.settle(now)
