--- /dev/null
+++ b/masticcontrol/bench_test.go
@@ -0,0 +1,101 @@
+package masticcontrol_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"masticladder/masticcall"
+	"masticladder/masticcontrol"
+	"masticladder/masticview"
+)
+
+// BenchmarkPublishInForce publishes one change after the other to eight hosts.
+func BenchmarkPublishInForce(b *testing.B) {
+	c := newCluster(b, three)
+	c.startAll()
+	var agents []*client
+	for i := range 8 {
+		agents = append(agents, c.agent(i+1))
+	}
+	c.publish(agents[0], "first", baseChange(8))
+	for _, a := range agents {
+		c.eventually("a lease", func() bool { return a.Leased(time.Now()) })
+	}
+	for i := 0; b.Loop(); i++ {
+		p, err := agents[0].Operator().Publish(c.context(), workspaceName(i), 0, workspaceChange(workspaceName(i%10)))
+		if err != nil || !p.InForce {
+			b.Fatal(p, err)
+		}
+	}
+}
+
+func BenchmarkReserveGroupCommit(b *testing.B) {
+	benchmarkReserve(b, masticcontrol.DefaultBatchCalls)
+}
+
+func BenchmarkReserveOneSyncEach(b *testing.B) { benchmarkReserve(b, 1) }
+
+// benchmarkReserve has many callers reserve orders at once.
+func benchmarkReserve(b *testing.B, batch int) {
+	c := newCluster(b, three, masticcontrol.WithBatchCalls(batch))
+	c.startAll()
+	a := c.agent(1)
+	c.publish(a, "first", baseChange(1))
+	var number atomic.Int64
+	b.SetParallelism(16)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			key := masticcall.OrderKey{Workspace: "saws", IdempotencyKey: fmt.Sprintf("order-%d", number.Add(1))}
+			if _, err := a.Ledger().Reserve(c.context(), key, masticview.DigestOf(nil), time.Now().Add(time.Minute)); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+}
+
+// BenchmarkIdle reports what idle agents cost: bytes on the wire of one agent, and the
+// processor time of the whole process with the control hosts.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{1, 51} {
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) { benchmarkIdle(b, n) })
+	}
+}
+
+func benchmarkIdle(b *testing.B, n int) {
+	c := newCluster(b, three)
+	c.startAll()
+	var agents []*client
+	for i := range n {
+		agents = append(agents, c.agent(i+1))
+	}
+	c.publish(agents[0], "first", baseChange(n))
+	for _, a := range agents {
+		c.eventually("a lease", func() bool { return a.Leased(time.Now()) })
+	}
+	leader := c.nodes[c.leader(agents[0])]
+	for b.Loop() {
+		in, out := agents[0].wire.Bytes()
+		leaderIn, leaderOut := leader.wire.Bytes()
+		cpu, begin := processorTime(), time.Now()
+		time.Sleep(10 * time.Second)
+		seconds := time.Since(begin).Seconds()
+		afterIn, afterOut := agents[0].wire.Bytes()
+		leaderAfterIn, leaderAfterOut := leader.wire.Bytes()
+		b.ReportMetric(float64(afterIn-in)/seconds, "agentInB/s")
+		b.ReportMetric(float64(afterOut-out)/seconds, "agentOutB/s")
+		b.ReportMetric(float64(leaderAfterIn-leaderIn+leaderAfterOut-leaderOut)/seconds, "leaderB/s")
+		b.ReportMetric(100*(processorTime()-cpu).Seconds()/seconds, "core%")
+	}
+}
+
+// processorTime returns what this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
