Join the parts to a host and give it a command line

Cause: the whole path has to run as one program. Change: masticdaemon joins wire, control, agent, scheduler, gate and operators' side as settings state; masticcommand holds demo, run, check, key, profile, host, server, member, usage, status, standin.

--- /dev/null
+++ b/masticcommand/usage.go
@@ -0,0 +1,169 @@
+package masticcommand
+
+import (
+	"cmp"
+	"context"
+	"encoding/csv"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"masticladder/masticcall"
+	"masticladder/masticerror"
+)
+
+const usageHelp = `Shows what each owner used and was served, and checks that both sides agree.
+
+Examples:
+  masticladder usage --by owner
+  masticladder usage --by workspace --json
+  masticladder usage --by server --csv
+
+--by owner adds up by the workspace's owner (charged) and by the backend server's owner (served);
+the cross-check compares the two sums. Totals count from the start of the fleet.
+
+` + exitCodeHelp
+
+type usageCommand struct {
+	adminOptions
+	By  string `long:"by" default:"owner" choice:"owner" choice:"workspace" choice:"server" description:"what rows stand for"`
+	CSV bool   `long:"csv" description:"print comma-separated values"`
+}
+
+// usageRow is one printed row.
+type usageRow struct {
+	Side             string `json:"side"`
+	Name             string `json:"name"`
+	Requests         int64  `json:"requests"`
+	Orders           int64  `json:"orders"`
+	InputTokens      int64  `json:"inputTokens"`
+	OutputTokens     int64  `json:"outputTokens"`
+	CachedTokens     int64  `json:"cachedTokens"`
+	RecomputedTokens int64  `json:"recomputedTokens"`
+	Refused          int64  `json:"refused"`
+}
+
+// usageReport is the whole printed answer.
+type usageReport struct {
+	Rows []usageRow `json:"rows"`
+	// Agreed reports that charged and served sides add up to the same.
+	Agreed bool `json:"agreed"`
+}
+
+// Execute shows the usage.
+func (u *usageCommand) Execute([]string) error {
+	ctx := context.Background()
+	view, err := u.client().View(ctx)
+	if err != nil {
+		return err
+	}
+	totals, err := u.client().Usage(ctx)
+	if err != nil {
+		return err
+	}
+	owners := map[string]string{}
+	for _, w := range view.Workspaces {
+		owners[w.Name] = w.Owner
+	}
+	return u.print(summarise(totals, u.By, owners))
+}
+
+func summarise(totals []masticcall.UsageTotal, by string, owners map[string]string) usageReport {
+	charged := map[string]usageRow{}
+	served := map[string]usageRow{}
+	for _, t := range totals {
+		name := t.Workspace
+		if by == "owner" {
+			name = owners[t.Workspace]
+		}
+		charged[name] = addTotal(charged[name], "charged", name, t)
+		if t.ServerOwner != "" {
+			served[t.ServerOwner] = addTotal(served[t.ServerOwner], "served", t.ServerOwner, t)
+		}
+	}
+	r := usageReport{Agreed: tokensOf(charged) == tokensOf(served)}
+	if by != "server" {
+		r.Rows = append(r.Rows, sortedRows(charged)...)
+	}
+	if by != "workspace" {
+		r.Rows = append(r.Rows, sortedRows(served)...)
+	}
+	return r
+}
+
+func addTotal(r usageRow, side, name string, t masticcall.UsageTotal) usageRow {
+	r.Side = side
+	r.Name = name
+	r.Requests += t.Requests
+	r.Orders += t.Orders
+	r.InputTokens += t.InputTokens
+	r.OutputTokens += t.OutputTokens
+	r.CachedTokens += t.CachedTokens
+	r.RecomputedTokens += t.RecomputedTokens
+	for _, n := range t.Refusals {
+		r.Refused += n
+	}
+	return r
+}
+
+func tokensOf(rows map[string]usageRow) int64 {
+	var sum int64
+	for _, r := range rows {
+		sum += r.InputTokens + r.OutputTokens
+	}
+	return sum
+}
+
+func sortedRows(rows map[string]usageRow) []usageRow {
+	out := make([]usageRow, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b usageRow) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+var usageHeader = []string{"side", "name", "requests", "orders", "inputTokens", "outputTokens", "cachedTokens", "recomputedTokens", "refused"}
+
+func (r usageRow) cells() []string {
+	cells := []string{r.Side, r.Name}
+	for _, n := range []int64{r.Requests, r.Orders, r.InputTokens, r.OutputTokens, r.CachedTokens, r.RecomputedTokens, r.Refused} {
+		cells = append(cells, strconv.FormatInt(n, 10))
+	}
+	return cells
+}
+
+func (u *usageCommand) print(r usageReport) error {
+	if u.JSON {
+		return u.agreed(printJSON(r), r)
+	}
+	if u.CSV {
+		w := csv.NewWriter(output)
+		_ = w.Write(usageHeader)
+		for _, x := range r.Rows {
+			_ = w.Write(x.cells())
+		}
+		w.Flush()
+		return u.agreed(w.Error(), r)
+	}
+	rows := make([]string, 0, len(r.Rows))
+	for _, x := range r.Rows {
+		rows = append(rows, joinCells(x.cells()))
+	}
+	err := u.table(nil, joinCells(usageHeader), rows)
+	fmt.Fprintf(output, "charged and served agree: %t\n", r.Agreed)
+	return u.agreed(err, r)
+}
+
+func (u *usageCommand) agreed(err error, r usageReport) error {
+	if err != nil {
+		return err
+	}
+	if !r.Agreed {
+		return masticerror.New(masticerror.KindInternal, "charged and served do not agree")
+	}
+	return nil
+}
+
+func joinCells(cells []string) string { return strings.Join(cells, "\t") }
--- /dev/null
+++ b/masticdaemon/server.go
@@ -0,0 +1,65 @@
+package masticdaemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Limits of the HTTP servers.
+const (
+	headerTimeout    = 10 * time.Second
+	idleTimeout      = 90 * time.Second
+	maxHeaderBytes   = 64 << 10
+	closeGraceMillis = 2000
+)
+
+// httpServer serves one address until it is stopped.
+type httpServer struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// listen opens address, so that a wrong one is an error before anything runs.
+func listen(address string, handler http.Handler, config *tls.Config) (*httpServer, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listening on %s", address)
+	}
+	if config != nil {
+		l = tls.NewListener(l, config)
+	}
+	return &httpServer{
+		listener: l,
+		server: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+		},
+	}, nil
+}
+
+// address returns the address that is really listened on.
+func (s *httpServer) address() string { return s.listener.Addr().String() }
+
+func (s *httpServer) run() error {
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "serving")
+}
+
+func (s *httpServer) stop(error) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeGraceMillis*time.Millisecond)
+	defer cancel()
+	if err := s.server.Shutdown(ctx); err != nil {
+		_ = s.server.Close()
+	}
+}
