Test three hosts as separate processes

Cause: the promises are about processes that are killed, frozen and lose their disks. Change: tests start three daemons with their own files on 127.0.0.1 to 3 and stand-ins, and kill one, kill the leader under publishes and orders, kill all after 300 changes, freeze the leader, lose a data folder.

--- /dev/null
+++ b/fleet_test.go
@@ -0,0 +1,290 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticfake"
+	"masticladder/masticproto"
+	"masticladder/masticview"
+)
+
+// testChange returns the configuration of a test without its backend servers.
+func testChange() *masticproto.ViewChange {
+	key := masticview.DigestOf([]byte(testKey))
+	return &masticproto.ViewChange{
+		Workspaces: []*masticproto.Workspace{{
+			Name: "association", Owner: "association", RateTokensPerSecond: 1_000_000, BurstTokens: 10_000_000, Weight: 1,
+		}},
+		Profiles: []*masticproto.Profile{{
+			Name: "association-review", Workspace: "association", Models: []string{"saw"}, Services: []string{"orders"},
+			Class: "long", FirstTokenMillis: 10_000, MaxOutputTokens: 1024,
+		}},
+		Keys: []*masticproto.Key{{
+			Id: "test", Digest: key[:], Workspace: "association", Profile: "association-review", State: "active",
+		}},
+		Services: []*masticproto.Service{{Name: "orders", Servers: []string{"orders-1"}}},
+	}
+}
+
+// startFleet starts three hosts and publishes the test's configuration.
+func startFleet(t *testing.T) ([]*process, *backends) {
+	b := startBackends(t)
+	fleet := newFleet(t, 3)
+	for _, p := range fleet {
+		p.start()
+	}
+	publishUntilAccepted(t, fleet, "first", b.change)
+	for _, p := range fleet {
+		waitServing(t, p)
+	}
+	return fleet, b
+}
+
+// publishUntilAccepted sends one change under one identifier to the hosts in turn.
+func publishUntilAccepted(t *testing.T, fleet []*process, id string, change *masticproto.ViewChange) {
+	t.Helper()
+	i := 0
+	waitFor(t, "change "+id+" accepted", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		i++
+		_, err := fleet[i%len(fleet)].client().Publish(ctx, &masticproto.Publish{RequestId: id, Change: change})
+		return err == nil
+	})
+}
+
+func waitServing(t *testing.T, p *process) {
+	t.Helper()
+	waitFor(t, p.host+" serves", func() bool { return p.chat(testKey, "ready?").status == http.StatusOK })
+}
+
+// wantAnswer fails the test unless a is the whole answer to prompt.
+func wantAnswer(c *qt.C, a answer, prompt string) {
+	c.Helper()
+	c.Assert(a.err, qt.IsNil)
+	c.Assert(a.status, qt.Equals, http.StatusOK, qt.Commentf("%s", a.body))
+	text, ended := streamText(a.body)
+	c.Assert(ended, qt.IsTrue)
+	c.Assert(text, qt.Equals, masticfake.Text("saw", []masticfake.Message{{Role: "user", Content: prompt}}, 24))
+}
+
+// streamText joins the pieces of a streamed answer and reports whether it has its end mark.
+func streamText(body string) (string, bool) {
+	var text strings.Builder
+	for line := range strings.Lines(body) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text.String(), true
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) > 0 {
+			text.WriteString(chunk.Choices[0].Delta.Content)
+		}
+	}
+	return text.String(), false
+}
+
+func TestThreeHostsServeAndOneIsKilled(t *testing.T) {
+	c := qt.New(t)
+	fleet, _ := startFleet(t)
+	for i, p := range fleet {
+		prompt := fmt.Sprintf("question %d", i)
+		wantAnswer(c, p.chat(testKey, prompt), prompt)
+	}
+	a := fleet[1].chat("", "no key")
+	c.Assert(a.status, qt.Equals, http.StatusUnauthorized)
+	c.Assert(a.body, qt.Contains, `"notRun":true`)
+	fleet[0].kill()
+	for i, p := range fleet[1:] {
+		prompt := fmt.Sprintf("after the kill %d", i)
+		wantAnswer(c, p.chat(testKey, prompt), prompt)
+	}
+}
+
+func TestWithdrawnKeyIsRefusedByEveryHost(t *testing.T) {
+	c := qt.New(t)
+	fleet, _ := startFleet(t)
+	_, err := fleet[1].client().WithdrawKey(t.Context(), "withdraw-1", "test")
+	c.Assert(err, qt.IsNil)
+	for _, p := range fleet {
+		c.Assert(p.chat(testKey, "withdrawn").status, qt.Equals, http.StatusUnauthorized)
+	}
+}
+
+// orderBatch books orders through two hosts each, at once.
+type orderBatch struct {
+	hosts []*process
+	ids   []string
+
+	mu      sync.Mutex
+	refused map[string]int
+}
+
+// run books every order at every host; an answer that says "not run" counts as refused.
+func (b *orderBatch) run(group *sync.WaitGroup) {
+	defer group.Done()
+	for _, id := range b.ids {
+		notRun := 0
+		for _, p := range b.hosts {
+			if a := p.order(id); strings.Contains(a.body, `"notRun":true`) {
+				notRun++
+			}
+		}
+		b.mu.Lock()
+		if notRun == len(b.hosts) {
+			b.refused[id]++
+		}
+		b.mu.Unlock()
+	}
+}
+
+func TestLeaderKilledUnderPublishesAndOrders(t *testing.T) {
+	c := qt.New(t)
+	fleet, backends := startFleet(t)
+	leader := waitLeader(t, fleet...)
+	batch := &orderBatch{refused: map[string]int{}}
+	for i := range 40 {
+		batch.ids = append(batch.ids, fmt.Sprintf("order-%d", i))
+	}
+	for _, p := range fleet {
+		if p != leader {
+			batch.hosts = append(batch.hosts, p)
+		}
+	}
+	var group sync.WaitGroup
+	group.Add(1)
+	go batch.run(&group)
+	for i := range 5 {
+		publishUntilAccepted(t, batch.hosts, fmt.Sprintf("before-%d", i), profileChange(i))
+	}
+	leader.kill()
+	for i := 5; i < 10; i++ {
+		publishUntilAccepted(t, batch.hosts, fmt.Sprintf("after-%d", i), profileChange(i))
+	}
+	group.Wait()
+	view, err := batch.hosts[0].client().View(t.Context())
+	c.Assert(err, qt.IsNil)
+	names := map[string]bool{}
+	for _, p := range view.Profiles {
+		names[p.Name] = true
+	}
+	for i := range 10 {
+		c.Assert(names[fmt.Sprintf("profile-%d", i)], qt.IsTrue)
+	}
+	for _, id := range batch.ids {
+		c.Assert(backends.orders.Count(id) <= 1, qt.IsTrue, qt.Commentf("%s ran %d times", id, backends.orders.Count(id)))
+		if batch.refused[id] > 0 {
+			c.Assert(backends.orders.Count(id), qt.Equals, 0, qt.Commentf("%s was said not to run", id))
+		}
+	}
+}
+
+func profileChange(i int) *masticproto.ViewChange {
+	return &masticproto.ViewChange{Profiles: []*masticproto.Profile{{
+		Name: fmt.Sprintf("profile-%d", i), Workspace: "association", Models: []string{"saw"},
+		Class: "quick", FirstTokenMillis: 1_200, MaxOutputTokens: 64,
+	}}}
+}
+
+func TestAllKilledAfter300Changes(t *testing.T) {
+	c := qt.New(t)
+	fleet, backends := startFleet(t)
+	c.Assert(fleet[0].order("before").status, qt.Equals, http.StatusOK)
+	for i := range 300 {
+		publishUntilAccepted(t, fleet, fmt.Sprintf("change-%d", i), profileChange(i))
+	}
+	before, err := fleet[0].client().View(t.Context())
+	c.Assert(err, qt.IsNil)
+	for _, p := range fleet {
+		p.kill()
+	}
+	for _, p := range fleet {
+		p.start()
+	}
+	for i, p := range fleet {
+		waitServing(t, p)
+		prompt := fmt.Sprintf("restarted %d", i)
+		wantAnswer(c, p.chat(testKey, prompt), prompt)
+		after, err := p.client().View(t.Context())
+		c.Assert(err, qt.IsNil)
+		c.Assert(after.Revision >= before.Revision, qt.IsTrue)
+		c.Assert(len(after.Profiles), qt.Equals, len(before.Profiles))
+	}
+	again := fleet[2].order("before")
+	c.Assert(again.status, qt.Equals, http.StatusOK)
+	c.Assert(backends.orders.Count("before"), qt.Equals, 1)
+}
+
+func TestFrozenLeaderServesNoWithdrawnKey(t *testing.T) {
+	c := qt.New(t)
+	fleet, _ := startFleet(t)
+	leader := waitLeader(t, fleet...)
+	var others []*process
+	for _, p := range fleet {
+		if p != leader {
+			others = append(others, p)
+		}
+	}
+	leader.signal(syscall.SIGSTOP)
+	waitLeader(t, others...)
+	ctx, cancel := context.WithTimeout(t.Context(), waitBound)
+	defer cancel()
+	waitFor(t, "the key withdrawn", func() bool {
+		_, err := others[0].client().WithdrawKey(ctx, "withdraw-frozen", "test")
+		return err == nil
+	})
+	leader.signal(syscall.SIGCONT)
+	for range 20 {
+		a := leader.chat(testKey, "withdrawn while frozen")
+		c.Assert(a.status == http.StatusUnauthorized || a.status == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("%d %s", a.status, a.body))
+	}
+}
+
+func TestLostDataFolderRejoinsAsLearner(t *testing.T) {
+	c := qt.New(t)
+	fleet, _ := startFleet(t)
+	publishUntilAccepted(t, fleet, "kept", profileChange(1))
+	lost := fleet[2]
+	lost.kill()
+	c.Assert(os.RemoveAll(lost.folder+"/data"), qt.IsNil)
+	lost.start()
+	rest := fleet[:2]
+	waitFor(t, "the lost member removed", func() bool {
+		return rest[0].client().RemoveMember(t.Context(), lost.host) == nil
+	})
+	waitFor(t, "the lost member a learner", func() bool {
+		return rest[0].client().PutMember(t.Context(), lost.host, lost.peer, false) == nil
+	})
+	waitFor(t, "the lost member a voter", func() bool {
+		return rest[1].client().PutMember(t.Context(), lost.host, lost.peer, true) == nil
+	})
+	rest[0].kill()
+	publishUntilAccepted(t, fleet[1:], "after the repair", profileChange(2))
+	view, err := lost.client().View(t.Context())
+	c.Assert(err, qt.IsNil)
+	names := map[string]bool{}
+	for _, p := range view.Profiles {
+		names[p.Name] = true
+	}
+	c.Assert(names["profile-1"] && names["profile-2"], qt.IsTrue)
+}
--- /dev/null
+++ b/process_test.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticadmin"
+	"masticladder/masticfake"
+	"masticladder/masticproto"
+)
+
+// waitBound ends a wait for a condition that has to come true.
+const waitBound = 30 * time.Second
+
+var buildOnce = sync.OnceValues(build)
+
+// build compiles the program once for all tests of this package.
+func build() (string, error) {
+	folder, err := os.MkdirTemp("", "masticladder-test-")
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(folder, "masticladder")
+	out, err := exec.Command("go", "build", "-o", file, ".").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return file, nil
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if file, err := buildOnce(); err == nil {
+		_ = os.RemoveAll(filepath.Dir(file))
+	}
+	os.Exit(code)
+}
+
+// process is one daemon of a test.
+type process struct {
+	t        *testing.T
+	host     string
+	folder   string
+	settings string
+	listen   string
+	admin    string
+	peer     string
+	command  *exec.Cmd
+	log      *lockedBuffer
+}
+
+// lockedBuffer keeps what a process wrote.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func freeAddressOn(t *testing.T, ip string) string {
+	l, err := net.Listen("tcp", ip+":0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newFleet writes the settings of count hosts, each a voter in a zone of its own.
+func newFleet(t *testing.T, count int) []*process {
+	var fleet []*process
+	for i := range count {
+		ip := fmt.Sprintf("127.0.0.%d", i+1)
+		fleet = append(fleet, &process{
+			t:      t,
+			host:   fmt.Sprintf("host-%d", i+1),
+			folder: t.TempDir(),
+			listen: freeAddressOn(t, ip),
+			admin:  freeAddressOn(t, "127.0.0.1"),
+			peer:   freeAddressOn(t, ip),
+			log:    &lockedBuffer{},
+		})
+	}
+	for i, p := range fleet {
+		p.writeSettings(i, fleet)
+	}
+	return fleet
+}
+
+func (p *process) writeSettings(zone int, fleet []*process) {
+	var control []string
+	for i, x := range fleet {
+		control = append(control, fmt.Sprintf(`{"host": %q, "peer": %q, "zone": "zone-%d"}`, x.host, x.peer, i+1))
+	}
+	text := fmt.Sprintf(`{
+  // A host of a test.
+  "host": %q, "owner": "association", "zone": "zone-%d", "roles": ["entry", "control"],
+  "listen": %q, "admin": %q, "peer": %q, "dataFolder": %q,
+  "control": [%s],
+  "timing": {"addressListMillis": 300, "drainMillis": 20000},
+  "tls": {"plain": true},
+}`, p.host, zone+1, p.listen, p.admin, p.peer, filepath.Join(p.folder, "data"), strings.Join(control, ", "))
+	p.settings = filepath.Join(p.folder, "host.jsonc")
+	qt.Assert(p.t, os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
+}
+
+func (p *process) start() {
+	file, err := buildOnce()
+	qt.Assert(p.t, err, qt.IsNil)
+	p.command = exec.Command(file, "run", "--settings", p.settings)
+	p.command.Stderr = p.log
+	qt.Assert(p.t, p.command.Start(), qt.IsNil)
+	p.t.Cleanup(p.kill)
+}
+
+func (p *process) signal(s os.Signal) { _ = p.command.Process.Signal(s) }
+
+// kill ends the process with SIGKILL, without a chance to write anything.
+func (p *process) kill() {
+	p.signal(syscall.SIGCONT)
+	_ = p.command.Process.Kill()
+	_ = p.command.Wait()
+}
+
+func (p *process) client() *masticadmin.Client { return masticadmin.NewClient("http://" + p.admin) }
+
+// leads reports whether the process says of itself that it leads control.
+func (p *process) leads() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	status, err := p.client().Status(ctx)
+	return err == nil && status.Leader == p.host
+}
+
+// waitFor waits until the condition holds and fails the test when it does not.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	end := time.Now().Add(waitBound)
+	for !condition() {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", waitBound, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func waitLeader(t *testing.T, fleet ...*process) *process {
+	t.Helper()
+	var leader *process
+	waitFor(t, "a leader", func() bool {
+		for _, p := range fleet {
+			if p.leads() {
+				leader = p
+			}
+		}
+		return leader != nil
+	})
+	return leader
+}
+
+// backends are the stand-ins of a test.
+type backends struct {
+	engines []*masticfake.Engine
+	orders  *masticfake.Service
+	change  *masticproto.ViewChange
+}
+
+// testKey is the secret of the callers of a test.
+const testKey = "test-key-association"
+
+func startBackends(t *testing.T) *backends {
+	b := &backends{change: testChange()}
+	for i, speed := range []float64{0, 50_000} {
+		name := fmt.Sprintf("engine-%d", i+1)
+		e := masticfake.NewEngine(name, masticfake.WithModel("saw", "1"), masticfake.WithSpeed(speed, 0), masticfake.WithOutput(24))
+		b.engines = append(b.engines, e)
+		b.serve(t, name, e, "engine")
+	}
+	b.orders = masticfake.NewService("orders")
+	b.serve(t, "orders-1", b.orders, "service")
+	return b
+}
+
+func (b *backends) serve(t *testing.T, name string, h http.Handler, kind string) {
+	s, err := masticfake.Serve(h)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(s.Down)
+	item := &masticproto.Server{Name: name, Kind: kind, Url: s.URL(), Owner: "glenmorven", Zone: "zone-1", State: "active"}
+	if kind == "engine" {
+		item.Models = []string{"saw"}
+		item.WeightsVersion = "1"
+	}
+	b.change.Servers = append(b.change.Servers, item)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func call(method, url, key, body string, header ...string) answer {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Timeout: waitBound, Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	return answer{a.StatusCode, a.Header, string(b), err}
+}
+
+// chat asks a host for a streamed answer to a prompt.
+func (p *process) chat(key, prompt string) answer {
+	body, _ := json.Marshal(chatRequest{Model: "saw", Stream: true, Messages: []masticfake.Message{{Role: "user", Content: prompt}}})
+	return call(http.MethodPost, "http://"+p.listen+"/v1/chat/completions", key, string(body))
+}
+
+type chatRequest struct {
+	Model    string               `json:"model"`
+	Stream   bool                 `json:"stream"`
+	Messages []masticfake.Message `json:"messages"`
+}
+
+// order sends a call that may not be repeated.
+func (p *process) order(id string) answer {
+	return call(http.MethodPost, "http://"+p.listen+"/services/orders/book/"+id, testKey, `{"order":"`+id+`"}`, "Idempotency-Key", id)
+}
