--- a/masticprompt/piece.go
+++ b/masticprompt/piece.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
 
 	"masticladder/masticcall"
 )
@@ -50,19 +51,29 @@
 // every PieceTokens estimated tokens within it.
 func Cut(levels []masticcall.Level) Prompt {
 	var p Prompt
+	for _, l := range levels {
+		p = p.WithLevel(l)
+	}
+	return p
+}
+
+// WithLevel returns a copy with one more level at the end.
+func (p Prompt) WithLevel(l masticcall.Level) Prompt {
 	var chain [sha256.Size]byte
-	p.levels = len(levels)
-	for i, l := range levels {
-		for start := 0; start == 0 || start < len(l.Text); {
-			end := pieceEnd(l.Text, start)
-			last := end == len(l.Text)
-			chain = next(chain, l.Role, l.Text[start:end], last)
-			tokens := EstimateTokens(l.Text[start:end])
-			p.links = append(p.links, link{chain, tokens, i, last})
-			p.tokens += tokens
-			start = max(end, 1)
-		}
+	if len(p.links) > 0 {
+		chain = p.links[len(p.links)-1].chain
+	}
+	p.links = slices.Clone(p.links)
+	for start := 0; start == 0 || start < len(l.Text); {
+		end := pieceEnd(l.Text, start)
+		last := end == len(l.Text)
+		chain = next(chain, l.Role, l.Text[start:end], last)
+		tokens := EstimateTokens(l.Text[start:end])
+		p.links = append(p.links, link{chain, tokens, p.levels, last})
+		p.tokens += tokens
+		start = max(end, 1)
 	}
+	p.levels++
 	return p
 }
 
