Compare recovery with the steady run in place of the time before the fault

Cause: the steady scenario itself showed a recovery of 32 s, since the long tail of the waits moves the mean of a window; the figure said nothing about faults.

--- a/masticmeasure/report.go
+++ b/masticmeasure/report.go
@@ -37,7 +37,7 @@
 	Unanswered int64 `json:"unanswered"`
 	// LookUpsHundredths are the belief look-ups per assignment, in hundredths.
 	LookUpsHundredths int64 `json:"lookUpsHundredths"`
-	// RecoveryMillis is the time from the fault until waits stay as before it.
+	// RecoveryMillis is the time from the fault until waits stay as without it.
 	RecoveryMillis int64 `json:"recoveryMillis"`
 }
 
--- a/masticmeasure/run.go
+++ b/masticmeasure/run.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		l := newLibrary()
-		steady := map[string][]time.Duration{}
+		steady := map[string]baseTimes{}
 		for _, s := range scenarios {
 			s.until = cmp.Or(o.until, trafficUntil)
 			r.Rows = append(r.Rows, runScenario(o, d, s, l, steady)...)
@@ -43,7 +43,7 @@
 
 // runScenario runs the chosen policies; the steady scenario always runs, since the
 // others are compared with it.
-func runScenario(o Options, d deployment, s scenario, l *library, steady map[string][]time.Duration) []Row {
+func runScenario(o Options, d deployment, s scenario, l *library, steady map[string]baseTimes) []Row {
 	wanted := o.Scenario == "" || o.Scenario == s.name
 	if !wanted && s.name != steadyScenario {
 		return nil
@@ -58,7 +58,7 @@
 		m.run(arrivals)
 		byWorkspace := m.workspaceTimes()
 		if s.name == steadyScenario {
-			steady[p.name] = byWorkspace
+			steady[p.name] = baseTimes{byWorkspace, worstWindow(m.calls)}
 		}
 		if wanted {
 			rows = append(rows, m.row(p.name, byWorkspace, steady[p.name]))
@@ -67,6 +67,12 @@
 	return rows
 }
 
+// baseTimes are the waits of a policy in the steady scenario.
+type baseTimes struct {
+	byWorkspace []time.Duration
+	worstWindow time.Duration
+}
+
 // workspaceTimes returns the 99th percentile of each workspace.
 func (m *simulation) workspaceTimes() []time.Duration {
 	var out []time.Duration
@@ -77,7 +83,7 @@
 	return out
 }
 
-func (m *simulation) row(policy string, byWorkspace, steady []time.Duration) Row {
+func (m *simulation) row(policy string, byWorkspace []time.Duration, steady baseTimes) Row {
 	all := collect(m.calls, measured)
 	urgent := collect(m.calls, func(c *call) bool { return measured(c) && quick(c) })
 	t := m.tally
@@ -87,9 +93,9 @@
 		P50Millis:  millis(all.quantile(50)), P99Millis: millis(all.quantile(99)),
 		QuickP50Millis: millis(urgent.quantile(50)), QuickP99Millis: millis(urgent.quantile(99)),
 		ComputedTokens: t.computed, RecomputedPercent: percent(t.computed, t.unavoidable),
-		RecoveryMillis: millis(recovery(m.calls)),
+		RecoveryMillis: millis(recovery(m.calls, steady.worstWindow)),
 	}
-	m.addWorst(&r, byWorkspace, steady)
+	m.addWorst(&r, byWorkspace, steady.byWorkspace)
 	m.addRefusals(&r)
 	m.addLookUps(&r)
 	return r
