--- a/fleet_test.go
+++ b/fleet_test.go
@@ -235,31 +235,77 @@
 	c.Assert(backends.orders.Count("before"), qt.Equals, 1)
 }
 
-func TestFrozenLeaderServesNoWithdrawnKey(t *testing.T) {
+// waitingCalls are requests that are sent to a frozen process and answered once it goes on.
+type waitingCalls struct {
+	process *process
+	sent    sync.WaitGroup
+	done    sync.WaitGroup
+
+	mu      sync.Mutex
+	answers []answer
+}
+
+// sendWaiting sends count requests to p, which is frozen, and returns once all are under way.
+func sendWaiting(p *process, count int) *waitingCalls {
+	w := &waitingCalls{process: p}
+	w.sent.Add(count)
+	w.done.Add(count)
+	for range count {
+		go w.run()
+	}
+	w.sent.Wait()
+	return w
+}
+
+func (w *waitingCalls) run() {
+	defer w.done.Done()
+	w.sent.Done()
+	a := w.process.chat(testKey, "sent while frozen")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answers = append(w.answers, a)
+}
+
+// testFrozen freezes one host, withdraws the key through another and lets the first go on.
+func testFrozen(t *testing.T, pick func(leader *process, fleet []*process) *process) {
 	c := qt.New(t)
 	fleet, _ := startFleet(t)
-	leader := waitLeader(t, fleet...)
+	frozen := pick(waitLeader(t, fleet...), fleet)
 	var others []*process
 	for _, p := range fleet {
-		if p != leader {
+		if p != frozen {
 			others = append(others, p)
 		}
 	}
-	leader.signal(syscall.SIGSTOP)
+	frozen.signal(syscall.SIGSTOP)
+	calls := sendWaiting(frozen, 50)
 	waitLeader(t, others...)
-	ctx, cancel := context.WithTimeout(t.Context(), waitBound)
-	defer cancel()
 	waitFor(t, "the key withdrawn", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), waitBound)
+		defer cancel()
 		_, err := others[0].client().WithdrawKey(ctx, "withdraw-frozen", "test")
 		return err == nil
 	})
-	leader.signal(syscall.SIGCONT)
-	for range 20 {
-		a := leader.chat(testKey, "withdrawn while frozen")
+	frozen.signal(syscall.SIGCONT)
+	calls.done.Wait()
+	for _, a := range calls.answers {
 		c.Assert(a.status == http.StatusUnauthorized || a.status == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("%d %s", a.status, a.body))
 	}
 }
 
+func TestFrozenLeaderServesNoWithdrawnKey(t *testing.T) {
+	testFrozen(t, func(leader *process, _ []*process) *process { return leader })
+}
+
+func TestFrozenFollowerServesNoWithdrawnKey(t *testing.T) {
+	testFrozen(t, func(leader *process, fleet []*process) *process {
+		if leader == fleet[0] {
+			return fleet[1]
+		}
+		return fleet[0]
+	})
+}
+
 func TestLostDataFolderRejoinsAsLearner(t *testing.T) {
 	c := qt.New(t)
 	fleet, _ := startFleet(t)
--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"encoding/hex"
+	"net/netip"
 	"time"
 
 	"masticladder/masticadmin"
@@ -17,7 +18,11 @@
 )
 
 func (d *Daemon) openWire() error {
-	options := []masticwire.Option{masticwire.WithMetrics(d.registry)}
+	bound, err := netip.ParseAddrPort(d.settings.PeerBound())
+	if err != nil {
+		return err
+	}
+	options := []masticwire.Option{masticwire.WithMetrics(d.registry), masticwire.WithSource(bound.Addr())}
 	if t := d.settings.TLS; t.PeerAuthority != "" {
 		security, err := masticwire.NewSecurity(t.PeerAuthority, t.PeerCertificate, t.PeerKey)
 		if err != nil {
@@ -37,7 +42,7 @@
 	control, err := masticcontrol.New(
 		masticcontrol.WithID(s.Host),
 		masticcontrol.WithFolder(s.DataFolder),
-		masticcontrol.WithAddress(s.Peer),
+		masticcontrol.WithAddress(s.PeerBound()),
 		masticcontrol.WithMembers(firstMembers(s)...),
 		masticcontrol.WithWire(d.wire),
 		masticcontrol.WithLog(d.log),
--- a/masticsettings/settings.go
+++ b/masticsettings/settings.go
@@ -23,6 +23,9 @@
 	Listen string `json:"listen" validate:"required,ip_port"`
 	Admin  string `json:"admin" validate:"required,ip_port"`
 	Peer   string `json:"peer" validate:"required,ip_port"`
+	// PeerListen is the address bound for other hosts where it differs from Peer, as behind
+	// address translation. Connections to other hosts leave from its IP number.
+	PeerListen string `json:"peerListen" validate:"omitempty,ip_port"`
 	// Weight is the host's share of callers relative to other hosts.
 	Weight int64 `json:"weight" validate:"gte=1,lte=1000"`
 	// DataFolder holds all files of a control host.
@@ -99,6 +102,14 @@
 	}
 }
 
+// PeerBound returns the address to bind for other hosts.
+func (s Settings) PeerBound() string {
+	if s.PeerListen != "" {
+		return s.PeerListen
+	}
+	return s.Peer
+}
+
 // Has reports whether the host has role r.
 func (s Settings) Has(r Role) bool {
 	for _, x := range s.Roles {
--- a/process_test.go
+++ b/process_test.go
@@ -60,8 +60,10 @@
 	listen   string
 	admin    string
 	peer     string
-	command  *exec.Cmd
-	log      *lockedBuffer
+	// peerListen is the address really bound for other hosts; empty is peer.
+	peerListen string
+	command    *exec.Cmd
+	log        *lockedBuffer
 }
 
 // lockedBuffer keeps what a process wrote.
@@ -118,11 +120,11 @@
 	text := fmt.Sprintf(`{
   // A host of a test.
   "host": %q, "owner": "association", "zone": "zone-%d", "roles": ["entry", "control"],
-  "listen": %q, "admin": %q, "peer": %q, "dataFolder": %q,
+  "listen": %q, "admin": %q, "peer": %q, "peerListen": %q, "dataFolder": %q,
   "control": [%s],
   "timing": {"addressListMillis": 300, "drainMillis": 20000},
   "tls": {"plain": true},
-}`, p.host, zone+1, p.listen, p.admin, p.peer, filepath.Join(p.folder, "data"), strings.Join(control, ", "))
+}`, p.host, zone+1, p.listen, p.admin, p.peer, p.peerListen, filepath.Join(p.folder, "data"), strings.Join(control, ", "))
 	p.settings = filepath.Join(p.folder, "host.jsonc")
 	qt.Assert(p.t, os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
 }
