--- a/masticagent/ledger.go
+++ b/masticagent/ledger.go
@@ -19,6 +19,8 @@
 	mutex    sync.Mutex
 	attempts uint64
 	held     map[masticcall.OrderKey]reservation
+	// checkAt is the number of reservations at which ended ones are looked for next.
+	checkAt int
 }
 
 // reservation is a right to dispatch that this host holds.
@@ -27,11 +29,11 @@
 	deadline time.Time
 }
 
-// heldCheck is the number of reservations from which ended ones are looked for.
+// heldCheck is the least number of reservations at which ended ones are looked for.
 const heldCheck = 1024
 
 func newLedger(a *Agent) *ledger {
-	return &ledger{agent: a, held: map[masticcall.OrderKey]reservation{}}
+	return &ledger{agent: a, held: map[masticcall.OrderKey]reservation{}, checkAt: heldCheck}
 }
 
 // Reserve asks for the right to dispatch.
@@ -147,7 +149,7 @@
 func (l *ledger) hold(k masticcall.OrderKey, r reservation) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if len(l.held) >= heldCheck {
+	if len(l.held) >= l.checkAt {
 		l.dropEnded(time.Now())
 	}
 	l.held[k] = r
@@ -160,6 +162,7 @@
 			delete(l.held, k)
 		}
 	}
+	l.checkAt = max(heldCheck, 2*len(l.held))
 }
 
 func (l *ledger) holder(k masticcall.OrderKey) (uint64, error) {
--- a/masticcontrol/cluster_test.go
+++ b/masticcontrol/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -40,6 +41,7 @@
 	folder  string
 	wire    *masticwire.Wire
 	control *masticcontrol.Control
+	options []masticcontrol.Option
 	running sync.WaitGroup
 	err     error
 }
@@ -86,7 +88,7 @@
 		masticcontrol.WithWire(n.wire),
 		masticcontrol.WithLog(testLog(c.t)),
 		masticcontrol.WithSeed(uint64(n.ip.As4()[3])),
-	}, c.options...)
+	}, slices.Concat(c.options, n.options)...)
 	control, err := masticcontrol.New(options...)
 	if err != nil {
 		c.t.Fatal(err)
