Measure the prefill speed as a lower bound

Cause: the work predicted ahead of a request was counted as done in its time; stale reports made speeds of 900000 tokens/s out of 10000, and waits of 7 s on predictions of 0.1. Change: a sample is the tokens truly computed over the whole wait; faster samples count half, slower ones only on an idle backend server, or a little.

--- a/masticroute/load.go
+++ b/masticroute/load.go
@@ -7,10 +7,14 @@
 const (
 	// priorSpeed is the prefill speed assumed before any is measured, in tokens per second.
 	priorSpeed = 10000.0
-	// speedGain is the weight of a new measurement of the prefill speed.
-	speedGain = 0.2
+	// fasterGain, idleGain and busyGain are the weights of a sample of the prefill speed
+	// that is above the speed so far, below it on an idle backend server, or below it
+	// on a busy one.
+	fasterGain = 0.5
+	idleGain   = 0.1
+	busyGain   = 0.01
 	// minSample is the least work that measures a prefill speed, in tokens.
-	minSample = 256
+	minSample = 2000
 	// historyLength bounds the remembered changes of the own work on a backend server.
 	historyLength = 256
 	// reportAge is how long a load report is worth anything.
@@ -122,17 +126,24 @@
 	return l.others
 }
 
-// measure learns the prefill speed from work that took the time elapsed.
-func (l *load) measure(tokens float64, elapsed time.Duration) {
+// measure learns the prefill speed from a request that computed tokens in the time
+// elapsed. Other work can only lengthen that time, so a sample bounds the speed from
+// below; a slower one counts fully only when the backend server was idle before.
+func (l *load) measure(tokens float64, elapsed time.Duration, idle bool) {
 	if tokens < minSample || elapsed <= 0 {
 		return
 	}
 	sample := tokens / elapsed.Seconds()
-	if l.speed == 0 {
-		l.speed = sample
-		return
+	gain := busyGain
+	switch {
+	case l.speed == 0:
+		gain = 1
+	case sample > l.speed:
+		gain = fasterGain
+	case idle:
+		gain = idleGain
 	}
-	l.speed += speedGain * (sample - l.speed)
+	l.speed += gain * (sample - l.speed)
 }
 
 // forget drops what was reported by a former incarnation.
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -190,7 +190,9 @@
 	// Uncached is the work before the first token, in tokens.
 	Uncached float64
 	// Ahead is the work that was predicted to be before it, in tokens.
-	Ahead   float64
+	Ahead float64
+	// Tokens is the length of the prompt.
+	Tokens  int64
 	Pieces  []masticprompt.Piece
 	Suspect bool
 	// StartedAt is when the work was sent.
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -17,7 +17,7 @@
 func (r *Router) Start(now time.Time, q *Query, d *Decision) Work {
 	w := Work{
 		Slot: d.Slot, Epoch: r.beliefs.Epoch(d.Slot), Class: q.Class,
-		Uncached: max(0, float64(d.Tokens)-d.Cached), Ahead: d.Ahead,
+		Uncached: max(0, float64(d.Tokens)-d.Cached), Ahead: d.Ahead, Tokens: d.Tokens,
 		Pieces: d.Pieces, Suspect: q.Suspect, StartedAt: now,
 	}
 	s := r.servers[w.Slot]
@@ -48,15 +48,6 @@
 	w.FirstTokenAt = now
 	s := r.servers[w.Slot]
 	s.load.firstToken(now, w.Uncached, w.urgent())
-	if r.beliefs.Epoch(w.Slot) != w.Epoch {
-		return
-	}
-	ahead := w.Ahead
-	if w.urgent() {
-		ahead = 0
-	}
-	s.load.measure(w.Uncached+ahead, now.Sub(w.StartedAt))
-	r.speeds += speedsGain * (s.load.speed - r.speeds)
 }
 
 // End is how work ended.
@@ -104,6 +95,15 @@
 func (r *Router) learn(now time.Time, s *server, w *Work, e End) {
 	if !w.FirstTokenAt.IsZero() {
 		s.measureHold(now.Sub(w.FirstTokenAt))
+		s.load.measure(float64(w.Tokens-e.CachedTokens), w.FirstTokenAt.Sub(w.StartedAt), w.Ahead == 0)
+		r.learnSpeeds(s.load.speed)
 	}
 	r.beliefs.Observe(now, w.Slot, w.Epoch, w.Pieces, e.CachedTokens)
 }
+
+// learnSpeeds moves the mean of all speeds, which stands in for an unknown one.
+func (r *Router) learnSpeeds(speed float64) {
+	if speed > 0 {
+		r.speeds += speedsGain * (speed - r.speeds)
+	}
+}
