Predict the quick class's wait by what an engine really puts before it

Cause: quick requests waited up to 7 s in the queue for a window that long work had filled, and the share of quick work was counted in requests (0.4), not in tokens (0.02). Change: the quick class's wait is half of the piece being computed plus urgent work; the share is in tokens; a backend server's window does not hold back the quick class.

--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -88,7 +88,7 @@
 		return d, false
 	}
 	s := r.servers[d.Slot]
-	d.Open = r.open(now, s, d.Wait)
+	d.Open = r.open(now, s, d.Wait, q.Class)
 	d.Ahead = s.load.own + s.load.othersNow(now)
 	return d, true
 }
@@ -151,19 +151,20 @@
 	uncached := max(0, float64(tokens)-cached)
 	return Candidate{
 		Slot: slot, Reason: reason, Cached: cached,
-		Wait: s.wait(now, class, speed, r.urgentShare), Prefill: seconds(uncached / speed),
+		Wait: s.wait(now, class, speed, r.urgentShare()), Prefill: seconds(uncached / speed),
 	}
 }
 
-// open reports whether s may get work with the predicted wait at once.
-func (r *Router) open(now time.Time, s *server, wait time.Duration) bool {
+// open reports whether s may get work with the predicted wait at once. The quick class
+// does not wait for other work, since engines put it first.
+func (r *Router) open(now time.Time, s *server, wait time.Duration, class masticview.Class) bool {
 	if s.load.running == 0 {
 		return true
 	}
 	if slots := s.load.report.Slots; slots > 0 && int64(s.load.running)+s.load.othersRunning >= slots+maxExtraRunning {
 		return false
 	}
-	return wait <= windowSpan
+	return class == masticview.ClassQuick || wait <= windowSpan
 }
 
 func (r *Router) addHolders(add func(masticcache.Slot, Reason) bool) {
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -24,8 +24,9 @@
 	lookup  masticcache.Lookup
 	// speeds is the moving mean of the measured prefill speeds.
 	speeds float64
-	// urgentShare is the moving share of the quick class in the work sent.
-	urgentShare float64
+	// workMean and urgentMean are the moving means of the work of a request, in tokens:
+	// of all classes, and with that of the quick class alone.
+	workMean, urgentMean float64
 }
 
 // pool is the engines of a model that hold the same version of its weights.
--- a/masticroute/server.go
+++ b/masticroute/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"masticladder/mastichealth"
+	"masticladder/masticprompt"
 	"masticladder/masticview"
 )
 
@@ -51,9 +52,11 @@
 
 // wait returns the predicted time until the backend server starts on one more request.
 func (s *server) wait(now time.Time, class masticview.Class, speed, urgentShare float64) time.Duration {
-	work := s.load.own + s.load.othersNow(now)
+	others := s.load.othersNow(now)
+	work := s.load.own + others
 	if class == masticview.ClassQuick {
-		work = s.load.ownUrgent + s.load.othersNow(now)*urgentShare
+		// An engine puts the quick class first, after the piece that it is computing.
+		work = min(work, masticprompt.PieceTokens)/2 + s.load.ownUrgent + others*urgentShare
 	}
 	return seconds(work/speed) + s.slotWait()
 }
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// shareGain is the weight of one request in the share of the quick class.
+	// shareGain is the weight of one request in the means of the work sent.
 	shareGain = 0.01
 	// speedsGain is the weight of one measurement in the mean of all speeds.
 	speedsGain = 0.02
@@ -32,12 +32,22 @@
 
 func (w *Work) urgent() bool { return w.Class == masticview.ClassQuick }
 
+// learnShare learns which share of the work sent, in tokens, is of the quick class.
 func (r *Router) learnShare(w Work) {
-	share := 0.0
+	urgent := 0.0
 	if w.urgent() {
-		share = 1
+		urgent = w.Uncached
 	}
-	r.urgentShare += shareGain * (share - r.urgentShare)
+	r.urgentMean += shareGain * (urgent - r.urgentMean)
+	r.workMean += shareGain * (w.Uncached - r.workMean)
+}
+
+// urgentShare returns the share of the work sent that is of the quick class, 0 to 1.
+func (r *Router) urgentShare() float64 {
+	if r.workMean <= 0 {
+		return 0
+	}
+	return min(1, r.urgentMean/r.workMean)
 }
 
 // FirstToken records that w got its first token.
