--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -24,8 +24,9 @@
 	lookup  masticcache.Lookup
 	// speeds is the moving mean of the measured prefill speeds.
 	speeds float64
-	// urgentShare is the moving share of the quick class in the work sent.
-	urgentShare float64
+	// workMean and urgentMean are the moving means of the work of a request, in tokens:
+	// of all classes, and with that of the quick class alone.
+	workMean, urgentMean float64
 }
 
 // pool is the engines of a model that hold the same version of its weights.
@@ -190,7 +191,9 @@
 	// Uncached is the work before the first token, in tokens.
 	Uncached float64
 	// Ahead is the work that was predicted to be before it, in tokens.
-	Ahead   float64
+	Ahead float64
+	// Tokens is the length of the prompt.
+	Tokens  int64
 	Pieces  []masticprompt.Piece
 	Suspect bool
 	// StartedAt is when the work was sent.
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// shareGain is the weight of one request in the share of the quick class.
+	// shareGain is the weight of one request in the means of the work sent.
 	shareGain = 0.01
 	// speedsGain is the weight of one measurement in the mean of all speeds.
 	speedsGain = 0.02
@@ -17,7 +17,7 @@
 func (r *Router) Start(now time.Time, q *Query, d *Decision) Work {
 	w := Work{
 		Slot: d.Slot, Epoch: r.beliefs.Epoch(d.Slot), Class: q.Class,
-		Uncached: max(0, float64(d.Tokens)-d.Cached), Ahead: d.Ahead,
+		Uncached: max(0, float64(d.Tokens)-d.Cached), Ahead: d.Ahead, Tokens: d.Tokens,
 		Pieces: d.Pieces, Suspect: q.Suspect, StartedAt: now,
 	}
 	s := r.servers[w.Slot]
@@ -32,12 +32,22 @@
 
 func (w *Work) urgent() bool { return w.Class == masticview.ClassQuick }
 
+// learnShare learns which share of the work sent, in tokens, is of the quick class.
 func (r *Router) learnShare(w Work) {
-	share := 0.0
+	urgent := 0.0
 	if w.urgent() {
-		share = 1
+		urgent = w.Uncached
 	}
-	r.urgentShare += shareGain * (share - r.urgentShare)
+	r.urgentMean += shareGain * (urgent - r.urgentMean)
+	r.workMean += shareGain * (w.Uncached - r.workMean)
+}
+
+// urgentShare returns the share of the work sent that is of the quick class, 0 to 1.
+func (r *Router) urgentShare() float64 {
+	if r.workMean <= 0 {
+		return 0
+	}
+	return min(1, r.urgentMean/r.workMean)
 }
 
 // FirstToken records that w got its first token.
@@ -48,15 +58,6 @@
 	w.FirstTokenAt = now
 	s := r.servers[w.Slot]
 	s.load.firstToken(now, w.Uncached, w.urgent())
-	if r.beliefs.Epoch(w.Slot) != w.Epoch {
-		return
-	}
-	ahead := w.Ahead
-	if w.urgent() {
-		ahead = 0
-	}
-	s.load.measure(w.Uncached+ahead, now.Sub(w.StartedAt))
-	r.speeds += speedsGain * (s.load.speed - r.speeds)
 }
 
 // End is how work ended.
@@ -104,6 +105,15 @@
 func (r *Router) learn(now time.Time, s *server, w *Work, e End) {
 	if !w.FirstTokenAt.IsZero() {
 		s.measureHold(now.Sub(w.FirstTokenAt))
+		s.load.measure(float64(w.Tokens-e.CachedTokens), w.FirstTokenAt.Sub(w.StartedAt), w.Ahead == 0)
+		r.learnSpeeds(s.load.speed)
 	}
 	r.beliefs.Observe(now, w.Slot, w.Epoch, w.Pieces, e.CachedTokens)
 }
+
+// learnSpeeds moves the mean of all speeds, which stands in for an unknown one.
+func (r *Router) learnSpeeds(speed float64) {
+	if speed > 0 {
+		r.speeds += speedsGain * (speed - r.speeds)
+	}
+}
