--- a/masticgate/fake_test.go
+++ b/masticgate/fake_test.go
@@ -16,7 +16,6 @@
 	mu     sync.Mutex
 	view   masticview.View
 	ended  bool
-	viewed func()
 }
 
 func (f *fakeViews) View() masticview.View {
