Keep a tenth of the engines for the quick class

Cause: engines do not interrupt a piece of 4000 tokens: 0.67 s at 6000 tokens/s. With a lagged report no host can tell which engine is computing one, so the tail stays. Change: the first n/10 engines on the ring from a fixed place, the same on all hosts, run no long work while more than 5 % of the requests are quick. A quick request is credited for bringing its prefix there, up to 6 s. Outside the reserve a quarter of a piece is assumed to be running.

--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -21,6 +21,9 @@
 	maxHolderCandidates = 6
 	// randomCandidates is the number of random ones weighed.
 	randomCandidates = 2
+	// unseenTokens is the work before a quick request that a lagged report does not show
+	// on a backend server outside the reserve: a piece is computed half of the time.
+	unseenTokens = masticprompt.PieceTokens / 4
 )
 
 // Reason says why a backend server was a candidate.
@@ -28,9 +31,12 @@
 
 // The reasons, in the order in which candidates are sought.
 const (
-	ReasonHolder Reason = "holder"
-	ReasonHome   Reason = "home"
-	ReasonRandom Reason = "random"
+	ReasonReserve Reason = "reserve"
+	ReasonHolder  Reason = "holder"
+	ReasonHome    Reason = "home"
+	ReasonRandom  Reason = "random"
+	// ReasonAny marks the usable ones when no other candidate is.
+	ReasonAny Reason = "any"
 )
 
 // Query is what a decision depends on.
@@ -54,11 +60,16 @@
 	Cached float64
 	// Wait and Prefill add up to the predicted time to the first token.
 	Wait, Prefill time.Duration
+	// Credit is taken off the prediction when candidates are compared.
+	Credit time.Duration
 }
 
 // Predicted returns the predicted time to the first token.
 func (c Candidate) Predicted() time.Duration { return c.Wait + c.Prefill }
 
+// score orders the candidates; the least is chosen.
+func (c Candidate) score() time.Duration { return c.Wait + c.Prefill - c.Credit }
+
 // Decision is the outcome of Decide.
 type Decision struct {
 	Candidate
@@ -100,18 +111,22 @@
 	r.lookup = r.beliefs.Lookup(r.lookup, pieces)
 	d.LookUps += min(len(pieces), r.lookup.Looked()+1)
 	found := false
+	kept := r.reserved(p, q.Class)
 	add := func(slot masticcache.Slot, reason Reason) bool {
 		if d.nWeighed == maxCandidates {
 			return false
 		}
 		s := r.servers[slot]
-		if d.has(slot) || !r.fits(now, s, q) {
+		if d.has(slot) || !r.fits(now, s, q) || (slices.Contains(kept, slot) && reason != ReasonAny) {
 			return true
 		}
 		c := r.predict(now, slot, reason, q.Class, tokens)
+		if reason == ReasonReserve {
+			c.Credit = warmUpCredit(c, pieces)
+		}
 		d.weighed[d.nWeighed] = c
 		d.nWeighed++
-		if c.Predicted() < d.Predicted() {
+		if c.score() < d.score() {
 			d.Candidate = c
 			d.Pieces = pieces
 			d.Tokens = tokens
@@ -119,6 +134,7 @@
 		}
 		return true
 	}
+	r.addReserve(p, q.Class, add)
 	r.addHolders(add)
 	r.addHomes(p, pieces, add)
 	r.addRandom(p, add)
@@ -149,9 +165,13 @@
 	speed := s.speed(now, r.speeds)
 	cached := r.lookup.Cached(now, slot)
 	uncached := max(0, float64(tokens)-cached)
+	wait := s.wait(now, class, speed, r.urgentShare())
+	if class == masticview.ClassQuick && reason != ReasonReserve {
+		wait = max(wait, seconds(unseenTokens/speed))
+	}
 	return Candidate{
 		Slot: slot, Reason: reason, Cached: cached,
-		Wait: s.wait(now, class, speed, r.urgentShare()), Prefill: seconds(uncached / speed),
+		Wait: wait, Prefill: seconds(uncached / speed),
 	}
 }
 
@@ -207,6 +227,6 @@
 func (r *Router) addAny(p *pool, add func(masticcache.Slot, Reason) bool) {
 	from := r.source.IntN(len(p.slots))
 	for i := range p.slots {
-		add(p.slots[(from+i)%len(p.slots)], ReasonRandom)
+		add(p.slots[(from+i)%len(p.slots)], ReasonAny)
 	}
 }
--- /dev/null
+++ b/masticroute/reserve.go
@@ -0,0 +1,69 @@
+package masticroute
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"masticladder/masticcache"
+	"masticladder/masticprompt"
+	"masticladder/masticview"
+)
+
+const (
+	// enginesPerReserve is the number of engines of a pool for each one that is kept
+	// for the quick class.
+	enginesPerReserve = 10
+	// minReservePool is the least number of engines of a pool with a reserve.
+	minReservePool = 6
+	// minQuickShare is the least share of quick requests for which a reserve is kept.
+	minQuickShare = 0.05
+	// maxWarmUp is the longest prefill that a quick request spends to bring its prefix
+	// into the reserve, where the next ones find it.
+	maxWarmUp = 6 * time.Second
+)
+
+// newReserve returns the engines kept for the quick class: the same on all hosts.
+func newReserve(model string, p pool) []masticcache.Slot {
+	if len(p.slots) < minReservePool {
+		return nil
+	}
+	return p.ring.first(xxhash.Sum64String("reserve\x00"+model), max(1, len(p.slots)/enginesPerReserve))
+}
+
+// reserved returns the engines of p that class does not use.
+func (r *Router) reserved(p *pool, class masticview.Class) []masticcache.Slot {
+	if class == masticview.ClassQuick || r.quickShare < minQuickShare {
+		return nil
+	}
+	return p.reserve
+}
+
+func (r *Router) addReserve(p *pool, class masticview.Class, add func(masticcache.Slot, Reason) bool) {
+	if class != masticview.ClassQuick {
+		return
+	}
+	for _, slot := range p.reserve {
+		add(slot, ReasonReserve)
+	}
+}
+
+// warmUpCredit returns the part of a candidate's prefill that later requests with the
+// same prefix will not need: all but the last level.
+func warmUpCredit(c Candidate, pieces []masticprompt.Piece) time.Duration {
+	if c.Prefill > maxWarmUp {
+		return 0
+	}
+	var prefix, all float64
+	for _, p := range pieces {
+		all += float64(p.Tokens)
+		if p.Level < pieces[len(pieces)-1].Level {
+			prefix += float64(p.Tokens)
+		}
+	}
+	missing := max(0, prefix-c.Cached)
+	if uncached := all - c.Cached; uncached > 0 {
+		return time.Duration(float64(c.Prefill) * missing / uncached)
+	}
+	return 0
+}
--- a/masticroute/ring.go
+++ b/masticroute/ring.go
@@ -55,3 +55,15 @@
 		}
 	}
 }
+
+// first returns the first n backend servers from the place of key on.
+func (r ring) first(key uint64, n int) []masticcache.Slot {
+	var out []masticcache.Slot
+	r.walk(key, len(r), func(slot masticcache.Slot) bool {
+		if len(out) < n && !slices.Contains(out, slot) {
+			out = append(out, slot)
+		}
+		return len(out) < n
+	})
+	return out
+}
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -24,6 +24,8 @@
 	lookup  masticcache.Lookup
 	// speeds is the moving mean of the measured prefill speeds.
 	speeds float64
+	// quickShare is the moving share of the quick class in the requests sent.
+	quickShare float64
 	// workMean and urgentMean are the moving means of the work of a request, in tokens:
 	// of all classes, and with that of the quick class alone.
 	workMean, urgentMean float64
@@ -34,6 +36,8 @@
 	version string
 	ring    ring
 	slots   []masticcache.Slot
+	// reserve are the slots kept for the quick class.
+	reserve []masticcache.Slot
 }
 
 // Option changes how New builds a Router.
@@ -108,6 +112,7 @@
 				p.slots = append(p.slots, slot)
 			}
 			slices.Sort(p.slots)
+			p.reserve = newReserve(m, p)
 			out[m] = append(out[m], p)
 		}
 		slices.SortFunc(out[m], func(a, b pool) int { return int(a.slots[0] - b.slots[0]) })
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -32,12 +32,13 @@
 
 func (w *Work) urgent() bool { return w.Class == masticview.ClassQuick }
 
-// learnShare learns which share of the work sent, in tokens, is of the quick class.
+// learnShare learns which share of the requests and of the work is of the quick class.
 func (r *Router) learnShare(w Work) {
-	urgent := 0.0
+	urgent, quick := 0.0, 0.0
 	if w.urgent() {
-		urgent = w.Uncached
+		urgent, quick = w.Uncached, 1
 	}
+	r.quickShare += shareGain * (quick - r.quickShare)
 	r.urgentMean += shareGain * (urgent - r.urgentMean)
 	r.workMean += shareGain * (w.Uncached - r.workMean)
 }
