Order weights by the leader, fenced and bounded

Cause: nothing carried out what masticplace decides. Change: the leader derives wishes from the view's weights versions, commits each order before a sender gives it to the engine over HTTP, and records its end; loads at once are bounded by owner (settings placement.loadsAtOnce, 3 and 2). A server that has the weights already is not ordered. The former leader's open orders keep their places until their deadline. Seen to fail: a wish derived again between proposal and commit ordered a server twice ({1 6} and {1 11}); the planner is now asked whether the load is pending. Without the former leader's orders the new leader's {2 2} came before the deadline of {1 2}. Conclusion: loads keep their bound over a change of leader. A backend server that lists several models is still loaded by its operator.

--- a/masticcontrol/applied.go
+++ b/masticcontrol/applied.go
@@ -39,6 +39,7 @@
 	l.notify(before)
 	if l.leader != nil {
 		l.leader.applied(now, result)
+		l.leader.appliedLoad(now, command.GetLoad(), result)
 	}
 	answer, refusal := answerOf(result)
 	return commandResult{answer: answer, refusal: refusal}
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -22,6 +22,8 @@
 	forces   []force
 	goals    []goal
 	nextTick time.Time
+	// placement is nil where the host gives no load orders.
+	placement *placement
 	// restoring are the members to promote again after their data folder was replaced.
 	restoring map[string]bool
 }
@@ -55,6 +57,9 @@
 	d.grantor = masticlease.NewGrantor(now, d.term, view.Revision(),
 		masticlease.WithSpan(l.viewLease), masticlease.WithHosts(hosts))
 	d.owner = masticquota.NewOwner(now, d.term, d.limit, masticquota.WithCheckpoint(l.state.QuotaBounds()))
+	if l.loader != nil {
+		d.placement = newPlacement(now, d)
+	}
 	return d
 }
 
@@ -119,6 +124,9 @@
 // propose proposes what is due by itself: member changes, quota checkpoints and ticks.
 func (d *leader) propose(now time.Time) {
 	d.changeMembers(now)
+	if d.placement != nil {
+		d.placement.propose(now)
+	}
 	if c := d.owner.Checkpoint(now); c != nil {
 		_, _, _ = d.loop.propose(now, &masticproto.Command{Kind: &masticproto.Command_Quota{Quota: c}})
 	}
@@ -136,3 +144,10 @@
 		d.owner.Committed(q.Term, q.Sequence)
 	}
 }
+
+// appliedLoad takes note of a committed load order.
+func (d *leader) appliedLoad(now time.Time, o *masticproto.LoadOrder, result masticstate.Result) {
+	if r, ok := result.(masticstate.LoadResult); ok && r.Applied && d.placement != nil {
+		d.placement.applied(now, o)
+	}
+}
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -58,6 +58,9 @@
 // nextDeadline returns when settle or propose is due, or zero.
 func (d *leader) nextDeadline() time.Time {
 	next := d.nextTick
+	if d.placement != nil && d.placement.next.Before(next) {
+		next = d.placement.next
+	}
 	now := time.Now()
 	for _, f := range d.forces {
 		_, by := d.grantor.InForce(now, f.answer.GetRevision())
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -1,6 +1,7 @@
 package masticcontrol
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	calls    *masticring.Ring[*call]
 	watches  *masticring.Ring[*watch]
 	messages *masticring.Ring[*masticproto.PeerRequest]
+	orders   *masticring.Ring[loadOrder]
 	stopping chan struct{}
 	stopOnce sync.Once
 
@@ -34,6 +36,11 @@
 	leader        *leader
 	lastCommitted time.Time
 	stateBytes    int64
+
+	// sending ends when the loop does; senders counts the goroutines that send load orders.
+	sending    context.Context
+	endSending context.CancelFunc
+	senders    sync.WaitGroup
 }
 
 func newLoop(s settings, store *masticstore.Store, loaded masticstore.Loaded) (*loop, error) {
@@ -45,20 +52,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return &loop{
+	l := &loop{
 		settings:   s,
 		core:       core,
 		store:      store,
 		state:      state,
 		calls:      masticring.New[*call]("calls to control", DefaultCalls),
 		watches:    masticring.New[*watch]("watches of control", DefaultCalls),
+		orders:     masticring.New[loadOrder]("load orders", loadOrders),
 		messages:   masticring.New[*masticproto.PeerRequest]("messages of the log", DefaultMessages),
 		stopping:   make(chan struct{}),
 		peers:      newPeers(s.wire),
 		pending:    map[uint64]proposal{},
 		watchers:   map[*watch]struct{}{},
 		stateBytes: int64(len(loaded.Snapshot.GetData())),
-	}, nil
+	}
+	l.sending, l.endSending = context.WithCancel(context.Background())
+	return l, nil
 }
 
 func (l *loop) stop() { l.stopOnce.Do(l.closeStopping) }
@@ -68,6 +78,7 @@
 // run takes turns until stop or a failure of the store.
 func (l *loop) run() error {
 	defer l.end()
+	l.startSenders()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -91,6 +102,14 @@
 	}
 }
 
+func (l *loop) startSenders() {
+	for range l.loadSenders {
+		l.senders.Add(1)
+		s := &loadSender{loop: l, orders: l.orders}
+		go s.run()
+	}
+}
+
 func (l *loop) nextDeadline() time.Time {
 	deadline := l.core.NextDeadline()
 	if l.leader == nil {
@@ -108,6 +127,8 @@
 	l.watches.Close()
 	l.messages.Close()
 	l.dropLeader()
+	l.endSending()
+	l.orders.Close()
 	for c := range l.calls.Out() {
 		c.fail(masticerror.New(masticerror.KindDraining, "this control host stops"))
 	}
@@ -117,6 +138,7 @@
 	for w := range l.watchers {
 		w.updates.Close()
 	}
+	l.senders.Wait()
 	l.peers.close()
 	if err := l.store.Close(); err != nil {
 		l.log.WithError(err).Error("the store was not closed")
--- a/masticcontrol/option.go
+++ b/masticcontrol/option.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"masticladder/masticplace"
 	"masticladder/masticproto"
 	"masticladder/masticstore"
 	"masticladder/masticwire"
@@ -40,6 +41,9 @@
 	batchCalls      int
 	seed            uint64
 	storeOptions    []masticstore.Option
+	placeOptions    []masticplace.Option
+	loader          Loader
+	loadSenders     int
 }
 
 // Option sets one property of a Control.
@@ -95,6 +99,12 @@
 // WithSeed sets the seed of the election jitter.
 func WithSeed(seed uint64) Option { return func(s *settings) { s.seed = seed } }
 
+// WithLoader makes the leader order weights by way of l, with senders orders under way at
+// once and the planner's options. Without it no weights are ordered.
+func WithLoader(l Loader, senders int, options ...masticplace.Option) Option {
+	return func(s *settings) { s.loader, s.loadSenders, s.placeOptions = l, senders, options }
+}
+
 // WithStoreOptions passes options to the store.
 func WithStoreOptions(options ...masticstore.Option) Option {
 	return func(s *settings) { s.storeOptions = options }
--- /dev/null
+++ b/masticcontrol/place.go
@@ -0,0 +1,148 @@
+package masticcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"masticladder/masticplace"
+	"masticladder/masticproto"
+	"masticladder/masticring"
+	"masticladder/masticview"
+)
+
+const (
+	// placeInterval is how often wishes are derived again while a load waits or runs.
+	placeInterval = 500 * time.Millisecond
+	// loadOrders bounds the committed orders that wait for a sender.
+	loadOrders = 256
+)
+
+// Loader gives a load order to a backend server and returns once the weights are loaded.
+type Loader interface {
+	Load(ctx context.Context, server masticview.Server, o masticplace.Order) error
+}
+
+// placement orders the weights that the view asks for, as long as its leader leads.
+type placement struct {
+	leader   *leader
+	planner  *masticplace.Planner
+	revision uint64
+	next     time.Time
+}
+
+func newPlacement(now time.Time, d *leader) *placement {
+	options := append([]masticplace.Option{masticplace.WithFormer(d.loop.state.OpenLoads())}, d.loop.placeOptions...)
+	return &placement{leader: d, planner: masticplace.NewPlanner(d.term, now, options...)}
+}
+
+// propose derives the wishes and proposes the orders that may be given now.
+func (p *placement) propose(now time.Time) {
+	view := p.leader.loop.state.View()
+	if view.Revision() == p.revision && now.Before(p.next) {
+		return
+	}
+	p.revision = view.Revision()
+	p.next = now.Add(placeInterval)
+	for _, s := range view.Servers() {
+		if l, wanted := p.wish(s); wanted && !p.planner.Pending(now, l) {
+			p.planner.Want(l)
+		}
+	}
+	for _, d := range p.planner.Decide(now) {
+		p.log(d)
+		if d.Order != nil {
+			_, _, _ = p.leader.loop.propose(now, &masticproto.Command{Kind: &masticproto.Command_Load{Load: d.Order.ToProto(false)}})
+		}
+	}
+}
+
+// wish returns the load that s lacks. A backend server that lists several models is
+// loaded by its operator.
+func (p *placement) wish(s masticview.Server) (masticplace.Load, bool) {
+	l := masticplace.Load{Server: s.Name, Owner: s.Owner, WeightsVersion: s.WeightsVersion, ChecksFencing: s.ChecksFencing}
+	if s.Kind != masticview.ServerEngine || s.State != masticview.ServerActive || s.WeightsVersion == "" || len(s.Models) != 1 {
+		return l, false
+	}
+	l.Model = s.Models[0]
+	last, known := p.leader.loop.state.LastLoad(s.Name)
+	if !known || last.GetModel() != l.Model || last.GetWeightsVersion() != l.WeightsVersion {
+		return l, true
+	}
+	return l, !last.GetDone()
+}
+
+func (p *placement) log(d masticplace.Decision) {
+	fields := logrus.Fields{
+		"server":  d.Load.Server,
+		"owner":   d.Load.Owner,
+		"model":   d.Load.Model,
+		"version": d.Load.WeightsVersion,
+		"reason":  string(d.Reason),
+		"running": d.Running,
+		"limit":   d.Limit,
+	}
+	if d.Order != nil {
+		fields["fence"] = d.Order.Fence
+	}
+	p.leader.loop.log.WithFields(fields).Info("load decided")
+}
+
+// applied hands a committed order to the senders, and an ended one to the planner.
+func (p *placement) applied(now time.Time, o *masticproto.LoadOrder) {
+	order := masticplace.OrderFromProto(o)
+	if o.GetDone() {
+		p.planner.Done(order.Server, order.Fence)
+		p.next = now
+		return
+	}
+	server, ok := p.leader.loop.state.View().Server(order.Server)
+	if !ok || order.Fence.Term != p.leader.term {
+		return
+	}
+	if err := p.leader.loop.orders.Offer(loadOrder{server, order}); err != nil {
+		p.leader.loop.log.WithError(err).WithField("server", order.Server).Warn("load order not sent; its deadline ends it")
+	}
+}
+
+// loadOrder is a committed order to send.
+type loadOrder struct {
+	server masticview.Server
+	order  masticplace.Order
+}
+
+// loadSender sends committed orders and tells the loop when they are done.
+type loadSender struct {
+	loop   *loop
+	orders *masticring.Ring[loadOrder]
+}
+
+func (s *loadSender) run() {
+	defer s.loop.senders.Done()
+	for o := range s.orders.Out() {
+		s.send(o)
+	}
+}
+
+func (s *loadSender) send(o loadOrder) {
+	ctx, cancel := context.WithDeadline(s.loop.sending, o.order.Deadline)
+	defer cancel()
+	log := s.loop.log.WithField("server", o.order.Server).WithField("fence", o.order.Fence)
+	if err := s.loop.loader.Load(ctx, o.server, o.order); err != nil {
+		log.WithError(err).Warn("load order failed")
+		return
+	}
+	log.Info("load order done")
+	request := &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Command{Command: &masticproto.Command{
+		Kind: &masticproto.Command_Load{Load: o.order.ToProto(true)},
+	}}}
+	c := newCall(ctx, request)
+	if err := s.loop.calls.Offer(c); err != nil {
+		log.WithError(err).Warn("the end of a load was not recorded; its deadline ends it")
+		return
+	}
+	if _, err := c.wait(); err != nil {
+		log.WithError(err).Warn("the end of a load was not recorded; its deadline ends it")
+	}
+}
--- /dev/null
+++ b/masticcontrol/place_test.go
@@ -0,0 +1,163 @@
+package masticcontrol_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"masticladder/masticcontrol"
+	"masticladder/masticplace"
+	"masticladder/masticproto"
+	"masticladder/masticview"
+)
+
+// loadCall is one order as a backend server saw it.
+type loadCall struct {
+	order masticplace.Order
+	at    time.Time
+}
+
+// slowLoader is a fleet of backend servers that load only when they are let.
+type slowLoader struct {
+	mu       sync.Mutex
+	running  map[string]int
+	most     map[string]int
+	followed map[string][]masticplace.Fence
+	calls    []loadCall
+	release  chan struct{}
+}
+
+func newSlowLoader() *slowLoader {
+	return &slowLoader{
+		running:  map[string]int{},
+		most:     map[string]int{},
+		followed: map[string][]masticplace.Fence{},
+		release:  make(chan struct{}),
+	}
+}
+
+func (s *slowLoader) Load(ctx context.Context, _ masticview.Server, o masticplace.Order) error {
+	s.count(o, 1)
+	defer s.count(o, -1)
+	select {
+	case <-s.release:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *slowLoader) count(o masticplace.Order, by int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[o.Owner] += by
+	s.most[o.Owner] = max(s.most[o.Owner], s.running[o.Owner])
+	if by > 0 {
+		s.followed[o.Server] = append(s.followed[o.Server], o.Fence)
+		s.calls = append(s.calls, loadCall{o, time.Now()})
+	}
+}
+
+func (s *slowLoader) orders(server string) []masticplace.Fence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]masticplace.Fence(nil), s.followed[server]...)
+}
+
+func (s *slowLoader) total(owner string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running[owner]
+}
+
+func enginesChange(count int) *masticproto.ViewChange {
+	c := &masticproto.ViewChange{}
+	for i := range count {
+		for _, owner := range []string{"association", "glenmorven"} {
+			name := fmt.Sprintf("%s-%d", owner, i)
+			c.Servers = append(c.Servers, &masticproto.Server{
+				Name: name, Kind: "engine", Url: fmt.Sprintf("http://127.0.0.1:%d", 1+len(c.Servers)), Owner: owner,
+				Models: []string{"saw"}, WeightsVersion: "2", ChecksFencing: i%2 == 0, State: "active",
+			})
+		}
+	}
+	return c
+}
+
+func TestLoadsAtOnceAreBoundedAndFenced(t *testing.T) {
+	q := quicktest.New(t)
+	loader := newSlowLoader()
+	limits := []masticplace.Option{
+		masticplace.WithLoadsAtOnce("association", 3),
+		masticplace.WithLoadsAtOnce("glenmorven", 2),
+		masticplace.WithOrderSpan(testBound),
+	}
+	c := newCluster(t, three, masticcontrol.WithLoader(loader, 16, limits...))
+	c.startAll()
+	agent := c.agent(1)
+	c.publish(agent, "first", baseChange(1))
+	c.publish(agent, "engines", enginesChange(6))
+	c.eventually("both owners at their bound", func() bool {
+		return loader.total("association") == 3 && loader.total("glenmorven") == 2
+	})
+	c.publish(agent, "other", &masticproto.ViewChange{Workspaces: []*masticproto.Workspace{{
+		Name: "other", Owner: "association", RateTokensPerSecond: 1, BurstTokens: 1,
+	}}})
+	close(loader.release)
+	c.eventually("all loaded", func() bool {
+		for i := range 6 {
+			if len(loader.orders(fmt.Sprintf("association-%d", i))) == 0 || len(loader.orders(fmt.Sprintf("glenmorven-%d", i))) == 0 {
+				return false
+			}
+		}
+		return loader.total("association")+loader.total("glenmorven") == 0
+	})
+	q.Assert(loader.most["association"], quicktest.Equals, 3)
+	q.Assert(loader.most["glenmorven"], quicktest.Equals, 2)
+	seen := map[masticplace.Fence]bool{}
+	for _, fences := range loader.followed {
+		q.Assert(fences, quicktest.HasLen, 1)
+		q.Assert(seen[fences[0]], quicktest.IsFalse)
+		seen[fences[0]] = true
+	}
+}
+
+func TestNewLeaderWaitsForOrdersOfTheFormer(t *testing.T) {
+	q := quicktest.New(t)
+	loader := newSlowLoader()
+	c := newCluster(t, three, masticcontrol.WithLoader(loader, 16,
+		masticplace.WithLoadsAtOnce("association", 1),
+		masticplace.WithLoadsAtOnce("glenmorven", 1),
+		masticplace.WithOrderSpan(3*time.Second)))
+	c.startAll()
+	agent := c.agent(1)
+	c.publish(agent, "first", baseChange(1))
+	c.publish(agent, "engines", enginesChange(2))
+	c.eventually("one load of each owner", func() bool {
+		return loader.total("association") == 1 && loader.total("glenmorven") == 1
+	})
+	c.stop(c.leader(agent))
+	c.eventually("orders of the new leader", func() bool {
+		return len(loader.orders("association-0"))+len(loader.orders("association-1")) > 1
+	})
+	loader.mu.Lock()
+	defer loader.mu.Unlock()
+	for i, a := range loader.calls {
+		for _, b := range loader.calls[i+1:] {
+			if a.order.Owner == b.order.Owner {
+				q.Assert(b.at.Before(a.order.Deadline), quicktest.IsFalse, quicktest.Commentf("%v then %v", a, b))
+			}
+		}
+	}
+	for _, server := range []string{"association-0", "association-1", "glenmorven-0", "glenmorven-1"} {
+		var last masticplace.Fence
+		for _, f := range loader.followed[server] {
+			q.Assert(last.Less(f), quicktest.IsTrue)
+			last = f
+		}
+	}
+}
--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -10,6 +10,8 @@
 	"masticladder/masticagent"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
+	"masticladder/masticloader"
+	"masticladder/masticplace"
 	"masticladder/masticprobe"
 	"masticladder/masticproto"
 	"masticladder/masticsettings"
@@ -17,6 +19,9 @@
 	"masticladder/masticwire"
 )
 
+// loadSenders is the number of load orders that can be under way at once.
+const loadSenders = 8
+
 func (d *Daemon) openWire() error {
 	bound, err := netip.ParseAddrPort(d.settings.PeerBound())
 	if err != nil {
@@ -49,11 +54,21 @@
 		masticcontrol.WithElectionTimeout(millis(s.Timing.ElectionMillis)),
 		masticcontrol.WithHeartbeat(millis(s.Timing.HeartbeatMillis)),
 		masticcontrol.WithViewLease(millis(s.Timing.ViewLeaseMillis)),
+		masticcontrol.WithLoader(masticloader.New(), loadSenders, placeOptions(s.Placement)...),
 	)
 	d.control = control
 	return err
 }
 
+// placeOptions returns the bounds of loads that the settings state.
+func placeOptions(p masticsettings.Placement) []masticplace.Option {
+	options := []masticplace.Option{masticplace.WithOrderSpan(millis(p.OrderMillis))}
+	for owner, n := range p.LoadsAtOnce {
+		options = append(options, masticplace.WithLoadsAtOnce(owner, n))
+	}
+	return options
+}
+
 // firstMembers returns the members that the group starts with; a host outside them joins later.
 func firstMembers(s masticsettings.Settings) []*masticproto.Member {
 	var members []*masticproto.Member
--- a/masticplace/orders.go
+++ b/masticplace/orders.go
@@ -59,6 +59,12 @@
 	return true
 }
 
+// Last returns the last order to server.
+func (s *Orders) Last(server string) (*masticproto.LoadOrder, bool) {
+	p, ok := s.last[server]
+	return p, ok
+}
+
 // Records returns the last order to each backend server, in the order of their names.
 func (s *Orders) Records() []*masticproto.LoadOrder {
 	out := make([]*masticproto.LoadOrder, 0, len(s.last))
--- a/masticplace/planner.go
+++ b/masticplace/planner.go
@@ -117,8 +117,17 @@
 	return p
 }
 
+// Pending reports whether l is ordered already and may be running at now.
+func (p *Planner) Pending(now time.Time, l Load) bool {
+	o, ok := p.running[l.Server]
+	return ok && o.Model == l.Model && o.WeightsVersion == l.WeightsVersion && now.Before(o.Deadline)
+}
+
 // Want adds a wish; a later one for the same backend server replaces it.
 func (p *Planner) Want(l Load) {
+	if slices.Contains(p.wishes, l) {
+		return
+	}
 	p.wishes = slices.DeleteFunc(p.wishes, func(w Load) bool { return w.Server == l.Server })
 	delete(p.waiting, l.Server)
 	p.wishes = append(p.wishes, l)
--- a/masticsettings/settings.go
+++ b/masticsettings/settings.go
@@ -65,10 +65,10 @@
 
 // Placement bounds the loading of weights.
 type Placement struct {
-	// ConcurrentLoads is the number of backend servers that may load weights at once.
-	ConcurrentLoads int `json:"concurrentLoads" validate:"gte=1,lte=100"`
-	// LoadsPerMinute is the rate that the weight store allows.
-	LoadsPerMinute int `json:"loadsPerMinute" validate:"gte=1,lte=100000"`
+	// LoadsAtOnce is the number of backend servers of each owner that may load weights at once.
+	LoadsAtOnce map[string]int `json:"loadsAtOnce" validate:"dive,gte=1,lte=100"`
+	// OrderMillis is the time within which a load has to end.
+	OrderMillis int64 `json:"orderMillis" validate:"gte=100,lte=600000"`
 }
 
 // TLS names certificate files; empty names mean plain connections, which Plain has to state.
@@ -98,7 +98,7 @@
 			DrainMillis:       60000,
 			UsageReportMillis: 2000,
 		},
-		Placement: Placement{ConcurrentLoads: 3, LoadsPerMinute: 600},
+		Placement: Placement{LoadsAtOnce: map[string]int{"association": 3, "glenmorven": 2}, OrderMillis: 30000},
 	}
 }
 
--- a/masticsettings/shape.go
+++ b/masticsettings/shape.go
@@ -60,6 +60,12 @@
 }
 
 func (s *shape) checkObject(o *hujson.Object, offset int, t reflect.Type, path string) {
+	if t.Kind() == reflect.Map {
+		for _, m := range o.Members {
+			s.check(m.Value, t.Elem(), path+"."+m.Name.Value.(hujson.Literal).String())
+		}
+		return
+	}
 	if t.Kind() != reflect.Struct {
 		s.add(offset, path, "is an object, must be %s", typeName(t))
 		return
--- a/masticstate/read.go
+++ b/masticstate/read.go
@@ -36,6 +36,9 @@
 // OpenLoads returns the load orders that may still run, for a new planner.
 func (s *State) OpenLoads() []masticplace.Order { return s.loads.Open(s.now) }
 
+// LastLoad returns the last load order to a backend server.
+func (s *State) LastLoad(server string) (*masticproto.LoadOrder, bool) { return s.loads.Last(server) }
+
 // Usage returns the usage totals; the caller only reads them.
 func (s *State) Usage() *masticusage.Totals { return s.usage }
 
