--- a/masticquota/bucket.go
+++ b/masticquota/bucket.go
@@ -23,6 +23,9 @@
 	// grants are outstanding, the first to end first.
 	grants []outstanding
 	held   int64
+	// settled are the tokens given back so far by grant, of the grants that may still be settled.
+	settled map[uint64]int64
+	credits credits
 	// promise bounds backlog + held while a later owner may rely on it.
 	promise  int64
 	proposed int64
@@ -40,26 +43,31 @@
 		b.grants = b.grants[1:]
 		b.drain(g.until)
 		b.held -= g.tokens
-		b.charge(g.tokens)
+		b.charge(g.id, g.tokens)
 	}
 	b.drain(now)
 }
 
-func (b *bucket) charge(tokens int64) { b.backlog += tokens }
+func (b *bucket) charge(grantID uint64, tokens int64) {
+	b.credits.note(grantID, tokens, b.backlog)
+	b.backlog += tokens
+}
 
 // drain regains whole tokens up to now and leaves the rest of the time for later.
 func (b *bucket) drain(now time.Time) {
-	if !now.After(b.at) {
-		return
+	b.backlog, b.at = drained(b.limit.RateTokensPerSecond, b.backlog, b.at, now)
+}
+
+// drained returns what is left of backlog at now, and up to when the time was used.
+func drained(rate, backlog int64, at, now time.Time) (int64, time.Time) {
+	if !now.After(at) {
+		return backlog, at
 	}
-	regained := tokensIn(b.limit.RateTokensPerSecond, now.Sub(b.at))
-	if regained >= b.backlog {
-		b.backlog = 0
-		b.at = now
-		return
+	regained := tokensIn(rate, now.Sub(at))
+	if regained >= backlog {
+		return 0, now
 	}
-	b.backlog -= regained
-	b.at = b.at.Add(timeFor(b.limit.RateTokensPerSecond, regained))
+	return backlog - regained, at.Add(timeFor(rate, regained))
 }
 
 func (b *bucket) used() int64 { return b.backlog + b.held }
@@ -86,7 +94,22 @@
 	g := b.grants[i]
 	b.grants = slices.Delete(b.grants, i, i+1)
 	b.held -= g.tokens
-	b.charge(g.tokens - min(max(returned, 0), g.tokens))
+	b.charge(id, g.tokens-min(max(returned, 0), g.tokens))
+}
+
+// settle gives back tokens of grant id which its holder admitted and which were not used.
+func (b *bucket) settle(id uint64, tokens int64) {
+	if tokens <= 0 {
+		return
+	}
+	i := slices.IndexFunc(b.grants, func(o outstanding) bool { return o.id == id })
+	if i < 0 {
+		b.backlog -= b.credits.credit(id, tokens, b.backlog)
+		return
+	}
+	tokens = min(tokens, b.grants[i].tokens)
+	b.grants[i].tokens -= tokens
+	b.held -= tokens
 }
 
 // span is the lifetime of a grant: at most half the time in which the rate fills the burst.
@@ -96,23 +119,19 @@
 
 // wait returns the least time from now until tokens are free, if nothing else is granted.
 func (b *bucket) wait(now time.Time, tokens int64) time.Duration {
+	rate := b.limit.RateTokensPerSecond
 	missing := tokens - b.free()
-	t := now
-	backlog := b.backlog
+	backlog, at := b.backlog, b.at
 	for _, g := range b.grants {
 		if missing <= backlog {
 			break
 		}
-		regained := min(backlog, tokensIn(b.limit.RateTokensPerSecond, g.until.Sub(t)))
-		missing -= regained
-		backlog += g.tokens - regained
-		if missing <= 0 {
-			break
-		}
-		t = g.until
+		left, next := drained(rate, backlog, at, g.until)
+		missing -= backlog - left
+		backlog, at = left+g.tokens, next
 	}
-	rest := min(maxRetryAfter, timeFor(b.limit.RateTokensPerSecond, missing))
-	return min(maxRetryAfter, t.Sub(now)+rest)
+	rest := min(maxRetryAfter, timeFor(rate, missing))
+	return min(maxRetryAfter, max(0, at.Sub(now)+rest))
 }
 
 // tokensIn returns the whole tokens that rate gives in d.
--- /dev/null
+++ b/masticquota/owner_test.go
@@ -0,0 +1,194 @@
+package masticquota
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// spender asks owners for whatever they give and spends each grant at its worst moment.
+type spender struct {
+	*fleet
+	id      uint64
+	reports []GrantReport
+}
+
+func (s *spender) ask() {
+	s.id++
+	want := max(1, s.limit.BurstTokens/pick(s.t, "want part", int64(1), 2, 3, 10))
+	need := want * pick(s.t, "need", int64(0), 1)
+	r := GrantRequest{ID: s.id, Host: pick(s.t, "host", "a", "b"), Workspace: mill, NeedTokens: need, WantTokens: want}
+	s.reports = slices.DeleteFunc(s.reports, func(p GrantReport) bool {
+		if !pick(s.t, "report", true, false, false, false) {
+			return false
+		}
+		r.Reports = append(r.Reports, p)
+		return pick(s.t, "once", true, true, true, false)
+	})
+	a := s.owner.Grant(s.now, r)
+	if a.Tokens == 0 {
+		return
+	}
+	at := s.now
+	late := pick(s.t, "late", true, false)
+	if late {
+		at = at.Add(lifetime(a.Span) - 1)
+	}
+	r1 := GrantReport{GrantID: a.GrantID, Term: a.Term, Ended: true}
+	r1.ReturnedTokens = a.Tokens / pick(s.t, "returned", a.Tokens+1, 1, 2)
+	if late {
+		r1 = GrantReport{GrantID: a.GrantID, Term: a.Term}
+	}
+	spent := a.Tokens - r1.ReturnedTokens
+	r1.SettledTokens = spent / pick(s.t, "settled", spent+1, 1, 2)
+	s.admissions = append(s.admissions, admission{at: at, tokens: spent - r1.SettledTokens})
+	s.reports = append(s.reports, r1)
+}
+
+func TestGrantsSpentAtWorst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &spender{fleet: newFleet(t)}
+		for range 100 {
+			s.now = s.now.Add(time.Duration(pick(t, "pass ms", 0, 0, 1, 5, 20, 100, 500, 2000)) * time.Millisecond)
+			if pick(t, "takeover", true, false, false, false, false, false, false, false) {
+				s.takeover()
+			}
+			s.checkpoint()
+			s.ask()
+		}
+		slices.SortStableFunc(s.admissions, func(a, b admission) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+		s.check()
+	})
+}
+
+func newTestOwner(l Limit, options ...OwnerOption) *Owner {
+	return NewOwner(begin, 1, func(string) (Limit, bool) { return l, true }, options...)
+}
+
+func TestWholeBurstIsGrantable(t *testing.T) {
+	c := qt.New(t)
+	for _, l := range []Limit{{1, 1}, {1000, 500}, {1000, 100_000}, {50_000, 10}} {
+		o := newTestOwner(l, WithCheckpoint(map[string]int64{mill: 0}))
+		o.Grant(begin, GrantRequest{ID: 1, Host: "a", Workspace: mill, NeedTokens: l.BurstTokens, Patience: time.Second})
+		o.commitAll(begin)
+		a := o.Grant(begin, GrantRequest{ID: 2, Host: "a", Workspace: mill, NeedTokens: l.BurstTokens, Patience: time.Second})
+		c.Assert(a.Tokens, qt.Equals, l.BurstTokens)
+		over := o.Grant(begin, GrantRequest{ID: 3, Host: "a", Workspace: mill, NeedTokens: l.BurstTokens + 1})
+		c.Assert(over.Never, qt.IsTrue)
+	}
+}
+
+// commitAll commits the next checkpoint.
+func (o *Owner) commitAll(now time.Time) {
+	if c := o.Checkpoint(now); c != nil {
+		o.Committed(c.GetTerm(), c.GetSequence())
+	}
+}
+
+// TestRateIsKept sees that steady demand gets the whole rate, also with a small burst.
+func TestRateIsKept(t *testing.T) {
+	c := qt.New(t)
+	for _, l := range []Limit{{1000, 200}, {1000, 2000}, {1000, 100_000}} {
+		o := newTestOwner(l)
+		var sum int64
+		for ms := 0; ms < 60_000; ms += 5 {
+			now := begin.Add(time.Duration(ms) * time.Millisecond)
+			o.commitAll(now)
+			a := o.Grant(now, GrantRequest{ID: uint64(ms + 1), Host: "a", Workspace: mill, WantTokens: 10})
+			sum += a.Tokens
+		}
+		c.Assert(sum > 55_000, qt.IsTrue, qt.Commentf("%+v: %d of 60000 tokens", l, sum))
+	}
+}
+
+// TestRetryAfterIsHonest sees that a need is granted at the time to come back and not before.
+func TestRetryAfterIsHonest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		l := f.limit
+		ask := func(id uint64, need int64) GrantAnswer {
+			return f.owner.Grant(f.now, GrantRequest{ID: id, Host: "a", Workspace: mill, NeedTokens: need, Patience: time.Hour})
+		}
+		f.now = f.now.Add(time.Hour)
+		for i := range uint64(4) {
+			ask(i+1, max(1, l.BurstTokens/pick(t, "part", int64(1), 2, 3)))
+			f.now = f.now.Add(time.Duration(pick(t, "ms", 0, 3, 90, 900)) * time.Millisecond)
+		}
+		need := max(1, l.BurstTokens/pick(t, "part", int64(1), 2, 3))
+		a := ask(10, need)
+		if a.Tokens > 0 {
+			return
+		}
+		slack := time.Millisecond + timeFor(l.RateTokensPerSecond, 1)
+		rest := a.RetryAfter
+		if a.RetryAfter > slack {
+			f.now = f.now.Add(a.RetryAfter - slack)
+			rest = slack
+			if ask(11, need).Tokens > 0 {
+				t.Fatalf("granted before the time to come back %v", a.RetryAfter)
+			}
+		}
+		f.now = f.now.Add(rest)
+		if got := ask(12, need).Tokens; got == 0 {
+			t.Fatalf("not granted after %v (%+v)", a.RetryAfter, l)
+		}
+	})
+}
+
+// TestSlowClock sees that a holder whose clock is slow spends nothing after the owner has regained it.
+func TestSlowClock(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(Limit{RateTokensPerSecond: 10, BurstTokens: 100})
+	late := begin.Add(time.Hour)
+	a := o.Grant(late, GrantRequest{ID: 1, Host: "a", Workspace: mill, WantTokens: 100})
+	c.Assert(a.Tokens, qt.Equals, int64(100))
+	slow := a.Span + a.Span/(driftDivisor+1)
+	b, _ := o.bucket(late.Add(slow), mill)
+	c.Assert(b.held, qt.Equals, int64(100))
+}
+
+// TestUnusedIsGivenBack sees that requests which use a tenth of what they reserve get
+// the whole rate in tokens used, though their grants have ended when the use is known.
+func TestUnusedIsGivenBack(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(Limit{RateTokensPerSecond: 1000, BurstTokens: 50_000})
+	now := begin.Add(time.Hour)
+	type running struct {
+		settleAt time.Time
+		a        GrantAnswer
+	}
+	var runs []running
+	var used int64
+	for i := range uint64(60_000) {
+		now = now.Add(time.Millisecond)
+		r := GrantRequest{ID: i + 1, Host: "a", Workspace: mill}
+		for len(runs) > 0 && !now.Before(runs[0].settleAt) {
+			a := runs[0].a
+			r.Reports = append(r.Reports, GrantReport{GrantID: a.GrantID, Term: 1, SettledTokens: a.Tokens * 9 / 10})
+			runs = runs[1:]
+		}
+		if i%10 == 0 {
+			r.NeedTokens = 100
+		}
+		if a := o.Grant(now, r); a.Tokens > 0 {
+			runs = append(runs, running{now.Add(3 * time.Second), a})
+			used += 10
+		}
+	}
+	c.Assert(used > 55_000, qt.IsTrue, qt.Commentf("%d of 60000 tokens", used))
+}
+
+// TestFormerGrantsAreWaitedOut sees that a new owner regains nothing of what earlier ones
+// may have granted before the last of it has ended.
+func TestFormerGrantsAreWaitedOut(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(Limit{RateTokensPerSecond: 1000, BurstTokens: 10_000})
+	end := begin.Add(lifetime(DefaultSpan))
+	c.Assert(o.Grant(end, GrantRequest{ID: 1, Host: "a", Workspace: mill, WantTokens: 10}).Tokens, qt.Equals, int64(0))
+	later := end.Add(5 * time.Millisecond)
+	c.Assert(o.Grant(later, GrantRequest{ID: 2, Host: "a", Workspace: mill, WantTokens: 10}).Tokens, qt.Equals, int64(5))
+}
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -24,8 +24,11 @@
 	lookup  masticcache.Lookup
 	// speeds is the moving mean of the measured prefill speeds.
 	speeds float64
-	// urgentShare is the moving share of the quick class in the work sent.
-	urgentShare float64
+	// quickShare is the moving share of the quick class in the requests sent.
+	quickShare float64
+	// workMean and urgentMean are the moving means of the work of a request, in tokens:
+	// of all classes, and with that of the quick class alone.
+	workMean, urgentMean float64
 }
 
 // pool is the engines of a model that hold the same version of its weights.
@@ -33,6 +36,8 @@
 	version string
 	ring    ring
 	slots   []masticcache.Slot
+	// reserve are the slots kept for the quick class.
+	reserve []masticcache.Slot
 }
 
 // Option changes how New builds a Router.
@@ -107,6 +112,7 @@
 				p.slots = append(p.slots, slot)
 			}
 			slices.Sort(p.slots)
+			p.reserve = newReserve(m, p)
 			out[m] = append(out[m], p)
 		}
 		slices.SortFunc(out[m], func(a, b pool) int { return int(a.slots[0] - b.slots[0]) })
@@ -190,7 +196,9 @@
 	// Uncached is the work before the first token, in tokens.
 	Uncached float64
 	// Ahead is the work that was predicted to be before it, in tokens.
-	Ahead   float64
+	Ahead float64
+	// Tokens is the length of the prompt.
+	Tokens  int64
 	Pieces  []masticprompt.Piece
 	Suspect bool
 	// StartedAt is when the work was sent.
