--- a/masticfake/admin.go
+++ b/masticfake/admin.go
@@ -19,11 +19,14 @@
 
 // LoadReport is the JSON of GET /load.
 type LoadReport struct {
-	Incarnation string            `json:"incarnation"`
-	Running     int               `json:"running"`
-	Queued      int               `json:"queued"`
-	Models      map[string]string `json:"models"`
-	Role        string            `json:"role"`
+	Incarnation string `json:"incarnation"`
+	Running     int    `json:"running"`
+	Slots       int    `json:"slots"`
+	Queued      int    `json:"queued"`
+	// QueuedTokens are the uncached prompt tokens of requests that have not had their first token.
+	QueuedTokens int64             `json:"queuedTokens"`
+	Models       map[string]string `json:"models"`
+	Role         string            `json:"role"`
 }
 
 func (o Order) olderThan(term, sequence uint64) bool {
@@ -77,11 +80,13 @@
 		models[m] = v
 	}
 	return LoadReport{
-		Incarnation: e.incarnation,
-		Running:     e.slots.inUse(),
-		Queued:      e.slots.queued(),
-		Models:      models,
-		Role:        e.role,
+		Incarnation:  e.incarnation,
+		Running:      e.slots.inUse(),
+		Slots:        e.slots.total,
+		QueuedTokens: e.queuedTokens,
+		Queued:       e.slots.queued(),
+		Models:       models,
+		Role:         e.role,
 	}
 }
 
--- a/masticfake/engine.go
+++ b/masticfake/engine.go
@@ -42,6 +42,7 @@
 	reportedAt    time.Time
 	received      []Received
 	cancelled     int
+	queuedTokens  int64
 	onCrash       func()
 }
 
--- a/masticfake/generate.go
+++ b/masticfake/generate.go
@@ -51,6 +51,7 @@
 	promptSize  int
 	cached      int
 	seed        uint64
+	prefilled   func()
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) { e.serve(w, r, true) }
@@ -116,6 +117,13 @@
 		e.Crash()
 		panic(http.ErrAbortHandler)
 	}
+	uncached := int64(max(0, g.promptSize-g.cached))
+	e.addQueued(uncached)
+	defer func() { e.addQueued(-uncached) }()
+	g.prefilled = func() {
+		e.addQueued(-uncached)
+		uncached = 0
+	}
 	err := e.slots.acquire(g.ctx, priority)
 	if err == nil {
 		defer e.slots.release()
@@ -151,7 +159,14 @@
 	return g.whole()
 }
 
+func (e *Engine) addQueued(tokens int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queuedTokens += tokens
+}
+
 func (g *generation) prefill() error {
+	defer g.prefilled()
 	return pause(g.ctx, float64(g.promptSize-g.cached), g.engine.prefillRate)
 }
 
