Charge long prefills for the cache room they take

Cause: fast engines got most cold prompts and so replaced their cache in 20 s while slow ones kept theirs for minutes; members' histories were evicted before their next use. Change: a candidate's score adds the uncached tokens, in prefills at the mean speed, times how much faster than the mean its cache is replaced (from the events stored). Not for the quick class.

--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -21,6 +21,9 @@
 	maxHolderCandidates = 6
 	// randomCandidates is the number of random ones weighed.
 	randomCandidates = 2
+	// evictionCost is what the room of a token in the cache costs others, in prefills of
+	// a token at the mean speed, on a backend server with the mean churn.
+	evictionCost = 1.0
 	// unseenTokens is the work before a quick request that a lagged report does not show
 	// on a backend server outside the reserve: a piece is computed half of the time.
 	unseenTokens = masticprompt.PieceTokens / 4
@@ -60,15 +63,16 @@
 	Cached float64
 	// Wait and Prefill add up to the predicted time to the first token.
 	Wait, Prefill time.Duration
-	// Credit is taken off the prediction when candidates are compared.
-	Credit time.Duration
+	// Credit is taken off the prediction when candidates are compared, Cost is added:
+	// the time that others lose since the prefill takes room in the cache.
+	Credit, Cost time.Duration
 }
 
 // Predicted returns the predicted time to the first token.
 func (c Candidate) Predicted() time.Duration { return c.Wait + c.Prefill }
 
 // score orders the candidates; the least is chosen.
-func (c Candidate) score() time.Duration { return c.Wait + c.Prefill - c.Credit }
+func (c Candidate) score() time.Duration { return c.Wait + c.Prefill - c.Credit + c.Cost }
 
 // Decision is the outcome of Decide.
 type Decision struct {
@@ -90,7 +94,7 @@
 // Decide weighs the candidates for q. It reports false when no backend server is usable.
 func (r *Router) Decide(now time.Time, q *Query) (Decision, bool) {
 	var d Decision
-	d.Prefill = math.MaxInt64 / 2
+	d.Prefill = math.MaxInt64 / 8
 	found := false
 	for i := range r.pools[q.Model] {
 		found = r.decideIn(now, &r.pools[q.Model][i], q, &d) || found
@@ -169,9 +173,13 @@
 	if class == masticview.ClassQuick && reason != ReasonReserve {
 		wait = max(wait, seconds(unseenTokens/speed))
 	}
+	var cost time.Duration
+	if class != masticview.ClassQuick {
+		cost = seconds(evictionCost * r.beliefs.Churn(now, slot, r.engines) * uncached / r.speeds)
+	}
 	return Candidate{
 		Slot: slot, Reason: reason, Cached: cached,
-		Wait: wait, Prefill: seconds(uncached / speed),
+		Wait: wait, Prefill: seconds(uncached / speed), Cost: cost,
 	}
 }
 
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -22,6 +22,8 @@
 	beliefs *masticcache.Beliefs
 	source  *rand.Rand
 	lookup  masticcache.Lookup
+	// engines is the number of active engines.
+	engines int
 	// speeds is the moving mean of the measured prefill speeds.
 	speeds float64
 	// quickShare is the moving share of the quick class in the requests sent.
@@ -94,11 +96,13 @@
 
 func (r *Router) newPools() map[string][]pool {
 	out := map[string][]pool{}
+	r.engines = 0
 	names := map[string]map[string]map[masticcache.Slot]string{}
 	for n, s := range r.servers {
 		if !s.active || s.info.Kind != masticview.ServerEngine {
 			continue
 		}
+		r.engines++
 		for _, m := range s.info.Models {
 			byVersion := child(names, m)
 			bySlot := child(byVersion, s.info.WeightsVersion)
