Lower the speed reckoned with while a request is overdue

Cause: a backend server ten times slower than its kind gave its first sample after 70 s, to each host on its own, and got more work in the meantime. Change: while the oldest own request without a first token takes more than twice its prediction, the speed is bounded by what it shows.

--- a/masticroute/load.go
+++ b/masticroute/load.go
@@ -1,6 +1,7 @@
 package masticroute
 
 import (
+	"slices"
 	"time"
 )
 
@@ -17,6 +18,11 @@
 	minSample = 2000
 	// historyLength bounds the remembered changes of the own work on a backend server.
 	historyLength = 256
+	// overdueFactor is how many times its predicted wait a request takes before it lowers
+	// the speed that is reckoned with.
+	overdueFactor = 2
+	// minOverdue is the least age of a request that lowers the speed.
+	minOverdue = time.Second
 	// reportAge is how long a load report is worth anything.
 	reportAge = 5 * time.Second
 )
@@ -54,6 +60,8 @@
 	waiting int
 	// history holds own work by time, the oldest first.
 	history []change
+	// pending are the own requests without a first token, the oldest first.
+	pending []pending
 	report  Report
 	// others is the work of other hosts at the time of the report.
 	others float64
@@ -81,21 +89,23 @@
 	return last
 }
 
-func (l *load) add(now time.Time, tokens float64, urgent bool) {
-	l.own += tokens
-	if urgent {
-		l.ownUrgent += tokens
+func (l *load) add(now time.Time, w *Work) {
+	l.own += w.Uncached
+	if w.urgent() {
+		l.ownUrgent += w.Uncached
 	}
+	l.pending = append(l.pending, pending{now, w.Uncached + w.Ahead})
 	l.running++
 	l.waiting++
 	l.remember(now)
 }
 
-func (l *load) firstToken(now time.Time, tokens float64, urgent bool) {
-	l.own = max(0, l.own-tokens)
-	if urgent {
-		l.ownUrgent = max(0, l.ownUrgent-tokens)
+func (l *load) firstToken(now time.Time, w *Work) {
+	l.own = max(0, l.own-w.Uncached)
+	if w.urgent() {
+		l.ownUrgent = max(0, l.ownUrgent-w.Uncached)
 	}
+	l.settle(w.StartedAt)
 	l.waiting--
 	l.remember(now)
 }
@@ -152,3 +162,31 @@
 	l.others = 0
 	l.othersRunning = 0
 }
+
+// pending is an own request without a first token.
+type pending struct {
+	startedAt time.Time
+	// tokens is the work up to its first token, that of others before it included.
+	tokens float64
+}
+
+// settle removes the pending request that started at t.
+func (l *load) settle(t time.Time) {
+	i := slices.IndexFunc(l.pending, func(p pending) bool { return p.startedAt.Equal(t) })
+	if i >= 0 {
+		l.pending = slices.Delete(l.pending, i, i+1)
+	}
+}
+
+// bound returns speed, or less where the oldest pending request is overdue at that speed.
+func (l *load) bound(now time.Time, speed float64) float64 {
+	if len(l.pending) == 0 {
+		return speed
+	}
+	oldest := l.pending[0]
+	elapsed := now.Sub(oldest.startedAt)
+	if elapsed < minOverdue {
+		return speed
+	}
+	return min(speed, overdueFactor*oldest.tokens/elapsed.Seconds())
+}
--- a/masticroute/server.go
+++ b/masticroute/server.go
@@ -47,7 +47,7 @@
 	if v == 0 {
 		v = unknown
 	}
-	return v * max(s.health.Share(now), 0.01)
+	return s.load.bound(now, v) * max(s.health.Share(now), 0.01)
 }
 
 // wait returns the predicted time until the backend server starts on one more request.
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -21,7 +21,7 @@
 		Pieces: d.Pieces, Suspect: q.Suspect, StartedAt: now,
 	}
 	s := r.servers[w.Slot]
-	s.load.add(now, w.Uncached, w.urgent())
+	s.load.add(now, &w)
 	if w.Suspect {
 		s.suspects++
 	}
@@ -58,7 +58,7 @@
 	}
 	w.FirstTokenAt = now
 	s := r.servers[w.Slot]
-	s.load.firstToken(now, w.Uncached, w.urgent())
+	s.load.firstToken(now, w)
 }
 
 // End is how work ended.
@@ -77,7 +77,7 @@
 func (r *Router) Done(now time.Time, w *Work, e End) {
 	s := r.servers[w.Slot]
 	if w.FirstTokenAt.IsZero() {
-		s.load.firstToken(now, w.Uncached, w.urgent())
+		s.load.firstToken(now, w)
 	}
 	s.load.done(now)
 	if w.Suspect {
