Let a request wait in the queue no longer than at the backend server

Cause: requests with their prefix on a busy engine waited up to 18 s for its window while other hosts kept it full. Change: the window opens for a request once it has waited as long as it would there.

--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -53,6 +53,8 @@
 	Avoid        []string
 	// Suspect reports that the request may end the backend server that runs it.
 	Suspect bool
+	// Waited is how long the request has been in the queue.
+	Waited time.Duration
 }
 
 // Candidate is one backend server that was weighed.
@@ -103,7 +105,7 @@
 		return d, false
 	}
 	s := r.servers[d.Slot]
-	d.Open = r.open(now, s, d.Wait, q.Class)
+	d.Open = r.open(s, d.Wait, q)
 	d.Ahead = s.load.own + s.load.othersNow(now)
 	return d, true
 }
@@ -184,15 +186,16 @@
 }
 
 // open reports whether s may get work with the predicted wait at once. The quick class
-// does not wait for other work, since engines put it first.
-func (r *Router) open(now time.Time, s *server, wait time.Duration, class masticview.Class) bool {
+// does not wait for other work, since engines put it first. A request waits in the
+// queue no longer than it would wait at the backend server.
+func (r *Router) open(s *server, wait time.Duration, q *Query) bool {
 	if s.load.running == 0 {
 		return true
 	}
 	if slots := s.load.report.Slots; slots > 0 && int64(s.load.running)+s.load.othersRunning >= slots+maxExtraRunning {
 		return false
 	}
-	return class == masticview.ClassQuick || wait <= windowSpan
+	return q.Class == masticview.ClassQuick || wait <= max(windowSpan, q.Waited)
 }
 
 func (r *Router) addHolders(add func(masticcache.Slot, Reason) bool) {
--- a/masticschedule/scan.go
+++ b/masticschedule/scan.go
@@ -23,6 +23,7 @@
 // try sends w if the best backend server for it has room.
 func (s *Scheduler) try(now time.Time, w *waiting) bool {
 	w.query.Suspect = s.suspects[w.request.Digest]
+	w.query.Waited = now.Sub(w.queuedAt)
 	d, ok := s.router.Decide(now, &w.query)
 	if !ok || !d.Open {
 		return false
