Take a first prefill speed from the drain of the reported queue

Cause: each host explored each slow backend server on its own, at the fleet's mean speed. Change: while no own request has measured a speed, the work that left the reported queue while it was not empty stands in for it.

--- a/masticroute/load.go
+++ b/masticroute/load.go
@@ -60,6 +60,8 @@
 	waiting int
 	// history holds own work by time, the oldest first.
 	history []change
+	// drain is how fast the reported queue shrinks.
+	drain drain
 	// pending are the own requests without a first token, the oldest first.
 	pending []pending
 	report  Report
@@ -122,6 +124,7 @@
 		return
 	}
 	own := l.at(r.AsOf)
+	l.drain.observe(l.report, r)
 	l.report = r
 	l.others = max(0, float64(r.QueuedTokens)-own.tokens)
 	l.othersRunning = max(0, r.Running-int64(own.running))
--- a/masticroute/server.go
+++ b/masticroute/server.go
@@ -45,7 +45,7 @@
 func (s *server) speed(now time.Time, unknown float64) float64 {
 	v := s.load.speed
 	if v == 0 {
-		v = unknown
+		v = s.load.drain.speed(unknown)
 	}
 	return s.load.bound(now, v) * max(s.health.Share(now), 0.01)
 }
