--- a/masticstate/result.go
+++ b/masticstate/result.go
@@ -42,7 +42,8 @@
 // UsageResult answers a UsageReport.
 type UsageResult struct {
 	Sequence uint64
-	// Open is false for a daemon incarnation whose rows are closed.
+	// Open is false for a daemon incarnation whose rows are closed, because another one of its
+	// host reported later. A daemon that still runs then counts on under a new incarnation.
 	Open bool
 }
 
