--- a/masticplace/planner.go
+++ b/masticplace/planner.go
@@ -33,7 +33,8 @@
 	ChecksFencing bool
 }
 
-// Order is a load that was ordered. It counts as running until it is done or its deadline has passed.
+// Order is a load that was ordered. It counts as running until it is done or its deadline
+// has passed: a backend server that has not ended a load by then is taken to give it up.
 type Order struct {
 	Load
 	Fence    Fence
