Prove that only the crashing request is quarantined

Change: a rapid property with bystanders, repeated reports of several hosts and restarts of backend servers; bounds and ends of holds. Conclusion: the culprit is quarantined at its second crash and no bystander in these runs.

--- /dev/null
+++ b/masticsuspect/property_test.go
@@ -0,0 +1,192 @@
+package masticsuspect
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"masticladder/masticproto"
+	"masticladder/masticview"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "200")
+}
+
+var begin = time.Unix(1_800_000_000, 0)
+
+// pick draws one of from, each as likely as the others; rapid favours the first ones.
+func pick[T any](t *rapid.T, label string, from ...T) T {
+	n := 0
+	for range 5 {
+		n *= 2
+		if rapid.Bool().Draw(t, label) {
+			n++
+		}
+	}
+	return from[n%len(from)]
+}
+
+func digest(n int) masticview.Digest { return masticview.DigestOf([]byte{byte(n)}) }
+
+// fleet is backend servers that run requests of two hosts; request 0 crashes each of them.
+type fleet struct {
+	t       *rapid.T
+	now     time.Time
+	tracker *Tracker
+	// running are the requests on each backend server, with the host that sent each.
+	running     [3]map[int]string
+	incarnation [3]int
+	held        [3]map[int]bool
+	crashes     int
+	quarantined map[masticview.Digest]bool
+}
+
+func (f *fleet) hold(server, request int, host string) *masticproto.SuspectHold {
+	d := digest(request)
+	return &masticproto.SuspectHold{
+		Digest: d[:], Server: fmt.Sprint("s", server), Host: host, Incarnation: "1",
+		DeadlineUnixMs: f.now.Add(time.Hour).UnixMilli(),
+	}
+}
+
+// start sends a request to a backend server, a suspect only under a hold.
+func (f *fleet) start(server, request int, host string) {
+	d := digest(request)
+	for _, r := range f.running {
+		if _, busy := r[request]; busy || f.quarantined[d] {
+			return
+		}
+	}
+	if f.tracker.Suspect(d) {
+		if !f.tracker.Hold(f.now, f.hold(server, request, host)) {
+			return
+		}
+		f.held[server][request] = true
+		if len(f.held[server]) > 1 {
+			f.t.Fatalf("suspects %v share a backend server", f.held[server])
+		}
+	}
+	f.running[server][request] = host
+}
+
+// complete ends a request other than 0.
+func (f *fleet) complete(server, request int) {
+	host, ok := f.running[server][request]
+	if !ok || request == 0 {
+		return
+	}
+	d := digest(request)
+	delete(f.running[server], request)
+	if f.held[server][request] {
+		delete(f.held[server], request)
+		f.tracker.End(&masticproto.SuspectEnd{Digest: d[:], Server: fmt.Sprint("s", server), Host: host, Incarnation: "1", Completed: true})
+		if f.tracker.Suspect(d) {
+			f.t.Fatalf("request %d completed and is still a suspect", request)
+		}
+	}
+}
+
+// crash ends the backend server under request 0. Each host reports its own requests, twice.
+func (f *fleet) crash(server int) {
+	if _, ok := f.running[server][0]; !ok {
+		return
+	}
+	f.crashes++
+	for range 2 {
+		for _, host := range []string{"h1", "h2"} {
+			r := &masticproto.SuspectReport{Server: fmt.Sprint("s", server), ServerIncarnation: fmt.Sprint(f.incarnation[server])}
+			for q, by := range f.running[server] {
+				if d := digest(q); by == host {
+					r.Digests = append(r.Digests, d[:])
+				}
+			}
+			quarantined, _ := f.tracker.Report(f.now, r)
+			for _, d := range quarantined {
+				f.quarantined[d] = true
+			}
+		}
+	}
+	for q, host := range f.running[server] {
+		d := digest(q)
+		f.tracker.End(&masticproto.SuspectEnd{Digest: d[:], Server: fmt.Sprint("s", server), Host: host, Incarnation: "1"})
+	}
+	f.incarnation[server]++
+	f.running[server], f.held[server] = make(map[int]string), make(map[int]bool)
+}
+
+// TestOnlyTheCulpritIsQuarantined runs bystanders besides a request that crashes whatever
+// runs it: it is quarantined at its second crash, and no suspects share a backend server.
+func TestOnlyTheCulpritIsQuarantined(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{t: t, now: begin, tracker: New(), quarantined: make(map[masticview.Digest]bool)}
+		for s := range f.running {
+			f.running[s], f.held[s] = make(map[int]string), make(map[int]bool)
+		}
+		for range 100 {
+			f.now = f.now.Add(pick(t, "pass", 0, time.Second))
+			server := pick(t, "server", 0, 1, 2)
+			request := pick(t, "request", 0, 1, 2, 3)
+			switch pick(t, "action", "start", "start", "complete", "crash") {
+			case "start":
+				f.start(server, request, pick(t, "host", "h1", "h2"))
+			case "complete":
+				f.complete(server, request)
+			default:
+				f.crash(server)
+			}
+			if f.crashes >= 2 != f.quarantined[digest(0)] {
+				t.Fatalf("%d crashes, quarantined: %v", f.crashes, f.quarantined[digest(0)])
+			}
+			for q := range 3 {
+				if f.quarantined[digest(q+1)] {
+					t.Fatalf("bystander %d is quarantined", q+1)
+				}
+			}
+		}
+	})
+}
+
+func TestTrackerIsBounded(t *testing.T) {
+	c := qt.New(t)
+	g := New()
+	for i := range MaxSuspects/100 + 2 {
+		r := &masticproto.SuspectReport{Server: "s", ServerIncarnation: fmt.Sprint(i)}
+		for j := range 100 {
+			d := masticview.DigestOf(fmt.Append(nil, i, j))
+			r.Digests = append(r.Digests, d[:])
+		}
+		_, err := g.Report(begin.Add(time.Duration(i)*time.Millisecond), r)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(g.Suspects(), qt.Equals, MaxSuspects)
+	c.Assert(g.Suspect(masticview.DigestOf(fmt.Append(nil, 0, 0))), qt.IsFalse)
+	g.Drop(begin.Add(time.Hour))
+	c.Assert(g.Suspects(), qt.Equals, 0)
+}
+
+// TestHoldEnds sees that a backend server is free for another suspect after a hold has ended or run out.
+func TestHoldEnds(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{now: begin, tracker: New()}
+	for i := range 2 {
+		d := digest(i)
+		_, err := f.tracker.Report(begin, &masticproto.SuspectReport{Server: "s9", ServerIncarnation: "1", Digests: [][]byte{d[:]}})
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(f.tracker.Hold(begin, f.hold(0, 0, "h1")), qt.IsTrue)
+	c.Assert(f.tracker.Hold(begin, f.hold(0, 1, "h1")), qt.IsFalse)
+	d := digest(0)
+	f.tracker.End(&masticproto.SuspectEnd{Digest: d[:], Server: "s0", Host: "h2", Incarnation: "1"})
+	c.Assert(f.tracker.Hold(begin, f.hold(0, 1, "h1")), qt.IsFalse)
+	f.tracker.End(&masticproto.SuspectEnd{Digest: d[:], Server: "s0", Host: "h1", Incarnation: "1"})
+	c.Assert(f.tracker.Hold(begin, f.hold(0, 1, "h1")), qt.IsTrue)
+	f.now = begin.Add(2 * time.Minute)
+	c.Assert(f.tracker.Hold(begin.Add(MaxHoldSpan), f.hold(0, 0, "h1")), qt.IsTrue)
+}
