--- a/masticledger/ages.go
+++ b/masticledger/ages.go
@@ -1,7 +1,6 @@
 package masticledger
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -11,16 +10,13 @@
 // The zero Ages is empty and ready to use.
 type Ages struct {
 	horizonMs  int64
-	tombstones map[uint64]struct{}
+	tombstones digests
 }
 
 // Dropped reports whether a key with the given digest and time was dropped. Where it
 // cannot be told from a dropped key, it counts as dropped.
 func (a *Ages) Dropped(digest uint64, keyMs int64) bool {
-	if _, ok := a.tombstones[digest]; ok {
-		return true
-	}
-	return keyMs != 0 && keyMs <= a.horizonMs
+	return a.tombstones.has(digest) || (keyMs != 0 && keyMs <= a.horizonMs)
 }
 
 // Drop notes that a key was dropped; keyMs is zero for a key without a time.
@@ -29,28 +25,21 @@
 		a.horizonMs = max(a.horizonMs, keyMs)
 		return
 	}
-	if a.tombstones == nil {
-		a.tombstones = make(map[uint64]struct{})
-	}
-	a.tombstones[digest] = struct{}{}
+	a.tombstones.add(digest)
 }
 
 // Tombstones returns the number of tombstones.
-func (a *Ages) Tombstones() int { return len(a.tombstones) }
+func (a *Ages) Tombstones() int { return a.tombstones.count() }
 
 // Horizon returns the latest time of a dropped key.
 func (a *Ages) Horizon() time.Time { return time.UnixMilli(a.horizonMs) }
 
 // Save returns the horizon in Unix milliseconds and the sorted tombstones.
 func (a *Ages) Save() (horizonMs int64, tombstones []uint64) {
-	return a.horizonMs, slices.Sorted(maps.Keys(a.tombstones))
+	return a.horizonMs, a.tombstones.all()
 }
 
 // RestoreAges returns what Save returned as Ages.
 func RestoreAges(horizonMs int64, tombstones []uint64) Ages {
-	a := Ages{horizonMs: horizonMs, tombstones: make(map[uint64]struct{}, len(tombstones))}
-	for _, t := range tombstones {
-		a.tombstones[t] = struct{}{}
-	}
-	return a
+	return Ages{horizonMs: horizonMs, tombstones: digests{sorted: slices.Sorted(slices.Values(tombstones))}}
 }
--- a/masticledger/ledger.go
+++ b/masticledger/ledger.go
@@ -35,7 +35,7 @@
 	// MaxBodyBytes bounds all kept bodies together; the oldest are cut first.
 	MaxBodyBytes = 64 << 20
 	// MaxOrders bounds the records; when full, reservations are refused.
-	MaxOrders = 4_000_000
+	MaxOrders = 1_000_000
 	// MaxOpaqueKeys bounds a workspace's records and tombstones of keys that bear no time.
 	MaxOpaqueKeys = 4_000_000
 	// MinRetention and MaxRetention bound the time from a reservation to its retention deadline.
--- a/masticledger/ledger_test.go
+++ b/masticledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -96,3 +97,21 @@
 		c.Assert(ok, qt.Equals, k.bears, qt.Commentf(k.key))
 	}
 }
+
+func TestDigests(t *testing.T) {
+	c := qt.New(t)
+	var s digests
+	for i := range uint64(10_000) {
+		s.add(i * 0x9e3779b97f4a7c15)
+		s.add(i / 2 * 0x9e3779b97f4a7c15)
+	}
+	c.Assert(s.count(), qt.Equals, 10_000)
+	c.Assert(len(s.sorted) > 0 && len(s.recent) > 0, qt.IsTrue)
+	all := s.all()
+	c.Assert(slices.IsSorted(all), qt.IsTrue)
+	c.Assert(all, qt.HasLen, 10_000)
+	for i := range uint64(10_000) {
+		c.Assert(s.has(i*0x9e3779b97f4a7c15), qt.IsTrue)
+	}
+	c.Assert(s.has(1), qt.IsFalse)
+}
--- a/masticledger/property_test.go
+++ b/masticledger/property_test.go
@@ -222,11 +222,11 @@
 }
 
 func (c *cluster) restore() {
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(c.ledger.Snapshot())
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(c.ledger.Freeze().Snapshot())
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	if twin, _ := (proto.MarshalOptions{Deterministic: true}).Marshal(c.twin.Snapshot()); !bytes.Equal(b, twin) {
+	if twin, _ := (proto.MarshalOptions{Deterministic: true}).Marshal(c.twin.Freeze().Snapshot()); !bytes.Equal(b, twin) {
 		c.t.Fatal("the replicas differ")
 	}
 	p := &masticproto.LedgerSnapshot{}
--- a/masticledger/snapshot.go
+++ b/masticledger/snapshot.go
@@ -12,27 +12,42 @@
 	"masticladder/masticview"
 )
 
-// Snapshot returns the whole ledger in wire form, in a fixed order.
-func (g *Ledger) Snapshot() *masticproto.LedgerSnapshot {
-	out := &masticproto.LedgerSnapshot{BodySequence: g.bodies.sequence}
-	ids := make([]orderID, 0, len(g.orders))
-	for id := range g.orders {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, func(a, b orderID) int { return bytes.Compare(a[:], b[:]) })
-	for _, id := range ids {
-		out.Orders = append(out.Orders, encodeOrder(id, g.orders[id]))
-	}
+// Frozen is a ledger as it stood at one moment. Any goroutine may encode it.
+type Frozen struct {
+	orders       map[orderID]order
+	workspaces   []*masticproto.LedgerWorkspace
+	bodySequence uint64
+}
+
+// Freeze returns the ledger as it stands now. It takes far less time than encoding it.
+func (g *Ledger) Freeze() Frozen {
+	f := Frozen{orders: maps.Clone(g.orders), bodySequence: g.bodies.sequence}
 	for _, n := range slices.Sorted(maps.Keys(g.workspaces)) {
-		w := g.workspaces[n]
-		horizon, tombstones := w.ages.Save()
+		horizon, tombstones := g.workspaces[n].ages.Save()
 		if horizon == 0 && len(tombstones) == 0 {
 			continue
 		}
-		out.Workspaces = append(out.Workspaces, &masticproto.LedgerWorkspace{
+		f.workspaces = append(f.workspaces, &masticproto.LedgerWorkspace{
 			Workspace: n, HorizonUnixMs: horizon, Tombstones: tombstones,
 		})
 	}
+	return f
+}
+
+// Snapshot returns the whole ledger in wire form, in a fixed order.
+func (f Frozen) Snapshot() *masticproto.LedgerSnapshot {
+	ids := slices.SortedFunc(maps.Keys(f.orders), func(a, b orderID) int { return bytes.Compare(a[:], b[:]) })
+	records := make([]masticproto.OrderRecord, len(ids))
+	requests := make([]masticview.Digest, len(ids))
+	out := &masticproto.LedgerSnapshot{
+		Orders: make([]*masticproto.OrderRecord, len(ids)), Workspaces: f.workspaces, BodySequence: f.bodySequence,
+	}
+	for i := range ids {
+		o := f.orders[ids[i]]
+		requests[i] = o.digest
+		encodeOrder(&records[i], ids[i][:], requests[i][:], o)
+		out.Orders[i] = &records[i]
+	}
 	return out
 }
 
@@ -87,21 +102,21 @@
 	return nil
 }
 
-func encodeOrder(id orderID, o order) *masticproto.OrderRecord {
-	return &masticproto.OrderRecord{
-		Id:                id[:],
-		RequestDigest:     o.digest[:],
-		Workspace:         o.workspace.name,
-		Host:              o.holder.host,
-		Incarnation:       o.holder.incarnation,
-		Attempt:           o.attempt,
-		DeadlineUnixMs:    o.deadline,
-		RetainUntilUnixMs: o.retainUntil,
-		KeyUnixMs:         o.keyTime,
-		State:             int32(o.phase),
-		Answer:            encodeAnswer(o.answer),
-		BodySequence:      o.bodyAt,
-	}
+// encodeOrder sets p to o, whose identifier and request digest are given apart because
+// they are kept by p.
+func encodeOrder(p *masticproto.OrderRecord, id, request []byte, o order) {
+	p.Id = id
+	p.RequestDigest = request
+	p.Workspace = o.workspace.name
+	p.Host = o.holder.host
+	p.Incarnation = o.holder.incarnation
+	p.Attempt = o.attempt
+	p.DeadlineUnixMs = o.deadline
+	p.RetainUntilUnixMs = o.retainUntil
+	p.KeyUnixMs = o.keyTime
+	p.State = int32(o.phase)
+	p.Answer = encodeAnswer(o.answer)
+	p.BodySequence = o.bodyAt
 }
 
 func encodeAnswer(a *masticcall.StoredAnswer) *masticproto.StoredAnswer {
--- a/masticquota/holder.go
+++ b/masticquota/holder.go
@@ -1,7 +1,6 @@
 package masticquota
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -49,9 +48,11 @@
 type Holder struct {
 	host, incarnation string
 	pools             map[string]*pool
-	admitted          map[uint64]ticket
-	lastTicket        uint64
-	lastRequest       uint64
+	// names are those of the pools, in their order.
+	names       []string
+	admitted    map[uint64]ticket
+	lastTicket  uint64
+	lastRequest uint64
 }
 
 // NewHolder returns a holder without grants.
@@ -64,6 +65,8 @@
 	if !ok {
 		p = &pool{workspace: workspace}
 		h.pools[workspace] = p
+		i, _ := slices.BinarySearch(h.names, workspace)
+		h.names = slices.Insert(h.names, i, workspace)
 	}
 	return p
 }
@@ -123,7 +126,7 @@
 // Requests returns what to send to the owner at now.
 func (h *Holder) Requests(now time.Time) []GrantRequest {
 	var out []GrantRequest
-	for _, name := range slices.Sorted(maps.Keys(h.pools)) {
+	for _, name := range h.names {
 		p := h.pools[name]
 		p.expire(now)
 		if r, ok := p.request(now); ok {
@@ -161,7 +164,7 @@
 // Expire returns the waiting tickets that are refused at now.
 func (h *Holder) Expire(now time.Time) []Decision {
 	var out []Decision
-	for _, name := range slices.Sorted(maps.Keys(h.pools)) {
+	for _, name := range h.names {
 		p := h.pools[name]
 		p.expire(now)
 		out = append(out, h.serve(now, p)...)
--- a/masticstate/snapshot.go
+++ b/masticstate/snapshot.go
@@ -16,14 +16,22 @@
 	"masticladder/masticview"
 )
 
-// Snapshot returns the whole state; equal states give equal bytes.
-func (s *State) Snapshot() []byte {
+// Frozen is a state as it stood at one moment. Any goroutine may encode it.
+type Frozen struct {
+	rest   *masticproto.StateSnapshot
+	view   masticview.View
+	ledger masticledger.Frozen
+}
+
+// Applied returns the index of the last command that the state holds.
+func (f Frozen) Applied() uint64 { return f.rest.GetApplied() }
+
+// Freeze returns the state as it stands now. It takes far less time than encoding it.
+func (s *State) Freeze() Frozen {
 	horizon, tombstones := s.publishes.ages.Save()
 	p := &masticproto.StateSnapshot{
 		NowUnixMs:            s.now.UnixMilli(),
 		Applied:              s.applied,
-		View:                 s.view.Snapshot(),
-		Ledger:               s.ledger.Snapshot(),
 		Publishes:            s.publishes.save(),
 		PublishTombstones:    tombstones,
 		PublishHorizonUnixMs: horizon,
@@ -36,13 +44,23 @@
 	for _, n := range slices.Sorted(maps.Keys(s.quota.used)) {
 		p.QuotaLevels = append(p.QuotaLevels, &masticproto.QuotaLevel{Workspace: n, UsedTokens: s.quota.used[n]})
 	}
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(p)
+	return Frozen{rest: p, view: s.view, ledger: s.ledger.Freeze()}
+}
+
+// Bytes returns the encoded state; equal states give equal bytes.
+func (f Frozen) Bytes() []byte {
+	f.rest.View = f.view.Snapshot()
+	f.rest.Ledger = f.ledger.Snapshot()
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(f.rest)
 	if err != nil {
 		panic("masticstate: a snapshot that cannot be encoded: " + err.Error())
 	}
 	return b
 }
 
+// Snapshot returns the encoded state as it stands now.
+func (s *State) Snapshot() []byte { return s.Freeze().Bytes() }
+
 // Restore replaces the state by that of a snapshot. Error: badRequest, after which the
 // state is unchanged.
 func (s *State) Restore(b []byte) error {
