--- a/masticfake/service.go
+++ b/masticfake/service.go
@@ -1,6 +1,8 @@
 package masticfake
 
 import (
+	"cmp"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,7 +11,7 @@
 )
 
 // Service is a stand-in for a plain service. It is an http.Handler that counts how
-// often it ran each order. The order's identifier is the last part of the path.
+// often it ran each order.
 type Service struct {
 	name string
 
@@ -67,10 +69,21 @@
 	if err != nil {
 		return
 	}
-	order := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+	order := orderOf(r, body)
 	s.answer(w, r, order, s.take(r, order, body))
 }
 
+// orderOf returns the order's identifier: the field order or id of a JSON body, else the
+// last part of the path.
+func orderOf(r *http.Request, body []byte) string {
+	var named struct {
+		Order string `json:"order"`
+		ID    string `json:"id"`
+	}
+	_ = json.Unmarshal(body, &named)
+	return cmp.Or(named.Order, named.ID, r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:])
+}
+
 func (s *Service) serveCount(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
