--- a/masticcommand/status.go
+++ b/masticcommand/status.go
@@ -4,23 +4,51 @@
 	"context"
 	"fmt"
 	"time"
+
+	"masticladder/masticcall"
+	"masticladder/masticerror"
 )
 
 const statusHelp = `Shows what a host knows of control: leader, term, revision, members, its view lease.
 
-Example:
+Examples:
   masticladder status --admin 127.0.0.1:8601 --json
+  masticladder status --wait 10
 
 ` + exitCodeHelp
 
-type statusCommand struct{ adminOptions }
+// statusInterval is the time between two looks while a host is waited for.
+const statusInterval = 100 * time.Millisecond
+
+type statusCommand struct {
+	adminOptions
+	Wait int `long:"wait" description:"wait up to this many seconds until the host holds a view lease"`
+}
 
 // Execute shows the state of control.
 func (s *statusCommand) Execute([]string) error {
-	status, err := s.client().Status(context.Background())
+	status, err := s.look()
+	for end := time.Now().Add(time.Duration(s.Wait) * time.Second); time.Now().Before(end); {
+		if err == nil && time.Now().Before(status.LeaseUntil) {
+			break
+		}
+		time.Sleep(statusInterval)
+		status, err = s.look()
+	}
 	if err != nil {
 		return err
 	}
+	if s.Wait > 0 && !time.Now().Before(status.LeaseUntil) {
+		return masticerror.New(masticerror.KindNoLease, "%s holds no view lease", status.Host)
+	}
+	return s.print(status)
+}
+
+func (s *statusCommand) look() (masticcall.ControlStatus, error) {
+	return s.client().Status(context.Background())
+}
+
+func (s *statusCommand) print(status masticcall.ControlStatus) error {
 	if s.JSON {
 		return printJSON(status)
 	}
