Send a request elsewhere when an engine lacks its model

Cause: an engine that is loading answers 404, which was taken as its verdict on the request and given to the caller although other engines have the model. Change: only 400, 413 and 422 are verdicts; every other status than 200 is a refusal. Figures: TestEngineStatus with 404 taken as a verdict fails; it passes with the change.

--- a/masticengine/answer.go
+++ b/masticengine/answer.go
@@ -20,7 +20,7 @@
 }
 
 // Do sends call and returns the whole answer, or a *Failure.
-// An engine's answer of 429 or 5xx is a failure; a service's is an answer.
+// An engine's refusal is a failure; a service's answer of any status is an answer.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
 	x, f := c.begin(ctx, call, millis(c.limits.WholeAnswerMillis))
 	if f != nil {
@@ -40,8 +40,15 @@
 	return a, nil
 }
 
+// isRefusal reports whether an engine's status says that another engine may answer.
+// The others than 200 are verdicts on the request's content.
 func isRefusal(status int) bool {
-	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
+	switch status {
+	case http.StatusOK, http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return false
+	default:
+		return true
+	}
 }
 
 func (x *exchange) refused() *Failure {
--- a/masticfake/generate.go
+++ b/masticfake/generate.go
@@ -73,6 +73,11 @@
 	}
 	g.from, _ = strconv.Atoi(r.Header.Get(headerResumeFrom))
 	priority, _ := strconv.Atoi(r.Header.Get(headerPriority))
+	if !e.serves(g.request.Model) {
+		w.Header().Set(headerRequestID, g.id)
+		http.Error(w, "no such model", http.StatusNotFound)
+		return
+	}
 	life := e.accept(g, r, body)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
@@ -82,6 +87,14 @@
 	g.run(life, priority)
 }
 
+// serves reports whether the model is loaded. An engine that was given no models has all.
+func (e *Engine) serves(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, ok := e.models[model]
+	return ok || len(e.models) == 0
+}
+
 // accept records the request and looks up its prompt in the cache.
 func (e *Engine) accept(g *generation, r *http.Request, body []byte) context.Context {
 	e.mu.Lock()
--- a/masticgate/stream_test.go
+++ b/masticgate/stream_test.go
@@ -71,6 +71,38 @@
 	}
 }
 
+// verdict is an engine that answers every request with one status.
+type verdict int
+
+func (v verdict) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.WriteHeader(int(v))
+	_, _ = w.Write([]byte(`{"error":{"message":"verdict"}}`))
+}
+
+// TestEngineStatus checks that a verdict on the content is the answer, and that an
+// engine's refusal is not.
+func TestEngineStatus(t *testing.T) {
+	for status, final := range map[int]bool{400: true, 413: true, 422: true, 401: false, 404: false, 429: false, 503: false} {
+		b := newBed(t)
+		s := b.serve(verdict(status))
+		b.addEngine("engine-2")
+		b.views.change(func(v masticview.View) masticview.View {
+			return v.WithServer(masticview.Server{Name: "engine-1", Kind: masticview.ServerEngine, URL: s.URL(), Models: []string{testModel}})
+		})
+		b.start()
+		for _, stream := range []bool{true, false} {
+			r := b.send(http.MethodPost, "/v1/chat/completions", chatBody(stream, "x"))
+			want := http.StatusOK
+			if final {
+				want = status
+				b.c.Assert(string(r.body), qt.Equals, `{"error":{"message":"verdict"}}`)
+			}
+			b.c.Assert(r.status, qt.Equals, want)
+		}
+	}
+}
+
 // TestResumeFrom checks that the second server is asked only for what is missing.
 func TestResumeFrom(t *testing.T) {
 	b := newBed(t)
