Bound the bodies of all requests together

Cause: a body may have 32 MiB, and nothing bounded how many a host holds at once. Change: bodies are counted against maxBodiesBytes (512 MiB) as they are read; over it a request is refused as overloaded, not run. A test of an answer that comes too late. Figures: TestBodiesTogether fails without the bound and without giving back.

--- a/masticgate/gate.go
+++ b/masticgate/gate.go
@@ -28,6 +28,7 @@
 	limits     Limits
 	mux        *http.ServeMux
 	drain      drainState
+	bodies     budget
 }
 
 // New returns a gate. It is an error to leave out what it calls.
@@ -41,6 +42,7 @@
 		return nil, eris.New("gate: a part that it calls is missing")
 	}
 	g.engine.SetEnded(g.suspects.Report)
+	g.bodies.limit = g.limits.MaxBodiesBytes
 	g.mux = g.routes()
 	return g, nil
 }
--- a/masticgate/inbound.go
+++ b/masticgate/inbound.go
@@ -41,6 +41,7 @@
 	writer   http.ResponseWriter
 	control  *http.ResponseController
 	identity identity
+	body     budgetReader
 	// service and model are set once they are known to be configured names.
 	service string
 	model   string
@@ -57,6 +58,7 @@
 		writer:  w,
 		control: http.NewResponseController(w),
 		started: g.now(),
+		body:    budgetReader{budget: &g.bodies},
 	}
 	w.Header().Set(HeaderRequestID, q.id)
 	if g.drain.isDraining() {
@@ -77,10 +79,15 @@
 	if q.request.ContentLength > limit {
 		return nil, q.tooLarge()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.request.Body, limit))
+	q.body.reader = http.MaxBytesReader(q.writer, q.request.Body, limit)
+	body, err := io.ReadAll(&q.body)
 	var over *http.MaxBytesError
-	if errors.As(err, &over) {
+	switch {
+	case errors.As(err, &over):
 		return nil, q.tooLarge()
+	case errors.Is(err, errBudget):
+		q.writer.Header().Set("Connection", "close")
+		return nil, masticerror.New(masticerror.KindOverloaded, "this host holds as many request bodies as it may")
 	}
 	if err != nil {
 		q.writer.Header().Set("Connection", "close")
@@ -135,6 +142,7 @@
 
 // finish sends what is left and readies the connection for its next request.
 func (q *inbound) finish() {
+	q.body.release()
 	if q.answered {
 		_ = q.flush()
 	}
--- a/masticgate/limits.go
+++ b/masticgate/limits.go
@@ -4,7 +4,9 @@
 
 // Limits bound what one caller may cost this host.
 type Limits struct {
-	MaxBodyBytes   int64 `json:"maxBodyBytes"`
+	MaxBodyBytes int64 `json:"maxBodyBytes"`
+	// MaxBodiesBytes bounds the bodies of all running requests together.
+	MaxBodiesBytes int64 `json:"maxBodiesBytes"`
 	MaxHeaderBytes int   `json:"maxHeaderBytes"`
 	// MaxJSONDepth bounds the nesting of a request body.
 	MaxJSONDepth int `json:"maxJsonDepth"`
@@ -32,6 +34,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		MaxBodyBytes:         32 << 20,
+		MaxBodiesBytes:       512 << 20,
 		MaxHeaderBytes:       64 << 10,
 		MaxJSONDepth:         64,
 		MaxStoredAnswerBytes: 64 << 10,
--- a/masticgate/load_test.go
+++ b/masticgate/load_test.go
@@ -236,6 +236,27 @@
 	}
 }
 
+// TestBodiesTogether checks that the bodies of running requests are bounded together,
+// and that an ended request gives its share back.
+func TestBodiesTogether(t *testing.T) {
+	b := newBed(t)
+	b.limits.MaxBodiesBytes = 1500
+	e, _ := b.addEngine("engine-1")
+	e.SetMode(masticfake.ModeStall)
+	b.start()
+	ctx, cancel := context.WithCancel(context.Background())
+	b.openStream(ctx)
+	large := chatBody(false, strings.Repeat("x", 1400))
+	r := b.send(http.MethodPost, "/v1/chat/completions", large)
+	b.c.Assert(r.detail(b.c).Kind, qt.Equals, masticerror.KindOverloaded)
+	b.c.Assert(r.detail(b.c).NotRun, qt.IsTrue)
+	cancel()
+	b.eventually(func() bool { return b.gate.bodies.used.Load() == 0 })
+	e.SetMode(masticfake.ModeNormal)
+	r = b.send(http.MethodPost, "/v1/chat/completions", large)
+	b.c.Assert(r.status, qt.Equals, http.StatusOK)
+}
+
 func TestLargeHeader(t *testing.T) {
 	b := newBed(t).start()
 	r := b.send(http.MethodGet, "/v1/models", "", "X-Large", strings.Repeat("x", 128<<10))
--- a/masticgate/order_test.go
+++ b/masticgate/order_test.go
@@ -238,3 +238,20 @@
 		})
 	}
 }
+
+// TestLateAnswer checks that an answer that comes after its bound reaches nobody: the
+// next call gets its own.
+func TestLateAnswer(t *testing.T) {
+	b := newBed(t)
+	b.client.WholeAnswerMillis = 200
+	release := make(chan struct{})
+	s := masticfake.NewService("lookups", masticfake.WithRelease(release))
+	b.addService(masticview.Service{Name: "lookups", Repeatable: true}, s)
+	b.start()
+	r := b.send(http.MethodGet, "/services/lookups/first", "")
+	b.c.Assert(r.detail(b.c).Kind, qt.Equals, masticerror.KindBackendFailed)
+	close(release)
+	r = b.send(http.MethodGet, "/services/lookups/second", "")
+	b.c.Assert(string(r.body), qt.Equals, `{"service":"lookups","order":"second"}`)
+	b.c.Assert(b.engine.Counters().Late.Load(), qt.Equals, int64(1))
+}
