Charge a prefill elsewhere than at a home of its prefix

Cause: members' histories lay wherever an engine was free, so a restarted host, which has no beliefs, looked for them in vain. Change: the long class pays one prefill at the mean speed for each token computed off the two homes of the prefix.

--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -24,6 +24,9 @@
 	// evictionCost is what the room of a token in the cache costs others, in prefills of
 	// a token at the mean speed, on a backend server with the mean churn.
 	evictionCost = 1.0
+	// offHomeCost is what a token computed elsewhere than at a home of its prefix costs,
+	// in prefills of a token at the mean speed: no other host would look for it there.
+	offHomeCost = 1.0
 	// unseenTokens is the work before a quick request that a lagged report does not show
 	// on a backend server outside the reserve: a piece is computed half of the time.
 	unseenTokens = masticprompt.PieceTokens / 4
@@ -117,6 +120,7 @@
 	r.lookup = r.beliefs.Lookup(r.lookup, pieces)
 	d.LookUps += min(len(pieces), r.lookup.Looked()+1)
 	found := false
+	homes := p.homes(pieces)
 	kept := r.reserved(p, q.Class)
 	add := func(slot masticcache.Slot, reason Reason) bool {
 		if d.nWeighed == maxCandidates {
@@ -127,6 +131,9 @@
 			return true
 		}
 		c := r.predict(now, slot, reason, q.Class, tokens)
+		if q.Class != masticview.ClassQuick && !slices.Contains(homes, slot) {
+			c.Cost += seconds(offHomeCost * (float64(tokens) - c.Cached) / r.speeds)
+		}
 		if reason == ReasonReserve {
 			c.Credit = warmUpCredit(c, pieces)
 		}
--- /dev/null
+++ b/masticroute/home.go
@@ -0,0 +1,26 @@
+package masticroute
+
+import (
+	"masticladder/masticcache"
+	"masticladder/masticprompt"
+)
+
+// prefixEnd returns the index of the last piece before the prompt's last level, or -1.
+func prefixEnd(pieces []masticprompt.Piece) int {
+	for i := len(pieces) - 1; i >= 0; i-- {
+		if pieces[i].Level < pieces[len(pieces)-1].Level {
+			return i
+		}
+	}
+	return -1
+}
+
+// homes returns the engines where all hosts look for the prompt's longest prefix: all
+// its levels but the last.
+func (p *pool) homes(pieces []masticprompt.Piece) []masticcache.Slot {
+	end := prefixEnd(pieces)
+	if end < 0 {
+		return nil
+	}
+	return p.ring.first(pieces[end].ID.Hash(), homesPerLevel)
+}
