--- a/masticerror/table_test.go
+++ b/masticerror/table_test.go
@@ -50,6 +50,9 @@
 	want, err := os.ReadFile(file)
 	c.Assert(err, qt.IsNil)
 	c.Assert(got, qt.Equals, string(want))
+	page, err := os.ReadFile("../docs/CALLERS.md")
+	c.Assert(err, qt.IsNil)
+	c.Assert(strings.HasSuffix(string(page), got), qt.IsTrue)
 }
 
 func TestNotRun(t *testing.T) {
