Drain until every address answer of any host has run out

Cause: a host retired by an operator counted one address span from when it saw its retirement; another host that saw it later could still hand it out. Change: the wait is the address span and half a second of transit after the announcement is in force, and one view lease span longer where that is not known. Conclusion: no host refuses a caller that holds a valid address answer.

--- a/masticdaemon/announce.go
+++ b/masticdaemon/announce.go
@@ -73,14 +73,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
-	if err := a.publish(ctx, masticview.HostLive); err != nil {
+	if _, err := a.publish(ctx, masticview.HostLive); err != nil {
 		a.log.WithError(err).Warn("announce: not yet")
 	}
 	return false
 }
 
 // publish sets the host's state in the view.
-func (a *announcer) publish(ctx context.Context, state masticview.HostState) error {
+func (a *announcer) publish(ctx context.Context, state masticview.HostState) (masticcall.Published, error) {
 	h := a.host
 	item := &masticproto.Host{
 		Name:    h.Name,
@@ -92,6 +92,5 @@
 		Weight:  h.Weight,
 		State:   string(state),
 	}
-	_, err := a.operator.Publish(ctx, uuid.NewString(), 0, &masticproto.ViewChange{Hosts: []*masticproto.Host{item}})
-	return err
+	return a.operator.Publish(ctx, uuid.NewString(), 0, &masticproto.ViewChange{Hosts: []*masticproto.Host{item}})
 }
--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -166,7 +166,7 @@
 		patientUntil: time.Now().Add(announcePatience),
 		stopped:      make(chan struct{}),
 	}
-	d.drain = newDrainer(d.gate, d.announce, d.log, millis(s.Timing.AddressListMillis), millis(s.Timing.DrainMillis))
+	d.drain = newDrainer(d.gate, d.announce, d.log, millis(s.Timing.AddressListMillis), millis(s.Timing.ViewLeaseMillis), millis(s.Timing.DrainMillis))
 }
 
 func (d *Daemon) callerTLS() (*tls.Config, error) {
--- a/operations_test.go
+++ b/operations_test.go
@@ -79,6 +79,13 @@
 	for _, f := range files {
 		text, _ := os.ReadFile(f)
 		fmt.Fprintf(&b, "== %s\n%s\n", filepath.Base(f), tail(string(text), 2000))
+		for line := range strings.Lines(string(text)) {
+			if strings.Contains(line, "request refused") {
+				b.WriteString(line)
+			}
+		}
 	}
+	load, _ := os.ReadFile(filepath.Join(folder, "load.json"))
+	b.Write(load)
 	return b.String()
 }
