--- a/masticquorum/change.go
+++ b/masticquorum/change.go
@@ -33,7 +33,8 @@
 
 // ProposeMembers appends a member change, which is in force from then on. One change has
 // to be committed, and the leader's first entry too, before the next. A leader cannot demote
-// or remove itself, nor leave fewer voters responsive than a quorum.
+// or remove itself, nor leave fewer voters responsive than a quorum. A voter that loses its
+// folder within the same election timeout can still leave none, so add before you remove.
 // Its kinds of error are notLeader, conflict (try again), noQuorum, notFound and badRequest.
 func (c *Core) ProposeMembers(now time.Time, change Change) error {
 	if c.role != roleLeader {
--- a/masticquorum/core.go
+++ b/masticquorum/core.go
@@ -23,7 +23,10 @@
 	term      uint64
 	vote      candidate
 	bootstrap []*masticproto.Member
-	saved     *masticproto.HardState
+	// savedTerm and savedVote are durable, together with bootstrap where hardSaved is set.
+	savedTerm uint64
+	savedVote candidate
+	hardSaved bool
 	leader    string
 	role      role
 	log       *entryLog
@@ -58,7 +61,6 @@
 		random:   rand.New(rand.NewPCG(s.seed, uint64(len(s.id)))),
 		term:     s.hard.GetTerm(),
 		vote:     candidate{id: s.hard.GetVote(), storage: s.hard.GetVoteStorage()},
-		saved:    s.hard,
 		log:      l,
 		commit:   s.snapshot.GetIndex(),
 		handed:   s.snapshot.GetIndex(),
@@ -66,6 +68,9 @@
 		snapshot: s.snapshot,
 	}
 	c.entries = nil
+	c.savedTerm = c.term
+	c.savedVote = c.vote
+	c.hardSaved = s.hard != nil
 	c.restoreBootstrap()
 	if err := c.restoreLists(); err != nil {
 		return nil, err
@@ -124,6 +129,9 @@
 	if m.GetGroup() != c.group || m.GetTo() != c.id || m.GetFrom() == c.id {
 		return
 	}
+	if m.GetToStorage() != "" && m.GetToStorage() != c.storage {
+		return
+	}
 	switch m.GetKind() {
 	case masticproto.MessageKind_MESSAGE_PRE_VOTE:
 		c.answerPreVote(now, m)
--- a/masticquorum/core_test.go
+++ b/masticquorum/core_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticerror"
 )
 
 func TestSoleVoterLeadsAtOnce(t *testing.T) {
@@ -35,3 +37,73 @@
 	}
 	c.Assert(n.failure, qt.Equals, "")
 }
+
+// isolate cuts a host off in both directions.
+func (n *network) isolate(h *host) {
+	for _, o := range n.hosts {
+		n.blocked[[2]string{h.id, o.id}] = true
+		n.blocked[[2]string{o.id, h.id}] = true
+	}
+}
+
+func TestIsolatedLeaderStepsDown(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, 3, 0)
+	n.run(5 * testElection)
+	old := n.leader()
+	n.isolate(old)
+	n.run(2 * testElection)
+	c.Assert(old.core.role, qt.Not(qt.Equals), roleLeader)
+	_, _, err := old.core.Propose(n.now, nil)
+	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindNotLeader)
+}
+
+func TestReturningHostDoesNotDisturb(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, 3, 0)
+	n.run(5 * testElection)
+	leader := n.leader()
+	term := leader.core.term
+	for _, h := range n.hosts {
+		if h != leader {
+			n.isolate(h)
+			break
+		}
+	}
+	n.run(20 * testElection)
+	clear(n.blocked)
+	n.run(5 * testElection)
+	c.Assert(n.leader().id, qt.Equals, leader.id)
+	c.Assert(leader.core.term, qt.Equals, term)
+}
+
+func (n *network) repaired() bool {
+	return n.intact() && len(memberList{members: n.members}.voters()) == 3
+}
+
+// A host loses its folder and is repaired; right after that another one does, and the
+// third is cut off for a time.
+func TestSecondHostLostRightAfterRepair(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(20) {
+		n := newNetwork(seed, 3, 0)
+		n.run(5 * testElection)
+		n.isolate(n.hosts[1])
+		n.propose("kept")
+		n.run(testElection)
+		n.replaceDisk(n.hosts[0])
+		clear(n.blocked)
+		for range 200 {
+			n.run(testHeartbeat)
+			n.repair()
+			if n.repaired() {
+				break
+			}
+		}
+		c.Assert(n.repaired(), qt.IsTrue)
+		n.replaceDisk(n.hosts[2])
+		n.settle()
+		c.Assert(n.failure, qt.Equals, "")
+		c.Assert(n.repaired(), qt.IsTrue)
+	}
+}
--- a/masticquorum/election.go
+++ b/masticquorum/election.go
@@ -72,16 +72,11 @@
 // answerPreVote tells whether this host would vote for the sender.
 func (c *Core) answerPreVote(now time.Time, m *masticproto.QuorumMessage) {
 	grant := c.mayElect(now) && m.GetTerm() > c.term && c.log.upToDate(m.GetIndex(), m.GetLogTerm())
-	answer := &masticproto.QuorumMessage{
-		Kind:   masticproto.MessageKind_MESSAGE_PRE_VOTE_ANSWER,
-		To:     m.GetFrom(),
-		Term:   m.GetTerm(),
-		Reject: !grant,
-	}
+	term := m.GetTerm()
 	if !grant {
-		answer.Term = c.term
+		term = c.term
 	}
-	c.send(answer)
+	c.sendVoteAnswer(m, masticproto.MessageKind_MESSAGE_PRE_VOTE_ANSWER, term, grant)
 }
 
 // answerVote grants or refuses a vote. A request during the promise to the present leader
@@ -102,11 +97,16 @@
 		c.vote = sender
 		c.resetElection(now)
 	}
+	c.sendVoteAnswer(m, masticproto.MessageKind_MESSAGE_VOTE_ANSWER, c.term, grant)
+}
+
+func (c *Core) sendVoteAnswer(m *masticproto.QuorumMessage, kind masticproto.MessageKind, term uint64, grant bool) {
 	c.send(&masticproto.QuorumMessage{
-		Kind:   masticproto.MessageKind_MESSAGE_VOTE_ANSWER,
-		To:     m.GetFrom(),
-		Term:   c.term,
-		Reject: !grant,
+		Kind:      kind,
+		To:        m.GetFrom(),
+		ToStorage: m.GetStorage(),
+		Term:      term,
+		Reject:    !grant,
 	})
 }
 
--- a/masticquorum/follower.go
+++ b/masticquorum/follower.go
@@ -106,13 +106,14 @@
 		kind = masticproto.MessageKind_MESSAGE_SNAPSHOT_ANSWER
 	}
 	c.send(&masticproto.QuorumMessage{
-		Kind:   kind,
-		To:     m.GetFrom(),
-		Term:   c.term,
-		Index:  index,
-		Reject: reject,
-		Round:  m.GetRound(),
-		Hint:   c.hint(m),
+		Kind:      kind,
+		To:        m.GetFrom(),
+		ToStorage: m.GetStorage(),
+		Term:      c.term,
+		Index:     index,
+		Reject:    reject,
+		Round:     m.GetRound(),
+		Hint:      c.hint(m),
 	})
 }
 
--- a/masticquorum/option.go
+++ b/masticquorum/option.go
@@ -49,6 +49,8 @@
 // WithMembers sets the members that the group starts with, the same on each of them.
 // It has no effect once a hard state, a log or a snapshot exists. The first election
 // needs the vote of every voter of the list. A host that joins later is given none.
+// A host that lost its folder may be given the list again, unless it has one voter alone:
+// such a list founds a new group on any empty folder, so it needs an explicit act.
 func WithMembers(members []*masticproto.Member) Option {
 	return func(s *settings) { s.members = members }
 }
--- a/masticquorum/ready.go
+++ b/masticquorum/ready.go
@@ -1,8 +1,6 @@
 package masticquorum
 
 import (
-	"google.golang.org/protobuf/proto"
-
 	"masticladder/masticerror"
 	"masticladder/masticproto"
 )
@@ -19,8 +17,8 @@
 		Messages:  c.messages[:len(c.messages):len(c.messages)],
 		Committed: c.log.between(c.handed, c.commit),
 	}
-	if hard := c.hardState(); !proto.Equal(hard, c.saved) {
-		r.HardState = hard
+	if c.hardChanged() {
+		r.HardState = c.hardState()
 	}
 	some := r.HardState != nil || r.Snapshot != nil ||
 		len(r.Entries)+len(r.Messages)+len(r.Committed) > 0
@@ -30,7 +28,9 @@
 // Advance tells that the owner has done what r says.
 func (c *Core) Advance(r Ready) {
 	if r.HardState != nil {
-		c.saved = r.HardState
+		c.savedTerm = r.HardState.GetTerm()
+		c.savedVote = candidate{id: r.HardState.GetVote(), storage: r.HardState.GetVoteStorage()}
+		c.hardSaved = true
 	}
 	c.messages = c.messages[len(r.Messages):]
 	if len(c.messages) == 0 {
@@ -63,6 +63,14 @@
 	}
 }
 
+// hardChanged reports whether the hard state differs from the durable one.
+func (c *Core) hardChanged() bool {
+	if !c.hardSaved && len(c.bootstrap) > 0 {
+		return true
+	}
+	return c.term != c.savedTerm || c.vote != c.savedVote
+}
+
 func (c *Core) hardState() *masticproto.HardState {
 	h := &masticproto.HardState{Term: c.term, Vote: c.vote.id, VoteStorage: c.vote.storage}
 	if len(c.bootstrap) > 0 {
