Check the store with crashes at any operation and damage at any byte

Cause: the files had one test with the operating system's folder only.

The unreadable last record of the log is always taken for an interrupted write, and a last segment that is missing as a whole file is not noticed.

--- /dev/null
+++ b/masticstore/fakefiles_test.go
@@ -0,0 +1,165 @@
+package masticstore
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+)
+
+var errCrash = errors.New("crash")
+
+// fakeFiles is a folder that loses what was not synced when it crashes at an operation.
+type fakeFiles struct {
+	// names is what a process sees; durableNames is what outlives a crash.
+	names        map[string]*fakeFile
+	durableNames map[string]*fakeFile
+	locked       bool
+	operations   int
+	// crashAt is the operation from which on all fail; zero is never.
+	crashAt int
+	syncs   int
+}
+
+type fakeFile struct {
+	files   *fakeFiles
+	content []byte
+	durable []byte
+}
+
+func newFakeFiles() *fakeFiles {
+	return &fakeFiles{names: make(map[string]*fakeFile), durableNames: make(map[string]*fakeFile)}
+}
+
+func (f *fakeFiles) step() error {
+	f.operations++
+	if f.crashAt > 0 && f.operations >= f.crashAt {
+		return errCrash
+	}
+	return nil
+}
+
+// reboot returns the folder after a crash: each unsynced name is lost or not, and of
+// unsynced content any part arrived, perhaps as zeros.
+func (f *fakeFiles) reboot(random *rand.Rand) *fakeFiles {
+	after := newFakeFiles()
+	all := maps.Clone(f.durableNames)
+	for _, name := range slices.Sorted(maps.Keys(f.names)) {
+		if f.durableNames[name] == nil && random.IntN(2) == 0 {
+			all[name] = f.names[name]
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.durableNames)) {
+		if f.names[name] == nil && random.IntN(2) == 0 {
+			delete(all, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		after.put(name, all[name].survivor(random))
+	}
+	return after
+}
+
+func (f *fakeFile) survivor(random *rand.Rand) []byte {
+	if len(f.content) < len(f.durable) {
+		return slices.Clone([][]byte{f.content, f.durable}[random.IntN(2)])
+	}
+	rest := slices.Clone(f.content[len(f.durable):])
+	rest = rest[:random.IntN(len(rest)+1)]
+	if random.IntN(2) == 0 {
+		clear(rest[random.IntN(len(rest)+1):])
+	}
+	return append(slices.Clone(f.durable), rest...)
+}
+
+// put stores a durable file.
+func (f *fakeFiles) put(name string, content []byte) {
+	file := &fakeFile{files: f, content: slices.Clone(content), durable: slices.Clone(content)}
+	f.names[name] = file
+	f.durableNames[name] = file
+}
+
+// clone returns a folder with the same files, all durable.
+func (f *fakeFiles) clone() *fakeFiles {
+	c := newFakeFiles()
+	for name, file := range f.names {
+		c.put(name, file.content)
+	}
+	return c
+}
+
+func (f *fakeFiles) Lock(string) (io.Closer, error) {
+	if f.locked {
+		return nil, errors.New("in use")
+	}
+	f.locked = true
+	return f, nil
+}
+
+func (f *fakeFiles) Close() error {
+	f.locked = false
+	return nil
+}
+
+func (f *fakeFiles) List() ([]string, error) { return slices.Sorted(maps.Keys(f.names)), f.step() }
+
+func (f *fakeFiles) Read(name string) ([]byte, error) {
+	return slices.Clone(f.names[name].content), f.step()
+}
+
+func (f *fakeFiles) Create(name string) (File, error) {
+	if err := f.step(); err != nil {
+		return nil, err
+	}
+	f.names[name] = &fakeFile{files: f}
+	return f.names[name], nil
+}
+
+func (f *fakeFiles) Append(name string, size int64) (File, error) {
+	if err := f.step(); err != nil {
+		return nil, err
+	}
+	f.names[name].content = f.names[name].content[:size]
+	return f.names[name], nil
+}
+
+func (f *fakeFiles) Replace(name string, content []byte) error {
+	if err := f.step(); err != nil {
+		return err
+	}
+	f.put(name, content)
+	return f.Sync()
+}
+
+func (f *fakeFiles) Remove(name string) error {
+	if err := f.step(); err != nil {
+		return err
+	}
+	delete(f.names, name)
+	return nil
+}
+
+func (f *fakeFiles) Sync() error {
+	if err := f.step(); err != nil {
+		return err
+	}
+	f.durableNames = maps.Clone(f.names)
+	return nil
+}
+
+func (f *fakeFile) Write(b []byte) (int, error) {
+	f.content = append(slices.Clone(f.content), b...)
+	return len(b), f.files.step()
+}
+
+func (f *fakeFile) Sync() error {
+	if err := f.files.step(); err != nil {
+		return err
+	}
+	f.files.syncs++
+	f.durable = slices.Clone(f.content)
+	return nil
+}
+
+func (f *fakeFile) Close() error { return nil }
--- a/masticstore/load.go
+++ b/masticstore/load.go
@@ -64,6 +64,9 @@
 	return Loaded{Storage: s.storage, Fresh: true}, nil
 }
 
+// maxFirstHeaderBytes is the most that the header of a first segment takes.
+const maxFirstHeaderBytes = 128
+
 // checkUnused allows for what a crash in create leaves: a first segment with at most a header.
 func (s *Store) checkUnused(names []string) error {
 	missing := &DamageError{File: identityFile, Reason: "missing beside a log or a snapshot"}
@@ -77,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	if s.segments[0].number != 1 || len(content) > recordBytes(content) {
+	if s.segments[0].number != 1 || len(content) > maxFirstHeaderBytes {
 		return missing
 	}
 	return nil
--- a/masticstore/record.go
+++ b/masticstore/record.go
@@ -62,14 +62,6 @@
 	return message, binary.LittleEndian.Uint32(b[8:]) == p.checksum(message)
 }
 
-// recordBytes returns the length that the record at the beginning of b claims.
-func recordBytes(b []byte) int {
-	if len(b) < recordHeaderBytes {
-		return recordHeaderBytes
-	}
-	return recordHeaderBytes + int(binary.LittleEndian.Uint32(b[4:]))
-}
-
 // scan calls read with each record of a file and returns the length of the readable part.
 // Only the record that was being written at a crash can be unreadable: with a whole
 // record behind it, it is damaged.
--- a/masticstore/replay.go
+++ b/masticstore/replay.go
@@ -43,14 +43,17 @@
 	return nil
 }
 
-// entry appends an entry; it replaces one of the same index and all after it.
+// entry appends an entry; it replaces one of the same index and all after it. The first
+// entries may be gone with their segments where a snapshot covers them.
 func (r *replay) entry(e *masticproto.Entry) error {
 	switch {
 	case len(r.entries) == 0 && r.reset == nil:
 	case len(r.entries) == 0 && e.GetIndex() != r.reset.GetIndex()+1:
 		return eris.Errorf("entry %d does not follow the snapshot at %d", e.GetIndex(), r.reset.GetIndex())
-	case len(r.entries) > 0 && (e.GetIndex() < r.first() || e.GetIndex() > r.last()+1):
-		return eris.Errorf("entry %d does not join entries %d to %d", e.GetIndex(), r.first(), r.last())
+	case len(r.entries) > 0 && e.GetIndex() > r.last()+1:
+		return eris.Errorf("entry %d does not follow entry %d", e.GetIndex(), r.last())
+	case len(r.entries) > 0 && e.GetIndex() < r.first():
+		r.entries = nil
 	case len(r.entries) > 0:
 		r.entries = r.entries[:e.GetIndex()-r.first()]
 	}
--- a/masticstore/segment.go
+++ b/masticstore/segment.go
@@ -41,8 +41,8 @@
 	return segments, nil
 }
 
-// beginSegment starts a segment with a header that repeats the hard state, so that
-// the segments before it can be removed.
+// beginSegment starts a segment with a header that repeats the hard state, and says whether
+// the log was reset, so that the segments before it can be removed.
 func (s *Store) beginSegment() error {
 	next := segment{number: 1}
 	if n := len(s.segments); n > 0 {
@@ -61,28 +61,29 @@
 	header := &masticproto.StoreRecord{
 		Header: &masticproto.SegmentHeader{Number: next.number, Storage: s.storage},
 		Hard:   s.hard,
+		Reset_: s.needsReset,
 	}
 	if err := s.write(header); err != nil {
 		return err
 	}
+	s.needsReset = nil
 	if err := s.file.Sync(); err != nil {
 		return err
 	}
 	return s.files.Sync()
 }
 
-// removeCovered removes the oldest segments while a snapshot at index covers them.
+// removeCovered removes the oldest segments while a snapshot at index covers them. Each
+// removal is made durable before the next, so that a crash leaves no gap.
 func (s *Store) removeCovered(index uint64) error {
-	removed := false
 	for len(s.segments) > 1 && s.segments[0].maxIndex <= index {
 		if err := s.files.Remove(s.segments[0].name()); err != nil {
 			return err
 		}
+		if err := s.files.Sync(); err != nil {
+			return err
+		}
 		s.segments = s.segments[1:]
-		removed = true
 	}
-	if !removed {
-		return nil
-	}
-	return s.files.Sync()
+	return nil
 }
--- a/masticstore/store.go
+++ b/masticstore/store.go
@@ -153,9 +153,6 @@
 	if err := s.index.add(entries); err != nil {
 		return err
 	}
-	if hard != nil {
-		s.hard = hard
-	}
 	if hard == nil && len(entries) == 0 && s.needsReset == nil {
 		return nil
 	}
@@ -164,6 +161,9 @@
 			return err
 		}
 	}
+	if hard != nil {
+		s.hard = hard
+	}
 	r := &masticproto.StoreRecord{Hard: hard, Reset_: s.needsReset, Entries: entries}
 	if err := s.write(r); err != nil {
 		return err
