--- a/masticfair/scan.go
+++ b/masticfair/scan.go
@@ -4,6 +4,7 @@
 
 // Scan offers up to limit items in the order of service. Each item that take
 // accepts is removed and charged to its workspace; the others keep their places.
+// take must not change the queue.
 func (q *Queue[T]) Scan(limit int, take func(Item[T]) bool) {
 	for _, f := range q.active {
 		f.offered = 0
