Move the reading of JSON objects to a package of its own

Change: masticjson (Object, Members, Elements, Text) with its tests; an Object is changed by With and Without, which copy.

--- a/masticgate/prompt.go
+++ b/masticgate/prompt.go
@@ -3,11 +3,11 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"encoding/json"
 	"hash"
 
 	"masticladder/masticcall"
 	"masticladder/masticerror"
+	"masticladder/masticjson"
 	"masticladder/masticview"
 )
 
@@ -40,42 +40,30 @@
 }
 
 // promptReader takes the prompt's parts out of one kind of request.
-type promptReader func(f fields) ([]masticcall.Level, *masticerror.Error)
+type promptReader func(o masticjson.Object) ([]masticcall.Level, *masticerror.Error)
 
-func readChat(f fields) ([]masticcall.Level, *masticerror.Error) {
-	messages, _ := elements(f["messages"])
+func readChat(o masticjson.Object) ([]masticcall.Level, *masticerror.Error) {
+	messages, _ := masticjson.Elements(o["messages"])
 	if len(messages) == 0 {
 		return nil, masticerror.New(masticerror.KindBadRequest, "the member \"messages\" is missing or empty")
 	}
 	levels := make([]masticcall.Level, 0, len(messages)+1)
-	if raw := f["tools"]; !isNull(raw) {
+	if raw := o["tools"]; !masticjson.IsNull(raw) {
 		levels = append(levels, masticcall.Level{Role: "tools", Text: string(raw)})
 	}
 	for _, raw := range messages {
-		m, ok := members(raw)
+		m, ok := masticjson.Members(raw)
 		if !ok {
 			return nil, masticerror.New(masticerror.KindBadRequest, "a message is no object")
 		}
-		levels = append(levels, masticcall.Level{Role: textOf(m["role"]), Text: textOf(m["content"])})
+		levels = append(levels, masticcall.Level{Role: masticjson.Text(m["role"]), Text: masticjson.Text(m["content"])})
 	}
 	return levels, nil
 }
 
-// textOf returns the text of a value that is a string, else its JSON, and nothing for null.
-func textOf(raw json.RawMessage) string {
-	switch {
-	case isNull(raw):
-		return ""
-	case raw[0] == '"':
-		return unquote(raw)
-	default:
-		return string(raw)
-	}
-}
-
-func readCompletion(f fields) ([]masticcall.Level, *masticerror.Error) {
+func readCompletion(o masticjson.Object) ([]masticcall.Level, *masticerror.Error) {
 	var s string
-	if e := f.read("prompt", &s); e != nil {
+	if e := o.Read("prompt", &s); e != nil {
 		return nil, e
 	}
 	if s == "" {
@@ -87,24 +75,24 @@
 // parsePrompt reads a model request and prepares what the engine gets: always with
 // an output limit, and with the usage asked for.
 func parsePrompt(body []byte, read promptReader, limits Limits, maxOutput int64) (prompt, *masticerror.Error) {
-	f, e := parseFields(body, limits.MaxJSONDepth)
+	o, e := masticjson.Parse(body, limits.MaxJSONDepth)
 	if e != nil {
 		return prompt{}, e
 	}
 	var p prompt
-	if e := p.readOptions(f, maxOutput); e != nil {
+	if e := p.readOptions(o, maxOutput); e != nil {
 		return prompt{}, e
 	}
-	if p.levels, e = read(f); e != nil {
+	if p.levels, e = read(o); e != nil {
 		return prompt{}, e
 	}
 	p.promptTokens = countTokens(p.levels)
 	p.digest = digestOf(p.model, p.levels)
-	p.body = p.engineBody(f)
+	p.body = p.engineBody(o)
 	return p, nil
 }
 
-func (p *prompt) readOptions(f fields, maxOutput int64) *masticerror.Error {
+func (p *prompt) readOptions(o masticjson.Object, maxOutput int64) *masticerror.Error {
 	var options streamOptions
 	n, best := int64(1), int64(1)
 	p.outputTokens = maxOutput
@@ -120,7 +108,7 @@
 		{"max_tokens", &p.outputTokens},
 		{"max_completion_tokens", &p.outputTokens},
 	} {
-		if e := f.read(m.name, m.target); e != nil {
+		if e := o.Read(m.name, m.target); e != nil {
 			return e
 		}
 	}
@@ -137,14 +125,12 @@
 	return nil
 }
 
-func (p *prompt) engineBody(f fields) []byte {
-	delete(f, "max_completion_tokens")
-	delete(f, "stream_options")
-	f.set("max_tokens", p.outputTokens)
+func (p *prompt) engineBody(o masticjson.Object) []byte {
+	o = o.Without("max_completion_tokens", "stream_options").With("max_tokens", p.outputTokens)
 	if p.stream {
-		f.set("stream_options", streamOptions{IncludeUsage: true})
+		o = o.With("stream_options", streamOptions{IncludeUsage: true})
 	}
-	return f.encode()
+	return o.Encode()
 }
 
 func countTokens(levels []masticcall.Level) int64 {
--- a/masticgate/scan.go
+++ b/masticjson/scan.go
@@ -1,4 +1,4 @@
-package masticgate
+package masticjson
 
 import (
 	"bytes"
@@ -73,26 +73,26 @@
 	return i
 }
 
-// members returns the members of an object; of two with one name the last one counts.
-func members(object []byte) (fields, bool) {
+// Members returns the members of an object; of two with one name the last one counts.
+func Members(object []byte) (Object, bool) {
 	i := skipSpace(object, 0)
 	if i >= len(object) || object[i] != '{' {
 		return nil, false
 	}
-	f := make(fields)
+	o := make(Object)
 	for i = skipSpace(object, i+1); i < len(object) && object[i] == '"'; {
 		end := skipString(object, i)
 		name := unquote(object[i:end])
 		i = skipSpace(object, skipSpace(object, end)+1)
 		end = skipValue(object, i)
-		f[name] = object[i:end:end]
+		o[name] = object[i:end:end]
 		i = skipSpace(object, skipSpace(object, end)+1)
 	}
-	return f, true
+	return o, true
 }
 
-// elements returns the elements of an array.
-func elements(array []byte) ([]json.RawMessage, bool) {
+// Elements returns the elements of an array.
+func Elements(array []byte) ([]json.RawMessage, bool) {
 	i := skipSpace(array, 0)
 	if i >= len(array) || array[i] != '[' {
 		return nil, false
--- a/masticgate/scan_test.go
+++ b/masticjson/scan_test.go
@@ -1,4 +1,4 @@
-package masticgate
+package masticjson
 
 import (
 	"encoding/json"
@@ -64,7 +64,7 @@
 		}
 		var object map[string]json.RawMessage
 		isObject := json.Unmarshal(raw, &object) == nil && object != nil
-		f, ok := members(raw)
+		f, ok := Members(raw)
 		if ok != isObject || len(f) != len(object) {
 			t.Fatalf("members of %s: %v, not %v", raw, f, object)
 		}
@@ -75,7 +75,7 @@
 		}
 		var array []json.RawMessage
 		isArray := json.Unmarshal(raw, &array) == nil && array != nil
-		e, ok := elements(raw)
+		e, ok := Elements(raw)
 		if ok != isArray || len(e) != len(array) {
 			t.Fatalf("elements of %s: %s, not %s", raw, e, array)
 		}
@@ -84,8 +84,8 @@
 				t.Fatalf("element %d of %s: %s, not %s", i, raw, e[i], array[i])
 			}
 		}
-		if isObject && !sameJSON(raw, f.encode()) {
-			t.Fatalf("%s was encoded as %s", raw, f.encode())
+		if isObject && !sameJSON(raw, f.Encode()) {
+			t.Fatalf("%s was encoded as %s", raw, f.Encode())
 		}
 		quoted := []byte(text(t))
 		var want string
@@ -110,8 +110,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		raw := []byte(document(t, 3))
 		raw = raw[:rapid.IntRange(0, len(raw)).Draw(t, "cut")]
-		depthOf(raw)
-		f, e := parseFields(raw, 8)
+		depth(raw)
+		f, e := Parse(raw, 8)
 		var object map[string]json.RawMessage
 		if want := json.Unmarshal(raw, &object) == nil && object != nil; (e == nil) != want {
 			t.Fatalf("%q: %v, %v", raw, f, e)
@@ -121,6 +121,6 @@
 
 func TestDepth(t *testing.T) {
 	c := qt.New(t)
-	c.Assert(depthOf([]byte(`{"a":"[[[\"[[","b":[[1],{"c":[]}]}`)), qt.Equals, 4)
-	c.Assert(depthOf([]byte(`"[[`)), qt.Equals, 0)
+	c.Assert(depth([]byte(`{"a":"[[[\"[[","b":[[1],{"c":[]}]}`)), qt.Equals, 4)
+	c.Assert(depth([]byte(`"[[`)), qt.Equals, 0)
 }
