Measure the cost of tokens that come one by one

Cause: with a backend that writes at once, the gate takes many tokens in one read; an engine's tokens come apart. Change: a paced case, in which each token is sent after the caller has the one before; the null backend answers the question for its incarnation without a stream.

--- a/masticgate/cost_test.go
+++ b/masticgate/cost_test.go
@@ -21,6 +21,8 @@
 type nullBackend struct {
 	listener net.Listener
 	tokens   int
+	// pace, when set, is waited for before each event after the first.
+	pace chan struct{}
 }
 
 func (n *nullBackend) loop() {
@@ -78,6 +80,10 @@
 }
 
 func (k *nullConn) answer(id string) error {
+	if id == "" {
+		_, err := io.WriteString(k.conn, "HTTP/1.1 200 OK\r\nX-Server-Incarnation: 1\r\nContent-Length: 0\r\n\r\n")
+		return err
+	}
 	_, err := fmt.Fprintf(k.conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\n"+
 		"X-Server-Incarnation: 1\r\nTransfer-Encoding: chunked\r\n\r\n", id)
 	data := []byte(`{"id":"chatcmpl-1","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"0123abcd "},"finish_reason":null}]}`)
@@ -86,6 +92,9 @@
 		if i == k.backend.tokens {
 			data = []byte(masticstream.EndMark)
 		}
+		if i > 0 && k.backend.pace != nil {
+			<-k.backend.pace
+		}
 		event := masticstream.AppendEvent(nil, id, uint64(i), data)
 		chunk = append(strconv.AppendInt(chunk[:0], int64(len(event)), 16), "\r\n"...)
 		chunk = append(append(chunk, event...), "\r\n"...)
@@ -98,11 +107,11 @@
 }
 
 // benchmarkStream sends one stream after the other to address over one connection.
-func benchmarkStream(b *testing.B, c *qt.C, address, body string) {
+func benchmarkStream(b *testing.B, c *qt.C, address, body string, pace chan struct{}) {
 	conn, err := net.Dial("tcp", address)
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
-	q := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+	q := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nX-Request-Id: direct\r\nContent-Length: %d\r\n\r\n%s",
 		testKey, len(body), body)
 	buffer := make([]byte, 64<<10)
 	b.ReportAllocs()
@@ -113,23 +122,35 @@
 			kept = copy(buffer, buffer[max(0, kept-16):kept])
 			n, err := conn.Read(buffer[kept:])
 			c.Assert(err, qt.IsNil)
+			if pace != nil {
+				for range bytes.Count(buffer[kept:kept+n], []byte("data: {")) {
+					pace <- struct{}{}
+				}
+			}
 			kept += n
 		}
 	}
 }
 
 // BenchmarkStream measures a stream through the gate, and straight from the null
-// backend; the difference is the gate's. Run it with -cpu 1.
+// backend; the difference is the gate's. In a paced one each token is sent after the
+// caller has the one before. Run it with -cpu 1.
 func BenchmarkStream(b *testing.B) {
-	for _, size := range []struct{ prompt, tokens int }{{2_000, 1}, {2_000, 1_001}, {20_000, 1}, {200_000, 1}} {
+	for _, size := range []struct {
+		prompt, tokens int
+		paced          bool
+	}{{2_000, 1, false}, {2_000, 1_001, false}, {2_000, 1_001, true}, {20_000, 1, false}, {200_000, 1, false}} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		c := qt.New(b)
 		c.Assert(err, qt.IsNil)
 		n := &nullBackend{listener: l, tokens: size.tokens}
+		if size.paced {
+			n.pace = make(chan struct{}, size.tokens)
+		}
 		go n.loop()
 		body := chatBody(true, strings.Repeat("x", size.prompt))
-		name := fmt.Sprintf("prompt=%d/tokens=%d", size.prompt, size.tokens)
-		b.Run(name+"/direct", func(b *testing.B) { benchmarkStream(b, c, l.Addr().String(), body) })
+		name := fmt.Sprintf("prompt=%d/tokens=%d/paced=%v", size.prompt, size.tokens, size.paced)
+		b.Run(name+"/direct", func(b *testing.B) { benchmarkStream(b, c, l.Addr().String(), body, n.pace) })
 		b.Run(name+"/gate", func(b *testing.B) {
 			d := newBed(b)
 			d.views.change(func(v masticview.View) masticview.View {
@@ -138,7 +159,7 @@
 				})
 			})
 			d.start()
-			benchmarkStream(b, c, strings.TrimPrefix(d.server.URL, "http://"), body)
+			benchmarkStream(b, c, strings.TrimPrefix(d.server.URL, "http://"), body, n.pace)
 		})
 		c.Assert(l.Close(), qt.IsNil)
 	}
