Send an event on before waiting for the next one

Cause: the gate held an event back while any byte of the next one was there. An engine that sent one event and 8 bytes of the next kept its token from the caller until the bound on silence, 10 s, and then the stream broke (TestEventIsNotHeldBack, seen failing). Change: what was written is sent whenever the stream is about to wait for more, at its end, and before another attempt; the gate no longer guesses from the buffer.

--- a/masticengine/call.go
+++ b/masticengine/call.go
@@ -65,6 +65,8 @@
 	Digest masticview.Digest
 	// Guard, when set, is asked regularly and ends the call with its error.
 	Guard func() error
+	// BeforeWait, when set, is called before a stream waits for more; its error ends the call.
+	BeforeWait func() error
 }
 
 func (c Call) header() http.Header {
--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -116,6 +116,18 @@
 	return f
 }
 
+// beforeWait lets the caller act before the stream waits for more.
+func (x *exchange) beforeWait() *Failure {
+	if x.call.BeforeWait == nil {
+		return nil
+	}
+	if err := x.call.BeforeWait(); err != nil {
+		x.cancel(masticerror.From(err))
+		return x.fail(err)
+	}
+	return nil
+}
+
 func (x *exchange) count(f *Failure) {
 	switch {
 	case context.Cause(x.ctx) == errSilent, f.Err.Kind() == masticerror.KindDeadline:
--- a/masticengine/stream.go
+++ b/masticengine/stream.go
@@ -68,9 +68,6 @@
 // Sequence returns the progress of the answer, to be given to the next attempt.
 func (s *Stream) Sequence() masticstream.Sequence { return s.sequence }
 
-// Buffered reports whether another event may be there without waiting.
-func (s *Stream) Buffered() bool { return s.decoder.Buffered() > 0 }
-
 // Next returns the next event in order, the end mark last, or a *Failure. The
 // event's data is valid until the next call.
 func (s *Stream) Next() (masticstream.Event, error) {
@@ -116,6 +113,9 @@
 }
 
 func (s *Stream) read() *Failure {
+	if f := s.exchange.beforeWait(); f != nil {
+		return f
+	}
 	if !s.waiting {
 		s.waiting = true
 		s.exchange.watch.extend(s.span)
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -33,6 +33,8 @@
 	cachedTokens int64
 	recomputed   int64
 	buffer       []byte
+	// pending is set while an event is written but not yet sent.
+	pending bool
 }
 
 func (g *Gate) serveChat(q *inbound) { g.serveModel(q, readChat) }
--- a/masticgate/relay.go
+++ b/masticgate/relay.go
@@ -69,17 +69,18 @@
 
 func (m *modelCall) call(a masticcall.Assignment) masticengine.Call {
 	return masticengine.Call{
-		Server:    a.Server(),
-		RequestID: m.inbound.id,
-		Method:    http.MethodPost,
-		Path:      m.inbound.request.URL.Path,
-		Header:    http.Header{"Content-Type": {"application/json"}},
-		Body:      m.prompt.body,
-		Priority:  a.Priority(),
-		CacheSalt: a.CacheSalt(),
-		Sequence:  m.sequence,
-		Digest:    m.prompt.digest,
-		Guard:     m.guard,
+		Server:     a.Server(),
+		RequestID:  m.inbound.id,
+		Method:     http.MethodPost,
+		Path:       m.inbound.request.URL.Path,
+		Header:     http.Header{"Content-Type": {"application/json"}},
+		Body:       m.prompt.body,
+		Priority:   a.Priority(),
+		CacheSalt:  a.CacheSalt(),
+		Sequence:   m.sequence,
+		Digest:     m.prompt.digest,
+		Guard:      m.guard,
+		BeforeWait: m.sendPending,
 	}
 }
 
@@ -113,26 +114,24 @@
 		e, err := s.Next()
 		m.sequence = s.Sequence()
 		if err != nil {
+			_ = m.sendPending()
 			return "", failureOf(err)
 		}
 		if first {
 			a.FirstToken(m.inbound.gate.now())
 		}
-		if err := m.pass(e, s.Buffered()); err != nil {
-			return "", &masticengine.Failure{
-				Err:         masticerror.New(masticerror.KindCancelled, "the caller took no more of the answer"),
-				Sent:        true,
-				Incarnation: s.Incarnation(),
-			}
+		if e := m.pass(e); e != nil {
+			return "", &masticengine.Failure{Err: e, Sent: true, Incarnation: s.Incarnation()}
 		}
 		if e.IsEnd() {
+			_ = m.sendPending()
 			return s.Incarnation(), nil
 		}
 	}
 }
 
-// pass gives one event to the caller. It is sent at once unless more follow without waiting.
-func (m *modelCall) pass(e masticstream.Event, more bool) error {
+// pass writes one event for the caller. It is sent before the stream waits for more.
+func (m *modelCall) pass(e masticstream.Event) *masticerror.Error {
 	q := m.inbound
 	if !q.answered {
 		h := q.writer.Header()
@@ -145,13 +144,27 @@
 	}
 	m.buffer = masticstream.AppendEvent(m.buffer[:0], q.id, m.forwarded, e.Data)
 	m.forwarded++
-	if err := q.write(m.buffer); err != nil {
-		return err
+	m.pending = true
+	if q.write(m.buffer) != nil {
+		return errCallerGone()
 	}
-	if more && !e.IsEnd() {
+	return nil
+}
+
+// sendPending sends what was written since the last time.
+func (m *modelCall) sendPending() error {
+	if !m.pending {
 		return nil
 	}
-	return q.flush()
+	m.pending = false
+	if m.inbound.flush() != nil {
+		return errCallerGone()
+	}
+	return nil
+}
+
+func errCallerGone() *masticerror.Error {
+	return masticerror.New(masticerror.KindCancelled, "the caller took no more of the answer")
 }
 
 // isForCaller counts the event, and holds back a usage event that was not asked for.
--- a/masticgate/stream_test.go
+++ b/masticgate/stream_test.go
@@ -1,13 +1,16 @@
 package masticgate
 
 import (
+	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"masticladder/masticfake"
+	"masticladder/masticstream"
 	"masticladder/masticview"
 )
 
@@ -173,3 +176,40 @@
 	b.stream("moulding")
 	b.c.Assert(b.suspects.all(), qt.HasLen, 0)
 }
+
+// partialEngine sends one event and a part of the next, and the rest when it is released.
+type partialEngine struct{ release chan struct{} }
+
+func (p partialEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	if r.URL.Path == "/load" {
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	first := masticstream.AppendEvent(nil, id, 0, []byte(`{"choices":[{"delta":{"content":"first"}}]}`))
+	second := masticstream.AppendEvent(nil, id, 1, []byte(masticstream.EndMark))
+	_, _ = w.Write(append(first, second[:8]...))
+	_ = http.NewResponseController(w).Flush()
+	select {
+	case <-p.release:
+	case <-r.Context().Done():
+	}
+	_, _ = w.Write(second[8:])
+}
+
+// TestEventIsNotHeldBack checks that an event is sent on although a part of the next one is there.
+func TestEventIsNotHeldBack(t *testing.T) {
+	b := newBed(t)
+	p := partialEngine{release: make(chan struct{})}
+	s := b.serve(p)
+	b.views.change(func(v masticview.View) masticview.View {
+		return v.WithServer(masticview.Server{Name: "engine-1", Kind: masticview.ServerEngine, URL: s.URL(), Models: []string{testModel}})
+	})
+	b.start()
+	a := b.openStream(context.Background())
+	close(p.release)
+	rest, err := io.ReadAll(a.Body)
+	b.c.Assert(err, qt.IsNil)
+	b.c.Assert(string(rest), qt.Contains, "[DONE]")
+}
--- a/masticstream/decoder.go
+++ b/masticstream/decoder.go
@@ -81,9 +81,6 @@
 	}
 }
 
-// Buffered returns the number of bytes that no returned event has used.
-func (d *Decoder) Buffered() int { return len(d.buffer) - d.start }
-
 func (d *Decoder) checkBound() error {
 	if len(d.buffer)-d.start >= d.limit {
 		return ErrEventTooLarge
