Let every quota report end its grant

Cause: a report about settled tokens is only sent for a grant that has ended at its holder, so the mark that told reports apart was not needed, and the peers' messages do not carry it. Change: GrantReport has no Ended; the owner charges the grant before it credits what was settled. Conclusion: a peer that sends no settled tokens is still right and only loses the give-back.

--- a/masticquota/bucket.go
+++ b/masticquota/bucket.go
@@ -97,19 +97,9 @@
 	b.charge(id, g.tokens-min(max(returned, 0), g.tokens))
 }
 
-// settle gives back tokens of grant id which its holder admitted and which were not used.
+// settle gives back tokens of grant id, which was charged, that were spent and not used.
 func (b *bucket) settle(id uint64, tokens int64) {
-	if tokens <= 0 {
-		return
-	}
-	i := slices.IndexFunc(b.grants, func(o outstanding) bool { return o.id == id })
-	if i < 0 {
-		b.backlog -= b.credits.credit(id, tokens, b.backlog)
-		return
-	}
-	tokens = min(tokens, b.grants[i].tokens)
-	b.grants[i].tokens -= tokens
-	b.held -= tokens
+	b.backlog -= b.credits.credit(id, tokens, b.backlog)
 }
 
 // span is the lifetime of a grant: at most half the time in which the rate fills the burst.
--- a/masticquota/message.go
+++ b/masticquota/message.go
@@ -33,17 +33,14 @@
 	BurstTokens         int64
 }
 
-// GrantReport is what a holder tells of a grant.
+// GrantReport says that a holder will spend no more of a grant.
 type GrantReport struct {
 	GrantID uint64
 	Term    uint64
-	// Ended states that the holder will spend no more of the grant.
-	Ended bool
-	// ReturnedTokens were not spent; they count only with Ended.
+	// ReturnedTokens were not spent.
 	ReturnedTokens int64
-	// SettledTokens is the sum of the tokens that were spent, turned out not to be used and
-	// can't be spent again by the holder. It only grows, so that a lost or repeated report
-	// does no harm.
+	// SettledTokens is the sum of the tokens that were spent and turned out not to be used.
+	// It only grows, so that a lost or repeated report does no harm.
 	SettledTokens int64
 }
 
--- a/masticquota/owner.go
+++ b/masticquota/owner.go
@@ -145,9 +145,7 @@
 	if p.Term != o.term || p.GrantID == 0 || p.GrantID > o.lastID {
 		return
 	}
-	if p.Ended {
-		b.close(p.GrantID, p.ReturnedTokens)
-	}
+	b.close(p.GrantID, p.ReturnedTokens)
 	if more := p.SettledTokens - b.settled[p.GrantID]; more > 0 {
 		b.noteSettled(p.GrantID, p.SettledTokens)
 		b.settle(p.GrantID, more)
--- a/masticquota/pool.go
+++ b/masticquota/pool.go
@@ -134,14 +134,16 @@
 		i = len(p.settled) - 1
 	}
 	p.settled[i].SettledTokens += tokens
-	same := func(r GrantReport) bool { return r.GrantID == k.grantID && r.Term == k.term && !r.Ended }
+	same := func(r GrantReport) bool {
+		return r.GrantID == k.grantID && r.Term == k.term && r.SettledTokens > 0
+	}
 	p.reports = slices.DeleteFunc(p.reports, same)
 	p.addReport(p.settled[i])
 }
 
 // report notes for the owner that g has ended and what it still holds.
 func (p *pool) report(g held) {
-	p.addReport(GrantReport{GrantID: g.id, Term: g.term, Ended: true, ReturnedTokens: g.tokens})
+	p.addReport(GrantReport{GrantID: g.id, Term: g.term, ReturnedTokens: g.tokens})
 }
 
 func (p *pool) addReport(r GrantReport) {
