Queue while every backend server pauses, and tell failed answers from broken connections

Cause: with every engine in the pause after an error, requests within their rate were refused; a probe that succeeds gave full traffic back to an engine that fails its answers. Change: a request waits up to the time its first token is due for a backend server to become usable; a probe ends only the pause after a broken connection. Tests of scheduler and dispatcher loop.

--- a/masticdispatch/dispatcher_test.go
+++ b/masticdispatch/dispatcher_test.go
@@ -14,6 +14,7 @@
 
 	"masticladder/masticcall"
 	"masticladder/masticerror"
+	"masticladder/masticroute"
 	"masticladder/masticview"
 )
 
@@ -129,3 +130,109 @@
 		c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindDraining)
 	})
 }
+
+// asker asks for one assignment.
+type asker struct {
+	dispatcher *Dispatcher
+	ctx        context.Context
+	request    masticcall.Request
+	assigned   masticcall.Assignment
+	err        error
+}
+
+func (a *asker) run() { a.assigned, a.err = a.dispatcher.Acquire(a.ctx, a.request) }
+
+func longText() string { return string(bytes.Repeat([]byte("saw "), 40000)) }
+
+func TestLeavingServerGetsNothingFromTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		defer b.Stop(nil)
+		first, err := b.Acquire(t.Context(), requestOf("r1", longText()))
+		c.Assert(err, qt.IsNil)
+		waiter := &asker{dispatcher: b.Dispatcher, ctx: t.Context(), request: requestOf("r2", "other")}
+		go waiter.run()
+		synctest.Wait()
+		c.Assert(b.scheduler.Queued(), qt.Equals, 1)
+		v := viewOf(2)
+		s, _ := v.Server("engine0")
+		s.State = masticview.ServerLeaving
+		b.SetView(v.WithServer(s))
+		first.Done(time.Now(), masticcall.Result{})
+		synctest.Wait()
+		c.Assert(waiter.err, qt.IsNil)
+		c.Assert(waiter.assigned.Server().Name, qt.Equals, "engine1")
+	})
+}
+
+func TestQueuedRequestIsSentWhenTheWindowOpens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		defer b.Stop(nil)
+		first, err := b.Acquire(t.Context(), requestOf("r1", longText()))
+		c.Assert(err, qt.IsNil)
+		waiter := &asker{dispatcher: b.Dispatcher, ctx: t.Context(), request: requestOf("r2", "other")}
+		go waiter.run()
+		synctest.Wait()
+		c.Assert(waiter.assigned, qt.IsNil)
+		first.FirstToken(time.Now())
+		synctest.Wait()
+		c.Assert(waiter.err, qt.IsNil)
+		c.Assert(waiter.assigned, qt.IsNotNil)
+	})
+}
+
+func TestCallerThatGoesAwayFreesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		defer b.Stop(nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		for range 50 {
+			a, err := b.Acquire(ctx, requestOf("r1", longText()))
+			if err == nil {
+				a.Done(time.Now(), masticcall.Result{})
+			}
+		}
+		synctest.Wait()
+		c.Assert(b.scheduler.Queued(), qt.Equals, 0)
+		c.Assert(b.asking, qt.HasLen, 0)
+		_, err := b.Acquire(t.Context(), requestOf("r2", longText()))
+		c.Assert(err, qt.IsNil)
+	})
+}
+
+func TestFullInboxIsRefusedAsNotRun(t *testing.T) {
+	c := qt.New(t)
+	d := New(WithSeed(1), WithLog(logrus.NewEntry(&logrus.Logger{Out: io.Discard})))
+	for range inboxLength {
+		d.Probe("engine0", "", true)
+	}
+	_, err := d.Acquire(t.Context(), requestOf("r1", "text"))
+	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindOverloaded)
+	c.Assert(masticerror.From(err).NotRun(), qt.IsTrue)
+	d.Report(masticroute.Report{Server: "engine0"})
+	c.Assert(d.drops.reports.Count(), qt.Equals, int64(1))
+}
+
+func TestSuspectsAreKeptApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 2)
+		defer b.Stop(nil)
+		bad := masticview.DigestOf([]byte("bad"))
+		b.SetSuspects([]masticview.Digest{bad})
+		servers := map[string]bool{}
+		for range 2 {
+			r := requestOf("r", "text")
+			r.Digest = bad
+			a, err := b.Acquire(t.Context(), r)
+			c.Assert(err, qt.IsNil)
+			servers[a.Server().Name] = true
+		}
+		c.Assert(servers, qt.HasLen, 2)
+	})
+}
--- a/mastichealth/health.go
+++ b/mastichealth/health.go
@@ -31,6 +31,8 @@
 	fullFrom time.Time
 	// probing reports that one success is awaited before the slow start begins.
 	probing bool
+	// answering reports that the last failure was an answer, so that a probe says nothing.
+	answering bool
 }
 
 // Incarnation returns the last incarnation that the backend server named.
@@ -58,8 +60,14 @@
 	return max(minShare, 1-float64(left)/float64(slowStartSpan))
 }
 
-// Fail records a connection error, reset or failed probe.
-func (s *Server) Fail(now time.Time) {
+// Break records a connection error, reset or failed probe.
+func (s *Server) Break(now time.Time) { s.fail(now, false) }
+
+// Fail records an answer that failed, although the backend server can be reached.
+func (s *Server) Fail(now time.Time) { s.fail(now, true) }
+
+func (s *Server) fail(now time.Time, answering bool) {
+	s.answering = answering
 	if s.failures > 0 && now.Before(s.downUntil) {
 		return
 	}
@@ -69,7 +77,15 @@
 	s.probing = true
 }
 
-// Succeed records an answer or a successful probe.
+// Confirm records a successful probe. It ends the pause after a connection error; after
+// failed answers only an answer does.
+func (s *Server) Confirm(now time.Time) {
+	if !s.answering {
+		s.Succeed(now)
+	}
+}
+
+// Succeed records an answer.
 func (s *Server) Succeed(now time.Time) {
 	if s.failures == 0 {
 		return
--- a/mastichealth/health_test.go
+++ b/mastichealth/health_test.go
@@ -37,6 +37,19 @@
 	c.Assert(s.downUntil.Sub(now), qt.Equals, maxPause)
 }
 
+func TestProbeEndsOnlyThePauseOfABrokenConnection(t *testing.T) {
+	c := qt.New(t)
+	var broken, failing Server
+	broken.Break(start)
+	failing.Fail(start)
+	broken.Confirm(start)
+	failing.Confirm(start)
+	c.Assert(broken.Usable(start), qt.IsTrue)
+	c.Assert(failing.Usable(start), qt.IsFalse)
+	failing.Succeed(start)
+	c.Assert(failing.Usable(start), qt.IsTrue)
+}
+
 func TestEndedIncarnationIsStale(t *testing.T) {
 	c := qt.New(t)
 	var s Server
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -93,6 +93,9 @@
 	nWeighed int
 }
 
+// Uncached returns the predicted work before the first token, in tokens.
+func (d *Decision) Uncached() int64 { return int64(max(0, float64(d.Tokens)-d.Cached)) }
+
 // Weighed returns all candidates, in the order in which they were found.
 func (d *Decision) Weighed() []Candidate { return d.weighed[:d.nWeighed] }
 
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -136,6 +136,18 @@
 // Serves reports whether an active backend server has model.
 func (r *Router) Serves(model string) bool { return len(r.pools[model]) > 0 }
 
+// Eligible reports whether an active backend server could run q once it is usable.
+func (r *Router) Eligible(q *Query) bool {
+	for _, p := range r.pools[q.Model] {
+		for _, slot := range p.slots {
+			if !slices.Contains(q.Avoid, r.servers[slot].info.Name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Server returns the backend server of slot as the view has it.
 func (r *Router) Server(slot masticcache.Slot) masticview.Server { return r.servers[slot].info }
 
@@ -170,11 +182,11 @@
 		return
 	}
 	if !alive {
-		r.servers[slot].health.Fail(now)
+		r.servers[slot].health.Break(now)
 		return
 	}
 	if r.Incarnate(slot, incarnation) {
-		r.servers[slot].health.Succeed(now)
+		r.servers[slot].health.Confirm(now)
 	}
 }
 
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -96,7 +96,9 @@
 // judge moves the health of s by how work ended.
 func (r *Router) judge(now time.Time, s *server, e End) {
 	switch {
-	case e.Failed || e.ServerEnded:
+	case e.ServerEnded:
+		s.health.Break(now)
+	case e.Failed:
 		s.health.Fail(now)
 	case !e.Partial:
 		s.health.Succeed(now)
--- a/masticschedule/refuse.go
+++ b/masticschedule/refuse.go
@@ -29,14 +29,17 @@
 	return nil
 }
 
-// shed returns why a request should come back later, or nil. Only a request whose
-// own workspace has filled its fair part of the queue is shed before its deadline.
+// shed returns why a request should come back later, or nil. A request within its rate
+// is served late rather than refused, so only one that cannot end by its deadline is shed.
 func (s *Scheduler) shed(now time.Time, w *waiting, d *masticroute.Decision) *masticerror.Error {
 	if s.queue.Len() >= maxQueued {
 		return masticerror.New(masticerror.KindOverloaded, "the queue of this host is full")
 	}
 	r := w.request
 	wait := s.router.Drain(r.Model, s.queue.Ahead(r.Workspace, r.Weight, head(r.Class)))
+	if w.unusable {
+		return nil
+	}
 	due := now.Add(wait + d.Predicted())
 	if !r.Deadline.IsZero() && due.After(r.Deadline) {
 		return s.overloaded(due.Sub(r.Deadline))
@@ -49,14 +52,29 @@
 		WithRetryAfter(max(late, time.Second))
 }
 
-// expire refuses waiting requests whose deadline has passed.
+func noServer(model string) *masticerror.Error {
+	return masticerror.New(masticerror.KindNoServer, "no usable backend server for model %q", model)
+}
+
+// expire refuses waiting requests whose deadline has passed, and those whose first token
+// is due while no backend server is usable.
 func (s *Scheduler) expire(now time.Time) {
-	for _, i := range s.queue.RemoveFunc(func(i item) bool {
-		d := i.Value.request.Deadline
-		return !d.IsZero() && !now.Before(d)
-	}) {
-		s.fail(i.Value.ticket, masticerror.New(masticerror.KindDeadline, "deadline passed in the queue"))
+	for _, i := range s.queue.RemoveFunc(func(i item) bool { return i.Value.expired(now) }) {
+		w := i.Value
+		if w.unusable {
+			s.fail(w.ticket, noServer(w.request.Model))
+			continue
+		}
+		s.fail(w.ticket, masticerror.New(masticerror.KindDeadline, "deadline passed in the queue"))
+	}
+}
+
+func (w *waiting) expired(now time.Time) bool {
+	r := w.request
+	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+		return true
 	}
+	return w.unusable && !now.Before(r.FirstTokenBy)
 }
 
 // unservable refuses waiting requests that no active backend server can run.
--- a/masticschedule/scan.go
+++ b/masticschedule/scan.go
@@ -25,6 +25,7 @@
 	w.query.Suspect = s.suspects[w.request.Digest]
 	w.query.Waited = now.Sub(w.queuedAt)
 	d, ok := s.router.Decide(now, &w.query)
+	w.unusable = !ok
 	if !ok || !d.Open {
 		return false
 	}
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -46,6 +46,8 @@
 	request  masticcall.Request
 	query    masticroute.Query
 	queuedAt time.Time
+	// unusable reports that no backend server was usable when the request was last weighed.
+	unusable bool
 }
 
 // running is a request on a backend server.
@@ -102,24 +104,29 @@
 		Model: r.Model, Workspace: r.Workspace, Class: r.Class, Prompt: p,
 		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Suspect: s.suspects[r.Digest],
 	}}
-	d, ok := s.router.Decide(now, &w.query)
-	if !ok {
-		s.fail(t, masticerror.New(masticerror.KindNoServer, "no usable backend server for model %q", r.Model))
+	if !s.router.Eligible(&w.query) {
+		s.fail(t, noServer(r.Model))
 		return
 	}
+	d, ok := s.router.Decide(now, &w.query)
+	w.unusable = !ok
 	if err := s.shed(now, w, &d); err != nil {
 		s.fail(t, err)
 		return
 	}
-	s.push(w, &d)
+	tokens := max(p.Tokens(), r.PromptTokens)
+	if ok {
+		tokens = d.Uncached()
+	}
+	s.push(w, tokens)
 	s.scan(now)
 }
 
-func (s *Scheduler) push(w *waiting, d *masticroute.Decision) {
+func (s *Scheduler) push(w *waiting, tokens int64) {
 	r := w.request
 	s.queue.Push(masticfair.Item[*waiting]{
 		Workspace: r.Workspace, Weight: r.Weight, Deadline: r.FirstTokenBy,
-		Tokens: int64(max(1, float64(d.Tokens)-d.Cached)), Head: head(r.Class), Value: w,
+		Tokens: max(1, tokens), Head: head(r.Class), Value: w,
 	})
 }
 
