Make the leaving test of the dispatcher fail when a leaving server is kept

Cause: with leaving servers kept active the test passed, since the other one was idle. Change: a request whose prefix the leaving server holds must go elsewhere. Seen to fail with leaving servers kept active. Conclusion: stricter.

--- a/masticdispatch/dispatcher_test.go
+++ b/masticdispatch/dispatcher_test.go
@@ -163,6 +163,9 @@
 		synctest.Wait()
 		c.Assert(waiter.err, qt.IsNil)
 		c.Assert(waiter.assigned.Server().Name, qt.Equals, "engine1")
+		again, err := b.Acquire(t.Context(), requestOf("r3", longText()))
+		c.Assert(err, qt.IsNil)
+		c.Assert(again.Server().Name, qt.Equals, "engine1", qt.Commentf("engine0 has the prefix and is leaving"))
 	})
 }
 
