Let lost removals fall on old pieces only, and learn the half-life from removals

Cause: a gap in the events made all beliefs about a cache worth less alike; caches evict what was not used for long. The half-life of unconfirmed beliefs stayed near its start. Change: a gap counts by the square of the age in half-lives, up to one; each removal seen moves the half-life towards the age of the piece.

--- a/masticcache/event.go
+++ b/masticcache/event.go
@@ -77,7 +77,7 @@
 		}
 		b.list(slot, h)
 	case Removed:
-		b.unlist(slot, e.Piece)
+		b.unlist(now, slot, e.Piece)
 	case Cleared:
 		b.clear(slot)
 	}
@@ -101,12 +101,13 @@
 }
 
 // unlist drops the belief that slot has the piece.
-func (b *Beliefs) unlist(slot Slot, id masticprompt.PieceID) {
+func (b *Beliefs) unlist(now time.Time, slot Slot, id masticprompt.PieceID) {
 	r, ok := b.pieces[id]
 	if !ok {
 		return
 	}
 	if h := r.find(slot, b.server(slot).epoch); h != nil {
+		b.server(slot).removed(now.Sub(h.at))
 		b.forget(*h)
 	}
 	r.remove(slot)
--- a/masticcache/server.go
+++ b/masticcache/server.go
@@ -13,6 +13,8 @@
 	// hitGrowth and missShrink move the half-life after a belief proved right or wrong.
 	hitGrowth  = 1.05
 	missShrink = 0.8
+	// removalGain is the weight of one removal in the half-life.
+	removalGain = 0.05
 	// removedShare is the share of removals among the events of a full cache.
 	removedShare = 0.5
 	// churnHalfLife is the half-life of the count of stored pieces.
@@ -56,10 +58,18 @@
 
 // worth returns the likelihood, 0 to 1, that the belief h still holds.
 func (s *server) worth(now time.Time, h *holder) float64 {
+	age := float64(max(0, now.Sub(h.at))) / float64(s.halfLife)
 	if h.listed && now.Sub(s.lastEvent) <= streamSilence {
-		return math.Exp(h.doubt - s.doubt)
+		// The cache evicts what was not used for long, so lost removals were not of young pieces.
+		return math.Exp((h.doubt - s.doubt) * min(1, age*age))
 	}
-	return math.Exp2(-float64(max(0, now.Sub(h.at))) / float64(s.halfLife))
+	return math.Exp2(-age)
+}
+
+// removed learns the half-life from the age at which a piece was removed.
+func (s *server) removed(age time.Duration) {
+	s.halfLife += time.Duration(removalGain * float64(age-s.halfLife))
+	s.halfLife = min(maxHalfLife, max(minHalfLife, s.halfLife))
 }
 
 // miss records that events were lost: each listed piece may have been removed by one of them.
