Learn the half-life from what a request really puts to the test

Cause: a belief was judged after the request itself had refreshed it, so every age was the request's own duration. Change: the decision keeps the age and length of the longest belief without an event, and the reported cached tokens judge that. Seen to fail with the trial not learned.

--- a/masticcache/beliefs.go
+++ b/masticcache/beliefs.go
@@ -91,20 +91,19 @@
 	}
 }
 
-// Observe corrects the beliefs about slot by the number of cached tokens that it
-// reported for a request whose pieces were last used at the times now believed.
-func (b *Beliefs) Observe(now time.Time, slot Slot, epoch Epoch, pieces []masticprompt.Piece, cachedTokens int64) {
+// Trial is a belief without an event that a request puts to the test.
+type Trial struct {
+	// Age is the time since the last use that was believed in.
+	Age time.Duration
+	// Tokens is the length of the prompt through the piece; zero is no trial.
+	Tokens int64
+}
+
+// Observe learns from the number of cached tokens that slot reported for a trial.
+func (b *Beliefs) Observe(slot Slot, epoch Epoch, t Trial, cachedTokens int64) {
 	s := b.server(slot)
-	if epoch != s.epoch {
-		return
-	}
-	for _, p := range pieces {
-		cachedTokens -= p.Tokens
-		h := b.find(p.ID, slot, s.epoch)
-		if h == nil {
-			continue
-		}
-		s.learn(now.Sub(h.at), cachedTokens >= 0)
+	if epoch == s.epoch && t.Tokens > 0 {
+		s.learn(t.Age, cachedTokens >= t.Tokens)
 	}
 }
 
@@ -143,11 +142,3 @@
 	r.holders[victim] = added
 	return &r.holders[victim]
 }
-
-func (b *Beliefs) find(id masticprompt.PieceID, slot Slot, epoch Epoch) *holder {
-	r, ok := b.pieces[id]
-	if !ok {
-		return nil
-	}
-	return r.find(slot, epoch)
-}
--- a/masticcache/beliefs_test.go
+++ b/masticcache/beliefs_test.go
@@ -165,3 +165,16 @@
 	c.Assert(l.Cached(start, 0), qt.Equals, 100.0)
 	c.Assert(l.Cached(start.Add(startHalfLife), 0), qt.Equals, 50.0)
 }
+
+func TestTrialsTeachTheHalfLife(t *testing.T) {
+	c := qt.New(t)
+	for _, cached := range []int64{200, 100} {
+		b := New()
+		b.Touch(start, 0, b.Epoch(0), piecesOf(2))
+		trial := b.Lookup(Lookup{}, piecesOf(2)).Trial(start.Add(startHalfLife), 0)
+		c.Assert(trial, qt.Equals, Trial{Age: startHalfLife, Tokens: 200})
+		b.Observe(0, b.Epoch(0), trial, cached)
+		c.Assert(b.servers[0].halfLife > startHalfLife, qt.Equals, cached == 200)
+		c.Assert(b.servers[0].halfLife < startHalfLife, qt.Equals, cached == 100)
+	}
+}
--- a/masticcache/lookup.go
+++ b/masticcache/lookup.go
@@ -66,3 +66,25 @@
 		}
 	}
 }
+
+// Trial returns the belief without an event that a request of the prompt on slot puts
+// to the test: the one about the longest prefix.
+func (l Lookup) Trial(now time.Time, slot Slot) Trial {
+	var t Trial
+	s, ok := l.beliefs.servers[slot]
+	if !ok {
+		return t
+	}
+	var through int64
+	for i, r := range l.records {
+		h := r.find(slot, s.epoch)
+		if h == nil {
+			break
+		}
+		through += l.pieces[i].Tokens
+		if !h.listed {
+			t = Trial{Age: max(0, now.Sub(h.at)), Tokens: through}
+		}
+	}
+	return t
+}
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -88,6 +88,7 @@
 	Pieces   []masticprompt.Piece
 	Tokens   int64
 	Ahead    float64
+	Trial    masticcache.Trial
 	LookUps  int
 	weighed  [maxCandidates]Candidate
 	nWeighed int
@@ -146,6 +147,7 @@
 			d.Candidate = c
 			d.Pieces = pieces
 			d.Tokens = tokens
+			d.Trial = r.lookup.Trial(now, slot)
 			found = true
 		}
 		return true
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -215,6 +215,7 @@
 	Ahead float64
 	// Tokens is the length of the prompt.
 	Tokens  int64
+	Trial   masticcache.Trial
 	Pieces  []masticprompt.Piece
 	Suspect bool
 	// StartedAt is when the work was sent.
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -17,7 +17,7 @@
 func (r *Router) Start(now time.Time, q *Query, d *Decision) Work {
 	w := Work{
 		Slot: d.Slot, Epoch: r.beliefs.Epoch(d.Slot), Class: q.Class,
-		Uncached: max(0, float64(d.Tokens)-d.Cached), Ahead: d.Ahead, Tokens: d.Tokens,
+		Uncached: max(0, float64(d.Tokens)-d.Cached), Ahead: d.Ahead, Tokens: d.Tokens, Trial: d.Trial,
 		Pieces: d.Pieces, Suspect: q.Suspect, StartedAt: now,
 	}
 	s := r.servers[w.Slot]
@@ -111,7 +111,7 @@
 		s.load.measure(float64(w.Tokens-e.CachedTokens), w.FirstTokenAt.Sub(w.StartedAt), w.Ahead == 0)
 		r.learnSpeeds(s.load.speed)
 	}
-	r.beliefs.Observe(now, w.Slot, w.Epoch, w.Pieces, e.CachedTokens)
+	r.beliefs.Observe(w.Slot, w.Epoch, w.Trial, e.CachedTokens)
 }
 
 // learnSpeeds moves the mean of all speeds, which stands in for an unknown one.
