--- /dev/null
+++ b/masticstate/state_test.go
@@ -0,0 +1,87 @@
+package masticstate
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticerror"
+	"masticladder/masticproto"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "80")
+}
+
+func workspaceChange(name string, rate int64) *masticproto.ViewChange {
+	return &masticproto.ViewChange{Workspaces: []*masticproto.Workspace{{
+		Name: name, Owner: "association", RateTokensPerSecond: rate, BurstTokens: 10 * rate,
+	}}}
+}
+
+func publishCommand(at int64, id string, base uint64, c *masticproto.ViewChange) *masticproto.Command {
+	p := &masticproto.Publish{RequestId: id, BaseRevision: base, Change: c}
+	return &masticproto.Command{AtUnixMs: at, Kind: &masticproto.Command_Publish{Publish: p}}
+}
+
+func TestPublishRule(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	first := s.Apply(1, publishCommand(1, "a", 0, workspaceChange("mill", 1))).(PublishResult)
+	c.Assert(first, qt.Equals, PublishResult{Revision: 1})
+	next := s.Apply(2, publishCommand(2, "b", 1, workspaceChange("mill", 2))).(PublishResult)
+	c.Assert(next, qt.Equals, PublishResult{Revision: 2})
+	again := s.Apply(3, publishCommand(3, "a", 0, workspaceChange("mill", 1))).(PublishResult)
+	c.Assert(again, qt.Equals, PublishResult{Revision: 1, Repeated: true})
+	other := s.Apply(4, publishCommand(4, "a", 0, workspaceChange("mill", 3))).(PublishResult)
+	c.Assert(masticerror.KindOf(other.Err), qt.Equals, masticerror.KindConflict)
+	late := s.Apply(5, publishCommand(5, "c", 1, workspaceChange("mill", 4))).(PublishResult)
+	c.Assert(masticerror.KindOf(late.Err), qt.Equals, masticerror.KindConflict)
+	c.Assert(late.Revision, qt.Equals, uint64(2))
+	w, _ := s.View().Workspace("mill")
+	c.Assert(w.RateTokensPerSecond, qt.Equals, int64(2))
+}
+
+// TestCheckpointsKeepTheirOrder sees that a checkpoint that is committed again later does
+// not replace a newer one.
+func TestCheckpointsKeepTheirOrder(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	checkpoint := func(index, term, sequence uint64, used int64) bool {
+		q := &masticproto.QuotaCheckpoint{Term: term, Sequence: sequence, Levels: []*masticproto.QuotaLevel{{Workspace: "mill", UsedTokens: used}}}
+		return s.Apply(index, &masticproto.Command{Kind: &masticproto.Command_Quota{Quota: q}}).(QuotaResult).Applied
+	}
+	c.Assert(checkpoint(1, 2, 1, 10), qt.IsTrue)
+	c.Assert(checkpoint(2, 2, 2, 50), qt.IsTrue)
+	c.Assert(checkpoint(3, 2, 1, 10), qt.IsFalse)
+	c.Assert(checkpoint(4, 1, 9, 10), qt.IsFalse)
+	c.Assert(s.QuotaBounds(), qt.DeepEquals, map[string]int64{"mill": 50})
+}
+
+func TestDeltasFeedAView(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	v := s.View()
+	for i := range uint64(MaxDeltas + 1) {
+		s.Apply(i+1, publishCommand(1, fmt.Sprint(i), 0, workspaceChange("mill", int64(i+1))))
+		if i == 2 {
+			deltas, ok := s.Deltas(0)
+			c.Assert(ok, qt.IsTrue)
+			for _, d := range deltas {
+				var err error
+				v, err = v.ApplyDelta(d)
+				c.Assert(err, qt.IsNil)
+			}
+			c.Assert(v.Revision(), qt.Equals, s.View().Revision())
+		}
+	}
+	_, ok := s.Deltas(0)
+	c.Assert(ok, qt.IsFalse)
+	deltas, ok := s.Deltas(1)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(deltas, qt.HasLen, MaxDeltas)
+}
