Measure the policy without cache events

Cause: the daemon does not yet feed cache events, so this is what runs today. Change: a scenario in which every batch is lost; no other row changes.

--- a/masticmeasure/scenario.go
+++ b/masticmeasure/scenario.go
@@ -42,5 +42,6 @@
 	{name: "hostCrash", loud: -1, loss: eventLoss, hostCrash: true},
 	{name: "herdRestart", loud: -1, loss: eventLoss, herd: true},
 	{name: "eventGaps", loud: -1, loss: 0.3},
+	{name: "noEvents", loud: -1, loss: 1},
 	{name: "slowServers", loud: -1, loss: eventLoss, slow: 3},
 }
