Never say 'not run' of an order that may have run before

Cause: an order that is sent again to a host that drains, or has no lease, was refused as 'not run', although its first sending may have run elsewhere. A caller that takes the refusal for the order books a second time. Figures: TestRefusedResend failed before the change and passes with it.

--- a/masticgate/answer.go
+++ b/masticgate/answer.go
@@ -62,11 +62,26 @@
 
 // refuse answers e, counts it and logs it.
 func (q *inbound) refuse(e *masticerror.Error) {
+	if q.mayHaveRunBefore() {
+		e = e.WithSent()
+	}
 	q.count(e)
 	q.answerError(e)
 	q.logEnd(e, "")
 }
 
+// mayHaveRunBefore reports whether the request is an order with an idempotency key whose
+// record was not looked at: an earlier sending of it may have run, so a refusal of this
+// one does not say "not run".
+func (q *inbound) mayHaveRunBefore() bool {
+	name := q.request.PathValue("name")
+	if name == "" || q.request.Header.Get(HeaderIdempotencyKey) == "" {
+		return false
+	}
+	s, ok := q.gate.views.View().Service(name)
+	return !ok || !s.Repeatable
+}
+
 func (q *inbound) answerError(e *masticerror.Error) {
 	if d := e.RetryAfter(); d > 0 {
 		q.writer.Header().Set("Retry-After", retrySeconds(d))
--- a/masticgate/order_test.go
+++ b/masticgate/order_test.go
@@ -255,3 +255,20 @@
 	b.c.Assert(string(r.body), qt.Equals, `{"service":"lookups","order":"second"}`)
 	b.c.Assert(b.engine.Counters().Late.Load(), qt.Equals, int64(1))
 }
+
+// TestRefusedResend checks that a refusal before the record was looked at does not say
+// "not run" of an order that an earlier sending may have run.
+func TestRefusedResend(t *testing.T) {
+	b := newBed(t)
+	b.addOrders(masticfake.NewService("orders"))
+	b.addService(masticview.Service{Name: "lookups", Repeatable: true}, masticfake.NewService("lookups"))
+	b.start()
+	b.c.Assert(b.order("o1", HeaderIdempotencyKey, "k1").status, qt.Equals, http.StatusOK)
+	for _, end := range []func(){b.views.endLease, b.gate.Drain} {
+		end()
+		b.c.Assert(b.order("o1", HeaderIdempotencyKey, "k1").detail(b.c).NotRun, qt.IsFalse)
+		b.c.Assert(b.order("o1").detail(b.c).NotRun, qt.IsTrue)
+		r := b.send(http.MethodGet, "/services/lookups/a", "", HeaderIdempotencyKey, "k1")
+		b.c.Assert(r.detail(b.c).NotRun, qt.IsTrue)
+	}
+}
