--- a/masticgate/identity_test.go
+++ b/masticgate/identity_test.go
@@ -129,6 +129,7 @@
 // TestWithdrawnCutsStream checks that a running stream ends with an error event when
 // its key is withdrawn, also while the engine is silent.
 func TestWithdrawnCutsStream(t *testing.T) {
+	t.Parallel()
 	b := newBed(t)
 	e, _ := b.addEngine("engine-1")
 	e.SetMode(masticfake.ModeStall)
