Report an ended incarnation also when the next one was seen first

Cause: when an engine came back and answered another request before the broken ones were looked into, the end of its old incarnation was not reported, so the request that ended it stayed unsuspected. Two watchdogs of one request could also share a guard's state. Change: each server's last 8 ended incarnations are remembered in place of a comparison with the present one; each attempt has a guard of its own.

--- a/masticengine/incarnation.go
+++ b/masticengine/incarnation.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"masticladder/masticview"
 )
 
+// maxEnded is the number of ended incarnations that are remembered for each server.
+const maxEnded = 8
+
 // serverState is what is known of one model engine.
 type serverState struct {
 	incarnation string
 	known       bool
-	// ended is the last incarnation that was reported as ended.
-	ended   string
+	// ended are the last incarnations that were reported as ended, the newest last.
+	ended   []string
 	running map[*runningCall]struct{}
 }
 
@@ -77,9 +81,20 @@
 	return nil
 }
 
+// markEnded remembers that the end of an incarnation was reported.
+func (s *serverState) markEnded(incarnation string) {
+	if len(s.ended) == maxEnded {
+		s.ended = slices.Delete(s.ended, 0, 1)
+	}
+	s.ended = append(s.ended, incarnation)
+	if s.incarnation == incarnation {
+		s.known = false
+	}
+}
+
 // learned takes an incarnation, unless its end was reported.
 func (s *serverState) learned(incarnation string) {
-	if incarnation != "" && incarnation == s.ended {
+	if slices.Contains(s.ended, incarnation) {
 		return
 	}
 	s.incarnation, s.known = incarnation, true
@@ -119,10 +134,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.stateOf(r.server)
-	if !s.known || s.incarnation != r.incarnation {
+	if r.incarnation == "" || slices.Contains(s.ended, r.incarnation) {
 		return nil, false
 	}
-	s.known, s.ended = false, s.incarnation
+	s.markEnded(r.incarnation)
 	seen := make(map[masticview.Digest]struct{}, len(s.running))
 	var digests []masticview.Digest
 	for other := range s.running {
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -18,7 +18,6 @@
 	inbound *inbound
 	prompt  prompt
 	request masticcall.Request
-	guard   func() error
 	// sequence is the progress of a streamed answer.
 	sequence masticstream.Sequence
 	// forwarded counts the events that the caller got.
@@ -102,7 +101,6 @@
 	return &modelCall{
 		inbound:  q,
 		prompt:   p,
-		guard:    q.gate.guard(q.identity, p.allowedBy),
 		sequence: masticstream.NewSequence(q.id),
 		request: masticcall.Request{
 			ID:           q.id,
