Tell the ends of an engine apart that names no incarnation

Cause: an engine without X-Server-Incarnation was never reported as ended. Change: its runs are numbered here; while it answers it counts as alive.

--- a/masticengine/incarnation.go
+++ b/masticengine/incarnation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 
@@ -18,6 +19,8 @@
 	// ended are the last incarnations that were reported as ended, the newest last.
 	ended   []string
 	running map[*runningCall]struct{}
+	// unnamed counts the runs of a server that does not name its incarnations.
+	unnamed int
 }
 
 // runningCall is a call that an engine may be working on.
@@ -56,6 +59,9 @@
 func (c *Client) saw(r *runningCall, incarnation string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if incarnation == "" {
+		return
+	}
 	r.incarnation = incarnation
 	c.stateOf(r.server).learned(incarnation)
 }
@@ -94,6 +100,10 @@
 
 // learned takes an incarnation, unless its end was reported.
 func (s *serverState) learned(incarnation string) {
+	if incarnation == "" && !s.known {
+		incarnation = fmt.Sprintf("unnamed-%d", s.unnamed)
+		s.unnamed++
+	}
 	if slices.Contains(s.ended, incarnation) {
 		return
 	}
@@ -117,10 +127,10 @@
 }
 
 // checkEnded finds out after a broken connection whether the server's incarnation
-// ended. The first call to find out reports all digests that were running.
+// ended. A server that answers without naming its incarnation counts as alive. The first call to find out reports all digests that were running.
 func (c *Client) checkEnded(call Call, r *runningCall) bool {
 	now, err := c.probe(context.Background(), call.Server)
-	if err == nil && now == r.incarnation {
+	if err == nil && (now == "" || now == r.incarnation) {
 		return false
 	}
 	if digests, first := c.endIncarnation(r); first {
@@ -134,7 +144,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.stateOf(r.server)
-	if r.incarnation == "" || slices.Contains(s.ended, r.incarnation) {
+	if slices.Contains(s.ended, r.incarnation) {
 		return nil, false
 	}
 	s.markEnded(r.incarnation)
