--- a/masticfake/generate.go
+++ b/masticfake/generate.go
@@ -99,7 +99,7 @@
 func (e *Engine) accept(g *generation, r *http.Request, body []byte) context.Context {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.received = append(e.received, Received{Path: r.URL.Path, Header: r.Header.Clone(), Body: body})
+	e.received.add(r, body)
 	g.mode, g.incarnation = e.mode, e.incarnation
 	text := g.text()
 	weights := e.models[g.request.Model]
--- a/masticfake/service.go
+++ b/masticfake/service.go
@@ -18,7 +18,7 @@
 	mu       sync.Mutex
 	mode     Mode
 	counts   map[string]int
-	received []Received
+	received recent
 	// release, when set, is waited for by orders that have already run.
 	release <-chan struct{}
 }
@@ -52,11 +52,11 @@
 	return s.counts[order]
 }
 
-// Received returns the calls that reached the service.
+// Received returns the latest calls that reached the service.
 func (s *Service) Received() []Received {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]Received(nil), s.received...)
+	return s.received.list()
 }
 
 // ServeHTTP runs an order, or answers GET /count with all counts.
@@ -94,7 +94,7 @@
 func (s *Service) take(r *http.Request, order string, body []byte) Mode {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.received = append(s.received, Received{Path: r.URL.RequestURI(), Header: r.Header.Clone(), Body: body})
+	s.received.add(r, body)
 	if s.mode != ModeRefuse {
 		s.counts[order]++
 	}
