Make the tests of control fail without their mechanisms

Cause: three tests passed with their mechanism taken out: the partition test published when the isolated agent's lease had already ended, usage was sent along with suspects before the flush, and a failing disk ended the host by its compaction. Change: the order of the steps, and no compaction in the last one.

--- a/masticcontrol/cluster_test.go
+++ b/masticcontrol/cluster_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +44,7 @@
 	control *masticcontrol.Control
 	options []masticcontrol.Option
 	running sync.WaitGroup
+	ended   atomic.Bool
 	err     error
 }
 
@@ -95,6 +97,7 @@
 	}
 	n.control = control
 	n.relay.setTarget(control.Address())
+	n.ended.Store(false)
 	n.running.Add(1)
 	go n.run()
 }
@@ -102,8 +105,12 @@
 func (n *node) run() {
 	defer n.running.Done()
 	n.err = n.control.Run()
+	n.ended.Store(true)
 }
 
+// stopped reports whether the host's run has ended.
+func (n *node) stopped() bool { return n.ended.Load() }
+
 func (c *cluster) stop(name string) {
 	n := c.nodes[name]
 	if n.control == nil {
--- a/masticcontrol/disk_test.go
+++ b/masticcontrol/disk_test.go
@@ -163,14 +163,14 @@
 
 func TestFailedDiskStopsTheHost(t *testing.T) {
 	q := quicktest.New(t)
-	c, disks := withDisks(t, 0)
+	c, disks := withDisks(t, 0, masticcontrol.WithSnapshotEntries(1<<40, 1))
 	agents := []*client{c.agent(1), c.agent(2)}
 	c.publish(agents[0], "first", baseChange(2))
 	l := c.load(agents...)
 	l.progress(c, 5)
 	old := c.leader(agents[0])
 	disks[old].set(func(d *disk) { d.failing = true })
-	c.nodes[old].running.Wait()
+	c.eventually("the host stops", c.nodes[old].stopped)
 	q.Assert(c.nodes[old].err, quicktest.ErrorMatches, "(?s).*the disk failed.*")
 	l.progress(c, 5)
 	l.check(c, agents[1])
--- a/masticcontrol/operator_test.go
+++ b/masticcontrol/operator_test.go
@@ -134,7 +134,6 @@
 	c.startAll()
 	a, b := c.agent(1), c.agent(2)
 	c.publish(a, "first", baseChange(2))
-	a.Usage().Add(masticcall.UsageRecord{Workspace: "saws", Profile: "review", InputTokens: 5, OutputTokens: 7})
 	digest := masticview.DigestOf([]byte("crash"))
 	a.Suspects().Report("engine", "one", []masticview.Digest{digest})
 	b.Suspects().Report("engine", "two", []masticview.Digest{digest})
@@ -151,6 +150,7 @@
 	_, err = a.Limiter().Admit(c.context(), "unknown", 1)
 	q.Assert(masticerror.KindOf(err), quicktest.Equals, masticerror.KindRateLimited)
 
+	a.Usage().Add(masticcall.UsageRecord{Workspace: "saws", Profile: "review", InputTokens: 5, OutputTokens: 7})
 	a.stop()
 	totals, err := b.Operator().Usage(c.context())
 	q.Assert(err, quicktest.IsNil)
--- a/masticcontrol/partition_test.go
+++ b/masticcontrol/partition_test.go
@@ -25,13 +25,6 @@
 	old := c.leader(near)
 	c.split(old, near, far, c.network.block)
 
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	_, err := near.Operator().Publish(ctx, "lost", 1, keyChange("active"))
-	q.Assert(err, quicktest.IsNotNil)
-	kind := masticerror.KindOf(err)
-	q.Assert(kind == masticerror.KindNoQuorum || kind == masticerror.KindOutcomeUnknown, quicktest.IsTrue, quicktest.Commentf("%v", err))
-
 	p, err := far.Operator().Publish(c.context(), "withdraw", 0, keyChange("withdrawn"))
 	q.Assert(err, quicktest.IsNil)
 	q.Assert(p.InForce, quicktest.IsTrue)
@@ -42,6 +35,13 @@
 	}
 	q.Assert(near.Leased(time.Now()), quicktest.IsFalse)
 
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err = near.Operator().Publish(ctx, "lost", 1, keyChange("active"))
+	q.Assert(err, quicktest.IsNotNil)
+	kind := masticerror.KindOf(err)
+	q.Assert(kind == masticerror.KindNoQuorum || kind == masticerror.KindOutcomeUnknown, quicktest.IsTrue, quicktest.Commentf("%v", err))
+
 	c.split(old, near, far, c.network.open)
 	c.eventually("the isolated agent has the withdrawal", func() bool {
 		k, _ := near.View().Key("key")
