--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -3,12 +3,15 @@
 import (
 	"crypto/tls"
 	"encoding/hex"
+	"net/netip"
 	"time"
 
 	"masticladder/masticadmin"
 	"masticladder/masticagent"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
+	"masticladder/masticloader"
+	"masticladder/masticplace"
 	"masticladder/masticprobe"
 	"masticladder/masticproto"
 	"masticladder/masticsettings"
@@ -16,8 +19,15 @@
 	"masticladder/masticwire"
 )
 
+// loadSenders is the number of load orders that can be under way at once.
+const loadSenders = 8
+
 func (d *Daemon) openWire() error {
-	options := []masticwire.Option{masticwire.WithMetrics(d.registry)}
+	bound, err := netip.ParseAddrPort(d.settings.PeerBound())
+	if err != nil {
+		return err
+	}
+	options := []masticwire.Option{masticwire.WithMetrics(d.registry), masticwire.WithSource(bound.Addr())}
 	if t := d.settings.TLS; t.PeerAuthority != "" {
 		security, err := masticwire.NewSecurity(t.PeerAuthority, t.PeerCertificate, t.PeerKey)
 		if err != nil {
@@ -37,18 +47,28 @@
 	control, err := masticcontrol.New(
 		masticcontrol.WithID(s.Host),
 		masticcontrol.WithFolder(s.DataFolder),
-		masticcontrol.WithAddress(s.Peer),
+		masticcontrol.WithAddress(s.PeerBound()),
 		masticcontrol.WithMembers(firstMembers(s)...),
 		masticcontrol.WithWire(d.wire),
 		masticcontrol.WithLog(d.log),
 		masticcontrol.WithElectionTimeout(millis(s.Timing.ElectionMillis)),
 		masticcontrol.WithHeartbeat(millis(s.Timing.HeartbeatMillis)),
 		masticcontrol.WithViewLease(millis(s.Timing.ViewLeaseMillis)),
+		masticcontrol.WithLoader(masticloader.New(), loadSenders, placeOptions(s.Placement)...),
 	)
 	d.control = control
 	return err
 }
 
+// placeOptions returns the bounds of loads that the settings state.
+func placeOptions(p masticsettings.Placement) []masticplace.Option {
+	options := []masticplace.Option{masticplace.WithOrderSpan(millis(p.OrderMillis))}
+	for owner, n := range p.LoadsAtOnce {
+		options = append(options, masticplace.WithLoadsAtOnce(owner, n))
+	}
+	return options
+}
+
 // firstMembers returns the members that the group starts with; a host outside them joins later.
 func firstMembers(s masticsettings.Settings) []*masticproto.Member {
 	var members []*masticproto.Member
@@ -146,7 +166,7 @@
 		patientUntil: time.Now().Add(announcePatience),
 		stopped:      make(chan struct{}),
 	}
-	d.drain = newDrainer(d.gate, d.announce, d.log, millis(s.Timing.AddressListMillis), millis(s.Timing.DrainMillis))
+	d.drain = newDrainer(d.gate, d.announce, d.log, millis(s.Timing.AddressListMillis), millis(s.Timing.ViewLeaseMillis), millis(s.Timing.DrainMillis))
 }
 
 func (d *Daemon) callerTLS() (*tls.Config, error) {
--- a/masticfake/generate.go
+++ b/masticfake/generate.go
@@ -51,6 +51,7 @@
 	promptSize  int
 	cached      int
 	seed        uint64
+	prefilled   func()
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) { e.serve(w, r, true) }
@@ -72,6 +73,11 @@
 	}
 	g.from, _ = strconv.Atoi(r.Header.Get(headerResumeFrom))
 	priority, _ := strconv.Atoi(r.Header.Get(headerPriority))
+	if !e.serves(g.request.Model) {
+		w.Header().Set(headerRequestID, g.id)
+		http.Error(w, "no such model", http.StatusNotFound)
+		return
+	}
 	life := e.accept(g, r, body)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
@@ -81,6 +87,14 @@
 	g.run(life, priority)
 }
 
+// serves reports whether the model is loaded. An engine that was given no models has all.
+func (e *Engine) serves(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, ok := e.models[model]
+	return ok || len(e.models) == 0
+}
+
 // accept records the request and looks up its prompt in the cache.
 func (e *Engine) accept(g *generation, r *http.Request, body []byte) context.Context {
 	e.mu.Lock()
@@ -116,6 +130,13 @@
 		e.Crash()
 		panic(http.ErrAbortHandler)
 	}
+	uncached := int64(max(0, g.promptSize-g.cached))
+	e.addQueued(uncached)
+	defer func() { e.addQueued(-uncached) }()
+	g.prefilled = func() {
+		e.addQueued(-uncached)
+		uncached = 0
+	}
 	err := e.slots.acquire(g.ctx, priority)
 	if err == nil {
 		defer e.slots.release()
@@ -151,7 +172,14 @@
 	return g.whole()
 }
 
+func (e *Engine) addQueued(tokens int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queuedTokens += tokens
+}
+
 func (g *generation) prefill() error {
+	defer g.prefilled()
 	return pause(g.ctx, float64(g.promptSize-g.cached), g.engine.prefillRate)
 }
 
--- a/masticplace/planner.go
+++ b/masticplace/planner.go
@@ -33,7 +33,8 @@
 	ChecksFencing bool
 }
 
-// Order is a load that was ordered. It counts as running until it is done or its deadline has passed.
+// Order is a load that was ordered. It counts as running until it is done or its deadline
+// has passed: a backend server that has not ended a load by then is taken to give it up.
 type Order struct {
 	Load
 	Fence    Fence
@@ -117,8 +118,17 @@
 	return p
 }
 
+// Pending reports whether l is ordered already and may be running at now.
+func (p *Planner) Pending(now time.Time, l Load) bool {
+	o, ok := p.running[l.Server]
+	return ok && o.Model == l.Model && o.WeightsVersion == l.WeightsVersion && now.Before(o.Deadline)
+}
+
 // Want adds a wish; a later one for the same backend server replaces it.
 func (p *Planner) Want(l Load) {
+	if slices.Contains(p.wishes, l) {
+		return
+	}
 	p.wishes = slices.DeleteFunc(p.wishes, func(w Load) bool { return w.Server == l.Server })
 	delete(p.waiting, l.Server)
 	p.wishes = append(p.wishes, l)
--- a/masticroute/load.go
+++ b/masticroute/load.go
@@ -1,18 +1,28 @@
 package masticroute
 
 import (
+	"slices"
 	"time"
 )
 
 const (
 	// priorSpeed is the prefill speed assumed before any is measured, in tokens per second.
 	priorSpeed = 10000.0
-	// speedGain is the weight of a new measurement of the prefill speed.
-	speedGain = 0.2
+	// fasterGain, idleGain and busyGain are the weights of a sample of the prefill speed
+	// that is above the speed so far, below it on an idle backend server, or below it
+	// on a busy one.
+	fasterGain = 0.5
+	idleGain   = 0.1
+	busyGain   = 0.01
 	// minSample is the least work that measures a prefill speed, in tokens.
-	minSample = 256
+	minSample = 2000
 	// historyLength bounds the remembered changes of the own work on a backend server.
 	historyLength = 256
+	// overdueFactor is how many times its predicted wait a request takes before it lowers
+	// the speed that is reckoned with.
+	overdueFactor = 2
+	// minOverdue is the least age of a request that lowers the speed.
+	minOverdue = time.Second
 	// reportAge is how long a load report is worth anything.
 	reportAge = 5 * time.Second
 )
@@ -50,6 +60,10 @@
 	waiting int
 	// history holds own work by time, the oldest first.
 	history []change
+	// drain is how fast the reported queue shrinks.
+	drain drain
+	// pending are the own requests without a first token, the oldest first.
+	pending []pending
 	report  Report
 	// others is the work of other hosts at the time of the report.
 	others float64
@@ -77,21 +91,23 @@
 	return last
 }
 
-func (l *load) add(now time.Time, tokens float64, urgent bool) {
-	l.own += tokens
-	if urgent {
-		l.ownUrgent += tokens
+func (l *load) add(now time.Time, w *Work) {
+	l.own += w.Uncached
+	if w.urgent() {
+		l.ownUrgent += w.Uncached
 	}
+	l.pending = append(l.pending, pending{now, w.Uncached + w.Ahead})
 	l.running++
 	l.waiting++
 	l.remember(now)
 }
 
-func (l *load) firstToken(now time.Time, tokens float64, urgent bool) {
-	l.own = max(0, l.own-tokens)
-	if urgent {
-		l.ownUrgent = max(0, l.ownUrgent-tokens)
+func (l *load) firstToken(now time.Time, w *Work) {
+	l.own = max(0, l.own-w.Uncached)
+	if w.urgent() {
+		l.ownUrgent = max(0, l.ownUrgent-w.Uncached)
 	}
+	l.settle(w.StartedAt)
 	l.waiting--
 	l.remember(now)
 }
@@ -108,6 +124,7 @@
 		return
 	}
 	own := l.at(r.AsOf)
+	l.drain.observe(l.report, r)
 	l.report = r
 	l.others = max(0, float64(r.QueuedTokens)-own.tokens)
 	l.othersRunning = max(0, r.Running-int64(own.running))
@@ -122,17 +139,24 @@
 	return l.others
 }
 
-// measure learns the prefill speed from work that took the time elapsed.
-func (l *load) measure(tokens float64, elapsed time.Duration) {
+// measure learns the prefill speed from a request that computed tokens in the time
+// elapsed. Other work can only lengthen that time, so a sample bounds the speed from
+// below; a slower one counts fully only when the backend server was idle before.
+func (l *load) measure(tokens float64, elapsed time.Duration, idle bool) {
 	if tokens < minSample || elapsed <= 0 {
 		return
 	}
 	sample := tokens / elapsed.Seconds()
-	if l.speed == 0 {
-		l.speed = sample
-		return
+	gain := busyGain
+	switch {
+	case l.speed == 0:
+		gain = 1
+	case sample > l.speed:
+		gain = fasterGain
+	case idle:
+		gain = idleGain
 	}
-	l.speed += speedGain * (sample - l.speed)
+	l.speed += gain * (sample - l.speed)
 }
 
 // forget drops what was reported by a former incarnation.
@@ -141,3 +165,31 @@
 	l.others = 0
 	l.othersRunning = 0
 }
+
+// pending is an own request without a first token.
+type pending struct {
+	startedAt time.Time
+	// tokens is the work up to its first token, that of others before it included.
+	tokens float64
+}
+
+// settle removes the pending request that started at t.
+func (l *load) settle(t time.Time) {
+	i := slices.IndexFunc(l.pending, func(p pending) bool { return p.startedAt.Equal(t) })
+	if i >= 0 {
+		l.pending = slices.Delete(l.pending, i, i+1)
+	}
+}
+
+// bound returns speed, or less where the oldest pending request is overdue at that speed.
+func (l *load) bound(now time.Time, speed float64) float64 {
+	if len(l.pending) == 0 {
+		return speed
+	}
+	oldest := l.pending[0]
+	elapsed := now.Sub(oldest.startedAt)
+	if elapsed < minOverdue {
+		return speed
+	}
+	return min(speed, overdueFactor*oldest.tokens/elapsed.Seconds())
+}
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -22,10 +22,15 @@
 	beliefs *masticcache.Beliefs
 	source  *rand.Rand
 	lookup  masticcache.Lookup
+	// engines is the number of active engines.
+	engines int
 	// speeds is the moving mean of the measured prefill speeds.
 	speeds float64
-	// urgentShare is the moving share of the quick class in the work sent.
-	urgentShare float64
+	// quickShare is the moving share of the quick class in the requests sent.
+	quickShare float64
+	// workMean and urgentMean are the moving means of the work of a request, in tokens:
+	// of all classes, and with that of the quick class alone.
+	workMean, urgentMean float64
 }
 
 // pool is the engines of a model that hold the same version of its weights.
@@ -33,6 +38,8 @@
 	version string
 	ring    ring
 	slots   []masticcache.Slot
+	// reserve are the slots kept for the quick class.
+	reserve []masticcache.Slot
 }
 
 // Option changes how New builds a Router.
@@ -89,11 +96,13 @@
 
 func (r *Router) newPools() map[string][]pool {
 	out := map[string][]pool{}
+	r.engines = 0
 	names := map[string]map[string]map[masticcache.Slot]string{}
 	for n, s := range r.servers {
 		if !s.active || s.info.Kind != masticview.ServerEngine {
 			continue
 		}
+		r.engines++
 		for _, m := range s.info.Models {
 			byVersion := child(names, m)
 			bySlot := child(byVersion, s.info.WeightsVersion)
@@ -107,6 +116,7 @@
 				p.slots = append(p.slots, slot)
 			}
 			slices.Sort(p.slots)
+			p.reserve = newReserve(m, p)
 			out[m] = append(out[m], p)
 		}
 		slices.SortFunc(out[m], func(a, b pool) int { return int(a.slots[0] - b.slots[0]) })
@@ -190,7 +200,9 @@
 	// Uncached is the work before the first token, in tokens.
 	Uncached float64
 	// Ahead is the work that was predicted to be before it, in tokens.
-	Ahead   float64
+	Ahead float64
+	// Tokens is the length of the prompt.
+	Tokens  int64
 	Pieces  []masticprompt.Piece
 	Suspect bool
 	// StartedAt is when the work was sent.
--- a/masticroute/server.go
+++ b/masticroute/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"masticladder/mastichealth"
+	"masticladder/masticprompt"
 	"masticladder/masticview"
 )
 
@@ -44,16 +45,18 @@
 func (s *server) speed(now time.Time, unknown float64) float64 {
 	v := s.load.speed
 	if v == 0 {
-		v = unknown
+		v = s.load.drain.speed(unknown)
 	}
-	return v * max(s.health.Share(now), 0.01)
+	return s.load.bound(now, v) * max(s.health.Share(now), 0.01)
 }
 
 // wait returns the predicted time until the backend server starts on one more request.
 func (s *server) wait(now time.Time, class masticview.Class, speed, urgentShare float64) time.Duration {
-	work := s.load.own + s.load.othersNow(now)
+	others := s.load.othersNow(now)
+	work := s.load.own + others
 	if class == masticview.ClassQuick {
-		work = s.load.ownUrgent + s.load.othersNow(now)*urgentShare
+		// An engine puts the quick class first, after the piece that it is computing.
+		work = min(work, masticprompt.PieceTokens)/2 + s.load.ownUrgent + others*urgentShare
 	}
 	return seconds(work/speed) + s.slotWait()
 }
--- a/masticsettings/settings.go
+++ b/masticsettings/settings.go
@@ -23,6 +23,9 @@
 	Listen string `json:"listen" validate:"required,ip_port"`
 	Admin  string `json:"admin" validate:"required,ip_port"`
 	Peer   string `json:"peer" validate:"required,ip_port"`
+	// PeerListen is the address bound for other hosts where it differs from Peer, as behind
+	// address translation. Connections to other hosts leave from its IP number.
+	PeerListen string `json:"peerListen" validate:"omitempty,ip_port"`
 	// Weight is the host's share of callers relative to other hosts.
 	Weight int64 `json:"weight" validate:"gte=1,lte=1000"`
 	// DataFolder holds all files of a control host.
@@ -62,10 +65,10 @@
 
 // Placement bounds the loading of weights.
 type Placement struct {
-	// ConcurrentLoads is the number of backend servers that may load weights at once.
-	ConcurrentLoads int `json:"concurrentLoads" validate:"gte=1,lte=100"`
-	// LoadsPerMinute is the rate that the weight store allows.
-	LoadsPerMinute int `json:"loadsPerMinute" validate:"gte=1,lte=100000"`
+	// LoadsAtOnce is the number of backend servers of each owner that may load weights at once.
+	LoadsAtOnce map[string]int `json:"loadsAtOnce" validate:"dive,gte=1,lte=100"`
+	// OrderMillis is the time within which a load has to end.
+	OrderMillis int64 `json:"orderMillis" validate:"gte=100,lte=600000"`
 }
 
 // TLS names certificate files; empty names mean plain connections, which Plain has to state.
@@ -95,10 +98,18 @@
 			DrainMillis:       60000,
 			UsageReportMillis: 2000,
 		},
-		Placement: Placement{ConcurrentLoads: 3, LoadsPerMinute: 600},
+		Placement: Placement{LoadsAtOnce: map[string]int{"association": 3, "glenmorven": 2}, OrderMillis: 30000},
 	}
 }
 
+// PeerBound returns the address to bind for other hosts.
+func (s Settings) PeerBound() string {
+	if s.PeerListen != "" {
+		return s.PeerListen
+	}
+	return s.Peer
+}
+
 // Has reports whether the host has role r.
 func (s Settings) Has(r Role) bool {
 	for _, x := range s.Roles {
