Record outcomes in the background when the leader is away

Cause: an order whose record found no leader in its caller's time stayed in flight until its deadline and was then unknown, although its outcome was known; TestFrozenLeaderUnderLoad took 22.1 s and TestLeaderStopsUnderLoad 13.5 s waiting for such deadlines.

--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -44,7 +44,7 @@
 	limiter  *limiter
 	reporter *reporter
 	ledger   *ledger
-	releaser *releaser
+	finisher *finisher
 	running  sync.WaitGroup
 	context  context.Context
 	cancel   context.CancelFunc
@@ -91,7 +91,7 @@
 	a.limiter = newLimiter(a)
 	a.reporter = newReporter(a)
 	a.ledger = newLedger(a)
-	a.releaser = newReleaser(a)
+	a.finisher = newFinisher(a)
 	a.context, a.cancel = context.WithCancel(context.Background())
 	return nil
 }
@@ -126,12 +126,12 @@
 	go a.renewer.run(a.context)
 	go a.watcher.run(a.context)
 	go a.reporter.run(a.context)
-	go a.releaser.run(a.context)
+	go a.finisher.run(a.context)
 	<-a.context.Done()
 	a.finish()
 	a.views.updates.Close()
 	a.limiter.events.Close()
-	a.releaser.releases.Close()
+	a.finisher.work.Close()
 	a.leader.close()
 	a.running.Wait()
 	return nil
--- a/masticagent/ledger.go
+++ b/masticagent/ledger.go
@@ -78,23 +78,23 @@
 	if masticerror.KindOf(err) != masticerror.KindOutcomeUnknown {
 		return err
 	}
-	l.agent.releaser.add(abandoned{release: l.releaseOf(k, r.attempt), deadline: r.deadline})
+	l.agent.finisher.add(finishing{command: l.releaseCommand(k, r.attempt), deadline: r.deadline})
 	return masticerror.Wrap(err, masticerror.KindNoQuorum, "the reservation could not be confirmed in time")
 }
 
-func (l *ledger) releaseOf(k masticcall.OrderKey, attempt uint64) *masticproto.Release {
-	return &masticproto.Release{
+func (l *ledger) releaseCommand(k masticcall.OrderKey, attempt uint64) *masticproto.Command {
+	return &masticproto.Command{Kind: &masticproto.Command_Release{Release: &masticproto.Release{
 		Workspace:      k.Workspace,
 		IdempotencyKey: k.IdempotencyKey,
 		Host:           l.agent.host,
 		Incarnation:    l.agent.incarnation,
 		Attempt:        attempt,
-	}
+	}}}
 }
 
 // Record records the outcome; a nil answer means that the outcome is unknown.
 func (l *ledger) Record(ctx context.Context, k masticcall.OrderKey, answer *masticcall.StoredAnswer) error {
-	attempt, err := l.holder(k)
+	held, err := l.holder(k)
 	if err != nil {
 		return err
 	}
@@ -103,7 +103,7 @@
 		IdempotencyKey: k.IdempotencyKey,
 		Host:           l.agent.host,
 		Incarnation:    l.agent.incarnation,
-		Attempt:        attempt,
+		Attempt:        held.attempt,
 		Unknown:        answer == nil,
 	}
 	if answer != nil {
@@ -114,22 +114,28 @@
 			Truncated:   answer.Truncated,
 		}
 	}
-	return l.finish(ctx, k, &masticproto.Command{Kind: &masticproto.Command_Record{Record: record}})
+	return l.finish(ctx, k, held, &masticproto.Command{Kind: &masticproto.Command_Record{Record: record}})
 }
 
 // Release ends the reservation; the caller proves that nothing was sent.
 func (l *ledger) Release(ctx context.Context, k masticcall.OrderKey) error {
-	attempt, err := l.holder(k)
+	held, err := l.holder(k)
 	if err != nil {
 		return err
 	}
-	return l.finish(ctx, k, &masticproto.Command{Kind: &masticproto.Command_Release{Release: l.releaseOf(k, attempt)}})
+	return l.finish(ctx, k, held, l.releaseCommand(k, held.attempt))
 }
 
-// finish commits the end of a reservation. After an error it is still held, so that
-// the caller can try again.
-func (l *ledger) finish(ctx context.Context, k masticcall.OrderKey, command *masticproto.Command) error {
+// recordBound is for how long after its deadline the outcome of an order is still offered.
+const recordBound = time.Minute
+
+// finish commits the end of a reservation. Where that is not known when ctx ends, it goes
+// on in the background, and the reservation is still held.
+func (l *ledger) finish(ctx context.Context, k masticcall.OrderKey, held reservation, command *masticproto.Command) error {
 	_, err := l.agent.command(ctx, command, l.agent.attempt)
+	if err != nil && !final(err) {
+		l.agent.finisher.add(finishing{command: command, deadline: held.deadline.Add(recordBound)})
+	}
 	if err != nil {
 		return err
 	}
@@ -165,14 +171,14 @@
 	l.checkAt = max(heldCheck, 2*len(l.held))
 }
 
-func (l *ledger) holder(k masticcall.OrderKey) (uint64, error) {
+func (l *ledger) holder(k masticcall.OrderKey) (reservation, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	r, ok := l.held[k]
 	if !ok {
-		return 0, masticerror.New(masticerror.KindBadRequest, "this host holds no reservation of order %q of %q", k.IdempotencyKey, k.Workspace)
+		return reservation{}, masticerror.New(masticerror.KindBadRequest, "this host holds no reservation of order %q of %q", k.IdempotencyKey, k.Workspace)
 	}
-	return r.attempt, nil
+	return r, nil
 }
 
 func storedAnswer(a *masticproto.StoredAnswer) masticcall.StoredAnswer {
