Restore voters across leader changes, and remove a leader

Cause: only the leader that demoted a voter with a replaced data folder knew that it has to vote again; after a leader change it stayed a learner, so that the next loss could stop control. An operator could not remove the host that leads. Change: every host derives from the member entries which learners were demoted for their folder; an operator's demotion is a removal and an addition, so that the two differ. A leader that is to be removed resigns, and the request goes on at the next one. A change that names no address keeps the present one.

--- a/masticcontrol/applied.go
+++ b/masticcontrol/applied.go
@@ -20,7 +20,7 @@
 func (l *loop) applyEntry(now time.Time, e *masticproto.Entry) (commandResult, error) {
 	switch e.GetKind() {
 	case masticproto.EntryKind_ENTRY_MEMBERS:
-		l.logMembers(e)
+		l.membersCommitted(e)
 	case masticproto.EntryKind_ENTRY_COMMAND:
 		command := new(masticproto.Command)
 		if err := proto.Unmarshal(e.GetData(), command); err != nil {
--- a/masticcontrol/commit.go
+++ b/masticcontrol/commit.go
@@ -57,6 +57,7 @@
 	}
 	l.log.WithField("index", s.GetIndex()).Info("state restored from the leader's snapshot")
 	l.stateBytes = int64(len(s.GetData()))
+	l.replaced = l.replaced.with(s.GetMembers().GetMembers())
 	l.notify(before)
 	return nil
 }
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -24,8 +24,6 @@
 	nextTick time.Time
 	// placement is nil where the host gives no load orders.
 	placement *placement
-	// restoring are the members to promote again after their data folder was replaced.
-	restoring map[string]bool
 }
 
 // observe takes or drops the leader's part after the core has moved. It is kept for the
@@ -53,7 +51,7 @@
 	for _, h := range view.Hosts() {
 		hosts = append(hosts, h.Name)
 	}
-	d := &leader{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval), restoring: map[string]bool{}}
+	d := &leader{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval)}
 	d.grantor = masticlease.NewGrantor(now, d.term, view.Revision(),
 		masticlease.WithSpan(l.viewLease), masticlease.WithHosts(hosts))
 	d.owner = masticquota.NewOwner(now, d.term, d.limit, masticquota.WithCheckpoint(l.state.QuotaBounds()))
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -32,6 +32,7 @@
 	peers         *peers
 	status        masticquorum.Status
 	pending       map[uint64]proposal
+	replaced      replaced
 	watchers      map[*watch]struct{}
 	leader        *leader
 	lastCommitted time.Time
@@ -64,6 +65,7 @@
 		stopping:   make(chan struct{}),
 		peers:      newPeers(s.wire),
 		pending:    map[uint64]proposal{},
+		replaced:   replaced{members: loaded.Snapshot.GetMembers().GetMembers()},
 		watchers:   map[*watch]struct{}{},
 		stateBytes: int64(len(loaded.Snapshot.GetData())),
 	}
--- a/masticcontrol/member.go
+++ b/masticcontrol/member.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"masticladder/masticerror"
 	"masticladder/masticproto"
 	"masticladder/masticquorum"
@@ -22,6 +20,13 @@
 		c.fail(masticerror.New(masticerror.KindBadRequest, "the member change names no host"))
 		return
 	}
+	if q.GetMember().GetAddress() == "" {
+		q.Member.Address = addressOf(d.loop.status.Members, q.GetMember().GetId())
+	}
+	if !q.GetRemove() && q.GetMember().GetAddress() == "" {
+		c.fail(masticerror.New(masticerror.KindBadRequest, "the member change names no address"))
+		return
+	}
 	d.goals = append(d.goals, goal{call: c, want: q})
 }
 
@@ -46,12 +51,8 @@
 func (d *leader) restoreVoter(now time.Time, p masticquorum.PeerStatus) {
 	switch {
 	case p.Replaced:
-		if d.change(now, masticquorum.Change{Kind: masticquorum.ChangeDemote, ID: p.ID}, "its data folder was replaced") == nil {
-			d.restoring[p.ID] = true
-		}
-	case d.restoring[p.ID] && p.Voter:
-		delete(d.restoring, p.ID)
-	case d.restoring[p.ID] && p.CaughtUp:
+		_ = d.change(now, masticquorum.Change{Kind: masticquorum.ChangeDemote, ID: p.ID}, "its data folder was replaced")
+	case d.loop.replaced.waiting[p.ID] && p.CaughtUp:
 		_ = d.change(now, masticquorum.Change{Kind: masticquorum.ChangePromote, ID: p.ID}, "it has caught up after its data folder was replaced")
 	}
 }
@@ -67,6 +68,11 @@
 		g.call.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Member{Member: &masticproto.MemberAnswer{}}})
 		return true
 	}
+	if change.Kind == masticquorum.ChangeRemove && change.ID == d.loop.id && len(d.loop.status.Peers) > 0 {
+		d.loop.log.Info("leadership is given up: an operator removes this host")
+		d.loop.core.Resign(now)
+		return false
+	}
 	err := d.change(now, change, "an operator asked for it")
 	switch masticerror.KindOf(err) {
 	case "", masticerror.KindConflict:
@@ -88,8 +94,11 @@
 		return masticquorum.Change{Kind: masticquorum.ChangeAdd, ID: id, Address: q.GetMember().GetAddress()}, false
 	case q.GetMember().GetVoter():
 		return masticquorum.Change{Kind: masticquorum.ChangePromote, ID: id}, present.GetVoter()
+	case present.GetVoter():
+		// A removal and not a demotion, after which the host would be promoted again.
+		return masticquorum.Change{Kind: masticquorum.ChangeRemove, ID: id}, false
 	default:
-		return masticquorum.Change{Kind: masticquorum.ChangeDemote, ID: id}, !present.GetVoter()
+		return masticquorum.Change{}, true
 	}
 }
 
@@ -110,19 +119,3 @@
 	}
 	return nil
 }
-
-func (l *loop) logMembers(e *masticproto.Entry) {
-	var list masticproto.Members
-	if err := proto.Unmarshal(e.GetData(), &list); err != nil {
-		return
-	}
-	var voters, learners []string
-	for _, m := range list.GetMembers() {
-		if m.GetVoter() {
-			voters = append(voters, m.GetId())
-		} else {
-			learners = append(learners, m.GetId())
-		}
-	}
-	l.log.WithField("index", e.GetIndex()).WithField("voters", voters).WithField("learners", learners).Info("members committed")
-}
--- a/masticcontrol/operator_test.go
+++ b/masticcontrol/operator_test.go
@@ -113,14 +113,15 @@
 	q.Assert(err, quicktest.IsNil)
 	q.Assert(memberOf(c, a, "d").GetVoter(), quicktest.IsTrue)
 
+	q.Assert(a.Operator().ChangeMember(c.context(), "d", &masticproto.Member{}), quicktest.IsNil)
+	q.Assert(memberOf(c, a, "d").GetVoter(), quicktest.IsFalse)
+	err = a.Operator().ChangeMember(c.context(), "d", &masticproto.Member{Voter: true})
+	q.Assert(err, quicktest.IsNil)
+
 	leader := c.leader(a)
-	for _, name := range three {
-		if name != leader {
-			q.Assert(a.Operator().ChangeMember(c.context(), name, nil), quicktest.IsNil)
-			c.stop(name)
-			break
-		}
-	}
+	q.Assert(a.Operator().ChangeMember(c.context(), leader, nil), quicktest.IsNil)
+	c.stop(leader)
+	leader = c.leader(a)
 	c.stop(leader)
 	c.start(leader)
 	c.publish(a, "after", workspaceChange("after"))
