Keep requests that end backend servers apart over all hosts

Cause: suspects were reported to control, but no host learned of another's, and none asked for a hold. Change: control pushes the set of suspects with the view's stream and, by fingerprint, with renewals; the gate sends a suspect only to a backend server that control holds for it alone, and ends the hold with the attempt, so that bystanders clear themselves. A quarantined request is given no hold. Conclusion: one request ends two incarnations at most where the quarantine has reached the host it is sent to.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -75,7 +75,7 @@
 	c.Assert(a.err, qt.IsNil)
 	c.Assert(a.status, qt.Equals, http.StatusOK, qt.Commentf("%s", a.body))
 	text, ended := streamText(a.body)
-	c.Assert(ended, qt.IsTrue)
+	c.Assert(ended, qt.IsTrue, qt.Commentf("%s", tail(a.body, 600)))
 	c.Assert(text, qt.Equals, masticfake.Text("saw", []masticfake.Message{{Role: "user", Content: prompt}}, 24))
 }
 
--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -25,6 +25,7 @@
 	peers           []string
 	wire            *masticwire.Wire
 	onView          func(masticview.View)
+	onSuspects      func([]masticview.Digest)
 	log             logrus.FieldLogger
 	renewInterval   time.Duration
 	renewTimeout    time.Duration
@@ -43,6 +44,7 @@
 	watcher  *watcher
 	limiter  *limiter
 	reporter *reporter
+	suspects *suspects
 	ledger   *ledger
 	finisher *finisher
 	running  sync.WaitGroup
@@ -90,6 +92,7 @@
 	a.watcher = newWatcher(a)
 	a.limiter = newLimiter(a)
 	a.reporter = newReporter(a)
+	a.suspects = newSuspects(a)
 	a.ledger = newLedger(a)
 	a.finisher = newFinisher(a)
 	a.context, a.cancel = context.WithCancel(context.Background())
@@ -112,7 +115,10 @@
 func (a *Agent) Usage() masticcall.Usage { return a.reporter }
 
 // Suspects returns what shares suspects.
-func (a *Agent) Suspects() masticcall.Suspects { return a.reporter }
+func (a *Agent) Suspects() masticcall.Suspects { return a.suspects }
+
+// Holds returns what keeps suspects apart.
+func (a *Agent) Holds() masticcall.Holds { return a.suspects }
 
 // Operator returns the operators' side.
 func (a *Agent) Operator() masticcall.Operator { return &operator{agent: a} }
--- a/masticagent/option.go
+++ b/masticagent/option.go
@@ -44,6 +44,12 @@
 // WithOnView has f called, from one goroutine, with each view that this host begins to serve from.
 func WithOnView(f func(masticview.View)) Option { return func(a *Agent) { a.onView = f } }
 
+// WithOnSuspects has f called with the digests of all requests that may end a backend server
+// whenever the set has changed.
+func WithOnSuspects(f func([]masticview.Digest)) Option {
+	return func(a *Agent) { a.onSuspects = f }
+}
+
 // WithLog sets the log.
 func WithLog(l logrus.FieldLogger) Option { return func(a *Agent) { a.log = l } }
 
--- a/masticagent/renewer.go
+++ b/masticagent/renewer.go
@@ -63,6 +63,7 @@
 		Host:        renewal.Host,
 		Incarnation: renewal.Incarnation,
 		Revision:    renewal.Acknowledged,
+		Suspects:    r.agent.suspects.fingerprint(),
 	}}}, r.agent.renewTimeout)
 	if err != nil {
 		return err
@@ -80,6 +81,9 @@
 		Revision: answer.GetRevision(),
 	})
 	r.agent.views.setLease(r.holder.Until())
+	if s := answer.GetSuspects(); s != nil {
+		r.agent.suspects.replace(s)
+	}
 	if answer.GetUpdate() == nil {
 		return
 	}
--- a/masticagent/reporter.go
+++ b/masticagent/reporter.go
@@ -11,8 +11,8 @@
 	"masticladder/masticview"
 )
 
-// reporter implements masticcall.Usage and masticcall.Suspects: it collects and sends
-// reports each interval, suspects at once.
+// reporter implements masticcall.Usage: it collects and sends reports each interval, and
+// suspects at once.
 type reporter struct {
 	agent *Agent
 	kick  chan struct{}
@@ -83,18 +83,27 @@
 func (r *reporter) send(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.agent.reportInterval)
 	defer cancel()
+	if err := r.sendSuspects(ctx); err != nil {
+		r.agent.log.WithError(err).Warn("suspects were not reported yet")
+		return
+	}
+	r.sendUsage(ctx)
+}
+
+// sendSuspects sends the reports that wait, the oldest first. Several goroutines may send at
+// once: a report that control gets twice changes nothing.
+func (r *reporter) sendSuspects(ctx context.Context) error {
 	for {
 		report := r.firstSuspects()
 		if report == nil {
-			break
+			return nil
 		}
 		if _, err := r.agent.command(ctx, &masticproto.Command{Kind: &masticproto.Command_Suspect{Suspect: report}}, r.agent.attempt); err != nil {
-			r.agent.log.WithError(err).Warn("suspects were not reported yet")
-			return
+			return err
 		}
 		r.dropSuspects(report)
+		r.agent.renewer.soon()
 	}
-	r.sendUsage(ctx)
 }
 
 func (r *reporter) firstSuspects() *masticproto.SuspectReport {
--- a/masticagent/views.go
+++ b/masticagent/views.go
@@ -46,6 +46,9 @@
 }
 
 func (v *views) apply(u *masticproto.ViewUpdate) {
+	if s := u.GetSuspects(); s != nil {
+		v.agent.suspects.replace(s)
+	}
 	old := v.view()
 	next, err := updated(old, u)
 	if err != nil {
--- a/masticcontrol/applied.go
+++ b/masticcontrol/applied.go
@@ -34,9 +34,10 @@
 
 // applyCommand applies a command, and tells the watchers and the leader what it did.
 func (l *loop) applyCommand(now time.Time, index uint64, command *masticproto.Command) commandResult {
-	before := l.state.View().Revision()
+	before, suspects := l.state.View().Revision(), l.state.Suspects().Fingerprint()
 	result := l.state.Apply(index, command)
 	l.notify(before)
+	l.notifySuspects(suspects)
 	if l.leader != nil {
 		l.leader.applied(now, result)
 		l.leader.appliedLoad(now, command.GetLoad(), result)
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -29,9 +29,22 @@
 	if r.GetRevision() < answer.GetRevision() {
 		answer.Update = d.loop.updateFrom(r.GetRevision())
 	}
+	if r.GetSuspects() != d.loop.state.Suspects().Fingerprint() {
+		answer.Suspects = d.loop.suspectSet()
+	}
 	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Renew{Renew: answer}})
 }
 
+// suspectSet returns the present suspects.
+func (l *loop) suspectSet() *masticproto.SuspectSet {
+	tracker := l.state.Suspects()
+	set := &masticproto.SuspectSet{Fingerprint: tracker.Fingerprint()}
+	for _, x := range tracker.Digests() {
+		set.Digests = append(set.Digests, x[:])
+	}
+	return set
+}
+
 // await keeps a committed publish until it is in force or its bound has passed.
 func (d *leader) await(now time.Time, c *call, answer *masticproto.CommandAnswer) {
 	deadline := now.Add(d.loop.viewLease + d.loop.forceMargin)
--- a/masticcontrol/watch.go
+++ b/masticcontrol/watch.go
@@ -24,7 +24,19 @@
 	if len(l.watchers) == 0 {
 		return
 	}
-	u := l.updateFrom(revision)
+	l.pushAll(l.updateFrom(revision))
+}
+
+// notifySuspects pushes the suspects to every watcher when they are not those of the fingerprint.
+func (l *loop) notifySuspects(fingerprint uint64) {
+	if l.state.Suspects().Fingerprint() == fingerprint {
+		return
+	}
+	l.dropEndedWatchers()
+	l.pushAll(&masticproto.ViewUpdate{Suspects: l.suspectSet()})
+}
+
+func (l *loop) pushAll(u *masticproto.ViewUpdate) {
 	for w := range l.watchers {
 		l.push(w, u)
 	}
--- a/masticdaemon/daemon.go
+++ b/masticdaemon/daemon.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// onSuspects hands the requests that may end a backend server to the scheduler.
+func (d *Daemon) onSuspects(digests []masticview.Digest) {
+	if d.dispatcher != nil {
+		d.dispatcher.SetSuspects(digests)
+	}
+}
+
 func (d *Daemon) openEntry() error {
 	if !d.settings.Has(masticsettings.RoleEntry) {
 		return nil
@@ -159,6 +166,7 @@
 		masticgate.WithLedger(d.agent.Ledger()),
 		masticgate.WithUsage(d.agent.Usage()),
 		masticgate.WithSuspects(d.agent.Suspects()),
+		masticgate.WithHolds(d.agent.Holds()),
 		masticgate.WithDispatcher(d.dispatcher),
 		masticgate.WithAddresses(addresses),
 		masticgate.WithEngine(d.engine),
--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -94,6 +94,7 @@
 		masticagent.WithControlPeers(nearestFirst(s)...),
 		masticagent.WithWire(d.wire),
 		masticagent.WithOnView(d.onView),
+		masticagent.WithOnSuspects(d.onSuspects),
 		masticagent.WithLog(d.log),
 		masticagent.WithRenewInterval(millis(s.Timing.ViewLeaseMillis)*3/10),
 		masticagent.WithReportInterval(millis(s.Timing.UsageReportMillis)),
--- a/masticgate/gate.go
+++ b/masticgate/gate.go
@@ -19,6 +19,7 @@
 	ledger     masticcall.Ledger
 	usage      masticcall.Usage
 	suspects   masticcall.Suspects
+	holds      masticcall.Holds
 	dispatcher masticcall.Dispatcher
 	addresses  masticcall.Addresses
 	engine     *masticengine.Client
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -34,6 +34,8 @@
 	buffer       []byte
 	// pending is set while an event is written but not yet sent.
 	pending bool
+	// held says that the running attempt has a hold of its backend server.
+	held bool
 }
 
 func (g *Gate) serveChat(q *inbound) { g.serveModel(q, readChat) }
@@ -138,11 +140,12 @@
 func (m *modelCall) attempts(ctx context.Context) *masticerror.Error {
 	var last *masticerror.Error
 	for m.request.Attempt < m.inbound.gate.limits.MaxAttempts {
-		a, e := m.acquire(ctx)
+		a, e := m.acquireApart(ctx)
 		if e != nil {
 			return m.better(e, last)
 		}
 		f := m.attempt(ctx, a)
+		m.endHold(a, f)
 		if f == nil {
 			return nil
 		}
--- a/masticgate/options.go
+++ b/masticgate/options.go
@@ -27,6 +27,9 @@
 // WithSuspects sets what takes the digests that ran when a backend server ended.
 func WithSuspects(s masticcall.Suspects) Option { return func(g *Gate) { g.suspects = s } }
 
+// WithHolds sets what keeps requests apart that may end a backend server. Without it they are not.
+func WithHolds(h masticcall.Holds) Option { return func(g *Gate) { g.holds = h } }
+
 // WithDispatcher sets what assigns requests to backend servers.
 func WithDispatcher(d masticcall.Dispatcher) Option { return func(g *Gate) { g.dispatcher = d } }
 
--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -85,7 +85,7 @@
 	case *masticproto.Command_Suspect:
 		return s.suspect(k.Suspect)
 	case *masticproto.Command_SuspectHold:
-		return HoldResult{Held: s.suspects.Hold(s.now, k.SuspectHold)}
+		return HoldResult{Held: s.hold(k.SuspectHold)}
 	case *masticproto.Command_SuspectEnd:
 		s.suspects.End(k.SuspectEnd)
 		return EndResult{}
@@ -147,5 +147,17 @@
 	return SuspectResult{Quarantined: digests}
 }
 
+// hold gives no hold to a quarantined request, which is no suspect any more.
+func (s *State) hold(h *masticproto.SuspectHold) bool {
+	d, err := masticview.DigestFromBytes(h.GetDigest())
+	if err != nil {
+		return false
+	}
+	if q, ok := s.view.Quarantine(d); ok && s.now.Before(q.Until) {
+		return false
+	}
+	return s.suspects.Hold(s.now, h)
+}
+
 // minQuarantine is the least length of a quarantine.
 const minQuarantine = time.Minute
--- a/masticsuspect/snapshot.go
+++ b/masticsuspect/snapshot.go
@@ -29,7 +29,7 @@
 		if err != nil {
 			return nil, err
 		}
-		t.suspects[d] = suspect{ended: r.GetEnded(), until: r.GetUntilUnixMs()}
+		t.put(d, suspect{ended: r.GetEnded(), until: r.GetUntilUnixMs()})
 	}
 	for _, h := range s.GetHolds() {
 		t.holds[h.GetServer()] = h
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -10,6 +10,7 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -36,8 +37,9 @@
 
 // Tracker holds the suspects and holds. It is changed by one goroutine only.
 type Tracker struct {
-	suspects map[masticview.Digest]suspect
-	holds    map[string]*masticproto.SuspectHold
+	suspects    map[masticview.Digest]suspect
+	holds       map[string]*masticproto.SuspectHold
+	fingerprint uint64
 }
 
 // New returns an empty tracker.
@@ -57,6 +59,28 @@
 // Suspects returns the number of suspects.
 func (t *Tracker) Suspects() int { return len(t.suspects) }
 
+// Digests returns the suspects in a fixed order.
+func (t *Tracker) Digests() []masticview.Digest { return t.sorted() }
+
+// Fingerprint returns a number that differs, but for chance, where the set of suspects does.
+// It is the same on all replicas, and zero for an empty set.
+func (t *Tracker) Fingerprint() uint64 { return t.fingerprint }
+
+// put and remove keep the fingerprint: the exclusive or of the digests' first 8 bytes.
+func (t *Tracker) put(d masticview.Digest, s suspect) {
+	if !t.Suspect(d) {
+		t.fingerprint ^= binary.BigEndian.Uint64(d[:])
+	}
+	t.suspects[d] = s
+}
+
+func (t *Tracker) remove(d masticview.Digest) {
+	if t.Suspect(d) {
+		t.fingerprint ^= binary.BigEndian.Uint64(d[:])
+	}
+	delete(t.suspects, d)
+}
+
 // Report notes that an incarnation of a backend server ended under the given requests. It
 // returns those that are now to be quarantined; they are no suspects any more. Several
 // hosts may report one end.
@@ -89,10 +113,10 @@
 		s.until = now.Add(SuspectSpan).UnixMilli()
 	}
 	if len(s.ended) >= QuarantineEnds {
-		delete(t.suspects, d)
+		t.remove(d)
 		return true
 	}
-	t.suspects[d] = s
+	t.put(d, s)
 	return false
 }
 
@@ -106,7 +130,7 @@
 		return cmp.Compare(t.suspects[a].until, t.suspects[b].until)
 	})
 	for _, d := range digests[:len(digests)-MaxSuspects] {
-		delete(t.suspects, d)
+		t.remove(d)
 	}
 }
 
@@ -144,7 +168,7 @@
 	}
 	delete(t.holds, e.GetServer())
 	if d, err := masticview.DigestFromBytes(e.GetDigest()); err == nil && e.GetCompleted() {
-		delete(t.suspects, d)
+		t.remove(d)
 	}
 }
 
@@ -152,7 +176,7 @@
 func (t *Tracker) Drop(now time.Time) {
 	for d, s := range t.suspects {
 		if s.until <= now.UnixMilli() {
-			delete(t.suspects, d)
+			t.remove(d)
 		}
 	}
 	for n, h := range t.holds {
