Wait for quota no longer than the first token is due

Cause: admission had the request's whole deadline (120 s), so a request that no grant could save in time for its class was answered only then; seen as a 30 s hang of an isolated host's request with the lease check off. Change: admission ends when the first token is due. Conclusion: a final refusal comes within the class's bound.

--- a/masticgate/fake_test.go
+++ b/masticgate/fake_test.go
@@ -48,15 +48,18 @@
 	refuse   *masticerror.Error
 	admitted int64
 	settled  []int64
+	// deadline is when the last admission had to be decided.
+	deadline time.Time
 }
 
-func (f *fakeLimiter) Admit(_ context.Context, _ string, tokens int64) (masticcall.Admission, error) {
+func (f *fakeLimiter) Admit(ctx context.Context, _ string, tokens int64) (masticcall.Admission, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.refuse != nil {
 		return nil, f.refuse
 	}
 	f.admitted += tokens
+	f.deadline, _ = ctx.Deadline()
 	return f, nil
 }
 
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -122,12 +122,11 @@
 
 // run admits the request and sends it to backend servers until it is answered or cannot be.
 func (m *modelCall) run(ctx context.Context) *masticerror.Error {
-	g := m.inbound.gate
 	if e := m.recheck(); e != nil {
 		return e
 	}
 	reserved := m.prompt.promptTokens + m.prompt.outputTokens
-	admission, err := g.limiter.Admit(ctx, m.request.Workspace, reserved)
+	admission, err := m.admit(ctx, reserved)
 	if err != nil {
 		return notSent(err)
 	}
@@ -136,6 +135,13 @@
 	return e
 }
 
+// admit waits for quota no longer than the first token is due.
+func (m *modelCall) admit(ctx context.Context, tokens int64) (masticcall.Admission, error) {
+	ctx, cancel := context.WithDeadline(ctx, m.request.FirstTokenBy)
+	defer cancel()
+	return m.inbound.gate.limiter.Admit(ctx, m.request.Workspace, tokens)
+}
+
 // attempts sends the request until it is answered, or no further attempt is allowed.
 func (m *modelCall) attempts(ctx context.Context) *masticerror.Error {
 	var last *masticerror.Error
