Notice a log segment that is missing as a whole

Cause: a folder whose last segment was gone opened as an older one, and its host would have voted from lost state. Change: the identity names a segment that exists; it is replaced when a segment begins, after the segment is durable. A later segment without a whole header is still taken for an interrupted beginning, an earlier one is damage. A missing file of any name is now reported; taking out the check, the check of the header, the sync of the folder or of the header each fails a test. Conclusion: what remains unseen is the damage of the very last record, which reads as an interrupted write, and a folder restored from an older copy.

--- a/masticstore/damage_test.go
+++ b/masticstore/damage_test.go
@@ -70,6 +70,12 @@
 	for size := range offsets[0] {
 		torn := files.clone()
 		torn.put(last, files.names[last].content[:size])
+		_, _, err := openFake(torn.clone())
+		c.Assert(err, qt.ErrorMatches, ".*"+last+" at byte 0.*synced")
+
+		older, err := encodeRecord(place{file: identityFile}, &masticproto.StoreIdentity{Storage: "s", Segment: 2})
+		c.Assert(err, qt.IsNil)
+		torn.put(identityFile, older)
 		_, loaded, err := openFake(torn)
 		c.Assert(err, qt.IsNil)
 		c.Assert(stateOf(loaded).String(), qt.Equals, states[0].String())
@@ -102,7 +108,7 @@
 	c := qt.New(t)
 	files, _, _, _ := filled(c)
 	names, _ := files.List()
-	for _, name := range names[:len(names)-1] {
+	for _, name := range names {
 		lost := files.clone()
 		delete(lost.names, name)
 		_, _, err := openFake(lost)
--- a/masticstore/load.go
+++ b/masticstore/load.go
@@ -24,22 +24,23 @@
 	if !slices.Contains(names, identityFile) {
 		return s.create(names)
 	}
-	if err := s.loadIdentity(); err != nil {
+	identity, err := s.loadIdentity()
+	if err != nil {
 		return Loaded{}, err
 	}
+	s.storage = identity.GetStorage()
 	snapshot, err := s.loadSnapshot(names)
 	if err != nil {
 		return Loaded{}, err
 	}
-	r, err := s.loadLog(snapshot)
+	r, err := s.loadLog(snapshot, identity.GetSegment())
 	if err != nil {
 		return Loaded{}, err
 	}
 	return Loaded{Storage: s.storage, Hard: r.hard, Entries: r.entries, Snapshot: snapshot}, nil
 }
 
-// create makes the first segment and then the identity, so that a folder with an
-// identity has a log.
+// create makes the first segment and the identity.
 func (s *Store) create(names []string) (Loaded, error) {
 	if err := s.checkUnused(names); err != nil {
 		return Loaded{}, err
@@ -54,13 +55,6 @@
 	if err := s.beginSegment(); err != nil {
 		return Loaded{}, err
 	}
-	b, err := encodeRecord(place{file: identityFile}, &masticproto.StoreIdentity{Storage: s.storage})
-	if err != nil {
-		return Loaded{}, err
-	}
-	if err := s.files.Replace(identityFile, b); err != nil {
-		return Loaded{}, err
-	}
 	return Loaded{Storage: s.storage, Fresh: true}, nil
 }
 
@@ -86,17 +80,25 @@
 	return nil
 }
 
-func (s *Store) loadIdentity() error {
+func (s *Store) loadIdentity() (*masticproto.StoreIdentity, error) {
 	b, err := s.files.Read(identityFile)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var identity masticproto.StoreIdentity
-	if err := decodeWhole(place{file: identityFile}, b, &identity); err != nil {
+	return &identity, decodeWhole(place{file: identityFile}, b, &identity)
+}
+
+// saveIdentity records the storage incarnation and the present segment.
+func (s *Store) saveIdentity() error {
+	b, err := encodeRecord(place{file: identityFile}, &masticproto.StoreIdentity{
+		Storage: s.storage,
+		Segment: s.segments[len(s.segments)-1].number,
+	})
+	if err != nil {
 		return err
 	}
-	s.storage = identity.GetStorage()
-	return nil
+	return s.files.Replace(identityFile, b)
 }
 
 func (s *Store) loadSnapshot(names []string) (*masticproto.Snapshot, error) {
@@ -127,9 +129,12 @@
 }
 
 // loadLog replays the segments, cuts a torn tail and opens the last one for appending.
-func (s *Store) loadLog(snapshot *masticproto.Snapshot) (*replay, error) {
+func (s *Store) loadLog(snapshot *masticproto.Snapshot, known uint64) (*replay, error) {
 	r := &replay{storage: s.storage}
-	if err := s.replaySegments(r); err != nil {
+	if n := len(s.segments); n == 0 || s.segments[n-1].number < known {
+		return nil, &DamageError{File: segment{number: known}.name(), Reason: "missing"}
+	}
+	if err := s.replaySegments(r, known); err != nil {
 		return nil, err
 	}
 	dropped, err := r.join(snapshot)
@@ -150,25 +155,24 @@
 }
 
 // replaySegments replays all segments. The last one is removed if its header was never
-// written whole; it has then not been used.
-func (s *Store) replaySegments(r *replay) error {
+// written whole; it has then not been used, and is later than the one known to exist.
+func (s *Store) replaySegments(r *replay, known uint64) error {
 	for i := range s.segments {
 		size, whole, err := s.replaySegment(r, &s.segments[i])
 		if err != nil {
 			return err
 		}
 		last := i == len(s.segments)-1
-		if !last && (!whole || size == 0) {
-			return &DamageError{File: s.segments[i].name(), Offset: size, Reason: "an unreadable record before a later segment"}
+		synced := !last && !whole
+		used := size == 0 && s.segments[i].number <= known
+		if synced || used {
+			return &DamageError{File: s.segments[i].name(), Offset: size, Reason: "an unreadable record in a part that was synced"}
 		}
-		if size == 0 && i > 0 {
+		if size == 0 {
 			return s.dropLast()
 		}
 		s.size = size
 	}
-	if s.size == 0 {
-		return &DamageError{File: segment{number: 1}.name(), Reason: "the log is missing beside an identity"}
-	}
 	return nil
 }
 
--- a/masticstore/segment.go
+++ b/masticstore/segment.go
@@ -42,7 +42,8 @@
 }
 
 // beginSegment starts a segment with a header that repeats the hard state, and says whether
-// the log was reset, so that the segments before it can be removed.
+// the log was reset, so that the segments before it can be removed. The identity comes last,
+// so that the segment that it names is whole.
 func (s *Store) beginSegment() error {
 	next := segment{number: 1}
 	if n := len(s.segments); n > 0 {
@@ -70,7 +71,10 @@
 	if err := s.file.Sync(); err != nil {
 		return err
 	}
-	return s.files.Sync()
+	if err := s.files.Sync(); err != nil {
+		return err
+	}
+	return s.saveIdentity()
 }
 
 // removeCovered removes the oldest segments while a snapshot at index covers them. Each
