Hold less quota ahead and return what is left at half time

Cause: each host fetched a second's demand ahead, and what was left at a grant's end counted as spent. Change: a holder holds 50 ms of demand ahead, and only where that is enough for a request; what is left of a grant at half its lifetime is given back. A burst that is smaller than what running requests reserve and do not use refuses requests inside the rate, on one host as on many: the bound must hold if all of them use their whole reservation.

--- a/masticquota/pool.go
+++ b/masticquota/pool.go
@@ -23,11 +23,16 @@
 	silentRetryAfter = time.Second
 )
 
+// stockDivisor is the part of a second's demand that is held before it is asked for.
+const stockDivisor = 20
+
 // held is a grant at its holder.
 type held struct {
 	id, term uint64
 	tokens   int64
 	until    time.Time
+	// staleFrom is the middle of the grant's lifetime.
+	staleFrom time.Time
 }
 
 // pool are the grants and waiting tickets of one workspace.
@@ -49,7 +54,9 @@
 	never      bool
 	// recent are the tokens asked for since recentFrom, and before that in an equal time.
 	recent, former int64
-	recentFrom     time.Time
+	// last are the tokens of the last request.
+	last       int64
+	recentFrom time.Time
 }
 
 // expire drops the grants that have ended.
@@ -61,6 +68,7 @@
 func (p *pool) note(now time.Time, tokens int64) {
 	p.roll(now)
 	p.recent += tokens
+	p.last = tokens
 }
 
 func (p *pool) roll(now time.Time) {
@@ -176,14 +184,15 @@
 		return GrantRequest{}, false
 	}
 	p.roll(now)
-	r := GrantRequest{WantTokens: max(p.recent, p.former)}
+	p.returnStale(now)
+	r := GrantRequest{WantTokens: p.ahead()}
 	if len(p.queue) > 0 {
 		head := p.queue[0]
 		if now.Before(p.notBefore) && p.hintTokens > 0 && head.tokens >= p.hintTokens {
 			return GrantRequest{}, false
 		}
 		r.NeedTokens = max(1, head.tokens-p.stock())
-		r.WantTokens = max(r.WantTokens, p.waiting()-p.stock())
+		r.WantTokens += max(r.NeedTokens, p.waiting()-p.stock())
 		r.Patience = head.waitUntil.Sub(now)
 	} else if !p.wantsStock(now) {
 		return GrantRequest{}, false
@@ -199,7 +208,32 @@
 	if now.Sub(p.askedAt) < minAskInterval || now.Before(p.notBefore) {
 		return false
 	}
-	return len(p.reports) > 0 || p.stock() < max(p.recent, p.former)/2
+	return len(p.reports) > 0 || p.stock() < p.ahead()/2
+}
+
+// ahead returns the tokens to hold before they are asked for, zero where that would not
+// be enough for a request.
+func (p *pool) ahead() int64 {
+	demand := max(p.recent, p.former) / stockDivisor
+	if demand < p.last {
+		return 0
+	}
+	return demand
+}
+
+// returnStale gives back what is left of grants that are half over, so that it does not
+// count as spent at their end.
+func (p *pool) returnStale(now time.Time) {
+	if len(p.queue) > 0 {
+		return
+	}
+	p.grants = slices.DeleteFunc(p.grants, func(g held) bool {
+		if stale := !now.Before(g.staleFrom); !stale {
+			return false
+		}
+		p.report(g)
+		return true
+	})
 }
 
 func (p *pool) waiting() int64 {
@@ -226,7 +260,7 @@
 	p.notBefore = time.Time{}
 	until := p.askedAt.Add(a.Span)
 	if now.Before(until) {
-		p.grants = append(p.grants, held{id: a.GrantID, term: a.Term, tokens: a.Tokens, until: until})
+		p.grants = append(p.grants, held{id: a.GrantID, term: a.Term, tokens: a.Tokens, until: until, staleFrom: until.Add(-a.Span / 2)})
 	}
 }
 
