--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -5,6 +5,7 @@
 package masticstate
 
 import (
+	"slices"
 	"time"
 
 	"masticladder/masticerror"
@@ -135,7 +136,7 @@
 		return SuspectResult{Err: err}
 	}
 	until := max(r.GetQuarantineUntilUnixMs(), s.now.Add(minQuarantine).UnixMilli())
-	c := &masticproto.ViewChange{}
+	c := &masticproto.ViewChange{EndedQuarantines: s.crowdedOut(len(digests))}
 	for _, d := range digests {
 		q, _ := s.view.Quarantine(d)
 		end := max(until, q.Until.UnixMilli())
@@ -149,3 +150,18 @@
 
 // minQuarantine is the least length of a quarantine.
 const minQuarantine = time.Minute
+
+// crowdedOut returns the quarantines that end first, where there is no room for added ones.
+func (s *State) crowdedOut(added int) [][]byte {
+	all := s.view.Quarantines()
+	excess := len(all) + added - masticview.MaxQuarantines
+	if excess <= 0 {
+		return nil
+	}
+	slices.SortStableFunc(all, func(a, b masticview.Quarantine) int { return a.Until.Compare(b.Until) })
+	var out [][]byte
+	for _, q := range all[:min(excess, len(all))] {
+		out = append(out, q.Digest[:])
+	}
+	return out
+}
--- a/masticstate/state_test.go
+++ b/masticstate/state_test.go
@@ -9,6 +9,7 @@
 
 	"masticladder/masticerror"
 	"masticladder/masticproto"
+	"masticladder/masticview"
 )
 
 func init() {
@@ -85,3 +86,26 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(deltas, qt.HasLen, MaxDeltas)
 }
+
+// TestQuarantinesAreBounded sees that a new quarantine replaces the one that ends first.
+func TestQuarantinesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	index := uint64(0)
+	report := func(server string, digests [][]byte) SuspectResult {
+		index++
+		r := &masticproto.SuspectReport{Server: server, ServerIncarnation: "1", Digests: digests, QuarantineUntilUnixMs: begin + 3_600_000 + int64(index)}
+		return s.Apply(index, &masticproto.Command{AtUnixMs: begin, Kind: &masticproto.Command_Suspect{Suspect: r}}).(SuspectResult)
+	}
+	var digests [][]byte
+	for i := range masticview.MaxQuarantines + 1 {
+		d := masticview.DigestOf(fmt.Append(nil, i))
+		digests = append(digests, d[:])
+	}
+	report("a", digests)
+	c.Assert(report("b", digests[:1]).Quarantined, qt.HasLen, 1)
+	c.Assert(report("b", digests[1:]).Quarantined, qt.HasLen, masticview.MaxQuarantines)
+	c.Assert(s.View().Quarantines(), qt.HasLen, masticview.MaxQuarantines)
+	_, kept := s.View().Quarantine(masticview.Digest(digests[0]))
+	c.Assert(kept, qt.IsFalse)
+}
