--- a/masticengine/incarnation.go
+++ b/masticengine/incarnation.go
@@ -2,18 +2,25 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
 
 	"masticladder/masticview"
 )
 
+// maxEnded is the number of ended incarnations that are remembered for each server.
+const maxEnded = 8
+
 // serverState is what is known of one model engine.
 type serverState struct {
 	incarnation string
 	known       bool
-	// ended is the last incarnation that was reported as ended.
-	ended   string
+	// ended are the last incarnations that were reported as ended, the newest last.
+	ended   []string
 	running map[*runningCall]struct{}
+	// unnamed counts the runs of a server that does not name its incarnations.
+	unnamed int
 }
 
 // runningCall is a call that an engine may be working on.
@@ -52,6 +59,9 @@
 func (c *Client) saw(r *runningCall, incarnation string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if incarnation == "" {
+		return
+	}
 	r.incarnation = incarnation
 	c.stateOf(r.server).learned(incarnation)
 }
@@ -77,9 +87,24 @@
 	return nil
 }
 
+// markEnded remembers that the end of an incarnation was reported.
+func (s *serverState) markEnded(incarnation string) {
+	if len(s.ended) == maxEnded {
+		s.ended = slices.Delete(s.ended, 0, 1)
+	}
+	s.ended = append(s.ended, incarnation)
+	if s.incarnation == incarnation {
+		s.known = false
+	}
+}
+
 // learned takes an incarnation, unless its end was reported.
 func (s *serverState) learned(incarnation string) {
-	if incarnation != "" && incarnation == s.ended {
+	if incarnation == "" && !s.known {
+		incarnation = fmt.Sprintf("unnamed-%d", s.unnamed)
+		s.unnamed++
+	}
+	if slices.Contains(s.ended, incarnation) {
 		return
 	}
 	s.incarnation, s.known = incarnation, true
@@ -102,10 +127,10 @@
 }
 
 // checkEnded finds out after a broken connection whether the server's incarnation
-// ended. The first call to find out reports all digests that were running.
+// ended. A server that answers without naming its incarnation counts as alive. The first call to find out reports all digests that were running.
 func (c *Client) checkEnded(call Call, r *runningCall) bool {
 	now, err := c.probe(context.Background(), call.Server)
-	if err == nil && now == r.incarnation {
+	if err == nil && (now == "" || now == r.incarnation) {
 		return false
 	}
 	if digests, first := c.endIncarnation(r); first {
@@ -119,10 +144,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.stateOf(r.server)
-	if !s.known || s.incarnation != r.incarnation {
+	if slices.Contains(s.ended, r.incarnation) {
 		return nil, false
 	}
-	s.known, s.ended = false, s.incarnation
+	s.markEnded(r.incarnation)
 	seen := make(map[masticview.Digest]struct{}, len(s.running))
 	var digests []masticview.Digest
 	for other := range s.running {
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -88,11 +88,15 @@
 	Pieces   []masticprompt.Piece
 	Tokens   int64
 	Ahead    float64
+	Trial    masticcache.Trial
 	LookUps  int
 	weighed  [maxCandidates]Candidate
 	nWeighed int
 }
 
+// Uncached returns the predicted work before the first token, in tokens.
+func (d *Decision) Uncached() int64 { return int64(max(0, float64(d.Tokens)-d.Cached)) }
+
 // Weighed returns all candidates, in the order in which they were found.
 func (d *Decision) Weighed() []Candidate { return d.weighed[:d.nWeighed] }
 
@@ -143,6 +147,7 @@
 			d.Candidate = c
 			d.Pieces = pieces
 			d.Tokens = tokens
+			d.Trial = r.lookup.Trial(now, slot)
 			found = true
 		}
 		return true
