Bound the orders of one workspace

Cause: one workspace could fill the ledger for all, and tombstones had no bound over all workspaces. Change: 500,000 of 1,000,000 records and 4,000,000 of 16,000,000 opaque keys for one workspace. Conclusion: a flood of one workspace leaves half of the records to the others.

--- a/masticledger/check.go
+++ b/masticledger/check.go
@@ -30,16 +30,26 @@
 	if w.ages.Dropped(id.tombstone(), keyTime) {
 		return masticerror.New(masticerror.KindKeyTooOld, "the idempotency key is older than the retention of its record")
 	}
-	if keyTime == 0 && w.opaque+w.ages.Tombstones() >= g.limits.OpaqueKeys {
+	if keyTime == 0 && (w.opaque >= g.limits.WorkspaceOpaqueKeys || g.opaque >= g.limits.OpaqueKeys) {
 		return masticerror.New(masticerror.KindKeyTooOld,
-			"workspace %q has used %d keys that bear no time; send a UUIDv7 or ULID", w.name, g.limits.OpaqueKeys)
+			"workspace %q has used %d keys that bear no time; send a UUIDv7 or ULID", w.name, w.opaque)
 	}
-	if len(g.orders) >= g.limits.Orders {
-		return masticerror.New(masticerror.KindOverloaded, "the ledger is full")
+	if w.orders >= g.limits.WorkspaceOrders || len(g.orders) >= g.limits.Orders {
+		return masticerror.New(masticerror.KindOverloaded, "the ledger is full, with %d orders of workspace %q", w.orders, w.name)
 	}
 	return nil
 }
 
+// count counts a new record of w. A key without a time counts for good, as a record and
+// then as a tombstone.
+func (g *Ledger) count(w *workspace, keyTime int64) {
+	w.orders++
+	if keyTime == 0 {
+		w.opaque++
+		g.opaque++
+	}
+}
+
 // keyMillis returns the time that key bears in Unix milliseconds, or zero.
 func keyMillis(key string, now time.Time) int64 {
 	t, ok := KeyTime(key, now)
--- a/masticledger/ledger.go
+++ b/masticledger/ledger.go
@@ -11,8 +11,9 @@
 // old and never taken for new. A key that is a UUIDv7 or ULID bears its time: when such a
 // record is dropped, the workspace's horizon moves to that time, and keys without a record
 // from before the horizon are refused. Any other key leaves an 8-byte tombstone for good;
-// when a workspace has MaxOpaqueKeys of records and tombstones, further keys that bear no
-// time are refused, and keys that bear one go on. The alternative, to drop the oldest
+// when a workspace has MaxWorkspaceOpaqueKeys of records and tombstones, further keys that
+// bear no time are refused, and keys that bear one go on. A million records with answers of
+// 64 bytes take about 430 MB, a million tombstones about 10 MB. The alternative, to drop the oldest
 // tombstones, would run an old key again; a Bloom filter would need 4 bytes instead of 8
 // at a millionth of wrongful refusals, which is too little gain for an answer by chance.
 package masticledger
@@ -36,8 +37,12 @@
 	MaxBodyBytes = 64 << 20
 	// MaxOrders bounds the records; when full, reservations are refused.
 	MaxOrders = 1_000_000
-	// MaxOpaqueKeys bounds a workspace's records and tombstones of keys that bear no time.
-	MaxOpaqueKeys = 4_000_000
+	// MaxWorkspaceOrders bounds the records of one workspace.
+	MaxWorkspaceOrders = 500_000
+	// MaxOpaqueKeys bounds the records and tombstones of keys that bear no time.
+	MaxOpaqueKeys = 16_000_000
+	// MaxWorkspaceOpaqueKeys bounds those of one workspace.
+	MaxWorkspaceOpaqueKeys = 4_000_000
 	// MinRetention and MaxRetention bound the time from a reservation to its retention deadline.
 	MinRetention = time.Hour
 	MaxRetention = 30 * 24 * time.Hour
@@ -52,12 +57,16 @@
 	workspaces map[string]*workspace
 	holders    map[holder]*holder
 	bodies     bodies
-	limits     Limits
+	// opaque is the number of keys without a time, of records and tombstones.
+	opaque int
+	limits Limits
 }
 
 // Limits are the bounds that all replicas of a ledger must share.
 type Limits struct {
-	Orders, OpaqueKeys, BodyBytes int
+	Orders, WorkspaceOrders         int
+	OpaqueKeys, WorkspaceOpaqueKeys int
+	BodyBytes                       int
 }
 
 // Option sets a property of a Ledger.
@@ -73,7 +82,11 @@
 		expiry:     newExpiry(),
 		workspaces: make(map[string]*workspace),
 		holders:    make(map[holder]*holder),
-		limits:     Limits{Orders: MaxOrders, OpaqueKeys: MaxOpaqueKeys, BodyBytes: MaxBodyBytes},
+		limits: Limits{
+			Orders: MaxOrders, WorkspaceOrders: MaxWorkspaceOrders,
+			OpaqueKeys: MaxOpaqueKeys, WorkspaceOpaqueKeys: MaxWorkspaceOpaqueKeys,
+			BodyBytes: MaxBodyBytes,
+		},
 	}
 	for _, o := range options {
 		o(g)
@@ -100,9 +113,7 @@
 	if err := g.checkNew(w, id, keyTime); err != nil {
 		return masticcall.Reservation{}, err
 	}
-	if keyTime == 0 {
-		w.opaque++
-	}
+	g.count(w, keyTime)
 	o := order{digest: digest, workspace: w, keyTime: keyTime}
 	return g.reserve(now, id, o, r), nil
 }
@@ -200,9 +211,7 @@
 
 func (g *Ledger) drop(id orderID, o order) {
 	o.workspace.ages.Drop(id.tombstone(), o.keyTime)
-	if o.keyTime == 0 {
-		o.workspace.opaque--
-	}
+	o.workspace.orders--
 	if o.answer != nil {
 		g.bodies.bytes -= len(o.answer.Body)
 	}
--- a/masticledger/ledger_test.go
+++ b/masticledger/ledger_test.go
@@ -24,7 +24,7 @@
 
 func TestReserveRefuses(t *testing.T) {
 	c := qt.New(t)
-	g := New(WithLimits(Limits{Orders: 3, OpaqueKeys: 1, BodyBytes: 10}))
+	g := New(WithLimits(Limits{Orders: 9, WorkspaceOrders: 3, OpaqueKeys: 2, WorkspaceOpaqueKeys: 1, BodyBytes: 10}))
 	_, err := g.Reserve(begin, reserveOf(begin, "a", 1, 1))
 	c.Assert(err, qt.IsNil)
 	_, err = g.Reserve(begin, reserveOf(begin, "a", 2, 2))
@@ -37,6 +37,13 @@
 	}
 	_, err = g.Reserve(begin, reserveOf(begin, uuidAt(begin.Add(-9*time.Second)), 1, 9))
 	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindOverloaded)
+	other := reserveOf(begin, "a", 1, 9)
+	other.Workspace = "yard"
+	_, err = g.Reserve(begin, other)
+	c.Assert(err, qt.IsNil)
+	other.Workspace = "quarry"
+	_, err = g.Reserve(begin, other)
+	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindKeyTooOld)
 	_, err = g.Reserve(begin.Add(time.Hour), reserveOf(begin, "c", 1, 9))
 	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindDeadline)
 }
@@ -58,7 +65,7 @@
 
 func TestBodiesAreBounded(t *testing.T) {
 	c := qt.New(t)
-	g := New(WithLimits(Limits{Orders: 5000, OpaqueKeys: 5000, BodyBytes: 100}))
+	g := New(WithLimits(Limits{Orders: 5000, WorkspaceOrders: 500, OpaqueKeys: 5000, WorkspaceOpaqueKeys: 5000, BodyBytes: 100}))
 	now := begin
 	for i := range 4000 {
 		now = now.Add(10 * time.Second)
--- a/masticledger/order.go
+++ b/masticledger/order.go
@@ -58,6 +58,8 @@
 type workspace struct {
 	name   string
 	ages   Ages
+	orders int
+	// opaque is the number of keys without a time, of records and tombstones.
 	opaque int
 }
 
--- a/masticledger/property_test.go
+++ b/masticledger/property_test.go
@@ -71,7 +71,7 @@
 }
 
 func newCluster(t *rapid.T) *cluster {
-	limits := Limits{Orders: 100, OpaqueKeys: pick(t, "opaque keys", 2, 100), BodyBytes: 10}
+	limits := Limits{Orders: 100, WorkspaceOrders: 90, OpaqueKeys: 100, WorkspaceOpaqueKeys: pick(t, "opaque keys", 2, 100), BodyBytes: 10}
 	c := &cluster{
 		t: t, now: begin, limits: limits, ledger: New(WithLimits(limits)), twin: New(WithLimits(limits)),
 		answered: make(map[int]masticcall.Reservation), dispatches: make(map[int]int),
--- a/masticledger/snapshot.go
+++ b/masticledger/snapshot.go
@@ -55,7 +55,10 @@
 func Restore(s *masticproto.LedgerSnapshot, options ...Option) (*Ledger, error) {
 	g := New(options...)
 	for _, w := range s.GetWorkspaces() {
-		g.workspace(w.GetWorkspace()).ages = RestoreAges(w.GetHorizonUnixMs(), w.GetTombstones())
+		k := g.workspace(w.GetWorkspace())
+		k.ages = RestoreAges(w.GetHorizonUnixMs(), w.GetTombstones())
+		k.opaque = k.ages.Tombstones()
+		g.opaque += k.opaque
 	}
 	g.bodies.sequence = s.GetBodySequence()
 	for _, r := range s.GetOrders() {
@@ -90,9 +93,7 @@
 		bodyAt:      r.GetBodySequence(),
 		phase:       phase(r.GetState()),
 	}
-	if o.keyTime == 0 {
-		o.workspace.opaque++
-	}
+	g.count(o.workspace, o.keyTime)
 	if o.bodyAt != 0 {
 		g.bodies.queue = append(g.bodies.queue, id)
 		g.bodies.bytes += len(o.answer.Body)
