Rely more on homes while no cache events come

Cause: without events a host knows nothing of other hosts' work. Change: the cost of computing off a prefix's homes is 4 in place of 1 prefills at the mean speed until events tell what others compute.

--- a/masticcache/event.go
+++ b/masticcache/event.go
@@ -123,3 +123,6 @@
 	}
 	return s.churnNow(now) / mean
 }
+
+// Informed reports whether events tell of the work of other hosts.
+func (b *Beliefs) Informed(now time.Time) bool { return b.total.churnNow(now) >= minChurn }
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -27,6 +27,8 @@
 	// offHomeCost is what a token computed elsewhere than at a home of its prefix costs,
 	// in prefills of a token at the mean speed: no other host would look for it there.
 	offHomeCost = 1.0
+	// uninformedOffHomeCost is the same while no events tell where others have computed.
+	uninformedOffHomeCost = 4.0
 	// unseenTokens is the work before a quick request that a lagged report does not show
 	// on a backend server outside the reserve: a piece is computed half of the time.
 	unseenTokens = masticprompt.PieceTokens / 4
@@ -136,7 +138,7 @@
 		}
 		c := r.predict(now, slot, reason, q.Class, tokens)
 		if q.Class != masticview.ClassQuick && !slices.Contains(homes, slot) {
-			c.Cost += seconds(offHomeCost * (float64(tokens) - c.Cached) / r.speeds)
+			c.Cost += seconds(r.offHomeCost(now) * (float64(tokens) - c.Cached) / r.speeds)
 		}
 		if reason == ReasonReserve {
 			c.Credit = warmUpCredit(c, pieces)
--- a/masticroute/home.go
+++ b/masticroute/home.go
@@ -1,6 +1,8 @@
 package masticroute
 
 import (
+	"time"
+
 	"masticladder/masticcache"
 	"masticladder/masticprompt"
 )
@@ -24,3 +26,11 @@
 	}
 	return p.ring.first(pieces[end].ID.Hash(), homesPerLevel)
 }
+
+// offHomeCost returns what a token computed off its homes costs, in prefills of a token.
+func (r *Router) offHomeCost(now time.Time) float64 {
+	if r.beliefs.Informed(now) {
+		return offHomeCost
+	}
+	return uninformedOffHomeCost
+}
