Rebuild the rings only when the backend servers have changed

Change: SetView compares the servers first; a server that is gone from the view leaves. Seen to fail: gone server kept; pools kept; beliefs kept under new weights.

--- a/masticcache/beliefs_test.go
+++ b/masticcache/beliefs_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"flag"
+	"runtime"
 	"testing"
 	"time"
 
@@ -178,3 +179,23 @@
 		c.Assert(b.servers[0].halfLife < startHalfLife, qt.Equals, cached == 100)
 	}
 }
+
+// BenchmarkMemory reports the memory of one piece with four holders.
+func BenchmarkMemory(b *testing.B) {
+	const pieces = 1 << 16
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		beliefs := New()
+		for i := range pieces {
+			for slot := range Slot(4) {
+				beliefs.Touch(start, slot, 0, []masticprompt.Piece{pieceOf(i)})
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/pieces, "B/piece")
+		runtime.KeepAlive(beliefs)
+	}
+}
--- a/masticprompt/piece_test.go
+++ b/masticprompt/piece_test.go
@@ -124,3 +124,13 @@
 	c.Assert(one.Pieces(Seed{})[0], qt.Equals, two.Pieces(Seed{})[0])
 	c.Assert(one.Pieces(Seed{})[1], qt.Not(qt.Equals), two.Pieces(Seed{})[1])
 }
+
+// BenchmarkCut measures a prompt of 44,000 tokens in three levels.
+func BenchmarkCut(b *testing.B) {
+	levels := []masticcall.Level{
+		{Text: strings.Repeat("hand", 24000)}, {Text: strings.Repeat("saws", 20000)}, {Text: strings.Repeat("kerf", 300)},
+	}
+	for b.Loop() {
+		Cut(levels)
+	}
+}
--- a/masticroute/decide_test.go
+++ b/masticroute/decide_test.go
@@ -193,3 +193,48 @@
 		})
 	}
 }
+
+func TestViewWithoutAServerLeavesItOut(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.SetView(viewOf(2))
+	r.SetView(viewOf(1))
+	q := queryOf("a", "q")
+	q.Avoid = []string{"engine0000"}
+	_, ok := r.Decide(start, &q)
+	c.Assert(ok, qt.IsFalse)
+	r.SetView(viewOf(2))
+	d, ok := r.Decide(start, &q)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(r.Server(d.Slot).Name, qt.Equals, "engine0001")
+}
+
+func TestNewWeightsVoidBeliefs(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.SetView(viewOf(1))
+	q := queryOf("a", "q")
+	d, _ := r.Decide(start, &q)
+	r.Start(start, &q, &d)
+	s := engineOf(0)
+	s.WeightsVersion = "v2"
+	r.SetView(viewOf(1).WithServer(s))
+	d, ok := r.Decide(start, &q)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(d.Cached, qt.Equals, 0.0)
+	c.Assert(r.beliefs.Epoch(0), qt.Equals, masticcache.Epoch(1))
+}
+
+// BenchmarkSetView measures a new view with the same servers by the number of engines.
+func BenchmarkSetView(b *testing.B) {
+	for _, n := range []int{20, 5400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := New()
+			v := viewOf(n)
+			r.SetView(v)
+			for b.Loop() {
+				r.SetView(v)
+			}
+		})
+	}
+}
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -70,16 +70,27 @@
 
 // SetView replaces the backend servers by those of v.
 func (r *Router) SetView(v masticview.View) {
-	for _, s := range r.servers {
-		s.active = false
-	}
+	seen := make([]bool, len(r.servers))
+	changed := false
 	for _, i := range v.Servers() {
-		r.setServer(i)
+		slot, ok := r.slots[i.Name]
+		if ok {
+			seen[slot] = true
+		}
+		changed = r.setServer(i) || changed
+	}
+	for slot, ok := range seen {
+		s := r.servers[slot]
+		changed = changed || (!ok && s.active)
+		s.active = s.active && ok
+	}
+	if changed {
+		r.pools = r.newPools()
 	}
-	r.pools = r.newPools()
 }
 
-func (r *Router) setServer(i masticview.Server) {
+// setServer takes one backend server and reports whether the pools depend on the change.
+func (r *Router) setServer(i masticview.Server) bool {
 	slot, ok := r.slots[i.Name]
 	if !ok {
 		slot = masticcache.Slot(len(r.servers))
@@ -87,11 +98,14 @@
 		r.servers = append(r.servers, &server{info: i})
 	}
 	s := r.servers[slot]
-	if s.info.URL != i.URL || s.info.WeightsVersion != i.WeightsVersion {
+	before, wasActive := s.info, s.active
+	if before.URL != i.URL || before.WeightsVersion != i.WeightsVersion {
 		r.beliefs.Reset(slot)
 	}
 	s.info = i
 	s.active = i.State == masticview.ServerActive || i.State == ""
+	return s.active != wasActive || before.Kind != i.Kind ||
+		before.WeightsVersion != i.WeightsVersion || !slices.Equal(before.Models, i.Models)
 }
 
 func (r *Router) newPools() map[string][]pool {
