Measure the policy with rare load reports and no cache events

Cause: the prober asks 8 backend servers a second, so a report of 20 engines is up to 2.5 s old, and no events are fed: this is what the daemon runs today. Change: one more scenario; the other rows do not change.

--- a/masticmeasure/event.go
+++ b/masticmeasure/event.go
@@ -1,6 +1,7 @@
 package masticmeasure
 
 import (
+	"cmp"
 	"time"
 
 	"masticladder/masticcache"
@@ -185,7 +186,7 @@
 	if e.engine.up {
 		m.after(reportLag, &report{e.engine.report(m.time())})
 	}
-	m.after(reportInterval, e)
+	m.after(cmp.Or(m.scenario.reportEvery, reportInterval), e)
 }
 
 // report is a load report that reaches all hosts.
--- a/masticmeasure/scenario.go
+++ b/masticmeasure/scenario.go
@@ -13,6 +13,8 @@
 	engineDown = 2 * time.Second
 	hostDown   = 5 * time.Second
 	herdDown   = 500 * time.Millisecond
+	// rareReports is the interval of a host that asks 8 of 20 engines a second.
+	rareReports = 2500 * time.Millisecond
 )
 
 // scenario is one course of faults.
@@ -28,6 +30,8 @@
 	loss float64
 	// slow is the number of engines with a tenth of their speed.
 	slow int
+	// reportEvery is the time between two load reports of an engine; zero is reportInterval.
+	reportEvery time.Duration
 	// until is when the last request comes.
 	until time.Duration
 }
@@ -43,5 +47,6 @@
 	{name: "herdRestart", loud: -1, loss: eventLoss, herd: true},
 	{name: "eventGaps", loud: -1, loss: 0.3},
 	{name: "noEvents", loud: -1, loss: 1},
+	{name: "noEventsRareReports", loud: -1, loss: 1, reportEvery: rareReports},
 	{name: "slowServers", loud: -1, loss: eventLoss, slow: 3},
 }
