Bound messages between hosts by 256 MiB and log what is over it

Change: the default limit holds the bodies and records that the ledger keeps today; one-way messages over it are refused and logged. An agent logs that the view does not name its host. After: the frame test covers one-way messages; tests of masticwire and masticcontrol pass with -race.

--- a/masticagent/renewer.go
+++ b/masticagent/renewer.go
@@ -16,6 +16,8 @@
 	kick    chan struct{}
 	holder  *masticlease.Holder
 	granted bool
+	// refused reports that the leader has all this host has and still grants no lease.
+	refused bool
 }
 
 func newRenewer(a *Agent) *renewer {
@@ -80,6 +82,7 @@
 		Revision: answer.GetRevision(),
 	})
 	r.agent.views.setLease(r.holder.Until())
+	r.logRefusal(answer)
 	if answer.GetUpdate() == nil {
 		return
 	}
@@ -88,6 +91,15 @@
 	}
 }
 
+// logRefusal logs when a lease is refused to a host that serves the newest revision.
+func (r *renewer) logRefusal(answer *masticproto.RenewAnswer) {
+	refused := answer.GetSpanUs() == 0 && answer.GetUpdate() == nil
+	if refused && !r.refused {
+		r.agent.log.WithField("revision", answer.GetRevision()).Warn("no view lease is granted: the view does not name this host")
+	}
+	r.refused = refused
+}
+
 // logLease logs when the lease begins or ends.
 func (r *renewer) logLease(now time.Time) {
 	held := r.holder.Held(now)
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -63,7 +63,7 @@
 		orders:     masticring.New[loadOrder]("load orders", loadOrders),
 		messages:   masticring.New[*masticproto.PeerRequest]("messages of the log", DefaultMessages),
 		stopping:   make(chan struct{}),
-		peers:      newPeers(s.wire),
+		peers:      newPeers(s.wire, s.log),
 		pending:    map[uint64]proposal{},
 		replaced:   replaced{members: loaded.Snapshot.GetMembers().GetMembers()},
 		watchers:   map[*watch]struct{}{},
--- a/masticcontrol/peers.go
+++ b/masticcontrol/peers.go
@@ -1,6 +1,9 @@
 package masticcontrol
 
 import (
+	"github.com/sirupsen/logrus"
+
+	"masticladder/masticerror"
 	"masticladder/masticproto"
 	"masticladder/masticwire"
 )
@@ -8,13 +11,14 @@
 // peers sends messages of the core to the other members.
 type peers struct {
 	wire    *masticwire.Wire
+	log     logrus.FieldLogger
 	clients map[string]*masticwire.Client
 	// learned has the addresses that hosts named in their messages, for those not in the member list.
 	learned map[string]string
 }
 
-func newPeers(w *masticwire.Wire) *peers {
-	return &peers{wire: w, clients: map[string]*masticwire.Client{}, learned: map[string]string{}}
+func newPeers(w *masticwire.Wire, log logrus.FieldLogger) *peers {
+	return &peers{wire: w, log: log, clients: map[string]*masticwire.Client{}, learned: map[string]string{}}
 }
 
 // send queues messages; the core repeats those that are lost.
@@ -28,10 +32,13 @@
 		if err != nil {
 			continue
 		}
-		_ = c.Send(&masticproto.PeerRequest{
+		err = c.Send(&masticproto.PeerRequest{
 			Address: addressOf(members, m.GetFrom()),
 			Kind:    &masticproto.PeerRequest_Quorum{Quorum: m},
 		})
+		if masticerror.KindOf(err) == masticerror.KindBodyTooLarge {
+			p.log.WithError(err).WithField("to", m.GetTo()).Error("a message of the log cannot be sent")
+		}
 	}
 }
 
--- a/masticwire/call.go
+++ b/masticwire/call.go
@@ -37,8 +37,8 @@
 	if bounded {
 		q.TimeoutMs = max(time.Until(deadline).Milliseconds(), 1)
 	}
-	if n := proto.Size(q); n > c.wire.frameBytes {
-		return nil, masticerror.New(masticerror.KindBodyTooLarge, "message of %d bytes is over the limit of %d", n, c.wire.frameBytes)
+	if err := c.wire.checkSize(q); err != nil {
+		return nil, err
 	}
 	stream, err := session.OpenStream()
 	if err != nil {
--- a/masticwire/frame.go
+++ b/masticwire/frame.go
@@ -11,12 +11,20 @@
 	"masticladder/masticerror"
 )
 
+// checkSize refuses a message over the limit.
+func (w *Wire) checkSize(m proto.Message) error {
+	if n := proto.Size(m); n > w.frameBytes {
+		return masticerror.New(masticerror.KindBodyTooLarge, "message of %d bytes is over the limit of %d", n, w.frameBytes)
+	}
+	return nil
+}
+
 // writeFrame writes the message and its length in one write.
 func (w *Wire) writeFrame(to io.Writer, m proto.Message) error {
-	n := proto.Size(m)
-	if n > w.frameBytes {
-		return masticerror.New(masticerror.KindBodyTooLarge, "message of %d bytes is over the limit of %d", n, w.frameBytes)
+	if err := w.checkSize(m); err != nil {
+		return err
 	}
+	n := proto.Size(m)
 	frame := make([]byte, 0, n+protowire.SizeVarint(uint64(n)))
 	frame = protowire.AppendVarint(frame, uint64(n))
 	frame, err := proto.MarshalOptions{}.MarshalAppend(frame, m)
--- a/masticwire/outbox.go
+++ b/masticwire/outbox.go
@@ -27,8 +27,12 @@
 }
 
 // Send queues a one-way message without waiting. The error has kind overloaded when
-// the queue is full. A nil error does not say that the message arrives.
+// the queue is full and bodyTooLarge for a message over the limit. A nil error does not
+// say that the message arrives.
 func (c *Client) Send(q *masticproto.PeerRequest) error {
+	if err := c.wire.checkSize(q); err != nil {
+		return err
+	}
 	c.outbox.start.Do(c.outbox.begin)
 	q.Mode = masticproto.PeerMode_PEER_ONE_WAY
 	return c.outbox.ring.Offer(q)
--- a/masticwire/wire.go
+++ b/masticwire/wire.go
@@ -15,7 +15,7 @@
 
 // Defaults of the options.
 const (
-	DefaultFrameBytes        = 8 << 20
+	DefaultFrameBytes        = 256 << 20
 	DefaultSessionCalls      = 512
 	DefaultOutboxMessages    = 4096
 	DefaultDialTimeout       = 500 * time.Millisecond
--- a/masticwire/wire_test.go
+++ b/masticwire/wire_test.go
@@ -149,6 +149,7 @@
 	client := connect(t, w, s.Address())
 	_, err := client.Call(bounded(t, testBound), ask(strings.Repeat("x", 2*testFrameBytes)))
 	c.Assert(masticerror.KindOf(err), quicktest.Equals, masticerror.KindBodyTooLarge)
+	c.Assert(masticerror.KindOf(client.Send(ask(strings.Repeat("x", 2*testFrameBytes)))), quicktest.Equals, masticerror.KindBodyTooLarge)
 	_, err = client.Call(bounded(t, testBound), ask("large"))
 	c.Assert(masticerror.KindOf(err), quicktest.Equals, masticerror.KindBodyTooLarge)
 
