--- a/masticagent/leaderclient.go
+++ b/masticagent/leaderclient.go
@@ -71,7 +71,9 @@
 	address, replaced := l.pick()
 	answer, err := l.attemptAt(ctx, replaced, address, q, attempt)
 	if err == nil || final(err) {
-		l.confirm(address)
+		if masticerror.KindOf(err) != masticerror.KindOverloaded {
+			l.confirm(address)
+		}
 		return asked{answer: answer, address: address}, err
 	}
 	l.follow(address, err)
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -14,6 +14,9 @@
 	deadline time.Time
 }
 
+// answerSlack is the time that an answer needs to reach its caller.
+const answerSlack = 100 * time.Millisecond
+
 // renew grants a view lease to a host of the view, and sends it what it lacks.
 func (d *leader) renew(now time.Time, c *call, r *masticproto.RenewRequest) {
 	answer := &masticproto.RenewAnswer{Id: r.GetId(), Term: d.term, Revision: d.loop.state.View().Revision()}
@@ -32,9 +35,13 @@
 	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Renew{Renew: answer}})
 }
 
-// await keeps a committed publish until it is in force or its bound has passed.
+// await keeps a committed publish until it is in force or its bound has passed, which
+// is a little before the caller stops waiting.
 func (d *leader) await(now time.Time, c *call, answer *masticproto.CommandAnswer) {
 	deadline := now.Add(d.loop.viewLease + d.loop.forceMargin)
+	if ends, bounded := c.context.Deadline(); bounded && ends.Add(-answerSlack).Before(deadline) {
+		deadline = ends.Add(-answerSlack)
+	}
 	d.forces = append(d.forces, force{call: c, answer: answer, deadline: deadline})
 }
 
@@ -57,6 +64,9 @@
 
 // nextDeadline returns when settle or propose is due, or zero.
 func (d *leader) nextDeadline() time.Time {
+	if !d.loop.status.LeaseHeld {
+		return time.Time{}
+	}
 	next := d.nextTick
 	if d.placement != nil && d.placement.next.Before(next) {
 		next = d.placement.next
