--- a/masticcontrol/bench_test.go
+++ b/masticcontrol/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -12,24 +13,36 @@
 	"masticladder/masticview"
 )
 
-// BenchmarkPublishInForce publishes one change after the other to eight hosts.
+// BenchmarkPublishInForce publishes one change after the other to a number of hosts.
 func BenchmarkPublishInForce(b *testing.B) {
+	for _, n := range []int{8, 100} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) { benchmarkPublish(b, n) })
+	}
+}
+
+func benchmarkPublish(b *testing.B, n int) {
+	c, agents := idleAgents(b, n)
+	for i := 0; b.Loop(); i++ {
+		p, err := agents[0].Operator().Publish(c.context(), workspaceName(i), 0, workspaceChange(workspaceName(i%10)))
+		if err != nil || !p.InForce {
+			b.Fatal(p, err)
+		}
+	}
+}
+
+// idleAgents starts control hosts and agents that hold a lease.
+func idleAgents(b *testing.B, n int) (*cluster, []*client) {
 	c := newCluster(b, three)
 	c.startAll()
 	var agents []*client
-	for i := range 8 {
+	for i := range n {
 		agents = append(agents, c.agent(i+1))
 	}
-	c.publish(agents[0], "first", baseChange(8))
+	c.publish(agents[0], "first", baseChange(n))
 	for _, a := range agents {
 		c.eventually("a lease", func() bool { return a.Leased(time.Now()) })
 	}
-	for i := 0; b.Loop(); i++ {
-		p, err := agents[0].Operator().Publish(c.context(), workspaceName(i), 0, workspaceChange(workspaceName(i%10)))
-		if err != nil || !p.InForce {
-			b.Fatal(p, err)
-		}
-	}
+	return c, agents
 }
 
 func BenchmarkReserveGroupCommit(b *testing.B) {
@@ -67,16 +80,7 @@
 }
 
 func benchmarkIdle(b *testing.B, n int) {
-	c := newCluster(b, three)
-	c.startAll()
-	var agents []*client
-	for i := range n {
-		agents = append(agents, c.agent(i+1))
-	}
-	c.publish(agents[0], "first", baseChange(n))
-	for _, a := range agents {
-		c.eventually("a lease", func() bool { return a.Leased(time.Now()) })
-	}
+	c, agents := idleAgents(b, n)
 	leader := c.nodes[c.leader(agents[0])]
 	for b.Loop() {
 		in, out := agents[0].wire.Bytes()
@@ -89,6 +93,7 @@
 		b.ReportMetric(float64(afterIn-in)/seconds, "agentInB/s")
 		b.ReportMetric(float64(afterOut-out)/seconds, "agentOutB/s")
 		b.ReportMetric(float64(leaderAfterIn-leaderIn+leaderAfterOut-leaderOut)/seconds, "leaderB/s")
+		b.ReportMetric(float64(heapBytes())/1024, "heapKiB")
 		b.ReportMetric(100*(processorTime()-cpu).Seconds()/seconds, "core%")
 	}
 }
@@ -99,3 +104,11 @@
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// heapBytes returns the live heap of this process.
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
