Wait for quota only while the first token can be in time

An error that already had a kind was given another one when it wrapped the end of a context. Change: Admit's context ends at the profile's time to the first token, counted from when the body was read; known kinds are kept; a service's answer has its length stated.

--- a/masticgate/fake_test.go
+++ b/masticgate/fake_test.go
@@ -44,13 +44,19 @@
 
 // fakeLimiter admits everything, unless told to refuse, and sums what was settled.
 type fakeLimiter struct {
-	mu       sync.Mutex
-	refuse   *masticerror.Error
+	mu     sync.Mutex
+	refuse *masticerror.Error
+	// slow makes Admit wait until its context ends.
+	slow     bool
 	admitted int64
 	settled  []int64
 }
 
-func (f *fakeLimiter) Admit(_ context.Context, _ string, tokens int64) (masticcall.Admission, error) {
+func (f *fakeLimiter) Admit(ctx context.Context, _ string, tokens int64) (masticcall.Admission, error) {
+	if f.slow {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.refuse != nil {
--- a/masticgate/load_test.go
+++ b/masticgate/load_test.go
@@ -139,6 +139,18 @@
 	b.c.Assert(b.engine.Counters().Late.Load(), qt.Equals, int64(2))
 }
 
+// TestNoGrantInTime checks that a request waits for its quota only as long as its first
+// token can still be in time.
+func TestNoGrantInTime(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.limiter.slow = true
+	b.start()
+	r, _ := b.stream("x", HeaderTimeout, "30000")
+	b.c.Assert(r.detail(b.c).Kind, qt.Equals, masticerror.KindRateLimited)
+	b.c.Assert(r.detail(b.c).NotRun, qt.IsTrue)
+}
+
 func TestCallerGone(t *testing.T) {
 	b := newBed(t)
 	e, _ := b.addEngine("engine-1")
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -112,7 +112,7 @@
 			PromptTokens: p.promptTokens,
 			OutputTokens: p.outputTokens,
 			Digest:       p.digest,
-			FirstTokenBy: q.started.Add(millis(profile.FirstTokenMillis)),
+			FirstTokenBy: q.gate.now().Add(millis(profile.FirstTokenMillis)),
 			Deadline:     deadline,
 		},
 	}
@@ -120,20 +120,35 @@
 
 // run admits the request and sends it to backend servers until it is answered or cannot be.
 func (m *modelCall) run(ctx context.Context) *masticerror.Error {
-	g := m.inbound.gate
 	if e := m.recheck(); e != nil {
 		return e
 	}
-	reserved := m.prompt.promptTokens + m.prompt.outputTokens
-	admission, err := g.limiter.Admit(ctx, m.request.Workspace, reserved)
-	if err != nil {
-		return notSent(err)
+	admission, e := m.admit(ctx)
+	if e != nil {
+		return e
 	}
-	e := m.attempts(ctx)
+	e = m.attempts(ctx)
 	admission.Settle(m.usedTokens())
 	return e
 }
 
+// admit takes the request's tokens from the quota. It waits for a grant only as long
+// as the first token can still be in time.
+func (m *modelCall) admit(ctx context.Context) (masticcall.Admission, *masticerror.Error) {
+	inTime, cancel := context.WithDeadline(ctx, m.request.FirstTokenBy)
+	defer cancel()
+	reserved := m.prompt.promptTokens + m.prompt.outputTokens
+	a, err := m.inbound.gate.limiter.Admit(inTime, m.request.Workspace, reserved)
+	switch {
+	case err == nil:
+		return a, nil
+	case errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil:
+		return nil, masticerror.New(masticerror.KindRateLimited, "the workspace got no grant in time")
+	default:
+		return nil, notSent(err)
+	}
+}
+
 // attempts sends the request until it is answered, or no further attempt is allowed.
 func (m *modelCall) attempts(ctx context.Context) *masticerror.Error {
 	var last *masticerror.Error
@@ -206,7 +221,10 @@
 
 // notSent gives an error from before a dispatch its kind.
 func notSent(err error) *masticerror.Error {
+	var known *masticerror.Error
 	switch {
+	case errors.As(err, &known):
+		return known
 	case errors.Is(err, context.DeadlineExceeded):
 		return masticerror.New(masticerror.KindDeadline, "the request's deadline passed")
 	case errors.Is(err, context.Canceled):
--- a/masticgate/service.go
+++ b/masticgate/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"masticladder/masticcall"
@@ -178,6 +179,9 @@
 // reply answers with the service's own answer, fresh or recorded.
 func (c *serviceCall) reply(status int, body []byte) {
 	q := c.inbound
+	if len(body) > 0 {
+		q.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	q.status(status)
 	_ = q.write(body)
 	q.gate.usage.Add(c.usage(""))
