Take dead hosts out of the address answers

Change: the leader takes a live host that renewed no lease for two spans out of the answers, all such hosts in one change (a zone at once is one entry); the host announces itself when it is back. Items of the view make their copies by WithState and ToProto in place of literals in three packages. Figures: test with three processes; seen to fail before the change (the dead host stayed listed).

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -334,3 +334,19 @@
 	}
 	c.Assert(names["profile-1"] && names["profile-2"], qt.IsTrue)
 }
+
+// lists reports whether an address answer of p names other.
+func (p *process) lists(other *process) bool {
+	a := call(http.MethodGet, "http://"+p.listen+"/v1/addresses", testKey, "")
+	return a.status == http.StatusOK && strings.Contains(a.body, `"`+other.listen+`"`)
+}
+
+func TestDeadHostLeavesTheAddressAnswersAndComesBack(t *testing.T) {
+	fleet, _ := startFleet(t)
+	dead := fleet[0]
+	waitFor(t, "all hosts listed", func() bool { return fleet[1].lists(dead) && fleet[2].lists(dead) })
+	dead.kill()
+	waitFor(t, "the dead host not listed", func() bool { return !fleet[1].lists(dead) && !fleet[2].lists(dead) })
+	dead.start()
+	waitFor(t, "the host listed again", func() bool { return fleet[1].lists(dead) && fleet[2].lists(dead) && dead.lists(dead) })
+}
--- a/masticadmin/orders.go
+++ b/masticadmin/orders.go
@@ -5,6 +5,7 @@
 
 	"masticladder/masticerror"
 	"masticladder/masticproto"
+	"masticladder/masticview"
 )
 
 // withdrawKey publishes the withdrawal of a key; the answer comes once it is in force.
@@ -15,13 +16,7 @@
 		writeError(w, masticerror.New(masticerror.KindNotFound, "there is no key %q", id))
 		return
 	}
-	item := &masticproto.Key{
-		Id:        key.ID,
-		Digest:    key.Digest[:],
-		Workspace: key.Workspace,
-		Profile:   key.Profile,
-		State:     "withdrawn",
-	}
+	item := key.WithState(masticview.KeyWithdrawn).ToProto()
 	s.order(w, r, &masticproto.ViewChange{Keys: []*masticproto.Key{item}})
 }
 
@@ -33,16 +28,7 @@
 		writeError(w, masticerror.New(masticerror.KindNotFound, "there is no host %q", name))
 		return
 	}
-	item := &masticproto.Host{
-		Name:    h.Name,
-		Address: h.Address,
-		Admin:   h.Admin,
-		Peer:    h.Peer,
-		Zone:    h.Zone,
-		Owner:   h.Owner,
-		Weight:  h.Weight,
-		State:   "retired",
-	}
+	item := h.WithState(masticview.HostRetired).ToProto()
 	s.order(w, r, &masticproto.ViewChange{Hosts: []*masticproto.Host{item}})
 }
 
@@ -54,17 +40,7 @@
 		writeError(w, masticerror.New(masticerror.KindNotFound, "there is no backend server %q", name))
 		return
 	}
-	item := &masticproto.Server{
-		Name:           b.Name,
-		Kind:           string(b.Kind),
-		Url:            b.URL,
-		Owner:          b.Owner,
-		Zone:           b.Zone,
-		Models:         b.Models,
-		WeightsVersion: b.WeightsVersion,
-		ChecksFencing:  b.ChecksFencing,
-		State:          "retired",
-	}
+	item := b.WithState(masticview.ServerRetired).ToProto()
 	s.order(w, r, &masticproto.ViewChange{Servers: []*masticproto.Server{item}})
 }
 
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -18,6 +18,7 @@
 	loop     *loop
 	term     uint64
 	grantor  *masticlease.Grantor
+	absences *absences
 	owner    *masticquota.Owner
 	forces   []force
 	goals    []goal
@@ -52,6 +53,7 @@
 		hosts = append(hosts, h.Name)
 	}
 	d := &leader{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval)}
+	d.absences = newAbsences(now)
 	d.grantor = masticlease.NewGrantor(now, d.term, view.Revision(),
 		masticlease.WithSpan(l.viewLease), masticlease.WithHosts(hosts))
 	d.owner = masticquota.NewOwner(now, d.term, d.limit, masticquota.WithCheckpoint(l.state.QuotaBounds()))
@@ -122,6 +124,7 @@
 // propose proposes what is due by itself: member changes, quota checkpoints and ticks.
 func (d *leader) propose(now time.Time) {
 	d.changeMembers(now)
+	d.proposeLost(now)
 	if d.placement != nil {
 		d.placement.propose(now)
 	}
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -28,6 +28,7 @@
 			Acknowledged: r.GetRevision(),
 		})
 		answer.SpanUs = g.Span.Microseconds()
+		d.absences.renewed[r.GetHost()] = now
 	}
 	if r.GetRevision() < answer.GetRevision() {
 		answer.Update = d.loop.updateFrom(r.GetRevision())
--- a/masticdaemon/announce.go
+++ b/masticdaemon/announce.go
@@ -81,16 +81,6 @@
 
 // publish sets the host's state in the view.
 func (a *announcer) publish(ctx context.Context, state masticview.HostState) (masticcall.Published, error) {
-	h := a.host
-	item := &masticproto.Host{
-		Name:    h.Name,
-		Address: h.Address,
-		Admin:   h.Admin,
-		Peer:    h.Peer,
-		Zone:    h.Zone,
-		Owner:   h.Owner,
-		Weight:  h.Weight,
-		State:   string(state),
-	}
+	item := a.host.WithState(state).ToProto()
 	return a.operator.Publish(ctx, uuid.NewString(), 0, &masticproto.ViewChange{Hosts: []*masticproto.Host{item}})
 }
--- a/masticview/check.go
+++ b/masticview/check.go
@@ -187,7 +187,7 @@
 }
 
 func checkHost(v View, h Host) error {
-	if h.State != HostLive && h.State != HostLeaving && h.State != HostRetired {
+	if !slices.Contains([]HostState{HostLive, HostLeaving, HostLost, HostRetired}, h.State) {
 		return refuse("host %q: there is no state %q", h.Name, h.State)
 	}
 	if h.Zone == "" || h.Weight < 0 {
--- a/masticview/items.go
+++ b/masticview/items.go
@@ -74,6 +74,12 @@
 	State     KeyState `json:"state"`
 }
 
+// WithState returns a copy in another state.
+func (k Key) WithState(s KeyState) Key {
+	k.State = s
+	return k
+}
+
 // HostState is the state of a host of the system.
 type HostState string
 
@@ -81,6 +87,8 @@
 const (
 	HostLive    HostState = "live"
 	HostLeaving HostState = "leaving"
+	// HostLost is the state of a host that renews no lease; it announces itself when it is back.
+	HostLost    HostState = "lost"
 	HostRetired HostState = "retired"
 )
 
@@ -97,6 +105,12 @@
 	State   HostState `json:"state"`
 }
 
+// WithState returns a copy in another state.
+func (h Host) WithState(s HostState) Host {
+	h.State = s
+	return h
+}
+
 // ServerState is the state of a backend server.
 type ServerState string
 
@@ -132,6 +146,12 @@
 	State         ServerState `json:"state"`
 }
 
+// WithState returns a copy in another state.
+func (s Server) WithState(state ServerState) Server {
+	s.State = state
+	return s
+}
+
 // Serves reports whether the server has model loaded.
 func (s Server) Serves(model string) bool { return slices.Contains(s.Models, model) }
 
