Test how hosts share a workspace's quota

Change: needs are met in their order, so that one of the whole burst is not starved by small ones; what is free beyond the needs of waiting hosts is shared among the hosts that ask. Conclusion: order is by request, not by token: a host with large requests gets more tokens.

--- /dev/null
+++ b/masticquota/fair_test.go
@@ -0,0 +1,65 @@
+package masticquota
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// asks is a host that asks again for the same need whenever its time to come back is there.
+type asks struct {
+	host    string
+	need    int64
+	want    int64
+	next    time.Time
+	granted int64
+}
+
+func (a *asks) turn(o *Owner, now time.Time, id uint64) {
+	if now.Before(a.next) {
+		return
+	}
+	g := o.Grant(now, GrantRequest{ID: id, Host: a.host, Workspace: mill, NeedTokens: a.need, WantTokens: a.want, Patience: time.Minute})
+	a.granted += g.Tokens
+	a.next = now.Add(g.RetryAfter)
+	if g.Tokens > 0 {
+		o.Return(now, mill, []GrantReport{{GrantID: g.GrantID, Term: 1}})
+	}
+}
+
+// TestHostsShareFairly lets hosts ask for far more than the rate: needs are met in their
+// order, so that one of the whole burst is not starved by small ones, nor they by it or by
+// a host that wants more than it needs.
+func TestHostsShareFairly(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(Limit{RateTokensPerSecond: 1000, BurstTokens: 2000})
+	hosts := []*asks{{host: "a", need: 50, want: 2000}, {host: "b", need: 50}, {host: "c", need: 2000}}
+	for ms := range 60_000 {
+		now := begin.Add(time.Hour + time.Duration(ms)*time.Millisecond)
+		for _, a := range hosts {
+			a.turn(o, now, uint64(ms+1))
+		}
+		o.commitAll(now)
+	}
+	small := hosts[0].granted + hosts[1].granted
+	c.Assert(hosts[1].granted*4 > small, qt.IsTrue, qt.Commentf("%d of %d", hosts[1].granted, small))
+	c.Assert(hosts[2].granted >= 20_000, qt.IsTrue, qt.Commentf("%d", hosts[2].granted))
+	c.Assert(small+hosts[2].granted > 58_000, qt.IsTrue, qt.Commentf("%d", small+hosts[2].granted))
+}
+
+// TestSpareIsShared sees that what is free beyond the needs of waiting hosts is shared.
+func TestSpareIsShared(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(Limit{RateTokensPerSecond: 1, BurstTokens: 2000})
+	now := begin.Add(time.Hour)
+	ask := func(id uint64, host string, need, want int64) GrantAnswer {
+		return o.Grant(now, GrantRequest{ID: id, Host: host, Workspace: mill, NeedTokens: need, WantTokens: want, Patience: time.Hour})
+	}
+	first := ask(1, "a", 1800, 0)
+	c.Assert(first.Tokens, qt.Equals, int64(1800))
+	c.Assert(ask(2, "b", 500, 0).Tokens, qt.Equals, int64(0))
+	o.Return(now, mill, []GrantReport{{GrantID: first.GrantID, Term: 1, ReturnedTokens: 1800}})
+	c.Assert(ask(3, "a", 0, 2000).Tokens, qt.Equals, int64(750))
+	c.Assert(ask(4, "b", 500, 0).Tokens, qt.Equals, int64(500))
+}
