--- a/masticagent/leaderclient.go
+++ b/masticagent/leaderclient.go
@@ -114,13 +114,18 @@
 	return masticerror.Wrap(err, masticerror.KindNoQuorum, "no leader of control was reached in time")
 }
 
-// sleep pauses with jitter and reports whether ctx still runs.
+// leastAttempt is the time below which an attempt is not begun, because it would most
+// likely end without an answer and leave the outcome unknown.
+const leastAttempt = 10 * time.Millisecond
+
+// sleep pauses with jitter and reports whether ctx leaves time for an attempt.
 func (l *leaderClient) sleep(ctx context.Context) bool {
 	t := time.NewTimer(l.pause/2 + rand.N(l.pause/2+1))
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return ctx.Err() == nil
+		deadline, bounded := ctx.Deadline()
+		return ctx.Err() == nil && (!bounded || time.Until(deadline) > leastAttempt)
 	case <-ctx.Done():
 		return false
 	}
