--- a/masticagent/renewer.go
+++ b/masticagent/renewer.go
@@ -65,6 +65,7 @@
 		Host:        renewal.Host,
 		Incarnation: renewal.Incarnation,
 		Revision:    renewal.Acknowledged,
+		Suspects:    r.agent.suspects.fingerprint(),
 	}}}, r.agent.renewTimeout)
 	if err != nil {
 		return err
@@ -82,6 +83,9 @@
 		Revision: answer.GetRevision(),
 	})
 	r.agent.views.setLease(r.holder.Until())
+	if s := answer.GetSuspects(); s != nil {
+		r.agent.suspects.replace(s)
+	}
 	r.logRefusal(answer)
 	if answer.GetUpdate() == nil {
 		return
