--- a/masticcontrol/commit.go
+++ b/masticcontrol/commit.go
@@ -97,18 +97,3 @@
 func commandAnswer(a *masticproto.CommandAnswer) *masticproto.PeerAnswer {
 	return &masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Command{Command: a}}
 }
-
-// compact takes a snapshot after a number of entries.
-func (l *loop) compact() error {
-	if l.status.Applied < l.status.SnapshotIndex+l.snapshotEntries {
-		return nil
-	}
-	data := l.state.Snapshot()
-	snapshot, err := l.core.Compact(l.status.Applied, data)
-	if err != nil {
-		return err
-	}
-	l.stateBytes = int64(len(data))
-	l.log.WithField("index", snapshot.GetIndex()).WithField("bytes", len(data)).Info("log compacted")
-	return l.store.Save(nil, nil, snapshot)
-}
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -33,6 +33,7 @@
 	status        masticquorum.Status
 	pending       map[uint64]proposal
 	replaced      replaced
+	compactor     *compactor
 	watchers      map[*watch]struct{}
 	leader        *leader
 	lastCommitted time.Time
@@ -65,6 +66,7 @@
 		stopping:   make(chan struct{}),
 		peers:      newPeers(s.wire, s.log),
 		pending:    map[uint64]proposal{},
+		compactor:  newCompactor(),
 		replaced:   replaced{members: loaded.Snapshot.GetMembers().GetMembers()},
 		watchers:   map[*watch]struct{}{},
 		stateBytes: int64(len(loaded.Snapshot.GetData())),
@@ -81,6 +83,7 @@
 func (l *loop) run() error {
 	defer l.end()
 	l.startSenders()
+	l.compactor.start()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -92,6 +95,8 @@
 			first.calls = append(first.calls, c)
 		case w := <-l.watches.Out():
 			first.watches = append(first.watches, w)
+		case e := <-l.compactor.done.Out():
+			first.encoded = append(first.encoded, e)
 		case <-timer.C:
 		case <-l.stopping:
 			return nil
@@ -141,6 +146,7 @@
 		w.updates.Close()
 	}
 	l.senders.Wait()
+	l.compactor.stop()
 	l.peers.close()
 	if err := l.store.Close(); err != nil {
 		l.log.WithError(err).Error("the store was not closed")
--- a/masticcontrol/turn.go
+++ b/masticcontrol/turn.go
@@ -13,6 +13,7 @@
 	messages []*masticproto.PeerRequest
 	calls    []*call
 	watches  []*watch
+	encoded  []encoded
 }
 
 func (t *turn) run() error {
@@ -42,7 +43,13 @@
 	if l.leader != nil {
 		l.leader.settle(now)
 	}
-	return l.compact()
+	for _, e := range t.encoded {
+		if err := l.compact(e); err != nil {
+			return err
+		}
+	}
+	l.freeze()
+	return nil
 }
 
 // takeMore takes what waits besides the first item.
