--- a/masticcontrol/operator_test.go
+++ b/masticcontrol/operator_test.go
@@ -113,14 +113,15 @@
 	q.Assert(err, quicktest.IsNil)
 	q.Assert(memberOf(c, a, "d").GetVoter(), quicktest.IsTrue)
 
+	q.Assert(a.Operator().ChangeMember(c.context(), "d", &masticproto.Member{}), quicktest.IsNil)
+	q.Assert(memberOf(c, a, "d").GetVoter(), quicktest.IsFalse)
+	err = a.Operator().ChangeMember(c.context(), "d", &masticproto.Member{Voter: true})
+	q.Assert(err, quicktest.IsNil)
+
 	leader := c.leader(a)
-	for _, name := range three {
-		if name != leader {
-			q.Assert(a.Operator().ChangeMember(c.context(), name, nil), quicktest.IsNil)
-			c.stop(name)
-			break
-		}
-	}
+	q.Assert(a.Operator().ChangeMember(c.context(), leader, nil), quicktest.IsNil)
+	c.stop(leader)
+	leader = c.leader(a)
 	c.stop(leader)
 	c.start(leader)
 	c.publish(a, "after", workspaceChange("after"))
@@ -134,7 +135,6 @@
 	c.startAll()
 	a, b := c.agent(1), c.agent(2)
 	c.publish(a, "first", baseChange(2))
-	a.Usage().Add(masticcall.UsageRecord{Workspace: "saws", Profile: "review", InputTokens: 5, OutputTokens: 7})
 	digest := masticview.DigestOf([]byte("crash"))
 	a.Suspects().Report("engine", "one", []masticview.Digest{digest})
 	b.Suspects().Report("engine", "two", []masticview.Digest{digest})
@@ -151,6 +151,7 @@
 	_, err = a.Limiter().Admit(c.context(), "unknown", 1)
 	q.Assert(masticerror.KindOf(err), quicktest.Equals, masticerror.KindRateLimited)
 
+	a.Usage().Add(masticcall.UsageRecord{Workspace: "saws", Profile: "review", InputTokens: 5, OutputTokens: 7})
 	a.stop()
 	totals, err := b.Operator().Usage(c.context())
 	q.Assert(err, quicktest.IsNil)
--- a/masticgate/fake_test.go
+++ b/masticgate/fake_test.go
@@ -50,6 +50,8 @@
 	slow     bool
 	admitted int64
 	settled  []int64
+	// deadline is when the last admission had to be decided.
+	deadline time.Time
 }
 
 func (f *fakeLimiter) Admit(ctx context.Context, _ string, tokens int64) (masticcall.Admission, error) {
@@ -63,6 +65,7 @@
 		return nil, f.refuse
 	}
 	f.admitted += tokens
+	f.deadline, _ = ctx.Deadline()
 	return f, nil
 }
 
--- a/masticledger/property_test.go
+++ b/masticledger/property_test.go
@@ -71,7 +71,7 @@
 }
 
 func newCluster(t *rapid.T) *cluster {
-	limits := Limits{Orders: 100, OpaqueKeys: pick(t, "opaque keys", 2, 100), BodyBytes: 10}
+	limits := Limits{Orders: 100, WorkspaceOrders: 90, OpaqueKeys: 100, WorkspaceOpaqueKeys: pick(t, "opaque keys", 2, 100), BodyBytes: 10}
 	c := &cluster{
 		t: t, now: begin, limits: limits, ledger: New(WithLimits(limits)), twin: New(WithLimits(limits)),
 		answered: make(map[int]masticcall.Reservation), dispatches: make(map[int]int),
@@ -222,11 +222,11 @@
 }
 
 func (c *cluster) restore() {
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(c.ledger.Snapshot())
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(c.ledger.Freeze().Snapshot())
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	if twin, _ := (proto.MarshalOptions{Deterministic: true}).Marshal(c.twin.Snapshot()); !bytes.Equal(b, twin) {
+	if twin, _ := (proto.MarshalOptions{Deterministic: true}).Marshal(c.twin.Freeze().Snapshot()); !bytes.Equal(b, twin) {
 		c.t.Fatal("the replicas differ")
 	}
 	p := &masticproto.LedgerSnapshot{}
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -70,16 +70,27 @@
 
 // SetView replaces the backend servers by those of v.
 func (r *Router) SetView(v masticview.View) {
-	for _, s := range r.servers {
-		s.active = false
-	}
+	seen := make([]bool, len(r.servers))
+	changed := false
 	for _, i := range v.Servers() {
-		r.setServer(i)
+		slot, ok := r.slots[i.Name]
+		if ok {
+			seen[slot] = true
+		}
+		changed = r.setServer(i) || changed
+	}
+	for slot, ok := range seen {
+		s := r.servers[slot]
+		changed = changed || (!ok && s.active)
+		s.active = s.active && ok
+	}
+	if changed {
+		r.pools = r.newPools()
 	}
-	r.pools = r.newPools()
 }
 
-func (r *Router) setServer(i masticview.Server) {
+// setServer takes one backend server and reports whether the pools depend on the change.
+func (r *Router) setServer(i masticview.Server) bool {
 	slot, ok := r.slots[i.Name]
 	if !ok {
 		slot = masticcache.Slot(len(r.servers))
@@ -87,11 +98,14 @@
 		r.servers = append(r.servers, &server{info: i})
 	}
 	s := r.servers[slot]
-	if s.info.URL != i.URL || s.info.WeightsVersion != i.WeightsVersion {
+	before, wasActive := s.info, s.active
+	if before.URL != i.URL || before.WeightsVersion != i.WeightsVersion {
 		r.beliefs.Reset(slot)
 	}
 	s.info = i
 	s.active = i.State == masticview.ServerActive || i.State == ""
+	return s.active != wasActive || before.Kind != i.Kind ||
+		before.WeightsVersion != i.WeightsVersion || !slices.Equal(before.Models, i.Models)
 }
 
 func (r *Router) newPools() map[string][]pool {
@@ -136,6 +150,18 @@
 // Serves reports whether an active backend server has model.
 func (r *Router) Serves(model string) bool { return len(r.pools[model]) > 0 }
 
+// Eligible reports whether an active backend server could run q once it is usable.
+func (r *Router) Eligible(q *Query) bool {
+	for _, p := range r.pools[q.Model] {
+		for _, slot := range p.slots {
+			if !slices.Contains(q.Avoid, r.servers[slot].info.Name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Server returns the backend server of slot as the view has it.
 func (r *Router) Server(slot masticcache.Slot) masticview.Server { return r.servers[slot].info }
 
@@ -170,11 +196,11 @@
 		return
 	}
 	if !alive {
-		r.servers[slot].health.Fail(now)
+		r.servers[slot].health.Break(now)
 		return
 	}
 	if r.Incarnate(slot, incarnation) {
-		r.servers[slot].health.Succeed(now)
+		r.servers[slot].health.Confirm(now)
 	}
 }
 
@@ -203,6 +229,7 @@
 	Ahead float64
 	// Tokens is the length of the prompt.
 	Tokens  int64
+	Trial   masticcache.Trial
 	Pieces  []masticprompt.Piece
 	Suspect bool
 	// StartedAt is when the work was sent.
--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -5,6 +5,7 @@
 package masticstate
 
 import (
+	"slices"
 	"time"
 
 	"masticladder/masticerror"
@@ -85,7 +86,7 @@
 	case *masticproto.Command_Suspect:
 		return s.suspect(k.Suspect)
 	case *masticproto.Command_SuspectHold:
-		return HoldResult{Held: s.suspects.Hold(s.now, k.SuspectHold)}
+		return HoldResult{Held: s.hold(k.SuspectHold)}
 	case *masticproto.Command_SuspectEnd:
 		s.suspects.End(k.SuspectEnd)
 		return EndResult{}
@@ -135,7 +136,7 @@
 		return SuspectResult{Err: err}
 	}
 	until := max(r.GetQuarantineUntilUnixMs(), s.now.Add(minQuarantine).UnixMilli())
-	c := &masticproto.ViewChange{}
+	c := &masticproto.ViewChange{EndedQuarantines: s.crowdedOut(len(digests))}
 	for _, d := range digests {
 		q, _ := s.view.Quarantine(d)
 		end := max(until, q.Until.UnixMilli())
@@ -147,5 +148,32 @@
 	return SuspectResult{Quarantined: digests}
 }
 
+// hold gives no hold to a quarantined request, which is no suspect any more.
+func (s *State) hold(h *masticproto.SuspectHold) bool {
+	d, err := masticview.DigestFromBytes(h.GetDigest())
+	if err != nil {
+		return false
+	}
+	if q, ok := s.view.Quarantine(d); ok && s.now.Before(q.Until) {
+		return false
+	}
+	return s.suspects.Hold(s.now, h)
+}
+
 // minQuarantine is the least length of a quarantine.
 const minQuarantine = time.Minute
+
+// crowdedOut returns the quarantines that end first, where there is no room for added ones.
+func (s *State) crowdedOut(added int) [][]byte {
+	all := s.view.Quarantines()
+	excess := len(all) + added - masticview.MaxQuarantines
+	if excess <= 0 {
+		return nil
+	}
+	slices.SortStableFunc(all, func(a, b masticview.Quarantine) int { return a.Until.Compare(b.Until) })
+	var out [][]byte
+	for _, q := range all[:min(excess, len(all))] {
+		out = append(out, q.Digest[:])
+	}
+	return out
+}
