Give back settled tokens of ended grants over the wire

Cause: reports of grants lost the settled tokens between agent and control, so unused quota came back only while a grant lasted (found by the author of masticquota). Change: QuotaReport carries settled_tokens both ways. Conclusion: the owner learns of unused tokens after the grant has ended too.

--- a/masticagent/quotacodec.go
+++ b/masticagent/quotacodec.go
@@ -23,7 +23,12 @@
 func quotaReports(list []masticquota.GrantReport) []*masticproto.QuotaReport {
 	out := make([]*masticproto.QuotaReport, len(list))
 	for i, r := range list {
-		out[i] = &masticproto.QuotaReport{Grant: r.GrantID, Term: r.Term, ReturnedTokens: r.ReturnedTokens}
+		out[i] = &masticproto.QuotaReport{
+			Grant:          r.GrantID,
+			Term:           r.Term,
+			ReturnedTokens: r.ReturnedTokens,
+			SettledTokens:  r.SettledTokens,
+		}
 	}
 	return out
 }
--- a/masticcontrol/quota.go
+++ b/masticcontrol/quota.go
@@ -36,7 +36,12 @@
 func reports(list []*masticproto.QuotaReport) []masticquota.GrantReport {
 	out := make([]masticquota.GrantReport, len(list))
 	for i, r := range list {
-		out[i] = masticquota.GrantReport{GrantID: r.GetGrant(), Term: r.GetTerm(), ReturnedTokens: r.GetReturnedTokens()}
+		out[i] = masticquota.GrantReport{
+			GrantID:        r.GetGrant(),
+			Term:           r.GetTerm(),
+			ReturnedTokens: r.GetReturnedTokens(),
+			SettledTokens:  r.GetSettledTokens(),
+		}
 	}
 	return out
 }
