Charge small users less for the costs to others

Cause: the slowest requests of small workspaces were cold prompts sent to slow engines for the sake of the cache, although their share of it is small. Change: the costs are charged by the recent service of the workspace relative to its share by weight, up to the whole. Seen to fail: discount ignored; discount not set; weight ignored; usage never forgotten.

--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -60,6 +60,9 @@
 	Suspect bool
 	// Waited is how long the request has been in the queue.
 	Waited time.Duration
+	// Discount is the part of the costs to others that the request is not charged with,
+	// 0 to 1: a workspace that uses less than its share costs others little.
+	Discount float64
 }
 
 // Candidate is one backend server that was weighed.
@@ -140,6 +143,7 @@
 		if q.Class != masticview.ClassQuick && !slices.Contains(homes, slot) {
 			c.Cost += seconds(r.offHomeCost(now) * (float64(tokens) - c.Cached) / r.speeds)
 		}
+		c.Cost = time.Duration((1 - q.Discount) * float64(c.Cost))
 		if reason == ReasonReserve {
 			c.Credit = warmUpCredit(c, pieces)
 		}
--- a/masticroute/decide_test.go
+++ b/masticroute/decide_test.go
@@ -174,6 +174,18 @@
 	c.Assert(e.Open, qt.IsFalse)
 }
 
+func TestDiscountLowersTheCostsToOthers(t *testing.T) {
+	c := qt.New(t)
+	r := New(WithSeed(1))
+	r.SetView(viewOf(8))
+	q := queryOf("a", "q")
+	full, _ := r.Decide(start, &q)
+	c.Assert(full.Cost > 0, qt.IsTrue)
+	q.Discount = 1
+	none, _ := r.Decide(start, &q)
+	c.Assert(none.Cost, qt.Equals, time.Duration(0))
+}
+
 // BenchmarkDecide measures one decision by the number of engines.
 func BenchmarkDecide(b *testing.B) {
 	for _, n := range []int{20, 200, 1000, 5400} {
--- a/masticschedule/scan.go
+++ b/masticschedule/scan.go
@@ -23,6 +23,7 @@
 // try sends w if the best backend server for it has room.
 func (s *Scheduler) try(now time.Time, w *waiting) bool {
 	w.query.Suspect = s.suspects[w.request.Digest]
+	w.query.Discount = max(0, 1-s.usage.Over(now, w.request.Workspace))
 	w.query.Waited = now.Sub(w.queuedAt)
 	d, ok := s.router.Decide(now, &w.query)
 	w.unusable = !ok
@@ -34,6 +35,7 @@
 }
 
 func (s *Scheduler) start(now time.Time, w *waiting, d *masticroute.Decision) {
+	s.usage.Add(now, w.request.Workspace, w.request.Weight, max(1, d.Uncached()))
 	s.running[w.ticket] = &running{work: s.router.Start(now, &w.query, d)}
 	s.outcomes = append(s.outcomes, Outcome{
 		Ticket: w.ticket, Decision: *d, Server: s.router.Server(d.Slot),
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -60,6 +60,7 @@
 	view     masticview.View
 	router   *masticroute.Router
 	queue    *masticfair.Queue[*waiting]
+	usage    *masticfair.Usage
 	budget   *masticretry.Budget
 	running  map[Ticket]*running
 	services map[Ticket]serviceWork
@@ -72,6 +73,7 @@
 	return &Scheduler{
 		router:   router,
 		queue:    masticfair.New[*waiting](),
+		usage:    masticfair.NewUsage(),
 		budget:   masticretry.NewBudget(),
 		running:  map[Ticket]*running{},
 		services: map[Ticket]serviceWork{},
--- a/masticschedule/scheduler_test.go
+++ b/masticschedule/scheduler_test.go
@@ -162,6 +162,19 @@
 	c.Assert(o.Err.Kind(), qt.Equals, masticerror.KindNoServer)
 }
 
+func TestSmallUserIsDiscounted(t *testing.T) {
+	c := qt.New(t)
+	s := newScheduler(masticview.ServerActive, masticview.ServerActive, masticview.ServerActive)
+	for n, workspace := range []string{"large", "large", "small"} {
+		r := requestOf(workspace)
+		s.Submit(start, Ticket(n), r, promptOf(1000*(3-n)))
+	}
+	out := s.Outcomes()
+	c.Assert(out, qt.HasLen, 3)
+	c.Assert(out[1].Decision.Cost > 0, qt.IsTrue)
+	c.Assert(out[2].Decision.Cost, qt.Equals, time.Duration(0))
+}
+
 func TestServiceCallsSpreadAndAvoid(t *testing.T) {
 	c := qt.New(t)
 	s := newScheduler(masticview.ServerActive, masticview.ServerActive, masticview.ServerLeaving)
