Charge half as much again for cache room

Cause: recomputation was over its target while p99 was far below its own. Change: the cost of cache room is 1.5 prefills at the mean speed in place of 1.

--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -23,7 +23,7 @@
 	randomCandidates = 2
 	// evictionCost is what the room of a token in the cache costs others, in prefills of
 	// a token at the mean speed, on a backend server with the mean churn.
-	evictionCost = 1.0
+	evictionCost = 1.5
 	// offHomeCost is what a token computed elsewhere than at a home of its prefix costs,
 	// in prefills of a token at the mean speed: no other host would look for it there.
 	offHomeCost = 1.0
