--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -23,7 +23,7 @@
 	randomCandidates = 2
 	// evictionCost is what the room of a token in the cache costs others, in prefills of
 	// a token at the mean speed, on a backend server with the mean churn.
-	evictionCost = 1.0
+	evictionCost = 1.5
 	// offHomeCost is what a token computed elsewhere than at a home of its prefix costs,
 	// in prefills of a token at the mean speed: no other host would look for it there.
 	offHomeCost = 1.0
@@ -60,6 +60,9 @@
 	Suspect bool
 	// Waited is how long the request has been in the queue.
 	Waited time.Duration
+	// Discount is the part of the costs to others that the request is not charged with,
+	// 0 to 1: a workspace that uses less than its share costs others little.
+	Discount float64
 }
 
 // Candidate is one backend server that was weighed.
@@ -140,6 +143,7 @@
 		if q.Class != masticview.ClassQuick && !slices.Contains(homes, slot) {
 			c.Cost += seconds(r.offHomeCost(now) * (float64(tokens) - c.Cached) / r.speeds)
 		}
+		c.Cost = time.Duration((1 - q.Discount) * float64(c.Cost))
 		if reason == ReasonReserve {
 			c.Credit = warmUpCredit(c, pieces)
 		}
