Let a resigning leader release its voters, and widen the jitter

Conclusion: in the deterministic network a leader follows a resignation within half an election timeout.

--- a/masticquorum/core.go
+++ b/masticquorum/core.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"masticladder/masticproto"
 )
 
@@ -58,7 +60,7 @@
 	}
 	c := &Core{
 		settings: s,
-		random:   rand.New(rand.NewPCG(s.seed, uint64(len(s.id)))),
+		random:   rand.New(rand.NewPCG(s.seed, xxhash.Sum64String(s.id))),
 		term:     s.hard.GetTerm(),
 		vote:     candidate{id: s.hard.GetVote(), storage: s.hard.GetVoteStorage()},
 		log:      l,
@@ -143,6 +145,8 @@
 		c.follow(now, m)
 	case masticproto.MessageKind_MESSAGE_APPEND_ANSWER, masticproto.MessageKind_MESSAGE_SNAPSHOT_ANSWER:
 		c.acknowledge(now, m)
+	case masticproto.MessageKind_MESSAGE_RESIGN:
+		c.releasePromise(now, m)
 	}
 }
 
@@ -157,17 +161,6 @@
 	return c.heartbeatDeadline
 }
 
-// Resign gives up leadership, so that another voter is elected once the lease has run out.
-// The host does not seek election itself for three election timeouts.
-func (c *Core) Resign(now time.Time) {
-	if c.role == roleLeader {
-		c.becomeFollower(now, c.term, "")
-	}
-	if !c.soleVoter() {
-		c.electionDeadline = now.Add(3*c.electionTimeout + c.jitter())
-	}
-}
-
 // Status returns what the core knows of itself at now.
 func (c *Core) Status(now time.Time) Status {
 	s := Status{
--- a/masticquorum/core_test.go
+++ b/masticquorum/core_test.go
@@ -58,6 +58,19 @@
 	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindNotLeader)
 }
 
+func TestResignedLeaderIsReplacedBeforeTheTimeout(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, 3, 0)
+	n.run(5 * testElection)
+	old := n.leader()
+	old.core.Resign(n.clock(old))
+	n.drive(old)
+	n.run(testElection / 2)
+	c.Assert(n.leader(), qt.IsNotNil)
+	c.Assert(n.leader().id, qt.Not(qt.Equals), old.id)
+	c.Assert(n.failure, qt.Equals, "")
+}
+
 func TestReturningHostDoesNotDisturb(t *testing.T) {
 	c := qt.New(t)
 	n := newNetwork(1, 3, 0)
@@ -81,8 +94,8 @@
 	return n.intact() && len(memberList{members: n.members}.voters()) == 3
 }
 
-// A host loses its folder and is repaired; right after that another one does, and the
-// third is cut off for a time.
+// A host loses its folder while the only other one with an entry is cut off; it is repaired,
+// and right after that the other one loses its folder.
 func TestSecondHostLostRightAfterRepair(t *testing.T) {
 	c := qt.New(t)
 	for seed := range uint64(20) {
@@ -93,6 +106,9 @@
 		n.run(testElection)
 		n.replaceDisk(n.hosts[0])
 		clear(n.blocked)
+		n.isolate(n.hosts[2])
+		n.run(10 * testElection)
+		clear(n.blocked)
 		for range 200 {
 			n.run(testHeartbeat)
 			n.repair()
--- a/masticquorum/mechanism_test.go
+++ b/masticquorum/mechanism_test.go
@@ -57,6 +57,7 @@
 	voteKind         = masticproto.MessageKind_MESSAGE_VOTE
 	voteAnswerKind   = masticproto.MessageKind_MESSAGE_VOTE_ANSWER
 	preAnswerKind    = masticproto.MessageKind_MESSAGE_PRE_VOTE_ANSWER
+	resignKind       = masticproto.MessageKind_MESSAGE_RESIGN
 	appendKind       = masticproto.MessageKind_MESSAGE_APPEND
 	appendAnswerKind = masticproto.MessageKind_MESSAGE_APPEND_ANSWER
 )
@@ -81,6 +82,17 @@
 	c.Assert(sent, qt.HasLen, 0)
 	c.Assert(a.term, qt.Equals, uint64(2))
 
+	for _, resigned := range []*masticproto.QuorumMessage{from("b", resignKind, 1), from("c", resignKind, 2)} {
+		a.Step(at(299), resigned)
+	}
+	a.Step(at(299), from("c", voteKind, 3))
+	sent, _ = drain(a)
+	c.Assert(sent, qt.HasLen, 0)
+	a.Step(at(299), from("b", resignKind, 2))
+	a.Step(at(299), from("c", voteKind, 3))
+	sent, _ = drain(a)
+	c.Assert(sent, qt.HasLen, 1)
+
 	restarted := boundCore(hard, at(250))
 	restarted.Step(at(349), from("c", voteKind, 3))
 	sent, _ = drain(restarted)
@@ -166,6 +178,27 @@
 	c.Assert(r.HardState.GetVote(), qt.Equals, "b")
 }
 
+func TestAnotherStorageDoesNotCount(t *testing.T) {
+	c := qt.New(t)
+	a := boundCore(nil, at(0))
+	a.Tick(a.NextDeadline())
+	vote := from("b", preAnswerKind, a.term+1)
+	vote.Storage = "new"
+	a.Step(a.NextDeadline(), vote)
+	c.Assert(a.role, qt.Equals, rolePreCandidate)
+	now := lead(a)
+	drain(a)
+	answer := from("b", appendAnswerKind, a.term)
+	answer.Storage = "new"
+	answer.Index = a.log.last()
+	answer.Round = a.round
+	a.Step(now, answer)
+	s := a.Status(now)
+	c.Assert(s.Commit, qt.Equals, uint64(1))
+	c.Assert(s.LeaseUntil.Before(now), qt.IsTrue)
+	c.Assert(s.Peers[0].Replaced, qt.IsTrue)
+}
+
 func TestAnswersToALostFolderAreDropped(t *testing.T) {
 	c := qt.New(t)
 	a := boundCore(nil, at(0))
--- a/masticquorum/option.go
+++ b/masticquorum/option.go
@@ -87,7 +87,7 @@
 // WithTail sets how many entries before a snapshot are kept for members that lag.
 func WithTail(entries uint64) Option { return func(s *settings) { s.tailEntries = entries } }
 
-// WithSeed sets the seed of the election jitter.
+// WithSeed sets the seed of the election jitter, which differs between IDs too.
 func WithSeed(seed uint64) Option { return func(s *settings) { s.seed = seed } }
 
 // WithStart sets the time of the start.
--- a/masticquorum/progress.go
+++ b/masticquorum/progress.go
@@ -7,6 +7,9 @@
 	"masticladder/masticproto"
 )
 
+// snapshotTimeouts is the number of election timeouts after which a snapshot is sent again.
+const snapshotTimeouts = 4
+
 // progress is what a leader knows of another member.
 type progress struct {
 	id      string
@@ -115,7 +118,7 @@
 	if p.snapshotIndex == 0 {
 		if _, ok := c.log.term(p.next - 1); !ok {
 			c.sendSnapshot(p)
-			p.snapshotDeadline = now.Add(c.electionTimeout)
+			p.snapshotDeadline = now.Add(snapshotTimeouts * c.electionTimeout)
 			return
 		}
 	}
