--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -23,10 +23,12 @@
 	randomCandidates = 2
 	// evictionCost is what the room of a token in the cache costs others, in prefills of
 	// a token at the mean speed, on a backend server with the mean churn.
-	evictionCost = 1.0
+	evictionCost = 1.5
 	// offHomeCost is what a token computed elsewhere than at a home of its prefix costs,
 	// in prefills of a token at the mean speed: no other host would look for it there.
 	offHomeCost = 1.0
+	// uninformedOffHomeCost is the same while no events tell where others have computed.
+	uninformedOffHomeCost = 4.0
 	// unseenTokens is the work before a quick request that a lagged report does not show
 	// on a backend server outside the reserve: a piece is computed half of the time.
 	unseenTokens = masticprompt.PieceTokens / 4
@@ -58,6 +60,9 @@
 	Suspect bool
 	// Waited is how long the request has been in the queue.
 	Waited time.Duration
+	// Discount is the part of the costs to others that the request is not charged with,
+	// 0 to 1: a workspace that uses less than its share costs others little.
+	Discount float64
 }
 
 // Candidate is one backend server that was weighed.
@@ -136,8 +141,9 @@
 		}
 		c := r.predict(now, slot, reason, q.Class, tokens)
 		if q.Class != masticview.ClassQuick && !slices.Contains(homes, slot) {
-			c.Cost += seconds(offHomeCost * (float64(tokens) - c.Cached) / r.speeds)
+			c.Cost += seconds(r.offHomeCost(now) * (float64(tokens) - c.Cached) / r.speeds)
 		}
+		c.Cost = time.Duration((1 - q.Discount) * float64(c.Cost))
 		if reason == ReasonReserve {
 			c.Credit = warmUpCredit(c, pieces)
 		}
--- a/masticroute/decide_test.go
+++ b/masticroute/decide_test.go
@@ -174,6 +174,18 @@
 	c.Assert(e.Open, qt.IsFalse)
 }
 
+func TestDiscountLowersTheCostsToOthers(t *testing.T) {
+	c := qt.New(t)
+	r := New(WithSeed(1))
+	r.SetView(viewOf(8))
+	q := queryOf("a", "q")
+	full, _ := r.Decide(start, &q)
+	c.Assert(full.Cost > 0, qt.IsTrue)
+	q.Discount = 1
+	none, _ := r.Decide(start, &q)
+	c.Assert(none.Cost, qt.Equals, time.Duration(0))
+}
+
 // BenchmarkDecide measures one decision by the number of engines.
 func BenchmarkDecide(b *testing.B) {
 	for _, n := range []int{20, 200, 1000, 5400} {
@@ -193,3 +205,48 @@
 		})
 	}
 }
+
+func TestViewWithoutAServerLeavesItOut(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.SetView(viewOf(2))
+	r.SetView(viewOf(1))
+	q := queryOf("a", "q")
+	q.Avoid = []string{"engine0000"}
+	_, ok := r.Decide(start, &q)
+	c.Assert(ok, qt.IsFalse)
+	r.SetView(viewOf(2))
+	d, ok := r.Decide(start, &q)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(r.Server(d.Slot).Name, qt.Equals, "engine0001")
+}
+
+func TestNewWeightsVoidBeliefs(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.SetView(viewOf(1))
+	q := queryOf("a", "q")
+	d, _ := r.Decide(start, &q)
+	r.Start(start, &q, &d)
+	s := engineOf(0)
+	s.WeightsVersion = "v2"
+	r.SetView(viewOf(1).WithServer(s))
+	d, ok := r.Decide(start, &q)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(d.Cached, qt.Equals, 0.0)
+	c.Assert(r.beliefs.Epoch(0), qt.Equals, masticcache.Epoch(1))
+}
+
+// BenchmarkSetView measures a new view with the same servers by the number of engines.
+func BenchmarkSetView(b *testing.B) {
+	for _, n := range []int{20, 5400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := New()
+			v := viewOf(n)
+			r.SetView(v)
+			for b.Loop() {
+				r.SetView(v)
+			}
+		})
+	}
+}
