Name the resignation among what the model leaves out

Cause: the release of voters by a resigning leader came after the model. Change: a line of the header.

--- a/spec/quorum.pml
+++ b/spec/quorum.pml
@@ -5,7 +5,8 @@
  * Checked: a term has one leader; a new leader has all committed entries; a committed
  * entry does not change; while a leader holds its lease no later leader exists.
  *
- * Left out: pre-vote, check-quorum (a leader may step down at any time), snapshots,
+ * Left out: pre-vote, check-quorum (a leader may step down at any time), the release of
+ * voters by a leader that resigns, snapshots,
  * binding of storage in the first election, messages of an earlier heartbeat round,
  * delayed acknowledgements of entries (those of the lease are delayed), messages that
  * outlive their sender's leadership, clocks of different speed, and any member change
