--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -25,6 +25,7 @@
 	peers           []string
 	wire            *masticwire.Wire
 	onView          func(masticview.View)
+	onSuspects      func([]masticview.Digest)
 	log             logrus.FieldLogger
 	renewInterval   time.Duration
 	renewTimeout    time.Duration
@@ -43,8 +44,9 @@
 	watcher  *watcher
 	limiter  *limiter
 	reporter *reporter
+	suspects *suspects
 	ledger   *ledger
-	releaser *releaser
+	finisher *finisher
 	running  sync.WaitGroup
 	context  context.Context
 	cancel   context.CancelFunc
@@ -90,8 +92,9 @@
 	a.watcher = newWatcher(a)
 	a.limiter = newLimiter(a)
 	a.reporter = newReporter(a)
+	a.suspects = newSuspects(a)
 	a.ledger = newLedger(a)
-	a.releaser = newReleaser(a)
+	a.finisher = newFinisher(a)
 	a.context, a.cancel = context.WithCancel(context.Background())
 	return nil
 }
@@ -112,7 +115,10 @@
 func (a *Agent) Usage() masticcall.Usage { return a.reporter }
 
 // Suspects returns what shares suspects.
-func (a *Agent) Suspects() masticcall.Suspects { return a.reporter }
+func (a *Agent) Suspects() masticcall.Suspects { return a.suspects }
+
+// Holds returns what keeps suspects apart.
+func (a *Agent) Holds() masticcall.Holds { return a.suspects }
 
 // Operator returns the operators' side.
 func (a *Agent) Operator() masticcall.Operator { return &operator{agent: a} }
@@ -126,12 +132,12 @@
 	go a.renewer.run(a.context)
 	go a.watcher.run(a.context)
 	go a.reporter.run(a.context)
-	go a.releaser.run(a.context)
+	go a.finisher.run(a.context)
 	<-a.context.Done()
 	a.finish()
 	a.views.updates.Close()
 	a.limiter.events.Close()
-	a.releaser.releases.Close()
+	a.finisher.work.Close()
 	a.leader.close()
 	a.running.Wait()
 	return nil
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -18,14 +18,13 @@
 	loop     *loop
 	term     uint64
 	grantor  *masticlease.Grantor
+	absences *absences
 	owner    *masticquota.Owner
 	forces   []force
 	goals    []goal
 	nextTick time.Time
 	// placement is nil where the host gives no load orders.
 	placement *placement
-	// restoring are the members to promote again after their data folder was replaced.
-	restoring map[string]bool
 }
 
 // observe takes or drops the leader's part after the core has moved. It is kept for the
@@ -53,7 +52,8 @@
 	for _, h := range view.Hosts() {
 		hosts = append(hosts, h.Name)
 	}
-	d := &leader{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval), restoring: map[string]bool{}}
+	d := &leader{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval)}
+	d.absences = newAbsences(now)
 	d.grantor = masticlease.NewGrantor(now, d.term, view.Revision(),
 		masticlease.WithSpan(l.viewLease), masticlease.WithHosts(hosts))
 	d.owner = masticquota.NewOwner(now, d.term, d.limit, masticquota.WithCheckpoint(l.state.QuotaBounds()))
@@ -124,6 +124,7 @@
 // propose proposes what is due by itself: member changes, quota checkpoints and ticks.
 func (d *leader) propose(now time.Time) {
 	d.changeMembers(now)
+	d.proposeLost(now)
 	if d.placement != nil {
 		d.placement.propose(now)
 	}
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -14,6 +14,9 @@
 	deadline time.Time
 }
 
+// answerSlack is the time that an answer needs to reach its caller.
+const answerSlack = 100 * time.Millisecond
+
 // renew grants a view lease to a host of the view, and sends it what it lacks.
 func (d *leader) renew(now time.Time, c *call, r *masticproto.RenewRequest) {
 	answer := &masticproto.RenewAnswer{Id: r.GetId(), Term: d.term, Revision: d.loop.state.View().Revision()}
@@ -25,16 +28,34 @@
 			Acknowledged: r.GetRevision(),
 		})
 		answer.SpanUs = g.Span.Microseconds()
+		d.absences.renewed[r.GetHost()] = now
 	}
 	if r.GetRevision() < answer.GetRevision() {
 		answer.Update = d.loop.updateFrom(r.GetRevision())
 	}
+	if r.GetSuspects() != d.loop.state.Suspects().Fingerprint() {
+		answer.Suspects = d.loop.suspectSet()
+	}
 	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Renew{Renew: answer}})
 }
 
-// await keeps a committed publish until it is in force or its bound has passed.
+// suspectSet returns the present suspects.
+func (l *loop) suspectSet() *masticproto.SuspectSet {
+	tracker := l.state.Suspects()
+	set := &masticproto.SuspectSet{Fingerprint: tracker.Fingerprint()}
+	for _, x := range tracker.Digests() {
+		set.Digests = append(set.Digests, x[:])
+	}
+	return set
+}
+
+// await keeps a committed publish until it is in force or its bound has passed, which
+// is a little before the caller stops waiting.
 func (d *leader) await(now time.Time, c *call, answer *masticproto.CommandAnswer) {
 	deadline := now.Add(d.loop.viewLease + d.loop.forceMargin)
+	if ends, bounded := c.context.Deadline(); bounded && ends.Add(-answerSlack).Before(deadline) {
+		deadline = ends.Add(-answerSlack)
+	}
 	d.forces = append(d.forces, force{call: c, answer: answer, deadline: deadline})
 }
 
@@ -57,6 +78,9 @@
 
 // nextDeadline returns when settle or propose is due, or zero.
 func (d *leader) nextDeadline() time.Time {
+	if !d.loop.status.LeaseHeld {
+		return time.Time{}
+	}
 	next := d.nextTick
 	if d.placement != nil && d.placement.next.Before(next) {
 		next = d.placement.next
