Look at the lease before the view at admission too

Cause: at admission the view was read before the lease, so that a lease renewed in between could have vouched for an older view; each later check reads them in the right order, so no request got through by it. Change: the lease is looked at first. Conclusion: a lease never vouches for a view that was read before it.

--- a/masticgate/identity.go
+++ b/masticgate/identity.go
@@ -35,9 +35,10 @@
 	if secret == "" {
 		return masticerror.New(masticerror.KindUnauthenticated, "a key is needed: Authorization: Bearer KEY")
 	}
+	leased := q.gate.views.Leased(q.gate.now())
 	v := q.gate.views.View()
 	k, e := activeKey(v, masticview.DigestOf([]byte(secret)))
-	if !q.gate.views.Leased(q.gate.now()) {
+	if !leased {
 		q.identity = nobody(k)
 		return errNoLease()
 	}
