Say in the model's header which entries a new leader has

Cause: the header named all committed entries; the assertion is about those of earlier terms. Change: comments only. Conclusion: the header says what is checked.

--- a/spec/quorum.pml
+++ b/spec/quorum.pml
@@ -2,13 +2,12 @@
  * terms up to MAX_TERM, logs up to MAX_LOG entries. Host 2 may lose its folder once;
  * it then has identity 3, is demoted from the voters and promoted under that identity.
  *
- * Checked: a term has one leader; a new leader has all committed entries; a committed
- * entry does not change; while a leader holds its lease no later leader exists.
+ * Checked: a term has one leader; a new leader has the entries committed in earlier terms;
+ * a committed entry does not change; while a leader holds its lease no later leader exists.
  *
  * Left out: pre-vote, check-quorum (a leader may step down at any time), the release of
- * voters by a leader that resigns, snapshots,
- * binding of storage in the first election, messages of an earlier heartbeat round,
- * delayed acknowledgements of entries (those of the lease are delayed), messages that
+ * voters by a leader that resigns, snapshots, binding of storage in the first election,
+ * messages of an earlier heartbeat round, delayed acknowledgements of entries (those of the lease are delayed), messages that
  * outlive their sender's leadership, clocks of different speed, and any member change
  * but the demotion and promotion of host 2. Time is counted in ticks of half an
  * election timeout; an append carries the whole log.
