--- a/fleet_test.go
+++ b/fleet_test.go
@@ -38,7 +38,7 @@
 }
 
 // startFleet starts three hosts and publishes the test's configuration.
-func startFleet(t *testing.T) ([]*process, *backends) {
+func startFleet(t testing.TB) ([]*process, *backends) {
 	b := startBackends(t)
 	fleet := newFleet(t, 3)
 	for _, p := range fleet {
@@ -52,7 +52,7 @@
 }
 
 // publishUntilAccepted sends one change under one identifier to the hosts in turn.
-func publishUntilAccepted(t *testing.T, fleet []*process, id string, change *masticproto.ViewChange) {
+func publishUntilAccepted(t testing.TB, fleet []*process, id string, change *masticproto.ViewChange) {
 	t.Helper()
 	i := 0
 	waitFor(t, "change "+id+" accepted", func() bool {
@@ -64,7 +64,7 @@
 	})
 }
 
-func waitServing(t *testing.T, p *process) {
+func waitServing(t testing.TB, p *process) {
 	t.Helper()
 	waitFor(t, p.host+" serves", func() bool { return p.chat(testKey, "ready?").status == http.StatusOK })
 }
@@ -123,7 +123,7 @@
 
 // withdrawEverywhere withdraws the key of the test and returns once that is said to be in
 // force; 'committed, not yet everywhere' is an honest answer too, and is asked again.
-func withdrawEverywhere(t *testing.T, p *process, id string) {
+func withdrawEverywhere(t testing.TB, p *process, id string) {
 	t.Helper()
 	waitFor(t, "the key withdrawn everywhere", func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), waitBound)
--- a/process_test.go
+++ b/process_test.go
@@ -53,7 +53,7 @@
 
 // process is one daemon of a test.
 type process struct {
-	t        *testing.T
+	t        testing.TB
 	host     string
 	folder   string
 	settings string
@@ -84,7 +84,7 @@
 	return l.b.String()
 }
 
-func freeAddressOn(t *testing.T, ip string) string {
+func freeAddressOn(t testing.TB, ip string) string {
 	l, err := net.Listen("tcp", ip+":0")
 	qt.Assert(t, err, qt.IsNil)
 	defer l.Close()
@@ -92,7 +92,7 @@
 }
 
 // newFleet writes the settings of count hosts, each a voter in a zone of its own.
-func newFleet(t *testing.T, count int) []*process {
+func newFleet(t testing.TB, count int) []*process {
 	var fleet []*process
 	for i := range count {
 		ip := fmt.Sprintf("127.0.0.%d", i+1)
@@ -180,7 +180,7 @@
 }
 
 // waitFor waits until the condition holds and fails the test when it does not.
-func waitFor(t *testing.T, what string, condition func() bool) {
+func waitFor(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	end := time.Now().Add(waitBound)
 	for !condition() {
@@ -191,7 +191,7 @@
 	}
 }
 
-func waitLeader(t *testing.T, fleet ...*process) *process {
+func waitLeader(t testing.TB, fleet ...*process) *process {
 	t.Helper()
 	var leader *process
 	waitFor(t, "a leader", func() bool {
@@ -215,7 +215,7 @@
 // testKey is the secret of the callers of a test.
 const testKey = "test-key-association"
 
-func startBackends(t *testing.T) *backends {
+func startBackends(t testing.TB) *backends {
 	b := &backends{change: testChange()}
 	for i, speed := range []float64{0, 50_000} {
 		name := fmt.Sprintf("engine-%d", i+1)
@@ -228,7 +228,7 @@
 	return b
 }
 
-func (b *backends) serve(t *testing.T, name string, h http.Handler, kind string) {
+func (b *backends) serve(t testing.TB, name string, h http.Handler, kind string) {
 	s, err := masticfake.Serve(h)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(s.Down)
