--- a/masticcontrol/bench_test.go
+++ b/masticcontrol/bench_test.go
@@ -15,7 +15,7 @@
 
 // BenchmarkPublishInForce publishes one change after the other to a number of hosts.
 func BenchmarkPublishInForce(b *testing.B) {
-	for _, n := range []int{8, 100} {
+	for _, n := range []int{8, 50, 100} {
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) { benchmarkPublish(b, n) })
 	}
 }
@@ -74,7 +74,7 @@
 // BenchmarkIdle reports what idle agents cost: bytes on the wire of one agent, and the
 // processor time of the whole process with the control hosts.
 func BenchmarkIdle(b *testing.B) {
-	for _, n := range []int{1, 51} {
+	for _, n := range []int{1, 26, 51} {
 		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) { benchmarkIdle(b, n) })
 	}
 }
