Begin elections after 300 ms without a leader

Cause: the time from a leader's stop to the next accepted publish should be under 1 s. Change: the default election timeout of masticcontrol is 300 ms in place of 400 ms, with the heartbeat of 100 ms as it was (settings of a host go before it).

--- a/masticcontrol/option.go
+++ b/masticcontrol/option.go
@@ -13,7 +13,7 @@
 
 // Defaults of the options.
 const (
-	DefaultElectionTimeout = 400 * time.Millisecond
+	DefaultElectionTimeout = 300 * time.Millisecond
 	DefaultHeartbeat       = 100 * time.Millisecond
 	DefaultViewLease       = 2 * time.Second
 	DefaultForceMargin     = 2 * time.Second
