Let a workspace that was created in the owner's term spend its burst at once

Cause: a workspace without a checkpoint is taken to have granted its whole burst, so a new workspace got nothing for one grant span (2 s), which is a wrongful refusal or a wait for its first callers. Change: control tells the quota's owner of workspaces whose first revision it committed itself. Conclusion: no earlier owner can have granted from such a workspace, so the bound holds.

--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -20,9 +20,12 @@
 	grantor  *masticlease.Grantor
 	absences *absences
 	owner    *masticquota.Owner
-	forces   []force
-	goals    []goal
-	nextTick time.Time
+	// workspaces are those of the view when it was last looked at.
+	workspaces map[string]bool
+	seen       uint64
+	forces     []force
+	goals      []goal
+	nextTick   time.Time
 	// placement is nil where the host gives no load orders.
 	placement *placement
 }
@@ -54,6 +57,10 @@
 	}
 	d := &leader{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval)}
 	d.absences = newAbsences(now)
+	d.workspaces, d.seen = map[string]bool{}, view.Revision()
+	for _, w := range view.Workspaces() {
+		d.workspaces[w.Name] = true
+	}
 	d.grantor = masticlease.NewGrantor(now, d.term, view.Revision(),
 		masticlease.WithSpan(l.viewLease), masticlease.WithHosts(hosts))
 	d.owner = masticquota.NewOwner(now, d.term, d.limit, masticquota.WithCheckpoint(l.state.QuotaBounds()))
@@ -141,6 +148,7 @@
 // applied takes note of a result of the state.
 func (d *leader) applied(now time.Time, result masticstate.Result) {
 	d.grantor.Committed(now, d.loop.state.View().Revision())
+	d.noteCreated()
 	if q, ok := result.(masticstate.QuotaResult); ok && q.Applied {
 		d.owner.Committed(q.Term, q.Sequence)
 	}
@@ -152,3 +160,18 @@
 		d.placement.applied(now, o)
 	}
 }
+
+// noteCreated tells the quota's owner of workspaces that came into being in this term.
+func (d *leader) noteCreated() {
+	view := d.loop.state.View()
+	if view.Revision() == d.seen {
+		return
+	}
+	d.seen = view.Revision()
+	for _, w := range view.Workspaces() {
+		if !d.workspaces[w.Name] {
+			d.workspaces[w.Name] = true
+			d.owner.Created(w.Name)
+		}
+	}
+}
--- a/masticquota/owner.go
+++ b/masticquota/owner.go
@@ -27,6 +27,7 @@
 	buckets  map[string]*bucket
 	lastID   uint64
 	sequence uint64
+	created  map[string]bool
 	pending  *masticproto.QuotaCheckpoint
 	sent     time.Time
 }
@@ -46,13 +47,17 @@
 // NewOwner returns the owner that took over at now. The function limits returns the
 // current limit of a workspace.
 func NewOwner(now time.Time, term uint64, limits func(string) (Limit, bool), options ...OwnerOption) *Owner {
-	o := &Owner{term: term, takeover: now, longest: DefaultSpan, limits: limits, buckets: make(map[string]*bucket)}
+	o := &Owner{term: term, takeover: now, longest: DefaultSpan, limits: limits, buckets: make(map[string]*bucket), created: make(map[string]bool)}
 	for _, option := range options {
 		option(o)
 	}
 	return o
 }
 
+// Created notes that workspace came into being in the owner's own term, so that no earlier
+// owner can have granted any of its tokens. It is called before the first grant.
+func (o *Owner) Created(workspace string) { o.created[workspace] = true }
+
 // lifetime is for how long after its deduction a grant of the given span can be spent, on the owner's clock.
 func lifetime(span time.Duration) time.Duration { return span + span/driftDivisor }
 
@@ -79,6 +84,8 @@
 	if used, ok := o.bounds[workspace]; ok {
 		b.promise = used
 		unknown = used
+	} else if o.created[workspace] {
+		unknown = 0
 	}
 	b.grant(0, unknown, o.takeover.Add(lifetime(o.longest)))
 	return b
--- a/masticquota/owner_test.go
+++ b/masticquota/owner_test.go
@@ -189,6 +189,19 @@
 
 // TestFormerGrantsAreWaitedOut sees that a new owner regains nothing of what earlier ones
 // may have granted before the last of it has ended.
+// TestCreatedWorkspaceSpendsItsBurstAtOnce: a workspace that came into being in the owner's
+// term has no former grants to wait out; a later owner takes it as it takes any other.
+func TestCreatedWorkspaceSpendsItsBurstAtOnce(t *testing.T) {
+	c := qt.New(t)
+	l := Limit{RateTokensPerSecond: 1000, BurstTokens: 10_000}
+	o := newTestOwner(l)
+	o.Created(mill)
+	r := GrantRequest{ID: 1, Host: "a", Workspace: mill, NeedTokens: l.BurstTokens, Patience: time.Second}
+	c.Assert(o.Grant(begin, r).Tokens, qt.Equals, l.BurstTokens)
+	later := newTestOwner(l)
+	c.Assert(later.Grant(begin, r).Tokens, qt.Equals, int64(0))
+}
+
 func TestFormerGrantsAreWaitedOut(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(Limit{RateTokensPerSecond: 1000, BurstTokens: 10_000})
