--- a/masticadmin/client.go
+++ b/masticadmin/client.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,8 +36,18 @@
 // WithKey sets the operator's key.
 func WithKey(key string) ClientOption { return func(c *Client) { c.key = key } }
 
-// WithHTTPClient sets the HTTP client, for example one that trusts the fleet's authority.
-func WithHTTPClient(h *http.Client) ClientOption { return func(c *Client) { c.client = h } }
+// WithAuthority trusts the certificate authority in file and no other. A file that cannot be
+// read makes every call fail.
+func WithAuthority(file string) ClientOption {
+	return func(c *Client) {
+		pool := x509.NewCertPool()
+		if b, err := os.ReadFile(file); err == nil {
+			pool.AppendCertsFromPEM(b)
+		}
+		config := &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+		c.client = &http.Client{Timeout: DefaultTimeout, Transport: &http.Transport{TLSClientConfig: config}}
+	}
+}
 
 // NewClient returns a Client for base, scheme://IP:port.
 func NewClient(base string, options ...ClientOption) *Client {
--- a/masticcommand/admin.go
+++ b/masticcommand/admin.go
@@ -21,6 +21,8 @@
 type adminOptions struct {
 	Admin string `long:"admin" default:"127.0.0.1:8601" description:"operator address of any host: IP:port, or a URL for TLS"`
 	JSON  bool   `long:"json" description:"print JSON"`
+	// Authority is needed where the operators' address has a certificate of the fleet's own authority.
+	Authority string `long:"authority" description:"file of the certificate authority to trust, with a https URL"`
 }
 
 // orderOptions are the flags of every command that changes something.
@@ -34,7 +36,11 @@
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
 	}
-	return masticadmin.NewClient(base, masticadmin.WithKey(os.Getenv(OperatorKeyVariable)))
+	options := []masticadmin.ClientOption{masticadmin.WithKey(os.Getenv(OperatorKeyVariable))}
+	if o.Authority != "" {
+		options = append(options, masticadmin.WithAuthority(o.Authority))
+	}
+	return masticadmin.NewClient(base, options...)
 }
 
 func (o orderOptions) requestID() string {
--- a/process_test.go
+++ b/process_test.go
@@ -62,8 +62,10 @@
 	peer     string
 	// peerListen is the address really bound for other hosts; empty is peer.
 	peerListen string
-	command    *exec.Cmd
-	log        *lockedBuffer
+	// tls is the settings' object of that name.
+	tls     string
+	command *exec.Cmd
+	log     *lockedBuffer
 }
 
 // lockedBuffer keeps what a process wrote.
@@ -103,6 +105,7 @@
 			listen: freeAddressOn(t, ip),
 			admin:  freeAddressOn(t, "127.0.0.1"),
 			peer:   freeAddressOn(t, ip),
+			tls:    `{"plain": true}`,
 			log:    &lockedBuffer{},
 		})
 	}
@@ -123,8 +126,8 @@
   "listen": %q, "admin": %q, "peer": %q, "peerListen": %q, "dataFolder": %q,
   "control": [%s],
   "timing": {"addressListMillis": 300, "drainMillis": 20000},
-  "tls": {"plain": true},
-}`, p.host, zone+1, p.listen, p.admin, p.peer, p.peerListen, filepath.Join(p.folder, "data"), strings.Join(control, ", "))
+  "tls": %s,
+}`, p.host, zone+1, p.listen, p.admin, p.peer, p.peerListen, filepath.Join(p.folder, "data"), strings.Join(control, ", "), p.tls)
 	p.settings = filepath.Join(p.folder, "host.jsonc")
 	qt.Assert(p.t, os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
 }
