Give operators both sides of usage as they were counted

Cause: the command's cross-check added the same rows in two ways, so it could not disagree; control counts the served side apart, and did not give it out. Change: the usage answer holds charged and served rows; the command compares them for each owner of backend servers and model. Conclusion: the check can fail now.

--- a/masticadmin/client.go
+++ b/masticadmin/client.go
@@ -73,8 +73,8 @@
 }
 
 // Usage returns the totals that control keeps.
-func (c *Client) Usage(ctx context.Context) ([]masticcall.UsageTotal, error) {
-	var t []masticcall.UsageTotal
+func (c *Client) Usage(ctx context.Context) (masticcall.UsageReport, error) {
+	var t masticcall.UsageReport
 	err := c.call(ctx, http.MethodGet, "/v1/usage", "", nil, &t)
 	return t, err
 }
--- a/masticagent/operator.go
+++ b/masticagent/operator.go
@@ -42,18 +42,26 @@
 }
 
 // Usage returns the totals as the leader knows them.
-func (o *operator) Usage(ctx context.Context) ([]masticcall.UsageTotal, error) {
+func (o *operator) Usage(ctx context.Context) (masticcall.UsageReport, error) {
 	request := &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Usage{Usage: &masticproto.UsageRequest{}}}
 	a, err := o.agent.leader.ask(ctx, request, o.agent.attempt)
 	if err != nil {
-		return nil, err
+		return masticcall.UsageReport{}, err
 	}
-	counters := a.answer.GetUsage().GetCounters()
-	totals := make([]masticcall.UsageTotal, len(counters))
-	for i, c := range counters {
-		totals[i] = usageTotal(c)
+	var report masticcall.UsageReport
+	for _, c := range a.answer.GetUsage().GetCounters() {
+		report.Charged = append(report.Charged, usageTotal(c))
 	}
-	return totals, nil
+	for _, s := range a.answer.GetUsage().GetServed() {
+		report.Served = append(report.Served, masticcall.ServedTotal{
+			ServerOwner:  s.GetServerOwner(),
+			Model:        s.GetModel(),
+			Requests:     s.GetRequests(),
+			InputTokens:  s.GetInputTokens(),
+			OutputTokens: s.GetOutputTokens(),
+		})
+	}
+	return report, nil
 }
 
 func usageTotal(c *masticproto.UsageCounter) masticcall.UsageTotal {
--- a/masticcall/operator.go
+++ b/masticcall/operator.go
@@ -32,6 +32,22 @@
 	Refusals         map[string]int64 `json:"refusals"`
 }
 
+// ServedTotal is what the backend servers of one owner served of one model, counted apart
+// from what workspaces were charged.
+type ServedTotal struct {
+	ServerOwner  string `json:"serverOwner"`
+	Model        string `json:"model"`
+	Requests     int64  `json:"requests"`
+	InputTokens  int64  `json:"inputTokens"`
+	OutputTokens int64  `json:"outputTokens"`
+}
+
+// UsageReport is the usage kept by control, on both sides.
+type UsageReport struct {
+	Charged []UsageTotal  `json:"charged"`
+	Served  []ServedTotal `json:"served"`
+}
+
 // ControlStatus is what this host knows of control.
 type ControlStatus struct {
 	Host          string          `json:"host"`
@@ -63,7 +79,7 @@
 	// ChangeMember makes host a learner or voter (which first catches up), or removes it when member is nil.
 	ChangeMember(ctx context.Context, host string, member *masticproto.Member) error
 	// Usage returns the totals as control knows them.
-	Usage(ctx context.Context) ([]UsageTotal, error)
+	Usage(ctx context.Context) (UsageReport, error)
 	// Status returns what this host knows of control.
 	Status(ctx context.Context) (ControlStatus, error)
 }
--- a/masticcommand/usage.go
+++ b/masticcommand/usage.go
@@ -69,20 +69,20 @@
 	return u.print(summarise(totals, u.By, owners))
 }
 
-func summarise(totals []masticcall.UsageTotal, by string, owners map[string]string) usageReport {
+func summarise(report masticcall.UsageReport, by string, owners map[string]string) usageReport {
 	charged := map[string]usageRow{}
 	served := map[string]usageRow{}
-	for _, t := range totals {
+	for _, t := range report.Charged {
 		name := t.Workspace
 		if by == "owner" {
 			name = owners[t.Workspace]
 		}
-		charged[name] = addTotal(charged[name], "charged", name, t)
-		if t.ServerOwner != "" {
-			served[t.ServerOwner] = addTotal(served[t.ServerOwner], "served", t.ServerOwner, t)
-		}
+		charged[name] = addTotal(charged[name], name, t)
+	}
+	for _, s := range report.Served {
+		served[s.ServerOwner] = addServed(served[s.ServerOwner], s)
 	}
-	r := usageReport{Agreed: tokensOf(charged) == tokensOf(served)}
+	r := usageReport{Agreed: agree(report)}
 	if by != "server" {
 		r.Rows = append(r.Rows, sortedRows(charged)...)
 	}
@@ -92,8 +92,8 @@
 	return r
 }
 
-func addTotal(r usageRow, side, name string, t masticcall.UsageTotal) usageRow {
-	r.Side = side
+func addTotal(r usageRow, name string, t masticcall.UsageTotal) usageRow {
+	r.Side = "charged"
 	r.Name = name
 	r.Requests += t.Requests
 	r.Orders += t.Orders
@@ -107,12 +107,43 @@
 	return r
 }
 
-func tokensOf(rows map[string]usageRow) int64 {
-	var sum int64
-	for _, r := range rows {
-		sum += r.InputTokens + r.OutputTokens
+func addServed(r usageRow, s masticcall.ServedTotal) usageRow {
+	r.Side = "served"
+	r.Name = s.ServerOwner
+	r.Requests += s.Requests
+	r.InputTokens += s.InputTokens
+	r.OutputTokens += s.OutputTokens
+	return r
+}
+
+// servedKey names one row of the cross-check.
+type servedKey struct{ owner, model string }
+
+// agree reports whether what workspaces were charged and what backend servers served are
+// the same for each owner of backend servers and each model.
+func agree(report masticcall.UsageReport) bool {
+	difference := map[servedKey]masticcall.ServedTotal{}
+	for _, t := range report.Charged {
+		k := servedKey{t.ServerOwner, t.Model}
+		difference[k] = plus(difference[k], masticcall.ServedTotal{Requests: t.Requests, InputTokens: t.InputTokens, OutputTokens: t.OutputTokens})
+	}
+	for _, s := range report.Served {
+		k := servedKey{s.ServerOwner, s.Model}
+		difference[k] = plus(difference[k], masticcall.ServedTotal{Requests: -s.Requests, InputTokens: -s.InputTokens, OutputTokens: -s.OutputTokens})
+	}
+	for _, d := range difference {
+		if d != (masticcall.ServedTotal{}) {
+			return false
+		}
 	}
-	return sum
+	return true
+}
+
+func plus(a, b masticcall.ServedTotal) masticcall.ServedTotal {
+	a.Requests += b.Requests
+	a.InputTokens += b.InputTokens
+	a.OutputTokens += b.OutputTokens
+	return a
 }
 
 func sortedRows(rows map[string]usageRow) []usageRow {
--- a/masticcontrol/operator_test.go
+++ b/masticcontrol/operator_test.go
@@ -155,6 +155,7 @@
 	a.stop()
 	totals, err := b.Operator().Usage(c.context())
 	q.Assert(err, quicktest.IsNil)
-	q.Assert(totals, quicktest.HasLen, 1)
-	q.Assert(totals[0].InputTokens, quicktest.Equals, int64(5))
+	q.Assert(totals.Charged, quicktest.HasLen, 1)
+	q.Assert(totals.Charged[0].InputTokens, quicktest.Equals, int64(5))
+	q.Assert(totals.Served, quicktest.DeepEquals, []masticcall.ServedTotal{{Requests: 1, InputTokens: 5, OutputTokens: 7}})
 }
--- a/masticcontrol/query.go
+++ b/masticcontrol/query.go
@@ -15,6 +15,15 @@
 	for _, t := range l.state.Usage().Sums() {
 		answer.Counters = append(answer.Counters, usageCounter(t))
 	}
+	for _, s := range l.state.Usage().ServedSums() {
+		answer.Served = append(answer.Served, &masticproto.ServedCounter{
+			ServerOwner:  s.ServerOwner,
+			Model:        s.Model,
+			Requests:     s.Requests,
+			InputTokens:  s.InputTokens,
+			OutputTokens: s.OutputTokens,
+		})
+	}
 	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Usage{Usage: answer}})
 }
 
--- a/masticusage/sides.go
+++ b/masticusage/sides.go
@@ -35,6 +35,20 @@
 	return out
 }
 
+// ServedSums returns the served rows in a fixed order, for operators.
+func (t *Totals) ServedSums() []masticcall.ServedTotal {
+	rows := t.ServedRows()
+	out := make([]masticcall.ServedTotal, 0, len(rows))
+	for _, r := range slices.SortedFunc(maps.Keys(rows), compareServedRows) {
+		s := rows[r]
+		out = append(out, masticcall.ServedTotal{
+			ServerOwner: r.ServerOwner, Model: r.Model,
+			Requests: s.Requests, InputTokens: s.InputTokens, OutputTokens: s.OutputTokens,
+		})
+	}
+	return out
+}
+
 // Shares returns who used whose backend servers; ownerOf names the owner of a workspace.
 func (t *Totals) Shares(ownerOf func(workspace string) string) []Share {
 	type pair struct{ workspace, server string }
