Spread retries and register the metrics of a host's parts

Cause: masticretry.Backoff and the dispatcher's and engine client's counters were used by nobody, so a lost backend server sent all its requests to the others at once, and /metrics showed two names only. Counters and gauges are registered and documented.

--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -105,6 +105,9 @@
 // Leased reports whether the host's view lease holds at now.
 func (a *Agent) Leased(now time.Time) bool { return a.views.leased(now) }
 
+// LeaseUntil returns the end of the host's view lease, on the monotonic clock.
+func (a *Agent) LeaseUntil() time.Time { return a.views.leaseUntil() }
+
 // Ledger returns the ledger of calls that may not be repeated.
 func (a *Agent) Ledger() masticcall.Ledger { return a.ledger }
 
--- a/masticdaemon/daemon.go
+++ b/masticdaemon/daemon.go
@@ -70,6 +70,7 @@
 			return nil, err
 		}
 	}
+	d.registerMetrics()
 	return d, nil
 }
 
--- /dev/null
+++ b/masticgate/backoff.go
@@ -0,0 +1,21 @@
+package masticgate
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"masticladder/masticretry"
+)
+
+// backOff waits before attempt number attempt, counted from one, so that many requests
+// that lost one backend server do not come to the others at once. It reports false where
+// the request would end first.
+func backOff(ctx context.Context, now time.Time, attempt int) bool {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = now.Add(time.Hour)
+	}
+	at, inTime := masticretry.Backoff(now, deadline, attempt, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return inTime && pause(ctx, at.Sub(now)) == nil
+}
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -154,7 +154,7 @@
 // attempts sends the request until it is answered, or no further attempt is allowed.
 func (m *modelCall) attempts(ctx context.Context) *masticerror.Error {
 	var last *masticerror.Error
-	for m.request.Attempt < m.inbound.gate.limits.MaxAttempts {
+	for {
 		a, e := m.acquireApart(ctx)
 		if e != nil {
 			return m.better(e, last)
@@ -170,8 +170,10 @@
 		}
 		m.request.Avoid = append(slices.Clone(m.request.Avoid), m.server)
 		m.request.Attempt++
+		if m.request.Attempt >= m.inbound.gate.limits.MaxAttempts || !backOff(ctx, m.inbound.gate.now(), m.request.Attempt) {
+			return last
+		}
 	}
-	return last
 }
 
 // acquire waits for a backend server. The key is checked before and after the wait.
