Use one server for callers, one wait and one way to publish

Change: the gate's own server is used; one sleep; orderOptions.publish. Conclusion: a limit that the gate states is now the one in force.

--- a/masticcommand/admin.go
+++ b/masticcommand/admin.go
@@ -1,6 +1,7 @@
 package masticcommand
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -12,6 +13,7 @@
 	"masticladder/masticadmin"
 	"masticladder/masticcall"
 	"masticladder/masticerror"
+	"masticladder/masticproto"
 )
 
 // OperatorKeyVariable is the environment variable that holds the operator's key.
@@ -50,6 +52,11 @@
 	return uuid.NewString()
 }
 
+// publish publishes a change to whichever revision is current.
+func (o orderOptions) publish(change *masticproto.ViewChange) (masticcall.Published, error) {
+	return o.client().Publish(context.Background(), &masticproto.Publish{RequestId: o.requestID(), Change: change})
+}
+
 // table prints rows under a header, or value as JSON.
 func (o adminOptions) table(value any, header string, rows []string) error {
 	if o.JSON {
--- a/masticcommand/host.go
+++ b/masticcommand/host.go
@@ -64,10 +64,7 @@
 		Weight:  h.Weight,
 		State:   string(masticview.HostLive),
 	}
-	p, err := h.client().Publish(context.Background(), &masticproto.Publish{
-		RequestId: h.requestID(),
-		Change:    &masticproto.ViewChange{Hosts: []*masticproto.Host{item}},
-	})
+	p, err := h.publish(&masticproto.ViewChange{Hosts: []*masticproto.Host{item}})
 	if err != nil {
 		return err
 	}
--- a/masticcommand/key.go
+++ b/masticcommand/key.go
@@ -74,10 +74,7 @@
 		Profile:   k.Profile,
 		State:     string(masticview.KeyActive),
 	}
-	p, err := k.client().Publish(context.Background(), &masticproto.Publish{
-		RequestId: k.requestID(),
-		Change:    &masticproto.ViewChange{Keys: []*masticproto.Key{item}},
-	})
+	p, err := k.publish(&masticproto.ViewChange{Keys: []*masticproto.Key{item}})
 	if err != nil {
 		return err
 	}
--- a/masticcommand/server.go
+++ b/masticcommand/server.go
@@ -67,10 +67,7 @@
 		ChecksFencing:  s.ChecksFencing,
 		State:          string(masticview.ServerActive),
 	}
-	p, err := s.client().Publish(context.Background(), &masticproto.Publish{
-		RequestId: s.requestID(),
-		Change:    &masticproto.ViewChange{Servers: []*masticproto.Server{item}},
-	})
+	p, err := s.publish(&masticproto.ViewChange{Servers: []*masticproto.Server{item}})
 	if err != nil {
 		return err
 	}
--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -134,13 +134,13 @@
 		masticadmin.WithRegistry(d.registry),
 		masticadmin.WithOperatorKeys(digests...),
 	)
-	if d.operators, err = listen(d.settings.Admin, admin, config); err != nil {
+	if d.operators, err = listen(d.settings.Admin, operatorServer(admin), config); err != nil {
 		return err
 	}
 	if d.gate == nil {
 		return nil
 	}
-	if d.callers, err = listen(d.settings.Listen, d.gate, config); err != nil {
+	if d.callers, err = listen(d.settings.Listen, d.gate.NewServer(), config); err != nil {
 		return err
 	}
 	d.openLeaving()
--- a/masticdaemon/server.go
+++ b/masticdaemon/server.go
@@ -11,12 +11,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// Limits of the HTTP servers.
+// Limits of the operators' server, and the time that a server gets to close.
 const (
-	headerTimeout    = 10 * time.Second
-	idleTimeout      = 90 * time.Second
-	maxHeaderBytes   = 64 << 10
-	closeGraceMillis = 2000
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 90 * time.Second
+	maxHeaderBytes = 64 << 10
+	closeGrace     = 2 * time.Second
 )
 
 // httpServer serves one address until it is stopped.
@@ -26,7 +26,7 @@
 }
 
 // listen opens address, so that a wrong one is an error before anything runs.
-func listen(address string, handler http.Handler, config *tls.Config) (*httpServer, error) {
+func listen(address string, server *http.Server, config *tls.Config) (*httpServer, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listening on %s", address)
@@ -34,15 +34,17 @@
 	if config != nil {
 		l = tls.NewListener(l, config)
 	}
-	return &httpServer{
-		listener: l,
-		server: &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		},
-	}, nil
+	return &httpServer{listener: l, server: server}, nil
+}
+
+// operatorServer returns the server for operators.
+func operatorServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
 }
 
 // address returns the address that is really listened on.
@@ -57,7 +59,7 @@
 }
 
 func (s *httpServer) stop(error) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeGraceMillis*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), closeGrace)
 	defer cancel()
 	if err := s.server.Shutdown(ctx); err != nil {
 		_ = s.server.Close()
--- a/masticgate/backoff.go
+++ b/masticgate/backoff.go
@@ -17,5 +17,5 @@
 		deadline = now.Add(time.Hour)
 	}
 	at, inTime := masticretry.Backoff(now, deadline, attempt, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	return inTime && pause(ctx, at.Sub(now)) == nil
+	return inTime && sleep(ctx, at.Sub(now))
 }
--- a/masticgate/hold.go
+++ b/masticgate/hold.go
@@ -23,8 +23,8 @@
 		a, e := m.acquire(ctx)
 		switch {
 		case e != nil && len(taken) > 0 && e.Kind() == masticerror.KindNoServer:
-			if e := pause(ctx, holdPause); e != nil {
-				return nil, e
+			if !sleep(ctx, holdPause) {
+				return nil, notSent(ctx.Err())
 			}
 			taken = nil
 		case e != nil:
@@ -69,15 +69,3 @@
 	}
 	m.held = false
 }
-
-// pause waits for span, or returns why the request has ended.
-func pause(ctx context.Context, span time.Duration) *masticerror.Error {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return notSent(ctx.Err())
-	}
-}
