Take a stand-in server down at once

Cause: TestDeadServerIsNotSent failed in 3 of 8 runs on an idle machine with Sent true. Down closed the HTTP server, which knows its listener only once the goroutine that serves it has begun; until then connections were still taken into the listener's queue, and bytes could be sent to it. The engine client was right to say so. Ruled out: another process on the port (each stand-in has an address of its own). Change: Down closes the listener as well.

--- a/masticfake/server.go
+++ b/masticfake/server.go
@@ -16,8 +16,9 @@
 	address string
 	handler http.Handler
 
-	mu     sync.Mutex
-	server *http.Server
+	mu       sync.Mutex
+	listener net.Listener
+	server   *http.Server
 	conns  map[net.Conn]struct{}
 }
 
@@ -52,6 +53,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.address = l.Addr().String()
+	s.listener = l
 	s.server = &http.Server{Handler: s.handler, ConnState: s.track, ErrorLog: log.New(io.Discard, "", 0)}
 	r := runner{server: s.server, listener: l}
 	go r.run()
@@ -69,11 +71,13 @@
 // URL returns the server's base address.
 func (s *Server) URL() string { return "http://" + s.address }
 
-// Down stops listening and drops all connections.
+// Down stops listening and drops all connections. The listener is closed here too, since
+// the server knows it only once its goroutine has begun.
 func (s *Server) Down() {
 	s.mu.Lock()
-	server := s.server
+	server, listener := s.server, s.listener
 	s.mu.Unlock()
+	_ = listener.Close()
 	_ = server.Close()
 }
 
