Name damage of the log at the start and empty a damaged folder by command

Cause: a control host with damaged files did not start, and its error hid the cause: an error of the closed list printed its own message only. Nothing called the store's Renew, so there was no way back but by hand. Change: errors print their cause to operators and logs (callers still get the message alone); 'masticladder repair' empties a damaged folder so that the host rejoins as a learner. Weighed: emptying at the start by itself; when one fault damages all hosts at once, they would found an empty group.

--- a/masticcommand/command.go
+++ b/masticcommand/command.go
@@ -42,6 +42,7 @@
 		{"host", "List, add and retire hosts", hostHelp, &hostCommand{}},
 		{"server", "List, add and retire backend servers", serverHelp, &serverCommand{}},
 		{"member", "Change which hosts keep the replicated log", memberHelp, &memberCommand{}},
+		{"repair", "Empty a damaged data folder", repairHelp, &repairCommand{}},
 		{"usage", "Show both owners' usage and its cross-check", usageHelp, &usageCommand{}},
 		{"status", "Show the state of control", statusHelp, &statusCommand{}},
 		{"measure", "Measure the policy or a running system", measureHelp, &measureCommand{}},
--- a/masticerror/error.go
+++ b/masticerror/error.go
@@ -58,8 +58,14 @@
 	return AnswerFor(e.kind).Outcome != OutcomeUnknown
 }
 
-// Error returns the message with its kind.
-func (e *Error) Error() string { return string(e.kind) + ": " + e.message }
+// Error returns the message with its kind and cause, for operators and logs. Callers are
+// given Message.
+func (e *Error) Error() string {
+	if e.cause != nil {
+		return string(e.kind) + ": " + e.cause.Error()
+	}
+	return string(e.kind) + ": " + e.message
+}
 
 // Message returns the message without the kind.
 func (e *Error) Message() string { return e.message }
@@ -77,7 +83,9 @@
 	if errors.As(err, &e) {
 		return e
 	}
-	return Wrap(err, KindInternal, "%v", err).WithSent()
+	internal := New(KindInternal, "%v", err).WithSent()
+	internal.cause = err
+	return internal
 }
 
 // KindOf returns the kind of err, and the empty kind for nil.
--- a/masticerror/table_test.go
+++ b/masticerror/table_test.go
@@ -61,5 +61,7 @@
 	c.Assert(New(KindOverloaded, "busy").WithSent().NotRun(), qt.IsFalse)
 	c.Assert(New(KindBackendFailed, "reset").NotRun(), qt.IsFalse)
 	c.Assert(From(os.ErrClosed).NotRun(), qt.IsFalse)
+	c.Assert(Wrap(os.ErrClosed, KindInternal, "open the folder").Error(), qt.Equals, "internal: open the folder: file already closed")
+	c.Assert(From(os.ErrClosed).Error(), qt.Equals, "internal: file already closed")
 	c.Assert(From(fmt.Errorf("outer: %w", New(KindNoLease, "ended"))).Kind(), qt.Equals, KindNoLease)
 }
