Elect a new leader after 300 ms without one

Cause: restarts of a leader and of all hosts wait for an election; the default of 500 ms was the larger part of them. Change: electionMillis is 300 by default, three heartbeats.

--- a/masticsettings/settings.go
+++ b/masticsettings/settings.go
@@ -93,7 +93,7 @@
 		Timing: Timing{
 			ViewLeaseMillis:   2000,
 			HeartbeatMillis:   100,
-			ElectionMillis:    500,
+			ElectionMillis:    300,
 			AddressListMillis: 5000,
 			DrainMillis:       60000,
 			UsageReportMillis: 2000,
