--- a/masticfake/server.go
+++ b/masticfake/server.go
@@ -19,7 +19,7 @@
 	mu       sync.Mutex
 	listener net.Listener
 	server   *http.Server
-	conns  map[net.Conn]struct{}
+	conns    map[net.Conn]struct{}
 }
 
 // serverCount numbers the servers of this process.
