Give each item of the view and each interface of a call a file of its own

Cause: items.go and ports.go held eight concepts each under names that say nothing. Change: moved as they were; no declaration or comment is other than before. Conclusion: a reader finds an item by its name.

--- /dev/null
+++ b/masticcall/request.go
@@ -0,0 +1,35 @@
+// Package masticcall holds the interfaces and value types that a call passes through.
+package masticcall
+
+import (
+	"time"
+
+	"masticladder/masticview"
+)
+
+// Request is what the dispatcher needs to know of one request.
+type Request struct {
+	ID        string
+	Workspace string
+	Weight    int64
+	Model     string
+	Class     masticview.Class
+	// Levels are the prompt's parts, outermost first.
+	Levels       []Level
+	PromptTokens int64
+	OutputTokens int64
+	Digest       masticview.Digest
+	// FirstTokenBy is the deadline of the first token, Deadline that of the whole answer.
+	FirstTokenBy time.Time
+	Deadline     time.Time
+	// Avoid names backend servers that this request already failed on.
+	Avoid []string
+	// Attempt counts from zero.
+	Attempt int
+}
+
+// Level is one part of a nested prompt.
+type Level struct {
+	Role string
+	Text string
+}
