End a suspect's hold in the background

Cause: the end of a hold was sent before the attempt returned, so that with control away an answer could wait 2 s for it. Change: the agent's finisher sends it, again until it arrives or 10 s have passed. Conclusion: no final answer is held back for control's sake.

--- a/masticagent/finisher.go
+++ b/masticagent/finisher.go
@@ -10,27 +10,29 @@
 
 const finisherOrders = 4096
 
-// finisher ends reservations in the background: releases of those that may be committed
-// although this host gave up on them, and records whose caller had no answer in time.
+// finisher ends reservations and holds in the background: releases of reservations that may
+// be committed although this host gave up on them, records whose caller had no answer in
+// time, and ends of holds.
 type finisher struct {
 	agent *Agent
 	work  *masticring.Ring[finishing]
 }
 
-// finishing is a release or record that is repeated until it is done or its deadline has passed.
+// finishing is a release, record or end of a hold that is repeated until it is done or its deadline has passed.
 type finishing struct {
 	command  *masticproto.Command
 	deadline time.Time
 }
 
 func newFinisher(a *Agent) *finisher {
-	return &finisher{agent: a, work: masticring.New[finishing]("reservations to end", finisherOrders)}
+	return &finisher{agent: a, work: masticring.New[finishing]("reservations and holds to end", finisherOrders)}
 }
 
-// add takes a reservation to end. One that finds no room is declared unknown at its deadline.
+// add takes a reservation or hold to end. One that finds no room ends at its deadline, a
+// reservation with an unknown outcome.
 func (f *finisher) add(w finishing) {
 	if err := f.work.Offer(w); err != nil {
-		f.agent.log.WithError(err).Warn("a reservation is not ended; its outcome is unknown from its deadline on")
+		f.agent.log.WithError(err).Warn("a reservation or hold is not ended; it ends at its deadline")
 	}
 }
 
--- a/masticagent/suspects.go
+++ b/masticagent/suspects.go
@@ -9,8 +9,12 @@
 	"masticladder/masticview"
 )
 
-// endTimeout bounds the message that ends a hold; a hold that is not ended ends by its deadline.
-const endTimeout = 2 * time.Second
+const (
+	// endSpan is for how long the end of a hold is sent again; after that the hold ends by its deadline.
+	endSpan = 10 * time.Second
+	// ownSpan is for how long a suspect of this host counts before control has told of it.
+	ownSpan = 5 * time.Second
+)
 
 // suspects implements masticcall.Suspects and masticcall.Holds: it knows the requests that
 // may end a backend server, from control and from what this host itself saw.
@@ -23,9 +27,6 @@
 	own   map[masticview.Digest]time.Time
 }
 
-// ownSpan is for how long a suspect of this host counts before control has told of it.
-const ownSpan = 5 * time.Second
-
 func newSuspects(a *Agent) *suspects {
 	return &suspects{agent: a, known: map[masticview.Digest]bool{}, own: map[masticview.Digest]time.Time{}}
 }
@@ -110,20 +111,16 @@
 	return answer.GetDone(), err
 }
 
-// End ends a hold.
+// End ends a hold in the background, so that no answer waits for control.
 func (s *suspects) End(d masticview.Digest, server string, completed bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
-	defer cancel()
-	_, err := s.agent.command(ctx, &masticproto.Command{Kind: &masticproto.Command_SuspectEnd{SuspectEnd: &masticproto.SuspectEnd{
-		Digest:      d[:],
-		Server:      server,
-		Host:        s.agent.host,
-		Incarnation: s.agent.incarnation,
-		Completed:   completed,
-	}}}, s.agent.attempt)
-	if err != nil {
-		s.agent.log.WithError(err).WithField("server", server).Warn("the hold of a suspect ends by its deadline")
-		return
-	}
-	s.agent.renewer.soon()
+	s.agent.finisher.add(finishing{
+		command: &masticproto.Command{Kind: &masticproto.Command_SuspectEnd{SuspectEnd: &masticproto.SuspectEnd{
+			Digest:      d[:],
+			Server:      server,
+			Host:        s.agent.host,
+			Incarnation: s.agent.incarnation,
+			Completed:   completed,
+		}}},
+		deadline: time.Now().Add(endSpan),
+	})
 }
