Check the spread of control hosts over zones with stated sizes

Change: settings may list zones with their number of hosts; check refuses an unlisted zone, one too small for its control hosts, and one that would hold their majority. Conclusion: the faulty spread is seen before the start where zones are listed.

--- a/masticsettings/settings.go
+++ b/masticsettings/settings.go
@@ -32,6 +32,8 @@
 	DataFolder string `json:"dataFolder"`
 	// Control lists the control hosts that the fleet starts with.
 	Control []ControlHost `json:"control" validate:"required,unique=Host,dive"`
+	// Zones lists the availability zones with their number of hosts; it may be left out.
+	Zones []Zone `json:"zones" validate:"unique=Name,dive"`
 	// OperatorKeys are SHA-256 digests of operators' keys, in hexadecimal.
 	OperatorKeys []string  `json:"operatorKeys" validate:"dive,len=64,hexadecimal"`
 	Log          Log       `json:"log"`
@@ -47,6 +49,12 @@
 	Zone string `json:"zone"`
 }
 
+// Zone is an availability zone.
+type Zone struct {
+	Name  string `json:"name" validate:"required"`
+	Hosts int    `json:"hosts" validate:"gte=1,lte=10000"`
+}
+
 // Log states how decisions are logged.
 type Log struct {
 	Format string `json:"format" validate:"oneof=json text"`
--- a/masticsettings/values.go
+++ b/masticsettings/values.go
@@ -66,6 +66,7 @@
 
 func (s *shape) checkCombinations(v Settings) {
 	s.checkControl(v)
+	s.checkZones(v)
 	s.checkTiming(v.Timing)
 	s.checkTLS(v)
 	if len(v.OperatorKeys) == 0 && !isLoopback(v.Admin) {
@@ -98,6 +99,31 @@
 	}
 }
 
+// checkZones checks that every host stands in a listed zone with room for it, and that the
+// loss of one zone leaves a majority of the control hosts.
+func (s *shape) checkZones(v Settings) {
+	if len(v.Zones) == 0 {
+		return
+	}
+	room := map[string]int{}
+	for _, z := range v.Zones {
+		room[z.Name] = z.Hosts
+	}
+	if room[v.Zone] == 0 {
+		s.report("$.zone", fmt.Sprintf("is %q, which zones does not list", v.Zone))
+	}
+	voters := map[string]int{}
+	for i, c := range v.Control {
+		voters[c.Zone]++
+		if voters[c.Zone] > room[c.Zone] {
+			s.report(fmt.Sprintf("$.control[%d].zone", i), fmt.Sprintf("is %q, which zones does not list with enough hosts", c.Zone))
+		}
+		if len(v.Zones) > 1 && len(v.Control) > 1 && 2*voters[c.Zone] > len(v.Control) {
+			s.report(fmt.Sprintf("$.control[%d].zone", i), fmt.Sprintf("is %q, which would hold a majority of the control hosts", c.Zone))
+		}
+	}
+}
+
 func (s *shape) checkTiming(t Timing) {
 	if t.ElectionMillis < 3*t.HeartbeatMillis {
 		s.report("$.timing.electionMillis", fmt.Sprintf("is %d, must be at least three heartbeats (%d)", t.ElectionMillis, 3*t.HeartbeatMillis))
