--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -43,6 +43,7 @@
 	renewer  *renewer
 	watcher  *watcher
 	limiter  *limiter
+	shares   *shares
 	reporter *reporter
 	suspects *suspects
 	ledger   *ledger
--- a/masticagent/finisher.go
+++ b/masticagent/finisher.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"masticladder/masticclock"
 	"masticladder/masticproto"
 	"masticladder/masticring"
 )
@@ -39,7 +40,7 @@
 func (f *finisher) run(ctx context.Context) {
 	defer f.agent.running.Done()
 	for w := range f.work.Out() {
-		if !time.Now().Before(w.deadline) || f.finish(ctx, w) || ctx.Err() != nil {
+		if !masticclock.Now().Before(w.deadline) || f.finish(ctx, w) || ctx.Err() != nil {
 			continue
 		}
 		f.add(w)
--- a/masticagent/leaderclient.go
+++ b/masticagent/leaderclient.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
 	"masticladder/masticwire"
@@ -22,9 +23,12 @@
 	mutex     sync.Mutex
 	clients   map[string]*masticwire.Client
 	addresses []string
-	next      int
-	leader    string
-	attempts  map[string]attempts
+	// founders are those that the host was started with, learned those that control named.
+	founders []string
+	learned  []string
+	next     int
+	leader   string
+	attempts map[string]attempts
 }
 
 // attempts is the common end of the attempts at one host.
@@ -47,6 +51,7 @@
 		}
 	}
 	l.addresses = slices.Clone(addresses)
+	l.founders = l.addresses
 	return l, nil
 }
 
@@ -125,7 +130,7 @@
 	select {
 	case <-t.C:
 		deadline, bounded := ctx.Deadline()
-		return ctx.Err() == nil && (!bounded || time.Until(deadline) > leastAttempt)
+		return ctx.Err() == nil && (!bounded || masticclock.Until(deadline) > leastAttempt)
 	case <-ctx.Done():
 		return false
 	}
@@ -191,6 +196,43 @@
 	return c, nil
 }
 
+// learn takes the addresses of the members of control. They go before those that the host
+// was started with, which stay for the case that all members it learned of are gone.
+func (l *leaderClient) learn(members []string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if len(members) == 0 || slices.Equal(members, l.learned) {
+		return
+	}
+	l.learned = slices.Clone(members)
+	addresses := slices.Clone(members)
+	for _, a := range l.founders {
+		if !slices.Contains(addresses, a) {
+			addresses = append(addresses, a)
+		}
+	}
+	l.addresses = addresses
+}
+
+// found replaces the addresses that the host was started with.
+func (l *leaderClient) found(founders []string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, a := range founders {
+		if !slices.Contains(l.addresses, a) {
+			l.addresses = append(l.addresses, a)
+		}
+	}
+	l.founders = slices.Clone(founders)
+}
+
+// peers returns the addresses of the control hosts, those learned first.
+func (l *leaderClient) peers() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Clone(l.addresses)
+}
+
 func (l *leaderClient) close() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/masticagent/ledger.go
+++ b/masticagent/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticladder/masticcall"
+	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
 	"masticladder/masticview"
@@ -39,7 +40,7 @@
 // Reserve asks for the right to dispatch.
 func (l *ledger) Reserve(ctx context.Context, k masticcall.OrderKey, request masticview.Digest, deadline time.Time) (masticcall.Reservation, error) {
 	attempt := l.nextAttempt()
-	bound := time.Now().Add(l.agent.reservePatience)
+	bound := masticclock.Now().Add(l.agent.reservePatience)
 	if deadline.Before(bound) {
 		bound = deadline
 	}
@@ -67,7 +68,7 @@
 		Host:              l.agent.host,
 		Incarnation:       l.agent.incarnation,
 		Attempt:           attempt,
-		RetainUntilUnixMs: time.Now().Add(l.agent.orderRetention).UnixMilli(),
+		RetainUntilUnixMs: masticclock.Now().Add(l.agent.orderRetention).UnixMilli(),
 		DeadlineUnixMs:    deadline.UnixMilli(),
 	}}}
 }
@@ -156,7 +157,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if len(l.held) >= l.checkAt {
-		l.dropEnded(time.Now())
+		l.dropEnded(masticclock.Now())
 	}
 	l.held[k] = r
 }
--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"masticladder/masticcall"
+	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
 	"masticladder/masticquota"
@@ -64,9 +65,12 @@
 // Admit takes tokens from the workspace's quota, waiting for a grant while one can
 // still come before ctx ends.
 func (l *limiter) Admit(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
+	if s := l.agent.shares; s != nil && !l.agent.Reached() {
+		return s.admit(masticclock.Now(), workspace, tokens)
+	}
 	until, bounded := ctx.Deadline()
 	if !bounded {
-		until = time.Now().Add(l.agent.reservePatience)
+		until = masticclock.Now().Add(l.agent.reservePatience)
 	}
 	a := &admission{limiter: l, workspace: workspace, tokens: tokens, until: until, decided: make(chan masticquota.Decision, 1)}
 	if err := l.events.Offer(limiterEvent{admit: a}); err != nil {
@@ -110,10 +114,10 @@
 				l.refuseWaiting()
 				return
 			}
-			l.handle(time.Now(), e)
+			l.handle(masticclock.Now(), e)
 		case <-timer.C:
 		}
-		l.turn(time.Now())
+		l.turn(masticclock.Now())
 		timer.Reset(l.pause())
 	}
 }
--- a/masticagent/option.go
+++ b/masticagent/option.go
@@ -56,6 +56,12 @@
 // WithRenewInterval sets the time between two renewals of the view lease.
 func WithRenewInterval(d time.Duration) Option { return func(a *Agent) { a.renewInterval = d } }
 
+// WithShare makes the host admit requests from its share of each workspace's rate while no
+// leader of control is in reach. Without it they are refused.
+func WithShare(limit func(workspace string) Share) Option {
+	return func(a *Agent) { a.shares = newShares(limit) }
+}
+
 // WithReportInterval sets the time between two usage reports.
 func WithReportInterval(d time.Duration) Option { return func(a *Agent) { a.reportInterval = d } }
 
--- a/masticagent/renewer.go
+++ b/masticagent/renewer.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"masticladder/masticclock"
 	"masticladder/masticlease"
 	"masticladder/masticproto"
 )
@@ -40,7 +41,7 @@
 			pause = r.agent.retryPause
 			r.agent.log.WithError(err).Debug("the view lease was not renewed")
 		}
-		r.logLease(time.Now())
+		r.logLease(masticclock.Now())
 		r.wait(ctx, pause)
 	}
 }
@@ -59,7 +60,7 @@
 // renew sends one renewal. The lease counts from before its sending.
 func (r *renewer) renew(ctx context.Context) error {
 	r.holder.Installed(r.agent.View().Revision())
-	renewal := r.holder.Renewal(time.Now())
+	renewal := r.holder.Renewal(masticclock.Now())
 	a, err := r.agent.leader.once(ctx, &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Renew{Renew: &masticproto.RenewRequest{
 		Id:          renewal.ID,
 		Host:        renewal.Host,
@@ -71,6 +72,8 @@
 		return err
 	}
 	r.agent.watcher.prefer(a.address)
+	r.agent.views.heard(masticclock.Now())
+	r.agent.leader.learn(a.answer.GetRenew().GetControl())
 	r.take(a.answer.GetRenew())
 	return nil
 }
--- a/masticagent/reporter.go
+++ b/masticagent/reporter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticladder/masticcall"
+	"masticladder/masticclock"
 	"masticladder/masticproto"
 	"masticladder/masticusage"
 	"masticladder/masticview"
@@ -39,7 +40,7 @@
 	report := &masticproto.SuspectReport{
 		Server:                server,
 		ServerIncarnation:     serverIncarnation,
-		QuarantineUntilUnixMs: time.Now().Add(r.agent.quarantine).UnixMilli(),
+		QuarantineUntilUnixMs: masticclock.Now().Add(r.agent.quarantine).UnixMilli(),
 	}
 	for _, d := range digests {
 		report.Digests = append(report.Digests, d[:])
--- /dev/null
+++ b/masticagent/share.go
@@ -0,0 +1,77 @@
+package masticagent
+
+import (
+	"sync"
+	"time"
+
+	"masticladder/masticcall"
+	"masticladder/masticerror"
+)
+
+// Share is the part of a workspace's rate and burst that one host may use on its own.
+type Share struct {
+	RateTokensPerSecond, BurstTokens float64
+}
+
+// shares admit requests while no leader of control is in reach, from this host's share of
+// each workspace's rate. All hosts' shares together are the rate.
+type shares struct {
+	limit func(workspace string) Share
+
+	mutex   sync.Mutex
+	buckets map[string]*shareBucket
+}
+
+// shareBucket is the account of one workspace. It begins empty: what the host had been
+// granted before is spent on top of it.
+type shareBucket struct {
+	tokens float64
+	at     time.Time
+}
+
+func newShares(limit func(workspace string) Share) *shares {
+	return &shares{limit: limit, buckets: map[string]*shareBucket{}}
+}
+
+// admit takes tokens from the share of workspace.
+func (s *shares) admit(now time.Time, workspace string, tokens int64) (masticcall.Admission, error) {
+	limit := s.limit(workspace)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	b, ok := s.buckets[workspace]
+	if !ok {
+		b = &shareBucket{at: now}
+		s.buckets[workspace] = b
+	}
+	b.tokens = min(limit.BurstTokens, b.tokens+limit.RateTokensPerSecond*now.Sub(b.at).Seconds())
+	b.at = now
+	if b.tokens < float64(tokens) {
+		return nil, s.refusal(workspace, limit, float64(tokens)-b.tokens)
+	}
+	b.tokens -= float64(tokens)
+	return &shareAdmission{shares: s, workspace: workspace, tokens: tokens}, nil
+}
+
+func (s *shares) refusal(workspace string, limit Share, missing float64) error {
+	e := masticerror.New(masticerror.KindRateLimited, "workspace %q is over this host's share of its rate", workspace)
+	if limit.RateTokensPerSecond <= 0 {
+		return e
+	}
+	return e.WithRetryAfter(time.Duration(missing / limit.RateTokensPerSecond * float64(time.Second)))
+}
+
+// shareAdmission is a request that was admitted from a share.
+type shareAdmission struct {
+	shares    *shares
+	workspace string
+	tokens    int64
+}
+
+// Settle gives back what was not used.
+func (a *shareAdmission) Settle(usedTokens int64) {
+	a.shares.mutex.Lock()
+	defer a.shares.mutex.Unlock()
+	if b, ok := a.shares.buckets[a.workspace]; ok {
+		b.tokens += float64(a.tokens - usedTokens)
+	}
+}
--- a/masticagent/suspects.go
+++ b/masticagent/suspects.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"masticladder/masticclock"
 	"masticladder/masticproto"
 	"masticladder/masticview"
 )
@@ -33,7 +34,7 @@
 
 // Report shares the requests that ran on a backend server when its incarnation ended.
 func (s *suspects) Report(server, serverIncarnation string, digests []masticview.Digest) {
-	until := time.Now().Add(ownSpan)
+	until := masticclock.Now().Add(ownSpan)
 	s.mutex.Lock()
 	for _, d := range digests {
 		s.own[d] = until
@@ -47,7 +48,7 @@
 func (s *suspects) Suspected(d masticview.Digest) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.known[d] || time.Now().Before(s.own[d])
+	return s.known[d] || masticclock.Now().Before(s.own[d])
 }
 
 func (s *suspects) fingerprint() uint64 {
@@ -73,7 +74,7 @@
 // tell hands the present set to the host's other parts.
 func (s *suspects) tell() {
 	if s.agent.onSuspects != nil {
-		s.agent.onSuspects(s.all(time.Now()))
+		s.agent.onSuspects(s.all(masticclock.Now()))
 	}
 }
 
@@ -121,6 +122,6 @@
 			Incarnation: s.agent.incarnation,
 			Completed:   completed,
 		}}},
-		deadline: time.Now().Add(endSpan),
+		deadline: masticclock.Now().Add(endSpan),
 	})
 }
--- a/masticagent/views.go
+++ b/masticagent/views.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"masticladder/masticclock"
 	"masticladder/masticproto"
 	"masticladder/masticring"
 	"masticladder/masticview"
@@ -18,12 +19,15 @@
 	updates *masticring.Ring[*masticproto.ViewUpdate]
 	newest  atomic.Pointer[masticview.View]
 	until   atomic.Pointer[time.Time]
+	// heardAt is when the leader last answered.
+	heardAt atomic.Pointer[time.Time]
 }
 
 func newViews(a *Agent) *views {
 	v := &views{agent: a, updates: masticring.New[*masticproto.ViewUpdate]("view updates", viewUpdates)}
 	v.newest.Store(&masticview.View{})
 	v.until.Store(&time.Time{})
+	v.heardAt.Store(&time.Time{})
 	return v
 }
 
@@ -37,6 +41,13 @@
 // setLease is called by the renewer only.
 func (v *views) setLease(until time.Time) { v.until.Store(&until) }
 
+// silence is for how long the leader may be silent before this host counts as out of reach.
+const silence = 1500 * time.Millisecond
+
+func (v *views) heard(now time.Time) { v.heardAt.Store(&now) }
+
+func (v *views) reached() bool { return masticclock.Now().Before(v.heardAt.Load().Add(silence)) }
+
 // loop applies updates until the ring is closed.
 func (v *views) loop() {
 	defer v.agent.running.Done()
--- a/masticagent/watcher.go
+++ b/masticagent/watcher.go
@@ -75,7 +75,8 @@
 	defer w.mutex.Unlock()
 	w.address = w.wanted
 	if w.address == "" {
-		w.address = w.agent.peers[w.next%len(w.agent.peers)]
+		peers := w.agent.leader.peers()
+		w.address = peers[w.next%len(peers)]
 		w.next++
 	}
 	ctx, w.cancel = context.WithCancel(ctx)
--- a/masticcall/request.go
+++ b/masticcall/request.go
@@ -14,6 +14,9 @@
 	Weight    int64
 	Model     string
 	Class     masticview.Class
+	// Weights is the model under which versions of the weights are named; empty where the
+	// request may run on any version.
+	Weights string
 	// Levels are the prompt's parts, outermost first.
 	Levels       []Level
 	PromptTokens int64
@@ -32,4 +35,7 @@
 type Level struct {
 	Role string
 	Text string
+	// Tokens is the length of the level where it is known; the level is then one piece. Zero
+	// has it estimated from Text.
+	Tokens int64
 }
--- a/masticcontrol/applied.go
+++ b/masticcontrol/applied.go
@@ -65,6 +65,10 @@
 		return &masticproto.CommandAnswer{Done: r.Held}, nil
 	case masticstate.LoadResult:
 		return &masticproto.CommandAnswer{Done: r.Applied}, nil
+	case masticstate.DocumentResult:
+		return &masticproto.CommandAnswer{Revision: r.Number, Repeated: r.Repeated, Done: r.Err == nil}, r.Err
+	case masticstate.WeightsResult:
+		return &masticproto.CommandAnswer{Done: r.Err == nil}, r.Err
 	case masticstate.InvalidResult:
 		return nil, r.Err
 	default:
--- a/masticcontrol/control.go
+++ b/masticcontrol/control.go
@@ -5,10 +5,10 @@
 import (
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticquorum"
 	"masticladder/masticstate"
@@ -88,7 +88,7 @@
 		masticquorum.WithHeartbeat(s.heartbeat),
 		masticquorum.WithTail(s.tailEntries),
 		masticquorum.WithSeed(s.seed),
-		masticquorum.WithStart(time.Now()),
+		masticquorum.WithStart(masticclock.Now()),
 	)
 }
 
@@ -103,6 +103,10 @@
 // Address returns the bound address.
 func (c *Control) Address() string { return c.server.Address() }
 
+// Joined reports whether this host votes and knows the leader. A host that has not joined
+// asks the leader to be made a voter.
+func (c *Control) Joined() bool { return c.loop.joined.Load() }
+
 // Run serves until Stop or a failure of the store, which is returned.
 func (c *Control) Run() error {
 	c.serving.Add(1)
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -28,6 +28,10 @@
 	nextTick   time.Time
 	// placement is nil where the host gives no load orders.
 	placement *placement
+	// listingIndex is the log index of the last change that followed from the list of servers.
+	listingIndex uint64
+	// silentSince is when each voter last answered.
+	silentSince map[string]time.Time
 }
 
 // observe takes or drops the leader's part after the core has moved. It is kept for the
@@ -36,6 +40,8 @@
 func (l *loop) observe(now time.Time) {
 	was := l.status
 	l.status = l.core.Status(now)
+	l.turnTime = now
+	l.note()
 	if was.Leader != l.status.Leader || was.Term != l.status.Term {
 		l.log.WithField("leader", l.status.Leader).WithField("term", l.status.Term).Info("control leader changed")
 	}
@@ -57,9 +63,10 @@
 	}
 	d := &leader{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval)}
 	d.absences = newAbsences(now)
+	d.silentSince = map[string]time.Time{}
 	d.workspaces, d.seen = map[string]bool{}, view.Revision()
-	for _, w := range view.Workspaces() {
-		d.workspaces[w.Name] = true
+	for _, name := range l.workspaceNames() {
+		d.workspaces[name] = true
 	}
 	d.grantor = masticlease.NewGrantor(now, d.term, view.Revision(),
 		masticlease.WithSpan(l.viewLease), masticlease.WithHosts(hosts))
@@ -72,6 +79,9 @@
 
 // limit returns the rate and burst of a workspace in the present view.
 func (d *leader) limit(workspace string) (masticquota.Limit, bool) {
+	if limit, ok := d.loop.documentLimit(workspace); ok {
+		return limit, true
+	}
 	w, ok := d.loop.state.View().Workspace(workspace)
 	return masticquota.Limit{RateTokensPerSecond: w.RateTokensPerSecond, BurstTokens: w.BurstTokens}, ok
 }
@@ -168,10 +178,19 @@
 		return
 	}
 	d.seen = view.Revision()
-	for _, w := range view.Workspaces() {
-		if !d.workspaces[w.Name] {
-			d.workspaces[w.Name] = true
-			d.owner.Created(w.Name)
+	for _, name := range d.loop.workspaceNames() {
+		if !d.workspaces[name] {
+			d.workspaces[name] = true
+			d.owner.Created(name)
 		}
 	}
 }
+
+// workspaceNames returns the names of the workspaces of the view and of its document.
+func (l *loop) workspaceNames() []string {
+	names := l.documentTenants()
+	for _, w := range l.state.View().Workspaces() {
+		names = append(names, w.Name)
+	}
+	return names
+}
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"masticladder/masticclock"
 	"masticladder/masticlease"
 	"masticladder/masticproto"
 )
@@ -36,6 +37,9 @@
 	if r.GetSuspects() != d.loop.state.Suspects().Fingerprint() {
 		answer.Suspects = d.loop.suspectSet()
 	}
+	for _, m := range d.loop.status.Members {
+		answer.Control = append(answer.Control, m.GetAddress())
+	}
 	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Renew{Renew: answer}})
 }
 
@@ -85,7 +89,7 @@
 	if d.placement != nil && d.placement.next.Before(next) {
 		next = d.placement.next
 	}
-	now := time.Now()
+	now := masticclock.Now()
 	for _, f := range d.forces {
 		_, by := d.grantor.InForce(now, f.answer.GetRevision())
 		for _, t := range []time.Time{by, f.deadline} {
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
 	"masticladder/masticquorum"
@@ -38,6 +40,12 @@
 	leader        *leader
 	lastCommitted time.Time
 	stateBytes    int64
+	documents     documents
+	lists         *listReader
+	// turnTime is the time of the running turn.
+	turnTime time.Time
+	// joined reports that this host votes and follows or is a leader.
+	joined atomic.Bool
 
 	// sending ends when the loop does; senders counts the goroutines that send load orders.
 	sending    context.Context
@@ -72,6 +80,7 @@
 		stateBytes: int64(len(loaded.Snapshot.GetData())),
 	}
 	l.sending, l.endSending = context.WithCancel(context.Background())
+	l.lists = newListReader(l, s.lister, s.listInterval)
 	return l, nil
 }
 
@@ -95,6 +104,8 @@
 			first.calls = append(first.calls, c)
 		case w := <-l.watches.Out():
 			first.watches = append(first.watches, w)
+		case servers := <-l.lists.found.Out():
+			first.servers = servers
 		case e := <-l.compactor.done.Out():
 			first.encoded = append(first.encoded, e)
 		case <-timer.C:
@@ -105,11 +116,22 @@
 			l.log.WithError(err).Error("the store failed; control stops")
 			return err
 		}
-		timer.Reset(time.Until(l.nextDeadline()))
+		timer.Reset(masticclock.Until(l.nextDeadline()))
 	}
 }
 
+// note tells other goroutines what this host is.
+func (l *loop) note() {
+	l.lists.leading.Store(l.status.LeaseHeld)
+	own := memberOf(l.status.Members, l.id)
+	l.joined.Store(own.GetVoter() && l.status.Leader != "")
+}
+
 func (l *loop) startSenders() {
+	if l.lister != nil {
+		l.senders.Add(1)
+		go l.lists.run()
+	}
 	for range l.loadSenders {
 		l.senders.Add(1)
 		s := &loadSender{loop: l, orders: l.orders}
--- a/masticcontrol/member.go
+++ b/masticcontrol/member.go
@@ -38,6 +38,7 @@
 	for _, p := range d.loop.status.Peers {
 		d.restoreVoter(now, p)
 	}
+	d.removeSilent(now)
 	waiting := d.goals[:0]
 	for _, g := range d.goals {
 		if !d.pursue(now, g) {
--- a/masticcontrol/option.go
+++ b/masticcontrol/option.go
@@ -44,6 +44,10 @@
 	placeOptions    []masticplace.Option
 	loader          Loader
 	loadSenders     int
+	lister          Lister
+	listInterval    time.Duration
+	quotaSlack      int64
+	spareVoters     int
 }
 
 // Option sets one property of a Control.
@@ -105,6 +109,18 @@
 	return func(s *settings) { s.loader, s.loadSenders, s.placeOptions = l, senders, options }
 }
 
+// WithLister makes the leader read the list of backend servers each interval.
+func WithLister(l Lister, interval time.Duration) Option {
+	return func(s *settings) { s.lister, s.listInterval = l, interval }
+}
+
+// WithQuotaSlack adds tokens to the burst of each workspace that a document states.
+func WithQuotaSlack(tokens int64) Option { return func(s *settings) { s.quotaSlack = tokens } }
+
+// WithVoterRemoval makes the leader remove a voter that has been silent for long, as long as
+// the given number of others answers. Without it only operators remove voters.
+func WithVoterRemoval(kept int) Option { return func(s *settings) { s.spareVoters = kept } }
+
 // WithStoreOptions passes options to the store.
 func WithStoreOptions(options ...masticstore.Option) Option {
 	return func(s *settings) { s.storeOptions = options }
--- a/masticcontrol/place.go
+++ b/masticcontrol/place.go
@@ -1,7 +1,10 @@
 package masticcontrol
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,7 +36,11 @@
 }
 
 func newPlacement(now time.Time, d *leader) *placement {
-	options := append([]masticplace.Option{masticplace.WithFormer(d.loop.state.OpenLoads())}, d.loop.placeOptions...)
+	options := []masticplace.Option{
+		masticplace.WithFormer(d.loop.state.OpenLoads()),
+		masticplace.WithLimit(d.loop.poolLoads),
+	}
+	options = append(options, d.loop.placeOptions...)
 	return &placement{leader: d, planner: masticplace.NewPlanner(d.term, now, options...)}
 }
 
@@ -45,7 +52,12 @@
 	}
 	p.revision = view.Revision()
 	p.next = now.Add(placeInterval)
-	for _, s := range view.Servers() {
+	servers := view.Servers()
+	slices.SortStableFunc(servers, func(a, b masticview.Server) int {
+		return cmp.Compare(versionOf(a.WeightsVersion), versionOf(b.WeightsVersion))
+	})
+	p.planner.Withdraw()
+	for _, s := range servers {
 		if l, wanted := p.wish(s); wanted && !p.planner.Pending(now, l) {
 			p.planner.Want(l)
 		}
@@ -58,10 +70,31 @@
 	}
 }
 
+// Bounds of the loads of one pool that run at once. The users' sites load at full speed up
+// to 3 of 18, 2 of 9, 17 of 89 and 18 of 90 servers at once.
+const (
+	serversPerLoad = 5
+	minPoolLoads   = 2
+)
+
+// poolLoads returns how many servers of a pool may load at once.
+func (l *loop) poolLoads(pool string) int {
+	n := 0
+	for _, s := range l.state.View().Servers() {
+		if s.Service == pool {
+			n++
+		}
+	}
+	return max(minPoolLoads, n/serversPerLoad)
+}
+
 // wish returns the load that s lacks. A backend server that lists several models is
 // loaded by its operator.
 func (p *placement) wish(s masticview.Server) (masticplace.Load, bool) {
 	l := masticplace.Load{Server: s.Name, Owner: s.Owner, WeightsVersion: s.WeightsVersion, ChecksFencing: s.ChecksFencing}
+	if s.Service != "" {
+		return p.wishOfPool(s)
+	}
 	if s.Kind != masticview.ServerEngine || s.State != masticview.ServerActive || s.WeightsVersion == "" || len(s.Models) != 1 {
 		return l, false
 	}
@@ -73,6 +106,41 @@
 	return l, !last.GetDone()
 }
 
+// wishOfPool returns the load that a server of a pool lacks: the newest version named of its
+// model, unless it has that or a later one.
+func (p *placement) wishOfPool(s masticview.Server) (masticplace.Load, bool) {
+	l := masticplace.Load{Server: s.Name, Owner: s.Service, ChecksFencing: s.ChecksFencing}
+	if s.Kind != masticview.ServerEngine || s.State != masticview.ServerActive || len(s.Models) != 1 {
+		return l, false
+	}
+	l.Model = s.Models[0]
+	named, ok := p.leader.loop.state.View().Weights(l.Model)
+	if !ok {
+		return l, false
+	}
+	l.WeightsVersion = strconv.FormatInt(named.Version, 10)
+	return l, newer(l.WeightsVersion, s.WeightsVersion)
+}
+
+// newer reports whether version a, a number, is higher than b.
+func newer(a, b string) bool {
+	return versionOf(a) > versionOf(b)
+}
+
+// versionOf returns a version of weights as a number, zero where it is none.
+func versionOf(version string) int64 {
+	n, err := strconv.ParseInt(version, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// ordered reports whether an order to the named server may be running at now.
+func (p *placement) ordered(now time.Time, server string) bool {
+	return p != nil && p.planner.Ordered(now, server)
+}
+
 func (p *placement) log(d masticplace.Decision) {
 	fields := logrus.Fields{
 		"server":  d.Load.Server,
--- a/masticcontrol/turn.go
+++ b/masticcontrol/turn.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
+	"masticladder/masticview"
 )
 
 // turn is one round of the loop: everything in it shares one sync.
@@ -14,12 +16,13 @@
 	calls    []*call
 	watches  []*watch
 	encoded  []encoded
+	servers  []masticview.Server
 }
 
 func (t *turn) run() error {
 	l := t.loop
 	t.takeMore()
-	now := time.Now()
+	now := masticclock.Now()
 	l.core.Tick(now)
 	for _, m := range t.messages {
 		l.peers.learn(m)
@@ -34,11 +37,14 @@
 	}
 	if l.leader != nil && l.status.LeaseHeld {
 		l.leader.propose(now)
+		if t.servers != nil {
+			l.leader.listed(t.servers)
+		}
 	}
 	if err := l.advance(now); err != nil {
 		return err
 	}
-	now = time.Now()
+	now = masticclock.Now()
 	l.observe(now)
 	if l.leader != nil {
 		l.leader.settle(now)
@@ -103,6 +109,8 @@
 		l.usage(c)
 	case *masticproto.PeerRequest_Status:
 		l.answerStatus(now, c)
+	case *masticproto.PeerRequest_Document:
+		l.readDocument(c)
 	default:
 		c.fail(masticerror.New(masticerror.KindBadRequest, "a request of unknown kind"))
 	}
--- /dev/null
+++ b/masticcourse/log.go
@@ -0,0 +1,49 @@
+package masticcourse
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"masticladder/masticbackend"
+	"masticladder/masticerror"
+)
+
+// log writes the one line of a request's outcome.
+func (r *run) log(err *masticerror.Error) {
+	now := time.Now()
+	fields := logrus.Fields{
+		"request": r.call.ID, "route": r.route.Name, "workspace": r.tenant.Name, "pool": r.pool.Name,
+		"server": r.server, "sends": r.sends, "ran": r.ran, "status": r.status,
+		"millis": now.Sub(r.call.Received).Milliseconds(), "leftMillis": r.deadline.Sub(now).Milliseconds(),
+		"document": r.course.table.Load().number(),
+	}
+	if !r.firstAt.IsZero() {
+		fields["firstMillis"] = r.firstAt.Sub(r.call.Received).Milliseconds()
+	}
+	if r.events.count > 0 {
+		fields["events"] = r.events.count
+	}
+	log := r.course.log.WithFields(fields)
+	if err == nil {
+		log.Info("request answered")
+		return
+	}
+	log.WithField("reason", string(err.Kind())).WithField("cause", err.Message()).
+		WithField("retryAfterMillis", err.RetryAfter().Milliseconds()).Info("request refused or failed")
+}
+
+// logAttempt writes the line of a failed attempt.
+func (r *run) logAttempt(f *masticbackend.Failure) {
+	r.course.log.WithFields(logrus.Fields{
+		"request": r.call.ID, "server": r.server, "sends": r.sends, "sent": f.Sent, "ended": f.Ended,
+		"reason": string(f.Err.Kind()), "cause": f.Err.Error(),
+	}).Info("attempt failed")
+}
+
+func (t *table) number() int64 {
+	if t == nil {
+		return 0
+	}
+	return t.index.Number()
+}
--- /dev/null
+++ b/masticdocument/codec.go
@@ -0,0 +1,114 @@
+package masticdocument
+
+import (
+	"time"
+
+	"masticladder/masticproto"
+	"masticladder/masticview"
+)
+
+// ToProto returns the wire form.
+func (d Document) ToProto() *masticproto.Document {
+	p := &masticproto.Document{
+		Number: d.Number, ContentDigest: d.Content[:],
+		Limits: &masticproto.RequestLimits{
+			HeaderBytes: d.Limits.HeaderBytes, BodyBytes: d.Limits.BodyBytes,
+			HeaderTimeoutMs: d.Limits.HeaderTimeout.Milliseconds(), IdleTimeoutMs: d.Limits.IdleTimeout.Milliseconds(),
+		},
+	}
+	for _, r := range d.Routes {
+		p.Routes = append(p.Routes, r.toProto())
+	}
+	for _, l := range d.Pools {
+		p.Pools = append(p.Pools, &masticproto.Pool{
+			Name: l.Name, Connections: l.Connections, Engine: l.Engine, Slots: l.Slots,
+			CacheTokens: l.CacheTokens, Models: l.Models, Store: l.Store,
+		})
+	}
+	for _, t := range d.Tenants {
+		p.Tenants = append(p.Tenants, t.toProto())
+	}
+	return p
+}
+
+func (r Route) toProto() *masticproto.Route {
+	p := &masticproto.Route{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Repeat: string(r.Repeat), Resumable: r.Resumable,
+		TimeoutMs: r.Timeout.Milliseconds(), TargetMs: r.Target.Milliseconds(), GapMs: r.Gap.Milliseconds(),
+		Priority: r.Priority, Attempts: r.Attempts, Open: r.Open,
+	}
+	for _, t := range r.Targets {
+		p.Targets = append(p.Targets, &masticproto.RouteTarget{Pool: t.Pool, Weight: t.Weight})
+	}
+	return p
+}
+
+func (t Tenant) toProto() *masticproto.Tenant {
+	p := &masticproto.Tenant{
+		Name: t.Name, Priority: t.Priority, Isolated: t.Isolated,
+		RateTokensPerSecond: t.RateTokensPerSecond, BurstTokens: t.BurstTokens, PlainTokens: t.PlainTokens,
+	}
+	for _, k := range t.Keys {
+		p.Keys = append(p.Keys, k[:])
+	}
+	return p
+}
+
+// FromProto returns the document that p describes. Error: badRequest for a digest of another length.
+func FromProto(p *masticproto.Document) (Document, error) {
+	l := p.GetLimits()
+	d := Document{Number: p.GetNumber(), Limits: Limits{
+		HeaderBytes: l.GetHeaderBytes(), BodyBytes: l.GetBodyBytes(),
+		HeaderTimeout: millis(l.GetHeaderTimeoutMs()), IdleTimeout: millis(l.GetIdleTimeoutMs()),
+	}}
+	var err error
+	if d.Content, err = masticview.DigestFromBytes(p.GetContentDigest()); err != nil {
+		return d, err
+	}
+	for _, r := range p.GetRoutes() {
+		d.Routes = append(d.Routes, routeFromProto(r))
+	}
+	for _, x := range p.GetPools() {
+		d.Pools = append(d.Pools, Pool{
+			Name: x.GetName(), Connections: x.GetConnections(), Engine: x.GetEngine(), Slots: x.GetSlots(),
+			CacheTokens: x.GetCacheTokens(), Models: x.GetModels(), Store: x.GetStore(),
+		})
+	}
+	for _, x := range p.GetTenants() {
+		t, err := tenantFromProto(x)
+		if err != nil {
+			return d, err
+		}
+		d.Tenants = append(d.Tenants, t)
+	}
+	return d, nil
+}
+
+func routeFromProto(p *masticproto.Route) Route {
+	r := Route{
+		Name: p.GetName(), Host: p.GetHost(), Prefix: p.GetPrefix(), Repeat: Repeat(p.GetRepeat()), Resumable: p.GetResumable(),
+		Timeout: millis(p.GetTimeoutMs()), Target: millis(p.GetTargetMs()), Gap: millis(p.GetGapMs()),
+		Priority: p.GetPriority(), Attempts: p.GetAttempts(), Open: p.GetOpen(),
+	}
+	for _, t := range p.GetTargets() {
+		r.Targets = append(r.Targets, Target{Pool: t.GetPool(), Weight: t.GetWeight()})
+	}
+	return r
+}
+
+func tenantFromProto(p *masticproto.Tenant) (Tenant, error) {
+	t := Tenant{
+		Name: p.GetName(), Priority: p.GetPriority(), Isolated: p.GetIsolated(),
+		RateTokensPerSecond: p.GetRateTokensPerSecond(), BurstTokens: p.GetBurstTokens(), PlainTokens: p.GetPlainTokens(),
+	}
+	for _, b := range p.GetKeys() {
+		k, err := masticview.DigestFromBytes(b)
+		if err != nil {
+			return t, err
+		}
+		t.Keys = append(t.Keys, k)
+	}
+	return t, nil
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/masticdocument/index.go
@@ -0,0 +1,91 @@
+package masticdocument
+
+import (
+	"strings"
+
+	"masticladder/masticview"
+)
+
+// Index finds the routes, pools and workspaces of one document. It is immutable.
+type Index struct {
+	document Document
+	// routes are those of a host name by prefix.
+	routes  map[string]map[string]Route
+	pools   map[string]Pool
+	tenants map[string]Tenant
+	keys    map[masticview.Digest]string
+}
+
+// NewIndex compiles d.
+func NewIndex(d Document) *Index {
+	x := &Index{
+		document: d,
+		routes:   map[string]map[string]Route{},
+		pools:    make(map[string]Pool, len(d.Pools)),
+		tenants:  make(map[string]Tenant, len(d.Tenants)),
+		keys:     map[masticview.Digest]string{},
+	}
+	for _, r := range d.Routes {
+		host := strings.ToLower(r.Host)
+		if x.routes[host] == nil {
+			x.routes[host] = map[string]Route{}
+		}
+		x.routes[host][r.Prefix] = r
+	}
+	for _, p := range d.Pools {
+		x.pools[p.Name] = p
+	}
+	for _, t := range d.Tenants {
+		x.tenants[t.Name] = t
+		for _, k := range t.Keys {
+			x.keys[k] = t.Name
+		}
+	}
+	return x
+}
+
+// Number returns the document's number, zero for none.
+func (x *Index) Number() int64 {
+	if x == nil {
+		return 0
+	}
+	return x.document.Number
+}
+
+// Limits returns the document's limits.
+func (x *Index) Limits() Limits { return x.document.Limits }
+
+// Keyed reports whether requests need a key.
+func (x *Index) Keyed() bool { return len(x.tenants) > 0 }
+
+// Route returns the route of host with the longest prefix that begins path.
+func (x *Index) Route(host, path string) (Route, bool) {
+	byPrefix := x.routes[strings.ToLower(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := byPrefix[path[:end+1]]; ok {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Pool returns the pool called name.
+func (x *Index) Pool(name string) (Pool, bool) {
+	p, ok := x.pools[name]
+	return p, ok
+}
+
+// Tenant returns the workspace called name.
+func (x *Index) Tenant(name string) (Tenant, bool) {
+	t, ok := x.tenants[name]
+	return t, ok
+}
+
+// TenantOf returns the workspace that holds the key with digest k.
+func (x *Index) TenantOf(k masticview.Digest) (Tenant, bool) {
+	name, ok := x.keys[k]
+	if !ok {
+		return Tenant{}, false
+	}
+	return x.Tenant(name)
+}
--- a/masticplace/planner.go
+++ b/masticplace/planner.go
@@ -70,6 +70,7 @@
 	term      uint64
 	sequence  uint64
 	limits    map[string]int
+	limitOf   func(owner string) int
 	span      time.Duration
 	storeRate int64
 	storeFree time.Time
@@ -88,6 +89,9 @@
 	return func(p *Planner) { p.limits[owner] = n }
 }
 
+// WithLimit bounds the running loads of owners without a bound of their own.
+func WithLimit(f func(owner string) int) Option { return func(p *Planner) { p.limitOf = f } }
+
 // WithStoreRate bounds what the weight store is asked for, in bytes per second.
 func WithStoreRate(bytesPerSecond int64) Option {
 	return func(p *Planner) { p.storeRate = bytesPerSecond }
@@ -124,6 +128,12 @@
 	return ok && o.Model == l.Model && o.WeightsVersion == l.WeightsVersion && now.Before(o.Deadline)
 }
 
+// Ordered reports whether an order to server may be running at now.
+func (p *Planner) Ordered(now time.Time, server string) bool {
+	o, ok := p.running[server]
+	return ok && now.Before(o.Deadline)
+}
+
 // Want adds a wish; a later one for the same backend server replaces it.
 func (p *Planner) Want(l Load) {
 	if slices.Contains(p.wishes, l) {
@@ -134,6 +144,9 @@
 	p.wishes = append(p.wishes, l)
 }
 
+// Withdraw drops all wishes; the caller states them again, the most urgent first.
+func (p *Planner) Withdraw() { p.wishes = nil }
+
 // Wishes returns the number of wishes without an order.
 func (p *Planner) Wishes() int { return len(p.wishes) }
 
@@ -210,6 +223,9 @@
 	if n, ok := p.limits[owner]; ok {
 		return n
 	}
+	if p.limitOf != nil {
+		return p.limitOf(owner)
+	}
 	return DefaultLoadsAtOnce
 }
 
--- a/masticprompt/piece.go
+++ b/masticprompt/piece.go
@@ -64,6 +64,12 @@
 		chain = p.links[len(p.links)-1].chain
 	}
 	p.links = slices.Clone(p.links)
+	if l.Tokens > 0 {
+		p.links = append(p.links, link{next(chain, l.Role, l.Text, true), l.Tokens, p.levels, true})
+		p.tokens += l.Tokens
+		p.levels++
+		return p
+	}
 	for start := 0; start == 0 || start < len(l.Text); {
 		end := pieceEnd(l.Text, start)
 		last := end == len(l.Text)
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -60,6 +60,9 @@
 	Suspect bool
 	// Waited is how long the request has been in the queue.
 	Waited time.Duration
+	// Newest is the newest version of the weights, which is preferred; the request may run on
+	// no version below Least. Zero where any will do.
+	Newest, Least int64
 	// Discount is the part of the costs to others that the request is not charged with,
 	// 0 to 1: a workspace that uses less than its share costs others little.
 	Discount float64
@@ -111,6 +114,9 @@
 	d.Prefill = math.MaxInt64 / 8
 	found := false
 	for i := range r.pools[q.Model] {
+		if r.pools[q.Model][i].number() < q.Least {
+			continue
+		}
 		found = r.decideIn(now, &r.pools[q.Model][i], q, &d) || found
 	}
 	if !found {
@@ -144,6 +150,9 @@
 			c.Cost += seconds(r.offHomeCost(now) * (float64(tokens) - c.Cached) / r.speeds)
 		}
 		c.Cost = time.Duration((1 - q.Discount) * float64(c.Cost))
+		if p.old(q) {
+			c.Cost += oldWeightsCost
+		}
 		if reason == ReasonReserve {
 			c.Credit = warmUpCredit(c, pieces)
 		}
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -3,6 +3,7 @@
 package masticroute
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -118,6 +119,9 @@
 		}
 		r.engines++
 		for _, m := range s.info.Models {
+			if s.info.Service != "" {
+				m = masticview.PoolModel(s.info.Service, m)
+			}
 			byVersion := child(names, m)
 			bySlot := child(byVersion, s.info.WeightsVersion)
 			bySlot[masticcache.Slot(n)] = s.info.Name
@@ -133,7 +137,9 @@
 			p.reserve = newReserve(m, p)
 			out[m] = append(out[m], p)
 		}
-		slices.SortFunc(out[m], func(a, b pool) int { return int(a.slots[0] - b.slots[0]) })
+		slices.SortFunc(out[m], func(a, b pool) int {
+			return cmp.Or(cmp.Compare(b.number(), a.number()), int(a.slots[0]-b.slots[0]))
+		})
 	}
 	return out
 }
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -66,6 +66,7 @@
 	services map[Ticket]serviceWork
 	suspects map[masticview.Digest]bool
 	outcomes []Outcome
+	newest   newest
 }
 
 // New returns a Scheduler over router.
@@ -78,12 +79,14 @@
 		running:  map[Ticket]*running{},
 		services: map[Ticket]serviceWork{},
 		suspects: map[masticview.Digest]bool{},
+		newest:   newest{versions: map[string][]namedVersion{}},
 	}
 }
 
 // SetView replaces the view; a leaving backend server gets nothing from then on.
 func (s *Scheduler) SetView(now time.Time, v masticview.View) {
 	s.view = v
+	s.newest.take(now, v)
 	s.router.SetView(v)
 	s.scan(now)
 }
@@ -110,6 +113,7 @@
 		s.fail(t, noServer(r.Model))
 		return
 	}
+	s.newest.ask(now, w)
 	d, ok := s.router.Decide(now, &w.query)
 	w.unusable = !ok
 	if err := s.shed(now, w, &d); err != nil {
--- a/masticstate/result.go
+++ b/masticstate/result.go
@@ -65,15 +65,29 @@
 // LoadResult answers a LoadOrder.
 type LoadResult struct{ Applied bool }
 
-func (InvalidResult) isResult() {}
-func (PublishResult) isResult() {}
-func (ReserveResult) isResult() {}
-func (ReleaseResult) isResult() {}
-func (RecordResult) isResult()  {}
-func (QuotaResult) isResult()   {}
-func (UsageResult) isResult()   {}
-func (SuspectResult) isResult() {}
-func (HoldResult) isResult()    {}
-func (EndResult) isResult()     {}
-func (TickResult) isResult()    {}
-func (LoadResult) isResult()    {}
+// DocumentResult answers a PutDocument. Err is nil, or has kind conflict or badRequest.
+type DocumentResult struct {
+	// Number is that of the document in force.
+	Number uint64
+	// Repeated reports that nothing changed: the number is not above the one in force.
+	Repeated bool
+	Err      error
+}
+
+// WeightsResult answers a NameWeights.
+type WeightsResult struct{ Err error }
+
+func (DocumentResult) isResult() {}
+func (WeightsResult) isResult()  {}
+func (InvalidResult) isResult()  {}
+func (PublishResult) isResult()  {}
+func (ReserveResult) isResult()  {}
+func (ReleaseResult) isResult()  {}
+func (RecordResult) isResult()   {}
+func (QuotaResult) isResult()    {}
+func (UsageResult) isResult()    {}
+func (SuspectResult) isResult()  {}
+func (HoldResult) isResult()     {}
+func (EndResult) isResult()      {}
+func (TickResult) isResult()     {}
+func (LoadResult) isResult()     {}
--- a/masticstate/snapshot.go
+++ b/masticstate/snapshot.go
@@ -40,6 +40,7 @@
 		Usage:                s.usage.Snapshot(),
 		Suspects:             s.suspects.Snapshot(),
 		Loads:                s.loads.Records(),
+		DocumentContent:      s.content,
 	}
 	for _, n := range slices.Sorted(maps.Keys(s.quota.used)) {
 		p.QuotaLevels = append(p.QuotaLevels, &masticproto.QuotaLevel{Workspace: n, UsedTokens: s.quota.used[n]})
@@ -89,6 +90,7 @@
 	}
 	next.usage = masticusage.Restore(p.GetUsage())
 	next.loads = masticplace.NewOrders(p.GetLoads())
+	next.content = p.GetDocumentContent()
 	*s = *next
 	return nil
 }
--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"masticladder/masticerror"
 	"masticladder/masticledger"
 	"masticladder/masticplace"
@@ -17,8 +19,12 @@
 	"masticladder/masticview"
 )
 
-// MaxDeltas bounds the kept deltas; a host that lags further behind is sent a snapshot.
-const MaxDeltas = 1024
+// Bounds of the kept deltas; a host that lags further behind is sent a snapshot.
+const (
+	MaxDeltas = 1024
+	// MaxDeltaBytes bounds their memory: a document of some hundred routes takes 40 kB.
+	MaxDeltaBytes = 512 << 10
+)
 
 // State is the replicated state. It is changed by one goroutine only.
 type State struct {
@@ -32,6 +38,10 @@
 	usage     *masticusage.Totals
 	suspects  *masticsuspect.Tracker
 	loads     *masticplace.Orders
+	// content is the newest document as it was sent.
+	content []byte
+	// deltaBytes is the size of the kept deltas.
+	deltaBytes int
 }
 
 // quota are the bounds of the last checkpoint.
@@ -91,7 +101,11 @@
 		s.suspects.End(k.SuspectEnd)
 		return EndResult{}
 	case *masticproto.Command_Load:
-		return LoadResult{Applied: s.loads.Apply(k.Load)}
+		return LoadResult{Applied: s.load(k.Load)}
+	case *masticproto.Command_Document:
+		return s.putDocument(k.Document)
+	case *masticproto.Command_Weights:
+		return s.nameWeights(k.Weights)
 	case *masticproto.Command_Tick:
 		s.usage.Close(s.now)
 		s.suspects.Drop(s.now)
@@ -108,8 +122,12 @@
 		return err
 	}
 	s.view = next
-	s.deltas = append(s.deltas, &masticproto.ViewDelta{Revision: next.Revision(), AtUnixMs: s.now.UnixMilli(), Change: c})
-	if len(s.deltas) > MaxDeltas {
+	d := &masticproto.ViewDelta{Revision: next.Revision(), AtUnixMs: s.now.UnixMilli(), Change: c}
+	s.deltas = append(s.deltas, d)
+	s.deltaBytes += proto.Size(d)
+	for len(s.deltas) > MaxDeltas || (s.deltaBytes > MaxDeltaBytes && len(s.deltas) > 1) {
+		s.deltaBytes -= proto.Size(s.deltas[0])
+		s.deltas[0] = nil
 		s.deltas = s.deltas[1:]
 	}
 	return nil
--- a/masticview/check.go
+++ b/masticview/check.go
@@ -37,7 +37,12 @@
 
 func itemCount(c *masticproto.ViewChange) int {
 	n := len(c.GetWorkspaces()) + len(c.GetProfiles()) + len(c.GetKeys()) + len(c.GetHosts())
-	return n + len(c.GetServers()) + len(c.GetServices()) + len(c.GetQuarantines()) + len(c.GetEndedQuarantines())
+	n += len(c.GetServers()) + len(c.GetServices()) + len(c.GetQuarantines()) + len(c.GetEndedQuarantines())
+	n += len(c.GetWeights()) + len(c.GetRemovedServers())
+	if c.GetDocument() != nil {
+		n++
+	}
+	return n
 }
 
 func distinct[P any](what string, items []P, name func(P) string) error {
@@ -206,7 +211,7 @@
 	if s.Kind != ServerEngine && s.Kind != ServerService {
 		return refuse("server %q: there is no kind %q", s.Name, s.Kind)
 	}
-	if s.State != ServerActive && s.State != ServerLeaving && s.State != ServerRetired {
+	if !slices.Contains([]ServerState{ServerActive, ServerLoading, ServerLeaving, ServerRetired}, s.State) {
 		return refuse("server %q: there is no state %q", s.Name, s.State)
 	}
 	if u, err := url.Parse(s.URL); err != nil || u.Scheme == "" || u.Host == "" {
--- a/masticview/codec.go
+++ b/masticview/codec.go
@@ -78,6 +78,7 @@
 	return &masticproto.Server{
 		Name: s.Name, Kind: string(s.Kind), Url: s.URL, Owner: s.Owner, Zone: s.Zone, Models: s.Models,
 		WeightsVersion: s.WeightsVersion, ChecksFencing: s.ChecksFencing, State: string(s.State),
+		Service: s.Service, Incarnation: s.Incarnation, Slots: s.Slots,
 	}
 }
 
@@ -86,6 +87,7 @@
 	return Server{
 		Name: p.GetName(), Kind: ServerKind(p.GetKind()), URL: p.GetUrl(), Owner: p.GetOwner(), Zone: p.GetZone(), Models: p.GetModels(),
 		WeightsVersion: p.GetWeightsVersion(), ChecksFencing: p.GetChecksFencing(), State: ServerState(p.GetState()),
+		Service: p.GetService(), Incarnation: p.GetIncarnation(), Slots: p.GetSlots(),
 	}
 }
 
--- a/masticview/draft.go
+++ b/masticview/draft.go
@@ -17,6 +17,8 @@
 	servers    tableEdit[string, Server]
 	services   tableEdit[string, Service]
 	quarantine tableEdit[Digest, Quarantine]
+	weights    tableEdit[string, Weights]
+	document   *masticproto.Document
 }
 
 func newDraft(v View) *draft {
@@ -30,6 +32,8 @@
 		servers:    edit(v.servers),
 		services:   edit(v.services),
 		quarantine: edit(v.quarantine),
+		weights:    edit(v.weights),
+		document:   v.document,
 	}
 }
 
@@ -44,6 +48,10 @@
 	for _, p := range c.GetHosts() {
 		d.hosts.put(p.GetName(), HostFromProto(p))
 	}
+	for _, n := range c.GetRemovedServers() {
+		d.servers.remove(n)
+	}
+	d.putNumbered(c)
 	for _, p := range c.GetServers() {
 		d.servers.put(p.GetName(), ServerFromProto(p))
 	}
@@ -56,6 +64,18 @@
 	return d.putQuarantines(c)
 }
 
+// putNumbered puts the document and the versions of weights that are higher than those held.
+func (d *draft) putNumbered(c *masticproto.ViewChange) {
+	if p := c.GetDocument(); p != nil && p.GetNumber() > d.document.GetNumber() {
+		d.document = p
+	}
+	for _, p := range c.GetWeights() {
+		if held, _ := d.weights.get(p.GetModel()); p.GetVersion() > held.Version {
+			d.weights.put(p.GetModel(), WeightsFromProto(p))
+		}
+	}
+}
+
 func (d *draft) putKeys(keys []*masticproto.Key) error {
 	for _, p := range keys {
 		k, err := KeyFromProto(p)
@@ -106,5 +126,7 @@
 		servers:    d.servers.table,
 		services:   d.services.table,
 		quarantine: d.quarantine.table,
+		weights:    d.weights.table,
+		document:   d.document,
 	}
 }
--- a/masticview/server.go
+++ b/masticview/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 )
 
 // ServerState is the state of a backend server.
@@ -9,7 +10,9 @@
 
 // The states of a backend server.
 const (
-	ServerActive  ServerState = "active"
+	ServerActive ServerState = "active"
+	// ServerLoading is the state of a server that changes its weights; it gets no new work.
+	ServerLoading ServerState = "loading"
 	ServerLeaving ServerState = "leaving"
 	ServerRetired ServerState = "retired"
 )
@@ -37,6 +40,12 @@
 	// ChecksFencing states whether the server refuses orders with an old fencing number.
 	ChecksFencing bool        `json:"checksFencing"`
 	State         ServerState `json:"state"`
+	// Service is the plain service or pool of engines that the server belongs to.
+	Service string `json:"service,omitempty"`
+	// Incarnation names one run of the server's process; empty where it is not known.
+	Incarnation string `json:"incarnation,omitempty"`
+	// Slots is the number of requests that the server runs at once; zero where it is not known.
+	Slots int64 `json:"slots,omitempty"`
 }
 
 // WithState returns a copy in another state.
@@ -47,3 +56,13 @@
 
 // Serves reports whether the server has model loaded.
 func (s Server) Serves(model string) bool { return slices.Contains(s.Models, model) }
+
+// Address returns the IP:port of the server's URL.
+func (s Server) Address() string {
+	_, address, _ := strings.Cut(s.URL, "://")
+	return address
+}
+
+// PoolModel returns the name under which the engines of a pool serve a model: pools may
+// serve the same model with different servers.
+func PoolModel(pool, model string) string { return pool + "/" + model }
--- a/masticview/snapshot.go
+++ b/masticview/snapshot.go
@@ -14,6 +14,8 @@
 			Servers:     encode(v.Servers(), Server.ToProto),
 			Services:    encode(v.Services(), Service.ToProto),
 			Quarantines: encode(v.Quarantines(), Quarantine.ToProto),
+			Weights:     encode(v.AllWeights(), Weights.ToProto),
+			Document:    v.document,
 		},
 	}
 }
--- a/masticview/view.go
+++ b/masticview/view.go
@@ -2,7 +2,11 @@
 // immutable value with a revision that only grows.
 package masticview
 
-import "slices"
+import (
+	"slices"
+
+	"masticladder/masticproto"
+)
 
 // View is one revision of the configuration. The zero View is empty and ready to use.
 // All methods return copies; a View never changes.
@@ -16,6 +20,8 @@
 	servers    table[string, Server]
 	services   table[string, Service]
 	quarantine table[Digest, Quarantine]
+	weights    table[string, Weights]
+	document   *masticproto.Document
 }
 
 // Revision returns the view's revision.
@@ -78,6 +84,12 @@
 	return v
 }
 
+// Document returns the numbered document, or nil; the caller only reads it.
+func (v View) Document() *masticproto.Document { return v.document }
+
+// Weights returns the newest version named of a model's weights.
+func (v View) Weights(model string) (Weights, bool) { return v.weights.get(model) }
+
 // Workspace returns the workspace called name.
 func (v View) Workspace(name string) (Workspace, bool) { return v.workspaces.get(name) }
 
@@ -132,6 +144,11 @@
 	return sorted(v.services, func(i Service) string { return i.Name })
 }
 
+// AllWeights returns the newest versions named, in the order of their models.
+func (v View) AllWeights() []Weights {
+	return sorted(v.weights, func(i Weights) string { return i.Model })
+}
+
 // Quarantines returns all quarantines in the order of their digests.
 func (v View) Quarantines() []Quarantine {
 	out := v.quarantine.values()
