--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -28,6 +28,7 @@
 	watches  *masticring.Ring[*watch]
 	messages *masticring.Ring[*masticproto.PeerRequest]
 	orders   *masticring.Ring[loadOrder]
+	failures *masticring.Ring[loadOrder]
 	stopping chan struct{}
 	stopOnce sync.Once
 
@@ -70,6 +71,7 @@
 		calls:      masticring.New[*call]("calls to control", DefaultCalls),
 		watches:    masticring.New[*watch]("watches of control", DefaultCalls),
 		orders:     masticring.New[loadOrder]("load orders", loadOrders),
+		failures:   masticring.New[loadOrder]("failed load orders", loadOrders),
 		messages:   masticring.New[*masticproto.PeerRequest]("messages of the log", DefaultMessages),
 		stopping:   make(chan struct{}),
 		peers:      newPeers(s.wire, s.log),
@@ -104,6 +106,8 @@
 			first.calls = append(first.calls, c)
 		case w := <-l.watches.Out():
 			first.watches = append(first.watches, w)
+		case o := <-l.failures.Out():
+			first.failures = append(first.failures, o)
 		case servers := <-l.lists.found.Out():
 			first.servers = servers
 		case e := <-l.compactor.done.Out():
--- a/masticcontrol/place.go
+++ b/masticcontrol/place.go
@@ -180,6 +180,17 @@
 	order  masticplace.Order
 }
 
+// failurePause is the time after which a backend server whose load failed is ordered again.
+const failurePause = time.Second
+
+// failed gives the place of a failed load to another backend server.
+func (p *placement) failed(now time.Time, o masticplace.Order) {
+	if o.Fence.Term == p.leader.term {
+		p.planner.Failed(o.Server, o.Fence, now.Add(failurePause))
+		p.next = now
+	}
+}
+
 // loadSender sends committed orders and tells the loop when they are done.
 type loadSender struct {
 	loop   *loop
@@ -199,6 +210,9 @@
 	log := s.loop.log.WithField("server", o.order.Server).WithField("fence", o.order.Fence)
 	if err := s.loop.loader.Load(ctx, o.server, o.order); err != nil {
 		log.WithError(err).Warn("load order failed")
+		if err := s.loop.failures.Offer(o); err != nil {
+			log.WithError(err).Warn("the failure of a load was not noted; its deadline ends it")
+		}
 		return
 	}
 	log.Info("load order done")
--- a/masticcontrol/turn.go
+++ b/masticcontrol/turn.go
@@ -17,6 +17,7 @@
 	watches  []*watch
 	encoded  []encoded
 	servers  []masticview.Server
+	failures []loadOrder
 }
 
 func (t *turn) run() error {
@@ -36,6 +37,11 @@
 		l.addWatcher(w)
 	}
 	if l.leader != nil && l.status.LeaseHeld {
+		for _, o := range t.failures {
+			if l.leader.placement != nil {
+				l.leader.placement.failed(now, o.order)
+			}
+		}
 		l.leader.propose(now)
 		if t.servers != nil {
 			l.leader.listed(t.servers)
--- a/masticcourse/serve.go
+++ b/masticcourse/serve.go
@@ -234,11 +234,20 @@
 	return f
 }
 
+// lastEvent returns the identifier of the last event that the caller has: from this answer,
+// or from the one that its request resumes.
+func (r *run) lastEvent() string {
+	if r.events.last != "" {
+		return r.events.last
+	}
+	return r.call.LastEvent
+}
+
 func (r *run) exchange(ctx context.Context, a masticcall.Assignment) *masticbackend.Failure {
 	c, now := r.course, time.Now()
 	server := a.Server()
 	attempt := Attempt{
-		Server: server, Workspace: r.tenant.Name, Priority: -1, Deadline: r.deadline, LastEvent: r.events.last,
+		Server: server, Workspace: r.tenant.Name, Priority: -1, Deadline: r.deadline, LastEvent: r.lastEvent(),
 	}
 	if r.pool.Engine {
 		attempt.Priority, attempt.Salt, attempt.Weights = priority(r.route, r.tenant), salt(r.tenant), server.WeightsVersion
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -310,7 +310,7 @@
 	if n.callers != nil {
 		g.Add(n.drain.run, n.drain.stop)
 		g.Add(n.announce.run, n.announce.stop)
-		g.Add(n.callers.run, n.callers.stop)
+		g.Add(n.callers.runUntilStopped, n.callers.stop)
 		g.Add(n.dispatcher.Run, n.dispatcher.Stop)
 		s := &sweeper{client: n.client, stopped: make(chan struct{})}
 		g.Add(s.run, s.stop)
--- a/masticdaemon/server.go
+++ b/masticdaemon/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,6 +24,8 @@
 type httpServer struct {
 	listener net.Listener
 	server   *http.Server
+	stopped  chan struct{}
+	stopOnce sync.Once
 }
 
 // listen opens address, so that a wrong one is an error before anything runs.
@@ -34,7 +37,7 @@
 	if config != nil {
 		l = tls.NewListener(l, config)
 	}
-	return &httpServer{listener: l, server: server}, nil
+	return &httpServer{listener: l, server: server, stopped: make(chan struct{})}, nil
 }
 
 // operatorServer returns the server for operators.
@@ -58,7 +61,20 @@
 	return eris.Wrap(err, "serving")
 }
 
+// runUntilStopped is run, but goes on after the server was shut down: requests that it had
+// taken are still under way.
+func (s *httpServer) runUntilStopped() error {
+	err := s.run()
+	if err == nil {
+		<-s.stopped
+	}
+	return err
+}
+
+func (s *httpServer) closeStopped() { close(s.stopped) }
+
 func (s *httpServer) stop(error) {
+	s.stopOnce.Do(s.closeStopped)
 	ctx, cancel := context.WithTimeout(context.Background(), closeGrace)
 	defer cancel()
 	if err := s.server.Shutdown(ctx); err != nil {
--- a/masticplace/planner.go
+++ b/masticplace/planner.go
@@ -51,6 +51,7 @@
 	ReasonServerBusy  Reason = "serverBusy"
 	ReasonStoreBusy   Reason = "storeBusy"
 	ReasonFormerOrder Reason = "formerOrderMayRun"
+	ReasonFailed      Reason = "lastOrderFailed"
 )
 
 // Decision is one decision, to be logged on one line.
@@ -77,6 +78,8 @@
 	// unfencedFrom is when the last order of an earlier leader can have been sent.
 	unfencedFrom time.Time
 	running      map[string]Order
+	// paused is until when backend servers are not ordered, since an order to them failed.
+	paused map[string]time.Time
 	wishes       []Load
 	waiting      map[string]Reason
 }
@@ -114,7 +117,7 @@
 func NewPlanner(term uint64, quorumEnd time.Time, options ...Option) *Planner {
 	p := &Planner{
 		term: term, limits: make(map[string]int), span: DefaultOrderSpan, unfencedFrom: quorumEnd,
-		running: make(map[string]Order), waiting: make(map[string]Reason),
+		running: make(map[string]Order), paused: make(map[string]time.Time), waiting: make(map[string]Reason),
 	}
 	for _, o := range options {
 		o(p)
@@ -210,6 +213,10 @@
 		}
 		return ReasonServerBusy, o.Deadline
 	}
+	if until := p.paused[l.Server]; now.Before(until) {
+		return ReasonFailed, until
+	}
+	delete(p.paused, l.Server)
 	if d.Running >= d.Limit {
 		return ReasonOwnerBusy, time.Time{}
 	}
@@ -237,6 +244,15 @@
 	}
 }
 
+// Failed notes that the order with the given fencing number failed, and that the backend
+// server is not ordered again before retryAt. It does not count as running any more.
+func (p *Planner) Failed(server string, f Fence, retryAt time.Time) {
+	if o, ok := p.running[server]; ok && o.Fence == f {
+		delete(p.running, server)
+		p.paused[server] = retryAt
+	}
+}
+
 // transferTime returns in what time the store gives size bytes.
 func transferTime(size, bytesPerSecond int64) time.Duration {
 	seconds := float64(size) / float64(bytesPerSecond)
--- a/masticschedule/newest.go
+++ b/masticschedule/newest.go
@@ -6,10 +6,10 @@
 	"masticladder/masticview"
 )
 
-// oldWeightsSpan is for how long after a version of the weights was named requests may begin
-// on an older one. The users allow 6 s from the acknowledgement; a request may wait before
-// it begins.
-const oldWeightsSpan = 4500 * time.Millisecond
+// oldWeightsSpan is for how long after a version of the weights was named requests may be
+// sent to an older one. The users allow 6 s from the acknowledgement to the beginning;
+// requests waited up to 2.2 s at overloaded backend servers before they began.
+const oldWeightsSpan = 3500 * time.Millisecond
 
 // newest has the versions named of each model, the newest last.
 type newest struct {
