Place requests by the work of all hosts and fetch prompts from the store

Ruled out: slow hosts (0.03 of a core), the quota, memory. Salts name the version, and servers are told which one is expected. A leader that stops resigns first.

--- a/masticcache/beliefs.go
+++ b/masticcache/beliefs.go
@@ -31,6 +31,8 @@
 	listed bool
 	// doubt is the slot's doubt when the belief was formed or confirmed.
 	doubt float64
+	// written is what the slot had written when the piece was last used there.
+	written float64
 }
 
 // Beliefs holds all beliefs of one router. It is not safe for concurrent use.
@@ -86,11 +88,20 @@
 	}
 	for _, p := range pieces {
 		h := b.hold(p.ID, slot)
+		if h.at.IsZero() || s.evicted(h) > 0 {
+			s.written += float64(p.Tokens)
+		}
 		h.at = now
 		h.doubt = s.doubt
+		h.written = s.written
 	}
 }
 
+// SetCapacity states how many tokens the cache of slot has room for. Beliefs then hold as
+// long as no more than that was written after them: caches evict what was not used for
+// longest.
+func (b *Beliefs) SetCapacity(slot Slot, tokens int64) { b.server(slot).capacity = float64(tokens) }
+
 // Trial is a belief without an event that a request puts to the test.
 type Trial struct {
 	// Age is the time since the last use that was believed in.
--- a/masticcache/server.go
+++ b/masticcache/server.go
@@ -41,6 +41,26 @@
 	// churn is the decayed number of pieces stored, as of churnAt.
 	churn   float64
 	churnAt time.Time
+	// capacity is the room of the cache in tokens, zero where it is not known; written is
+	// the sum of all pieces written to it.
+	capacity, written float64
+}
+
+const (
+	// sureShare is the share of the capacity after whose writing the first beliefs are doubted:
+	// running requests use a part of the memory.
+	sureShare = 0.6
+	// lostShare is the share after whose writing they are lost.
+	lostShare = 0.9
+)
+
+// evicted returns the likelihood, 0 to 1, that h was evicted by what was written since.
+func (s *server) evicted(h *holder) float64 {
+	if s.capacity == 0 {
+		return 0
+	}
+	part := (s.written - h.written) / s.capacity
+	return min(1, max(0, (part-sureShare)/(lostShare-sureShare)))
 }
 
 // churnNow returns the decayed number of pieces stored.
@@ -58,6 +78,9 @@
 
 // worth returns the likelihood, 0 to 1, that the belief h still holds.
 func (s *server) worth(now time.Time, h *holder) float64 {
+	if s.capacity > 0 {
+		return 1 - s.evicted(h)
+	}
 	age := float64(max(0, now.Sub(h.at))) / float64(s.halfLife)
 	if h.listed && now.Sub(s.lastEvent) <= streamSilence {
 		// The cache evicts what was not used for long, so lost removals were not of young pieces.
--- a/masticcall/dispatcher.go
+++ b/masticcall/dispatcher.go
@@ -17,6 +17,10 @@
 	CachedTokens() int64
 	// CacheSalt separates the engine's cache by workspace.
 	CacheSalt() string
+	// Fetch is the IP:port from which the server should fetch cached parts of the prompt, and
+	// Save that of the store which should get them; either may be empty.
+	Fetch() string
+	Save() string
 	FirstToken(now time.Time)
 	Done(now time.Time, r Result)
 }
@@ -29,7 +33,9 @@
 	ServerEnded bool
 	// ServerIncarnation is the incarnation that the backend server named in its answer.
 	ServerIncarnation string
-	CachedTokens      int64
+	// CachedUnknown reports that the answer did not tell how many tokens were cached.
+	CachedUnknown bool
+	CachedTokens  int64
 	OutputTokens      int64
 }
 
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -114,6 +114,7 @@
 			first.encoded = append(first.encoded, e)
 		case <-timer.C:
 		case <-l.stopping:
+			l.leave()
 			return nil
 		}
 		if err := first.run(); err != nil {
@@ -143,6 +144,25 @@
 	}
 }
 
+// resignSpan is the time that the other members need to take the resignation: the messages
+// go out on connections that end with this host.
+const resignSpan = 30 * time.Millisecond
+
+// leave gives up leadership, so that the others need not wait for an election timeout.
+func (l *loop) leave() {
+	if !l.status.Leading || len(l.status.Peers) == 0 {
+		return
+	}
+	now := masticclock.Now()
+	l.core.Resign(now)
+	if err := l.advance(now); err != nil {
+		l.log.WithError(err).Warn("the resignation was not sent")
+		return
+	}
+	l.log.WithField("term", l.status.Term).Info("leadership is given up: this host stops")
+	time.Sleep(resignSpan)
+}
+
 func (l *loop) nextDeadline() time.Time {
 	deadline := l.core.NextDeadline()
 	if l.leader == nil {
--- a/masticcourse/call.go
+++ b/masticcourse/call.go
@@ -56,6 +56,9 @@
 	// Salt separates cached prompts; requests share them only under the same salt.
 	Salt     string
 	Deadline time.Time
+	// Fetch is the IP:port from which the server should fetch cached parts of the prompt, and
+	// Save that of the store which should get them; either may be empty.
+	Fetch, Save string
 	// Weights is the version that the server must have; empty where any will do.
 	Weights string
 	// LastEvent is the identifier of the last event that was passed on.
--- a/masticcourse/rank.go
+++ b/masticcourse/rank.go
@@ -31,12 +31,13 @@
 	return masticview.ClassLong
 }
 
-// salt returns the salt of a workspace's cached prompts.
-func salt(t masticdocument.Tenant) string {
+// salt returns the salt of a workspace's cached prompts that were made by a version of the
+// weights. Servers that fetch cached prompts check neither.
+func salt(t masticdocument.Tenant, version string) string {
 	if t.Isolated {
-		return "workspace-" + t.Name
+		return "workspace-" + t.Name + "@" + version
 	}
-	return sharedSalt
+	return sharedSalt + "@" + version
 }
 
 // cacheOwner returns the name under which beliefs of cached prompts are kept: workspaces
--- a/masticcourse/serve.go
+++ b/masticcourse/serve.go
@@ -220,7 +220,7 @@
 	r.server = server.Name
 	r.sends++
 	f := r.exchange(ctx, a)
-	result := masticcall.Result{CachedTokens: a.CachedTokens(), ServerIncarnation: server.Incarnation}
+	result := masticcall.Result{CachedUnknown: true, ServerIncarnation: server.Incarnation}
 	if f != nil {
 		result.Failure, result.ServerEnded = string(f.Err.Kind()), f.Ended
 		r.avoid = append(r.avoid, server.Name)
@@ -250,7 +250,8 @@
 		Server: server, Workspace: r.tenant.Name, Priority: -1, Deadline: r.deadline, LastEvent: r.lastEvent(),
 	}
 	if r.pool.Engine {
-		attempt.Priority, attempt.Salt, attempt.Weights = priority(r.route, r.tenant), salt(r.tenant), server.WeightsVersion
+		attempt.Priority, attempt.Salt, attempt.Weights = priority(r.route, r.tenant), salt(r.tenant, server.WeightsVersion), server.WeightsVersion
+		attempt.Fetch, attempt.Save = a.Fetch(), a.Save()
 	}
 	answer, err := c.client.Do(ctx, masticbackend.Request{
 		Address: server.Address(), ID: r.call.ID, Method: r.call.Method, URI: r.call.URI, Host: r.call.Host,
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -19,6 +19,7 @@
 	"masticladder/masticcontrol"
 	"masticladder/masticcourse"
 	"masticladder/masticdispatch"
+	"masticladder/masticgossip"
 	"masticladder/masticplace"
 	"masticladder/masticproto"
 	"masticladder/masticview"
@@ -100,6 +101,7 @@
 	dispatcher *masticdispatch.Dispatcher
 	client     *masticbackend.Client
 	course     *masticcourse.Course
+	gossip     *masticgossip.Exchange
 	announce   *announcer
 	drain      *drainer
 	callers    *httpServer
@@ -205,7 +207,7 @@
 	if err != nil {
 		return err
 	}
-	n.dispatcher = masticdispatch.New(masticdispatch.WithLog(n.log.WithField("host", n.settings.Peer)))
+	n.dispatcher = masticdispatch.New(masticdispatch.WithLog(n.log.WithField("host", n.settings.Peer)), masticdispatch.WithSharedLoad())
 	n.client = masticbackend.New(masticbackend.WithSource(bound.Addr()), masticbackend.WithIdentify(n.protocols.Identify))
 	n.course = masticcourse.New(
 		masticcourse.WithViews(n.agent),
@@ -216,7 +218,8 @@
 		masticcourse.WithCallers(n.protocols.Callers),
 		masticcourse.WithLog(n.log),
 	)
-	return nil
+	n.gossip, err = masticgossip.New(n.settings.Peer, n.wire, n.agent.View, n.dispatcher, n.log)
+	return err
 }
 
 // onView hands a new view to the parts that keep a copy.
@@ -311,6 +314,8 @@
 		g.Add(n.drain.run, n.drain.stop)
 		g.Add(n.announce.run, n.announce.stop)
 		g.Add(n.callers.runUntilStopped, n.callers.stop)
+		g.Add(n.gossip.Serve, n.gossip.StopServing)
+		g.Add(n.gossip.Run, n.gossip.Stop)
 		g.Add(n.dispatcher.Run, n.dispatcher.Stop)
 		s := &sweeper{client: n.client, stopped: make(chan struct{})}
 		g.Add(s.run, s.stop)
--- a/masticdispatch/assignment.go
+++ b/masticdispatch/assignment.go
@@ -40,6 +40,12 @@
 	return hex.EncodeToString(sum[:saltBytes])
 }
 
+// Fetch returns from where the server should fetch cached parts of the prompt.
+func (a *assignment) Fetch() string { return a.outcome.Decision.Fetch }
+
+// Save returns the store that should get the parts of the prompt.
+func (a *assignment) Save() string { return a.outcome.Decision.Save }
+
 // FirstToken records when the first token came.
 func (a *assignment) FirstToken(now time.Time) {
 	a.dispatcher.must(&firstToken{a.outcome.Ticket, now})
--- a/masticdispatch/command.go
+++ b/masticdispatch/command.go
@@ -89,6 +89,17 @@
 	d.scheduler.Events(now, c.server, c.incarnation, c.batch)
 }
 
+type peer struct{ report masticroute.PeerReport }
+
+func (c *peer) apply(d *Dispatcher, now time.Time) { d.scheduler.Peer(now, c.report) }
+
+type own struct {
+	host   string
+	answer chan masticroute.PeerReport
+}
+
+func (c *own) apply(d *Dispatcher, _ time.Time) { c.answer <- d.scheduler.Own(c.host) }
+
 type probe struct {
 	server, incarnation string
 	alive               bool
--- a/masticdispatch/dispatcher.go
+++ b/masticdispatch/dispatcher.go
@@ -38,6 +38,7 @@
 	ticket masticschedule.Ticket
 	log    *logrus.Entry
 	seed   uint64
+	router []masticroute.Option
 	drops  *Drops
 }
 
@@ -50,6 +51,11 @@
 // WithSeed sets the seed of the random candidates; hosts should have different ones.
 func WithSeed(seed uint64) Option { return func(d *Dispatcher) { d.seed = seed } }
 
+// WithSharedLoad makes the router decide by the work of all hosts, of which Peer tells.
+func WithSharedLoad() Option {
+	return func(d *Dispatcher) { d.router = append(d.router, masticroute.WithSharedLoad()) }
+}
+
 // New returns a Dispatcher that serves once Run is called.
 func New(options ...Option) *Dispatcher {
 	d := &Dispatcher{
@@ -64,7 +70,7 @@
 	for _, o := range options {
 		o(d)
 	}
-	d.scheduler = masticschedule.New(masticroute.New(masticroute.WithSeed(d.seed)))
+	d.scheduler = masticschedule.New(masticroute.New(append(d.router, masticroute.WithSeed(d.seed))...))
 	return d
 }
 
@@ -168,5 +174,20 @@
 	d.must(&probe{server, incarnation, alive})
 }
 
+// Peer takes another host's report of its work.
+func (d *Dispatcher) Peer(p masticroute.PeerReport) { d.offer(DropReport, &peer{p}) }
+
+// Own returns this host's report for the others, or false once the dispatcher has stopped.
+func (d *Dispatcher) Own(host string) (masticroute.PeerReport, bool) {
+	c := &own{host: host, answer: make(chan masticroute.PeerReport, 1)}
+	d.must(c)
+	select {
+	case p := <-c.answer:
+		return p, true
+	case <-d.stopped:
+		return masticroute.PeerReport{}, false
+	}
+}
+
 // Drops returns the counters of what was dropped since the inbox was full.
 func (d *Dispatcher) Drops() *Drops { return d.drops }
--- a/masticdocument/document.go
+++ b/masticdocument/document.go
@@ -73,8 +73,11 @@
 	Engine             bool
 	Slots, CacheTokens int64
 	Models             []string
-	// Store is the IP:port of a store of cached prompts; such a pool has no servers.
-	Store string
+	// TransferTokensPerSecond is how fast cached prompts come over an engine's link.
+	TransferTokensPerSecond int64
+	// Store is the IP:port of a store of cached prompts, which is in Zone; such a pool has no
+	// servers.
+	Store, Zone string
 }
 
 // Tenant is a workspace with its keys and bounds.
--- /dev/null
+++ b/masticgossip/codec.go
@@ -0,0 +1,47 @@
+package masticgossip
+
+import (
+	"masticladder/masticprompt"
+	"masticladder/masticproto"
+	"masticladder/masticroute"
+)
+
+func encode(r masticroute.PeerReport) *masticproto.LoadReport {
+	p := &masticproto.LoadReport{Host: r.Host}
+	for _, s := range r.Servers {
+		p.Servers = append(p.Servers, &masticproto.ServerLoad{
+			Server: s.Server, Tokens: int64(s.Tokens), UrgentTokens: int64(s.Urgent), HeldTokens: int64(s.Held),
+			Running: s.Running, Speed: int64(s.Speed),
+		})
+	}
+	for _, t := range r.Touches {
+		x := &masticproto.CacheTouch{Server: t.Server}
+		for _, piece := range t.Pieces {
+			x.Pieces = append(x.Pieces, piece.ID[:])
+			x.Tokens = append(x.Tokens, piece.Tokens)
+		}
+		p.Touches = append(p.Touches, x)
+	}
+	return p
+}
+
+func decode(p *masticproto.LoadReport) masticroute.PeerReport {
+	r := masticroute.PeerReport{Host: p.GetHost()}
+	for _, s := range p.GetServers() {
+		r.Servers = append(r.Servers, masticroute.ServerLoad{
+			Server: s.GetServer(), Tokens: float64(s.GetTokens()), Urgent: float64(s.GetUrgentTokens()), Held: float64(s.GetHeldTokens()),
+			Running: s.GetRunning(), Speed: float64(s.GetSpeed()),
+		})
+	}
+	for _, t := range p.GetTouches() {
+		x := masticroute.Touch{Server: t.GetServer()}
+		for i, id := range t.GetPieces() {
+			if i >= len(t.GetTokens()) || len(id) != len(masticprompt.PieceID{}) {
+				break
+			}
+			x.Pieces = append(x.Pieces, masticprompt.Piece{ID: masticprompt.PieceID(id), Tokens: t.GetTokens()[i]})
+		}
+		r.Touches = append(r.Touches, x)
+	}
+	return r
+}
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -93,13 +93,16 @@
 	// Open reports that the backend server's window has room; else the request waits.
 	Open bool
 	// Pieces are the prompt's pieces under the weights of the chosen backend server.
-	Pieces   []masticprompt.Piece
-	Tokens   int64
-	Ahead    float64
-	Trial    masticcache.Trial
-	LookUps  int
-	weighed  [maxCandidates]Candidate
-	nWeighed int
+	Pieces  []masticprompt.Piece
+	Tokens  int64
+	Ahead   float64
+	Trial   masticcache.Trial
+	LookUps int
+	// Fetch is the IP:port from which the server fetches parts of the prompt, Save that of the
+	// store that gets them; either may be empty.
+	Fetch, Save string
+	weighed     [maxCandidates]Candidate
+	nWeighed    int
 }
 
 // Uncached returns the predicted work before the first token, in tokens.
@@ -110,6 +113,9 @@
 
 // Decide weighs the candidates for q. It reports false when no backend server is usable.
 func (r *Router) Decide(now time.Time, q *Query) (Decision, bool) {
+	if r.shared {
+		return r.decideShared(now, q)
+	}
 	var d Decision
 	d.Prefill = math.MaxInt64 / 8
 	found := false
--- a/masticroute/load.go
+++ b/masticroute/load.go
@@ -54,6 +54,10 @@
 	own float64
 	// ownUrgent is the part of own that belongs to the quick class.
 	ownUrgent float64
+	// held is the memory of own running requests, in tokens.
+	held float64
+	// peers is the work of other hosts that tell of it.
+	peers map[string]peerLoad
 	// running counts own requests until they are done.
 	running int
 	// waiting counts own requests without a first token.
@@ -97,6 +101,7 @@
 		l.ownUrgent += w.Uncached
 	}
 	l.pending = append(l.pending, pending{now, w.Uncached + w.Ahead})
+	l.held += float64(w.Tokens)
 	l.running++
 	l.waiting++
 	l.remember(now)
@@ -112,7 +117,8 @@
 	l.remember(now)
 }
 
-func (l *load) done(now time.Time) {
+func (l *load) done(now time.Time, w *Work) {
+	l.held = max(0, l.held-float64(w.Tokens))
 	l.running--
 	l.remember(now)
 }
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -11,6 +11,7 @@
 	"masticladder/masticcache"
 	"masticladder/mastichealth"
 	"masticladder/masticprompt"
+	"masticladder/masticproto"
 	"masticladder/masticview"
 )
 
@@ -25,6 +26,16 @@
 	lookup  masticcache.Lookup
 	// engines is the number of active engines.
 	engines int
+	// shared reports that other hosts tell of their work; see decideShared.
+	shared bool
+	// stores are the stores of cached prompts, transfer how fast engines fetch from them.
+	stores   []store
+	transfer map[string]float64
+	// memory is the room of an engine by its pool, in tokens; document is that of the view.
+	memory   map[string]float64
+	document *masticproto.Document
+	// touched are the uses of pieces that other hosts were not told of.
+	touched []Touch
 	// speeds is the moving mean of the measured prefill speeds.
 	speeds float64
 	// quickShare is the moving share of the quick class in the requests sent.
@@ -51,6 +62,9 @@
 	return func(r *Router) { r.source = rand.New(rand.NewPCG(seed, 0)) }
 }
 
+// WithSharedLoad makes the router decide by the work of all hosts, of which Peer tells.
+func WithSharedLoad() Option { return func(r *Router) { r.shared = true } }
+
 // WithBeliefs sets the cache beliefs.
 func WithBeliefs(b *masticcache.Beliefs) Option { return func(r *Router) { r.beliefs = b } }
 
@@ -71,6 +85,7 @@
 
 // SetView replaces the backend servers by those of v.
 func (r *Router) SetView(v masticview.View) {
+	r.setPools(v)
 	seen := make([]bool, len(r.servers))
 	changed := false
 	for _, i := range v.Servers() {
@@ -82,6 +97,9 @@
 	}
 	for slot, ok := range seen {
 		s := r.servers[slot]
+		if s.info.Kind == serverStore {
+			continue
+		}
 		changed = changed || (!ok && s.active)
 		s.active = s.active && ok
 	}
@@ -100,10 +118,14 @@
 	}
 	s := r.servers[slot]
 	before, wasActive := s.info, s.active
-	if before.URL != i.URL || before.WeightsVersion != i.WeightsVersion {
+	if before.URL != i.URL || before.WeightsVersion != i.WeightsVersion || before.Incarnation != i.Incarnation {
 		r.beliefs.Reset(slot)
 	}
 	s.info = i
+	if room := r.memory[i.Service]; room > 0 && room != s.memory {
+		s.memory = room
+		r.beliefs.SetCapacity(slot, int64(room))
+	}
 	s.active = i.State == masticview.ServerActive || i.State == ""
 	return s.active != wasActive || before.Kind != i.Kind ||
 		before.WeightsVersion != i.WeightsVersion || !slices.Equal(before.Models, i.Models)
@@ -238,6 +260,8 @@
 	Trial   masticcache.Trial
 	Pieces  []masticprompt.Piece
 	Suspect bool
+	// Save is the store that gets the pieces once they are read.
+	Save string
 	// StartedAt is when the work was sent.
 	StartedAt time.Time
 	// FirstTokenAt is zero before the first token.
--- a/masticroute/server.go
+++ b/masticroute/server.go
@@ -29,6 +29,8 @@
 	active bool
 	// suspects counts the own running requests that may end a backend server.
 	suspects int
+	// memory is the engine's room in tokens, zero where it is not known.
+	memory float64
 	// hold is the measured time from first token to end.
 	hold time.Duration
 }
--- /dev/null
+++ b/masticroute/shared.go
@@ -0,0 +1,246 @@
+package masticroute
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"masticladder/masticcache"
+	"masticladder/masticprompt"
+	"masticladder/masticview"
+)
+
+const (
+	// scanServers is the number of engines of a pool up to which all are weighed; the users'
+	// sites have 9 and 18 and, grown, 90.
+	scanServers = 32
+	// ringCandidates and drawnCandidates are weighed of larger pools besides the holders.
+	ringCandidates  = 4
+	drawnCandidates = 10
+	// chunkTokens is what an engine reads at once: an urgent request waits for half of it.
+	chunkTokens = 4096
+	// minFetch is the least gain of a fetch, in tokens: each costs some milliseconds.
+	minFetch = 1000
+	// fetchSetup is the time of a fetch besides its transfer.
+	fetchSetup = 5 * time.Millisecond
+	// farFetch is how many times as long a fetch from another availability zone takes.
+	farFetch = 2
+	// rereadCost is what a token costs that is read again although it is cached elsewhere, as
+	// waiting: the users price 1,000 of them like a tenth of a review.
+	rereadCost = 60 * time.Microsecond
+	// homeCredit leads hosts that do not know of each other's decisions yet to one engine.
+	homeCredit = 25 * time.Millisecond
+	// fullCost is what a request costs that an engine's memory has no room for: another one
+	// is put back and read again.
+	fullCost = 600 * time.Millisecond
+	// fullShare is the share of the memory that running requests may take.
+	fullShare = 0.85
+	// slotCost is what each running request adds to the steps of the others.
+	slotCost = 2 * time.Millisecond
+)
+
+// ReasonScan marks candidates that were weighed since all were.
+const ReasonScan Reason = "scan"
+
+// decideShared weighs candidates by the work of all hosts, of which they tell each other. A
+// prompt that is cached elsewhere is fetched, so requests go where the least work is.
+func (r *Router) decideShared(now time.Time, q *Query) (Decision, bool) {
+	var d Decision
+	best := time.Duration(math.MaxInt64)
+	tokens := max(q.Prompt.Tokens(), q.PromptTokens)
+	for i := range r.pools[q.Model] {
+		p := &r.pools[q.Model][i]
+		if p.number() < q.Least {
+			continue
+		}
+		w := r.newWeighing(now, p, q, tokens)
+		w.candidates(func(slot masticcache.Slot, reason Reason) {
+			c, fetch, ok := w.weigh(slot, reason)
+			if !ok {
+				return
+			}
+			if d.nWeighed < maxCandidates {
+				d.weighed[d.nWeighed] = c
+				d.nWeighed++
+			}
+			if c.score() < best {
+				best = c.score()
+				d.Candidate, d.Pieces, d.Tokens, d.Fetch, d.Save = c, w.pieces, tokens, fetch, w.save
+			}
+		})
+	}
+	if best == math.MaxInt64 {
+		return d, false
+	}
+	s := r.servers[d.Slot]
+	d.Ahead = s.load.own + s.load.peersNow(now).tokens
+	d.Open = r.openShared(now, s, q)
+	return d, true
+}
+
+// openShared reports whether s may get the request at once: engines queue and order by
+// themselves, but only some requests beyond their slots.
+func (r *Router) openShared(now time.Time, s *server, q *Query) bool {
+	running := int64(s.load.running) + s.load.peersNow(now).running
+	return s.info.Slots == 0 || running < s.info.Slots+s.info.Slots/extraPart || q.Class == masticview.ClassQuick && running < 2*s.info.Slots
+}
+
+// extraPart is the part of an engine's slots that it may hold as queued requests besides.
+const extraPart = 4
+
+// weighing is what is the same for all candidates of one pool.
+type weighing struct {
+	router *Router
+	now    time.Time
+	pool   *pool
+	query  *Query
+	tokens int64
+	pieces []masticprompt.Piece
+	home   masticcache.Slot
+	// source is the store that has the most of the prompt, stored how much, save one that
+	// lacks some.
+	source *store
+	stored float64
+	save   string
+}
+
+func (r *Router) newWeighing(now time.Time, p *pool, q *Query, tokens int64) *weighing {
+	w := &weighing{router: r, now: now, pool: p, query: q, tokens: tokens, home: -1}
+	w.pieces = q.Prompt.Pieces(masticprompt.Seed{Workspace: q.Workspace, Model: q.Model, WeightsVersion: p.version})
+	r.lookup = r.beliefs.Lookup(r.lookup, w.pieces)
+	if first := r.homeOf(q, p); first >= 0 {
+		w.home = first
+	}
+	if q.Class == masticview.ClassQuick {
+		return w
+	}
+	shared := sharedTokens(w.pieces)
+	for i := range r.stores {
+		s := &r.stores[i]
+		if stored := r.lookup.Cached(now, s.slot); stored > w.stored {
+			w.source, w.stored = s, stored
+		}
+		if r.lookup.Cached(now, s.slot) < shared-minFetch {
+			w.save = s.address
+		}
+	}
+	return w
+}
+
+// homeOf returns the engine where all hosts look first for the prompt's prefix, whatever the
+// versions of its weights. Engines that are not of the pool are passed over.
+func (r *Router) homeOf(q *Query, p *pool) masticcache.Slot {
+	pieces := q.Prompt.Pieces(masticprompt.Seed{Workspace: q.Workspace, Model: q.Model})
+	end := prefixEnd(pieces)
+	if end < 0 {
+		return -1
+	}
+	homes := p.ring.first(pieces[end].ID.Hash(), 1)
+	if len(homes) == 0 {
+		return -1
+	}
+	return homes[0]
+}
+
+// sharedTokens returns the length of all levels but the last.
+func sharedTokens(pieces []masticprompt.Piece) float64 {
+	var n float64
+	for _, p := range pieces[:prefixEnd(pieces)+1] {
+		n += float64(p.Tokens)
+	}
+	return n
+}
+
+// candidates calls use with the engines to weigh; one may come more than once.
+func (w *weighing) candidates(use func(masticcache.Slot, Reason)) {
+	if len(w.pool.slots) <= scanServers {
+		for _, slot := range w.pool.slots {
+			use(slot, ReasonScan)
+		}
+		return
+	}
+	w.router.lookup.Holders(func(slot masticcache.Slot) bool {
+		if slices.Contains(w.pool.slots, slot) {
+			use(slot, ReasonHolder)
+		}
+		return true
+	})
+	if len(w.pieces) > 0 {
+		for _, slot := range w.pool.ring.first(w.pieces[max(0, prefixEnd(w.pieces))].ID.Hash(), ringCandidates) {
+			use(slot, ReasonHome)
+		}
+	}
+	for range drawnCandidates {
+		use(w.pool.slots[w.router.source.IntN(len(w.pool.slots))], ReasonRandom)
+	}
+}
+
+// weigh predicts the first token on one engine, and from where it would fetch.
+func (w *weighing) weigh(slot masticcache.Slot, reason Reason) (Candidate, string, bool) {
+	r, s := w.router, w.router.servers[slot]
+	if !r.fits(w.now, s, w.query) {
+		return Candidate{}, "", false
+	}
+	speed := s.speed(w.now, r.speeds)
+	cached := r.lookup.Cached(w.now, slot)
+	c := Candidate{Slot: slot, Reason: reason, Cached: cached, Wait: s.waitShared(w.now, w.query.Class, speed)}
+	fetch := ""
+	if gain := w.stored - cached; gain > minFetch {
+		transfer := w.transferTime(s, gain)
+		if transfer < seconds(gain/speed) {
+			c.Wait += transfer
+			c.Cached = w.stored
+			fetch = w.source.address
+		} else {
+			c.Cost += time.Duration(gain) * rereadCost
+		}
+	}
+	c.Prefill = seconds(max(0, float64(w.tokens)-c.Cached) / speed)
+	if s.fullFor(w.now, float64(w.tokens)) {
+		c.Cost += fullCost
+	}
+	if w.pool.old(w.query) {
+		c.Cost += oldWeightsCost
+	}
+	if slot == w.home {
+		c.Credit = homeCredit
+	}
+	return c, fetch, true
+}
+
+// transferTime returns how long s takes to fetch tokens from the source.
+func (w *weighing) transferTime(s *server, tokens float64) time.Duration {
+	rate := w.router.transfer[s.info.Service]
+	if rate <= 0 {
+		return math.MaxInt64
+	}
+	t := seconds(tokens / rate)
+	if s.info.Zone != w.source.zone {
+		t *= farFetch
+	}
+	return t + fetchSetup
+}
+
+// waitShared returns the predicted time until the engine starts on one more request.
+func (s *server) waitShared(now time.Time, class masticview.Class, speed float64) time.Duration {
+	peers := s.load.peersNow(now)
+	work := s.load.own + peers.tokens
+	if class == masticview.ClassQuick {
+		urgent := s.load.ownUrgent + peers.urgent
+		work = min(max(0, work-urgent), chunkTokens)/2 + urgent
+	}
+	running := int64(s.load.running) + peers.running
+	wait := seconds(work/speed) + time.Duration(running)*slotCost
+	if slots := s.info.Slots; slots > 0 && running >= slots {
+		wait += time.Duration(running-slots+1) * s.holdTime() / time.Duration(slots)
+	}
+	return wait
+}
+
+// fullFor reports whether the engine's memory has no room for tokens more.
+func (s *server) fullFor(now time.Time, tokens float64) bool {
+	if s.memory == 0 {
+		return false
+	}
+	return s.load.held+s.load.peersNow(now).held+tokens > fullShare*s.memory
+}
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -18,7 +18,7 @@
 	w := Work{
 		Slot: d.Slot, Epoch: r.beliefs.Epoch(d.Slot), Class: q.Class,
 		Uncached: max(0, float64(d.Tokens)-d.Cached), Ahead: d.Ahead, Tokens: d.Tokens, Trial: d.Trial,
-		Pieces: d.Pieces, Suspect: q.Suspect, StartedAt: now,
+		Pieces: d.Pieces, Suspect: q.Suspect, StartedAt: now, Save: d.Save,
 	}
 	s := r.servers[w.Slot]
 	s.load.add(now, &w)
@@ -26,7 +26,7 @@
 		s.suspects++
 	}
 	r.learnShare(w)
-	r.beliefs.Touch(now, w.Slot, w.Epoch, w.Pieces)
+	r.touch(now, w.Slot, w.Epoch, w.Pieces)
 	return w
 }
 
@@ -59,6 +59,9 @@
 	w.FirstTokenAt = now
 	s := r.servers[w.Slot]
 	s.load.firstToken(now, w)
+	if slot, ok := r.slots[w.Save]; ok && w.Save != "" {
+		r.touch(now, slot, r.beliefs.Epoch(slot), w.Pieces)
+	}
 }
 
 // End is how work ended.
@@ -71,6 +74,8 @@
 	ServerEnded  bool
 	Incarnation  string
 	CachedTokens int64
+	// CachedUnknown reports that the answer did not tell how many tokens were cached.
+	CachedUnknown bool
 }
 
 // Done records that w has ended.
@@ -79,7 +84,7 @@
 	if w.FirstTokenAt.IsZero() {
 		s.load.firstToken(now, w)
 	}
-	s.load.done(now)
+	s.load.done(now, w)
 	if w.Suspect {
 		s.suspects--
 	}
@@ -106,6 +111,10 @@
 }
 
 func (r *Router) learn(now time.Time, s *server, w *Work, e End) {
+	if e.CachedUnknown {
+		e.CachedTokens = w.Tokens - int64(w.Uncached)
+		w.Trial.Tokens = 0
+	}
 	if !w.FirstTokenAt.IsZero() {
 		s.measureHold(now.Sub(w.FirstTokenAt))
 		s.load.measure(float64(w.Tokens-e.CachedTokens), w.FirstTokenAt.Sub(w.StartedAt), w.Ahead == 0)
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -204,7 +204,7 @@
 		Failed:      failsServer(masticerror.Kind(r.Failure)),
 		Partial:     r.Failure != "",
 		ServerEnded: r.ServerEnded,
-		Incarnation: r.ServerIncarnation, CachedTokens: r.CachedTokens,
+		Incarnation: r.ServerIncarnation, CachedTokens: r.CachedTokens, CachedUnknown: r.CachedUnknown,
 	}
 }
 
@@ -224,6 +224,15 @@
 	s.scan(now)
 }
 
+// Peer takes another host's report of its work.
+func (s *Scheduler) Peer(now time.Time, p masticroute.PeerReport) {
+	s.router.Peer(now, p)
+	s.scan(now)
+}
+
+// Own returns this host's report for the others.
+func (s *Scheduler) Own(host string) masticroute.PeerReport { return s.router.Own(host) }
+
 // Events takes cache events of the named backend server's incarnation.
 func (s *Scheduler) Events(now time.Time, server, incarnation string, b masticcache.Batch) masticcache.Applied {
 	return s.router.Events(now, server, incarnation, b)
