Load new weights in time after a change of leader

An order waits half of its time for runs to end. Ruled out: slow loads (0.3 s each), the list. Change: orders supersede those of former leaders to engines that check fences; a request is kept from old weights by when it is predicted to begin; more orders at once. Failed loads and superseded orders have tests.

--- a/masticcache/beliefs.go
+++ b/masticcache/beliefs.go
@@ -31,6 +31,8 @@
 	listed bool
 	// doubt is the slot's doubt when the belief was formed or confirmed.
 	doubt float64
+	// since is when the piece was first used there in one stretch.
+	since time.Time
 	// written is what the slot had written when the piece was last used there.
 	written float64
 }
@@ -90,6 +92,7 @@
 		h := b.hold(p.ID, slot)
 		if h.at.IsZero() || s.evicted(h) > 0 {
 			s.written += float64(p.Tokens)
+			h.since = now
 		}
 		h.at = now
 		h.doubt = s.doubt
--- a/masticcache/lookup.go
+++ b/masticcache/lookup.go
@@ -52,6 +52,17 @@
 	return tokens
 }
 
+// Settled reports whether the first piece has been on slot since before the given time, so
+// that it has been computed by now.
+func (l Lookup) Settled(slot Slot, before time.Time) bool {
+	s, ok := l.beliefs.servers[slot]
+	if !ok || len(l.records) == 0 {
+		return false
+	}
+	h := l.records[0].find(slot, s.epoch)
+	return h != nil && h.since.Before(before)
+}
+
 // Holders calls use with the believed holders, those of the longest prefix first,
 // until use returns false. A slot may come more than once.
 func (l Lookup) Holders(use func(Slot) bool) {
--- a/masticcontrol/place.go
+++ b/masticcontrol/place.go
@@ -70,10 +70,11 @@
 	}
 }
 
-// Bounds of the loads of one pool that run at once. The users' sites load at full speed up
-// to 3 of 18, 2 of 9, 17 of 89 and 18 of 90 servers at once.
+// Bounds of the orders to one pool that run at once. The users' sites load at full speed up
+// to 3 of 18, 2 of 9, 17 of 89 and 18 of 90 servers at once; an order spends about half of
+// its time waiting for the requests that run.
 const (
-	serversPerLoad = 5
+	serversPerLoad = 3.5
 	minPoolLoads   = 2
 )
 
@@ -85,7 +86,7 @@
 			n++
 		}
 	}
-	return max(minPoolLoads, n/serversPerLoad)
+	return max(minPoolLoads, int(float64(n)/serversPerLoad+0.5))
 }
 
 // wish returns the load that s lacks. A backend server that lists several models is
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -83,6 +83,10 @@
 	joinTimeout = 2 * time.Second
 	// sweepInterval is the time between two looks for connections to close.
 	sweepInterval = time.Second
+	// dialPauseLeast and dialPauseMost bound the pause after a failed connection to another
+	// host: when all start at once, control is there within some hundred milliseconds.
+	dialPauseLeast = 20 * time.Millisecond
+	dialPauseMost  = 200 * time.Millisecond
 	// exitMargin is how long before the end of the grace period the process has stopped.
 	exitMargin = 900 * time.Millisecond
 )
@@ -133,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	n.wire = masticwire.New(masticwire.WithMetrics(n.registry), masticwire.WithSource(bound.Addr()))
+	n.wire = masticwire.New(masticwire.WithMetrics(n.registry), masticwire.WithSource(bound.Addr()), masticwire.WithBackoff(dialPauseLeast, dialPauseMost))
 	return nil
 }
 
@@ -157,7 +161,7 @@
 		masticcontrol.WithQuotaSlack(s.QuotaSlack),
 		masticcontrol.WithVoterRemoval(s.KeptVoters),
 		masticcontrol.WithSnapshotEntries(snapshotEntries, snapshotEntries/2),
-		masticcontrol.WithLoader(n.protocols.Loader, nodeLoadSenders, masticplace.WithOrderSpan(s.LoadSpan)),
+		masticcontrol.WithLoader(n.protocols.Loader, nodeLoadSenders, masticplace.WithOrderSpan(s.LoadSpan), masticplace.WithSupersede()),
 	)
 	return err
 }
--- a/masticplace/failed_test.go
+++ b/masticplace/failed_test.go
@@ -39,3 +39,17 @@
 	}
 	return out
 }
+
+// TestSupersededOrdersHoldNoPlace replays a leader that froze with two orders under
+// way: its successor ordered nothing for the 4 s of their deadlines.
+func TestFormerOrdersToFencedServersHoldNoPlace(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_000_000)
+	former := Order{
+		Load:  Load{Server: "a", Owner: "pool", Model: "m", WeightsVersion: "2", ChecksFencing: true},
+		Fence: Fence{1, 1}, Deadline: now.Add(4 * time.Second),
+	}
+	p := NewPlanner(2, now, WithLimit(func(string) int { return 1 }), WithFormer([]Order{former}), WithSupersede())
+	p.Want(former.Load)
+	c.Assert(ordered(p.Decide(now)), qt.DeepEquals, []string{"a"})
+}
--- a/masticplace/planner.go
+++ b/masticplace/planner.go
@@ -79,9 +79,9 @@
 	unfencedFrom time.Time
 	running      map[string]Order
 	// paused is until when backend servers are not ordered, since an order to them failed.
-	paused map[string]time.Time
-	wishes       []Load
-	waiting      map[string]Reason
+	paused  map[string]time.Time
+	wishes  []Load
+	waiting map[string]Reason
 }
 
 // Option sets a property of a Planner.
@@ -112,6 +112,19 @@
 	}
 }
 
+// WithSupersede has former orders to backend servers that check fencing numbers hold no
+// place: this leader's orders go before them. It is for servers that carry out one order at
+// a time and refuse one that does not state how many they accepted before. It follows WithFormer.
+func WithSupersede() Option {
+	return func(p *Planner) {
+		for server, o := range p.running {
+			if o.ChecksFencing {
+				delete(p.running, server)
+			}
+		}
+	}
+}
+
 // NewPlanner returns the planner of the leader of term. At quorumEnd the quorum lease of the
 // leader before it has ended, so that it can have sent nothing later.
 func NewPlanner(term uint64, quorumEnd time.Time, options ...Option) *Planner {
@@ -142,8 +155,10 @@
 	if slices.Contains(p.wishes, l) {
 		return
 	}
-	p.wishes = slices.DeleteFunc(p.wishes, func(w Load) bool { return w.Server == l.Server })
-	delete(p.waiting, l.Server)
+	if i := slices.IndexFunc(p.wishes, func(w Load) bool { return w.Server == l.Server }); i >= 0 {
+		p.wishes = slices.Delete(p.wishes, i, i+1)
+		delete(p.waiting, l.Server)
+	}
 	p.wishes = append(p.wishes, l)
 }
 
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -60,9 +60,9 @@
 	Suspect bool
 	// Waited is how long the request has been in the queue.
 	Waited time.Duration
-	// Newest is the newest version of the weights, which is preferred; the request may run on
-	// no version below Least. Zero where any will do.
-	Newest, Least int64
+	// Versions are the versions of the weights that were named, the newest last; it is empty
+	// where any will do.
+	Versions []NamedVersion
 	// Discount is the part of the costs to others that the request is not charged with,
 	// 0 to 1: a workspace that uses less than its share costs others little.
 	Discount float64
@@ -120,7 +120,7 @@
 	d.Prefill = math.MaxInt64 / 8
 	found := false
 	for i := range r.pools[q.Model] {
-		if r.pools[q.Model][i].number() < q.Least {
+		if r.pools[q.Model][i].tooOld(now, q) {
 			continue
 		}
 		found = r.decideIn(now, &r.pools[q.Model][i], q, &d) || found
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -23,6 +23,8 @@
 	minFetch = 1000
 	// fetchSetup is the time of a fetch besides its transfer.
 	fetchSetup = 5 * time.Millisecond
+	// settleSpan is after how long a prompt that was sent to an engine has been read there.
+	settleSpan = 600 * time.Millisecond
 	// farFetch is how many times as long a fetch from another availability zone takes.
 	farFetch = 2
 	// rereadCost is what a token costs that is read again although it is cached elsewhere, as
@@ -50,7 +52,7 @@
 	tokens := max(q.Prompt.Tokens(), q.PromptTokens)
 	for i := range r.pools[q.Model] {
 		p := &r.pools[q.Model][i]
-		if p.number() < q.Least {
+		if p.tooOld(now, q) {
 			continue
 		}
 		w := r.newWeighing(now, p, q, tokens)
@@ -97,13 +99,18 @@
 	tokens int64
 	pieces []masticprompt.Piece
 	home   masticcache.Slot
-	// source is the store that has the most of the prompt, stored how much, save one that
+	// source has the most of the prompt to fetch, fetchable how much; save is a store that
 	// lacks some.
-	source *store
-	stored float64
-	save   string
+	source    source
+	fetchable float64
+	save      string
+	// known is the most of the prompt that any engine is believed to have.
+	known float64
 }
 
+// source is where a prompt is fetched from.
+type source struct{ address, zone string }
+
 func (r *Router) newWeighing(now time.Time, p *pool, q *Query, tokens int64) *weighing {
 	w := &weighing{router: r, now: now, pool: p, query: q, tokens: tokens, home: -1}
 	w.pieces = q.Prompt.Pieces(masticprompt.Seed{Workspace: q.Workspace, Model: q.Model, WeightsVersion: p.version})
@@ -115,18 +122,35 @@
 		return w
 	}
 	shared := sharedTokens(w.pieces)
-	for i := range r.stores {
-		s := &r.stores[i]
-		if stored := r.lookup.Cached(now, s.slot); stored > w.stored {
-			w.source, w.stored = s, stored
+	for _, s := range r.stores {
+		stored := r.lookup.Cached(now, s.slot)
+		if stored > w.fetchable {
+			w.source, w.fetchable = source{s.address, s.zone}, stored
 		}
-		if r.lookup.Cached(now, s.slot) < shared-minFetch {
+		if stored < shared-minFetch {
 			w.save = s.address
 		}
 	}
+	w.known = w.fetchable
+	r.lookup.Holders(w.addHolder)
 	return w
 }
 
+// addHolder takes an engine that is believed to have a part of the prompt. Others may fetch
+// from it what it has had for some time.
+func (w *weighing) addHolder(slot masticcache.Slot) bool {
+	r, s := w.router, w.router.servers[slot]
+	if !s.active || s.info.Kind != masticview.ServerEngine {
+		return true
+	}
+	cached := r.lookup.Cached(w.now, slot)
+	w.known = max(w.known, cached)
+	if cached > w.fetchable+minFetch && s.usable(w.now) && r.lookup.Settled(slot, w.now.Add(-settleSpan)) {
+		w.source, w.fetchable = source{s.info.Address(), s.info.Zone}, cached
+	}
+	return true
+}
+
 // homeOf returns the engine where all hosts look first for the prompt's prefix, whatever the
 // versions of its weights. Engines that are not of the pool are passed over.
 func (r *Router) homeOf(q *Query, p *pool) masticcache.Slot {
@@ -185,21 +209,22 @@
 	cached := r.lookup.Cached(w.now, slot)
 	c := Candidate{Slot: slot, Reason: reason, Cached: cached, Wait: s.waitShared(w.now, w.query.Class, speed)}
 	fetch := ""
-	if gain := w.stored - cached; gain > minFetch {
-		transfer := w.transferTime(s, gain)
-		if transfer < seconds(gain/speed) {
-			c.Wait += transfer
-			c.Cached = w.stored
-			fetch = w.source.address
-		} else {
-			c.Cost += time.Duration(gain) * rereadCost
-		}
+	if gain := w.fetchable - cached; gain > minFetch && w.transferTime(s, gain) < seconds(gain/speed)+time.Duration(gain)*rereadCost {
+		c.Wait += w.transferTime(s, gain)
+		c.Cached = w.fetchable
+		fetch = w.source.address
+	}
+	if reread := w.known - c.Cached; reread > minFetch {
+		c.Cost += time.Duration(reread) * rereadCost
 	}
 	c.Prefill = seconds(max(0, float64(w.tokens)-c.Cached) / speed)
 	if s.fullFor(w.now, float64(w.tokens)) {
 		c.Cost += fullCost
 	}
 	if w.pool.old(w.query) {
+		if w.pool.tooOld(w.now.Add(c.Wait), w.query) {
+			return Candidate{}, "", false
+		}
 		c.Cost += oldWeightsCost
 	}
 	if slot == w.home {
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -79,7 +79,7 @@
 		running:  map[Ticket]*running{},
 		services: map[Ticket]serviceWork{},
 		suspects: map[masticview.Digest]bool{},
-		newest:   newest{versions: map[string][]namedVersion{}},
+		newest:   newest{versions: map[string][]masticroute.NamedVersion{}},
 	}
 }
 
