--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -108,6 +108,21 @@
 // Uncached returns the predicted work before the first token, in tokens.
 func (d *Decision) Uncached() int64 { return int64(max(0, float64(d.Tokens)-d.Cached)) }
 
+// Prefix names the longest part of the prompt that others may share, empty for none.
+func (d *Decision) Prefix() string {
+	end := -1
+	if len(d.Pieces) > 0 {
+		end = prefixEnd(d.Pieces)
+	}
+	if end < 0 {
+		return ""
+	}
+	return d.Pieces[end].ID.String()[:prefixDigits]
+}
+
+// prefixDigits is the length of the name of a prefix in logs.
+const prefixDigits = 8
+
 // Weighed returns all candidates, in the order in which they were found.
 func (d *Decision) Weighed() []Candidate { return d.weighed[:d.nWeighed] }
 
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -208,11 +208,17 @@
 	speed := s.speed(w.now, r.speeds)
 	cached := r.lookup.Cached(w.now, slot)
 	c := Candidate{Slot: slot, Reason: reason, Cached: cached, Wait: s.waitShared(w.now, w.query.Class, speed)}
-	fetch := ""
+	// An engine fetches only what it lacks, so a source is named also where the engine is
+	// believed to have all: it may have evicted it.
+	fetch := w.source.address
+	if fetch == s.info.Address() {
+		fetch = ""
+	}
 	if gain := w.fetchable - cached; gain > minFetch && w.transferTime(s, gain) < seconds(gain/speed)+time.Duration(gain)*rereadCost {
 		c.Wait += w.transferTime(s, gain)
 		c.Cached = w.fetchable
-		fetch = w.source.address
+	} else if gain > minFetch {
+		fetch = ""
 	}
 	if reread := w.known - c.Cached; reread > minFetch {
 		c.Cost += time.Duration(reread) * rereadCost
