--- a/masticcourse/call.go
+++ b/masticcourse/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"masticladder/masticcall"
+	"masticladder/masticdocument"
 	"masticladder/masticerror"
 	"masticladder/masticview"
 )
@@ -39,11 +40,15 @@
 }
 
 // tokens returns what the request counts against its workspace's quota.
-func (c *Call) tokens(plain int64) int64 {
-	if c.HasTokens {
-		return c.InputTokens + c.OutputTokens
+func (c *Call) tokens(t masticdocument.Tenant) int64 {
+	switch {
+	case t.CountsRequests:
+		return 1
+	case c.HasTokens:
+		return max(1, c.InputTokens+c.OutputTokens)
+	default:
+		return max(1, t.PlainTokens)
 	}
-	return plain
 }
 
 // Attempt is what a backend server is told besides the request.
--- a/masticcourse/serve.go
+++ b/masticcourse/serve.go
@@ -117,7 +117,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, quotaPatience)
 	defer cancel()
-	a, err := r.course.limiter.Admit(ctx, r.tenant.Name, max(1, r.call.tokens(r.tenant.PlainTokens)))
+	a, err := r.course.limiter.Admit(ctx, r.tenant.Name, r.call.tokens(r.tenant))
 	if err != nil {
 		return nil, masticerror.From(err)
 	}
--- a/masticdocument/codec.go
+++ b/masticdocument/codec.go
@@ -48,6 +48,7 @@
 	p := &masticproto.Tenant{
 		Name: t.Name, Priority: t.Priority, Isolated: t.Isolated,
 		RateTokensPerSecond: t.RateTokensPerSecond, BurstTokens: t.BurstTokens, PlainTokens: t.PlainTokens,
+		CountsRequests: t.CountsRequests,
 	}
 	for _, k := range t.Keys {
 		p.Keys = append(p.Keys, k[:])
@@ -102,6 +103,7 @@
 	t := Tenant{
 		Name: p.GetName(), Priority: p.GetPriority(), Isolated: p.GetIsolated(),
 		RateTokensPerSecond: p.GetRateTokensPerSecond(), BurstTokens: p.GetBurstTokens(), PlainTokens: p.GetPlainTokens(),
+		CountsRequests: p.GetCountsRequests(),
 	}
 	for _, b := range p.GetKeys() {
 		k, err := masticview.DigestFromBytes(b)
--- a/masticdocument/document.go
+++ b/masticdocument/document.go
@@ -91,6 +91,8 @@
 	RateTokensPerSecond, BurstTokens int64
 	// PlainTokens is what a request counts that states no tokens.
 	PlainTokens int64
+	// CountsRequests makes each request count as one token.
+	CountsRequests bool
 }
 
 // Limits bound what a caller may send and for how long it may be idle.
--- /dev/null
+++ b/masticdocument/index_test.go
@@ -0,0 +1,43 @@
+package masticdocument
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticview"
+)
+
+func TestLongestPrefixSelects(t *testing.T) {
+	c := qt.New(t)
+	d := Document{Number: 1, Pools: []Pool{{Name: "p"}}}
+	for _, p := range []string{"/", "/a/", "/a/b/"} {
+		d.Routes = append(d.Routes, Route{
+			Name: p, Host: "Host.example", Prefix: p, Repeat: RepeatOnce, Timeout: time.Second, Targets: []Target{{Pool: "p", Weight: 1}},
+		})
+	}
+	c.Assert(d.Check(), qt.IsNil)
+	x := NewIndex(d)
+	for path, want := range map[string]string{"/": "/", "/a": "/", "/a/": "/a/", "/a/b": "/a/", "/a/b/c/d": "/a/b/", "/ab/c": "/"} {
+		r, ok := x.Route("host.EXAMPLE", path)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(r.Name, qt.Equals, want, qt.Commentf("%s", path))
+	}
+	_, ok := x.Route("other.example", "/a/")
+	c.Assert(ok, qt.IsFalse)
+}
+
+func TestKeysOfWorkspaces(t *testing.T) {
+	c := qt.New(t)
+	a, b := masticview.DigestOf([]byte("a")), masticview.DigestOf([]byte("b"))
+	d := Document{Number: 1, Tenants: []Tenant{{Name: "x", Keys: []masticview.Digest{a}}, {Name: "y", Keys: []masticview.Digest{b}}}}
+	c.Assert(d.Check(), qt.IsNil)
+	holder, ok := NewIndex(d).TenantOf(b)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(holder.Name, qt.Equals, "y")
+	_, ok = NewIndex(d).TenantOf(masticview.DigestOf([]byte("c")))
+	c.Assert(ok, qt.IsFalse)
+	d.Tenants[1].Keys = append(d.Tenants[1].Keys, a)
+	c.Assert(d.Check(), qt.ErrorMatches, ".*share a key.*")
+}
