--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -37,6 +37,8 @@
 	reservePatience time.Duration
 	orderRetention  time.Duration
 	quarantine      time.Duration
+	// lazy leaves the acknowledgement of a view to the next renewal.
+	lazy bool
 
 	leader   *leaderClient
 	views    *views
--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"masticladder/masticcall"
@@ -26,6 +27,8 @@
 	events  *masticring.Ring[limiterEvent]
 	demands *masticring.Ring[[]masticquota.GrantRequest]
 	waiting map[uint64]*admission
+	// askedAt is when the oldest demand without an answer was sent, nil for none.
+	askedAt atomic.Pointer[time.Time]
 }
 
 // limiterEvent is one thing that the loop takes; exactly one field is set.
@@ -65,7 +68,7 @@
 // Admit takes tokens from the workspace's quota, waiting for a grant while one can
 // still come before ctx ends.
 func (l *limiter) Admit(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
-	if s := l.agent.shares; s != nil && !l.agent.Reached() {
+	if s := l.agent.shares; s != nil && (!l.agent.Reached() || l.silent(masticclock.Now())) {
 		return s.admit(masticclock.Now(), workspace, tokens)
 	}
 	until, bounded := ctx.Deadline()
@@ -81,10 +84,24 @@
 		return a.result(d)
 	case <-ctx.Done():
 		_ = l.events.Offer(limiterEvent{abandon: a})
+		if s := l.agent.shares; s != nil && l.silent(masticclock.Now()) {
+			return s.admit(masticclock.Now(), workspace, tokens)
+		}
 		return nil, masticerror.Wrap(ctx.Err(), masticerror.KindRateLimited, "workspace %q got no grant in time", workspace)
 	}
 }
 
+// ownerSilence is for how long a demand may be unanswered before the owner of the quota
+// counts as out of reach; an answer takes some milliseconds.
+const ownerSilence = 200 * time.Millisecond
+
+// silent reports whether the owner of the quota leaves a demand unanswered, so that nothing
+// is granted to this host.
+func (l *limiter) silent(now time.Time) bool {
+	asked := l.askedAt.Load()
+	return asked != nil && now.Sub(*asked) > ownerSilence
+}
+
 func (a *admission) result(d masticquota.Decision) (masticcall.Admission, error) {
 	if d.Verdict == masticquota.Admitted {
 		return a, nil
@@ -210,7 +227,14 @@
 		for _, r := range requests {
 			q.Demands = append(q.Demands, quotaDemand(r))
 		}
+		if l.askedAt.Load() == nil {
+			now := masticclock.Now()
+			l.askedAt.Store(&now)
+		}
 		answers, err := l.ask(ctx, q)
+		if err == nil {
+			l.askedAt.Store(nil)
+		}
 		if err != nil {
 			l.agent.log.WithError(err).Debug("quota was not granted")
 			continue
--- a/masticagent/option.go
+++ b/masticagent/option.go
@@ -62,6 +62,11 @@
 	return func(a *Agent) { a.shares = newShares(limit) }
 }
 
+// WithLazyAcknowledgement leaves the acknowledgement of a view to the next renewal of its
+// lease. It is for fleets whose publishes are answered when they are committed: with many
+// hosts and many revisions the renewals alone would occupy the leader.
+func WithLazyAcknowledgement() Option { return func(a *Agent) { a.lazy = true } }
+
 // WithReportInterval sets the time between two usage reports.
 func WithReportInterval(d time.Duration) Option { return func(a *Agent) { a.reportInterval = d } }
 
--- a/masticagent/views.go
+++ b/masticagent/views.go
@@ -71,7 +71,9 @@
 		return
 	}
 	v.newest.Store(&next)
-	v.agent.renewer.soon()
+	if !v.agent.lazy {
+		v.agent.renewer.soon()
+	}
 	v.agent.log.WithField("revision", next.Revision()).Info("view updated")
 	if v.agent.onView != nil {
 		v.agent.onView(next)
--- a/masticcontrol/applied.go
+++ b/masticcontrol/applied.go
@@ -36,7 +36,7 @@
 func (l *loop) applyCommand(now time.Time, index uint64, command *masticproto.Command) commandResult {
 	before, suspects := l.state.View().Revision(), l.state.Suspects().Fingerprint()
 	result := l.state.Apply(index, command)
-	l.notify(before)
+	l.changedFrom(before)
 	l.notifySuspects(suspects)
 	if l.leader != nil {
 		l.leader.applied(now, result)
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -42,7 +42,10 @@
 	lastCommitted time.Time
 	stateBytes    int64
 	documents     documents
-	lists         *listReader
+	// changed reports that the view has changed in this turn since pushedRevision.
+	changed        bool
+	pushedRevision uint64
+	lists          *listReader
 	// turnTime is the time of the running turn.
 	turnTime time.Time
 	// joined reports that this host votes and follows or is a leader.
--- a/masticcontrol/watch.go
+++ b/masticcontrol/watch.go
@@ -15,6 +15,22 @@
 	}
 }
 
+// changedFrom notes that the view has changed since revision; the watchers are told once a
+// turn: a change of weights makes some tens of revisions in one.
+func (l *loop) changedFrom(revision uint64) {
+	if l.state.View().Revision() > revision && !l.changed {
+		l.changed, l.pushedRevision = true, revision
+	}
+}
+
+// pushChanges tells the watchers what has changed in this turn.
+func (l *loop) pushChanges() {
+	if l.changed {
+		l.changed = false
+		l.notify(l.pushedRevision)
+	}
+}
+
 // notify pushes what followed revision to every watcher.
 func (l *loop) notify(revision uint64) {
 	if l.state.View().Revision() <= revision {
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -198,6 +198,7 @@
 		masticagent.WithLog(n.log),
 		masticagent.WithRenewInterval(s.ViewLease*3/10),
 		masticagent.WithShare(n.share),
+		masticagent.WithLazyAcknowledgement(),
 	)
 	n.agent = agent
 	return err
