--- a/masticdocument/document.go
+++ b/masticdocument/document.go
@@ -73,8 +73,7 @@
 	Engine             bool
 	Slots, CacheTokens int64
 	Models             []string
-	// TransferTokensPerSecond is how fast cached prompts come over the link of an engine or a
-	// store.
+	// TransferTokensPerSecond is how fast cached prompts come over an engine's link.
 	TransferTokensPerSecond int64
 	// Store is the IP:port of a store of cached prompts, which is in Zone; such a pool has no
 	// servers.
--- a/masticroute/peer.go
+++ b/masticroute/peer.go
@@ -68,7 +68,6 @@
 
 // Peer takes another host's report; it replaces that host's former one.
 func (r *Router) Peer(now time.Time, report PeerReport) {
-	r.saves.heard(now, report.Host)
 	for _, s := range r.servers {
 		delete(s.load.peers, report.Host)
 	}
@@ -145,7 +144,6 @@
 		return
 	}
 	r.document = v.Document()
-	r.saves.rate = 0
 	r.stores, r.transfer, r.memory = nil, map[string]float64{}, map[string]float64{}
 	for _, p := range v.Document().GetPools() {
 		if p.GetEngine() {
@@ -162,7 +160,6 @@
 			r.servers = append(r.servers, &server{info: masticview.Server{Name: p.GetStore(), Kind: serverStore}})
 		}
 		r.beliefs.SetCapacity(slot, p.GetCacheTokens())
-		r.saves.rate += float64(p.GetTransferTokensPerSecond())
 		r.stores = append(r.stores, store{slot: slot, address: p.GetStore(), zone: p.GetZone()})
 	}
 }
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -34,8 +34,6 @@
 	// memory is the room of an engine by its pool, in tokens; document is that of the view.
 	memory   map[string]float64
 	document *masticproto.Document
-	// saves bounds what is saved to the stores.
-	saves saves
 	// touched are the uses of pieces that other hosts were not told of.
 	touched []Touch
 	// speeds is the moving mean of the measured prefill speeds.
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -121,18 +121,18 @@
 	if q.Class == masticview.ClassQuick {
 		return w
 	}
-	r.lookup.Holders(w.addHolder)
 	shared := sharedTokens(w.pieces)
 	for _, s := range r.stores {
 		stored := r.lookup.Cached(now, s.slot)
-		w.known = max(w.known, stored)
-		if stored > w.fetchable+minFetch {
+		if stored > w.fetchable {
 			w.source, w.fetchable = source{s.address, s.zone}, stored
 		}
-		if w.known > minFetch && stored < shared-minFetch && r.saves.allow(now) {
+		if stored < shared-minFetch {
 			w.save = s.address
 		}
 	}
+	w.known = w.fetchable
+	r.lookup.Holders(w.addHolder)
 	return w
 }
 
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -27,9 +27,6 @@
 	}
 	r.learnShare(w)
 	r.touch(now, w.Slot, w.Epoch, w.Pieces)
-	if w.Save != "" {
-		r.saves.take(now, float64(w.Tokens))
-	}
 	return w
 }
 
