--- a/masticroute/peer.go
+++ b/masticroute/peer.go
@@ -15,9 +15,6 @@
 	speedBlend = 0.1
 	// maxTouches bounds the uses of pieces between two reports.
 	maxTouches = 256
-	// cacheShare is the share of an engine's memory that keeps prompts which do not run: half
-	// of the beliefs that filled it all proved wrong on loaded days.
-	cacheShare = 0.6
 	// serverStore is the kind of the entry that stands for a store among the servers.
 	serverStore masticview.ServerKind = "store"
 )
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -124,7 +124,7 @@
 	s.info = i
 	if room := r.memory[i.Service]; room > 0 && room != s.memory {
 		s.memory = room
-		r.beliefs.SetCapacity(slot, int64(cacheShare*room))
+		r.beliefs.SetCapacity(slot, int64(room))
 	}
 	s.active = i.State == masticview.ServerActive || i.State == ""
 	return s.active != wasActive || before.Kind != i.Kind ||
