--- a/masticagent/option.go
+++ b/masticagent/option.go
@@ -63,8 +63,9 @@
 }
 
 // WithLazyAcknowledgement leaves the acknowledgement of a view to the next renewal of its
-// lease. It is for fleets whose publishes are answered when they are committed: with many
-// hosts and many revisions the renewals alone would occupy the leader.
+// lease, and spreads the hosts that follow the view over all of control; renewals bring what
+// a control host that is cut off does not. It is for fleets whose publishes are answered when
+// they are committed: with many hosts and revisions the leader would do nothing else.
 func WithLazyAcknowledgement() Option { return func(a *Agent) { a.lazy = true } }
 
 // WithReportInterval sets the time between two usage reports.
--- a/masticagent/watcher.go
+++ b/masticagent/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,7 +20,8 @@
 	cancel  context.CancelFunc
 }
 
-func newWatcher(a *Agent) *watcher { return &watcher{agent: a} }
+// newWatcher returns a watcher that begins at a host drawn by lot.
+func newWatcher(a *Agent) *watcher { return &watcher{agent: a, next: rand.IntN(len(a.peers))} }
 
 func (w *watcher) run(ctx context.Context) {
 	defer w.agent.running.Done()
@@ -93,8 +95,11 @@
 	}
 }
 
-// prefer moves the watch to the host at address.
+// prefer moves the watch to the host at address, unless watches are spread.
 func (w *watcher) prefer(address string) {
+	if w.agent.lazy {
+		return
+	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.wanted = address
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -45,7 +45,9 @@
 	// changed reports that the view has changed in this turn since pushedRevision.
 	changed        bool
 	pushedRevision uint64
-	lists          *listReader
+	// pushFrom is when the watchers may be told next.
+	pushFrom time.Time
+	lists    *listReader
 	// turnTime is the time of the running turn.
 	turnTime time.Time
 	// joined reports that this host votes and follows or is a leader.
@@ -168,6 +170,9 @@
 
 func (l *loop) nextDeadline() time.Time {
 	deadline := l.core.NextDeadline()
+	if l.changed && l.pushFrom.Before(deadline) {
+		deadline = l.pushFrom
+	}
 	if l.leader == nil {
 		return deadline
 	}
--- a/masticcontrol/option.go
+++ b/masticcontrol/option.go
@@ -44,6 +44,7 @@
 	placeOptions    []masticplace.Option
 	loader          Loader
 	loadSenders     int
+	pushInterval    time.Duration
 	lister          Lister
 	listInterval    time.Duration
 	quotaSlack      int64
@@ -114,6 +115,10 @@
 	return func(s *settings) { s.lister, s.listInterval = l, interval }
 }
 
+// WithPushInterval sets the least time between two messages to the hosts that follow the
+// view; the default is none.
+func WithPushInterval(d time.Duration) Option { return func(s *settings) { s.pushInterval = d } }
+
 // WithQuotaSlack adds tokens to the burst of each workspace that a document states.
 func WithQuotaSlack(tokens int64) Option { return func(s *settings) { s.quotaSlack = tokens } }
 
--- a/masticcontrol/turn.go
+++ b/masticcontrol/turn.go
@@ -50,7 +50,7 @@
 	if err := l.advance(now); err != nil {
 		return err
 	}
-	l.pushChanges()
+	l.pushChanges(now)
 	now = masticclock.Now()
 	l.observe(now)
 	if l.leader != nil {
--- a/masticcontrol/watch.go
+++ b/masticcontrol/watch.go
@@ -1,6 +1,8 @@
 package masticcontrol
 
 import (
+	"time"
+
 	"masticladder/masticproto"
 )
 
@@ -23,10 +25,11 @@
 	}
 }
 
-// pushChanges tells the watchers what has changed in this turn.
-func (l *loop) pushChanges() {
-	if l.changed {
+// pushChanges tells the watchers what has changed since they were last told.
+func (l *loop) pushChanges(now time.Time) {
+	if l.changed && !now.Before(l.pushFrom) {
 		l.changed = false
+		l.pushFrom = now.Add(l.pushInterval)
 		l.notify(l.pushedRevision)
 	}
 }
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -159,6 +159,7 @@
 		masticcontrol.WithViewLease(s.ViewLease),
 		masticcontrol.WithLister(n.protocols.Lister, s.ListInterval),
 		masticcontrol.WithQuotaSlack(s.QuotaSlack),
+		masticcontrol.WithPushInterval(pushInterval),
 		masticcontrol.WithVoterRemoval(s.KeptVoters),
 		masticcontrol.WithSnapshotEntries(snapshotEntries, snapshotEntries/2),
 		masticcontrol.WithLoader(n.protocols.Loader, nodeLoadSenders, masticplace.WithOrderSpan(s.LoadSpan), masticplace.WithSupersede()),
@@ -169,6 +170,9 @@
 const (
 	// snapshotEntries is after how many entries the log is compacted: the disks are small.
 	snapshotEntries = 1024
+	// pushInterval bounds the messages of a change of weights, which makes some tens of
+	// revisions a second. Documents have 2 s to be in force.
+	pushInterval = 50 * time.Millisecond
 	// nodeLoadSenders is the number of load orders that can be under way at once.
 	nodeLoadSenders = 24
 )
