--- a/masticcourse/course.go
+++ b/masticcourse/course.go
@@ -1,6 +1,7 @@
 package masticcourse
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,7 @@
 	log        logrus.FieldLogger
 
 	table atomic.Pointer[table]
+	first firstDocument
 
 	mutex  sync.Mutex
 	budget *masticretry.Budget
@@ -67,6 +69,7 @@
 func New(options ...Option) *Course {
 	c := &Course{
 		log:       logrus.StandardLogger(),
+		first:     firstDocument{documented: make(chan struct{})},
 		budget:    masticretry.NewBudget(),
 		startedAt: time.Now(),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -113,6 +116,9 @@
 		t.services[s.Service] = x
 	}
 	c.table.Store(t)
+	if t.index != nil {
+		c.first.tell()
+	}
 }
 
 // Ready reports whether the host can serve: it has a document and does not drain.
@@ -159,8 +165,8 @@
 	return targets[len(targets)-1].Pool
 }
 
-// first records a first attempt for pool; again takes a repeated one from its budget.
-func (c *Course) first(pool string) {
+// firstAttempt records a first attempt for pool; again takes a repeated one from its budget.
+func (c *Course) firstAttempt(pool string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.budget.First(pool)
@@ -187,16 +193,42 @@
 	comeBackSpread = 140 * time.Millisecond
 )
 
-// documentSpan is after how long a host that starts with all others has a document: control
-// had a leader 0.8 s after the power was back, and hosts start up to 0.3 s apart.
-const documentSpan = 1100 * time.Millisecond
+const (
+	// documentSpan is after how long a host that starts with all others has a document: 0.45 s
+	// where all were killed, 0.9 s where the power was off and hosts start up to 0.3 s apart.
+	documentSpan = 900 * time.Millisecond
+	// documentPatience is for how long a request waits for the first document: it is answered
+	// in time then, while one that comes back later is late.
+	documentPatience = 350 * time.Millisecond
+)
 
-// noDocument refuses a call before the first document.
-func (c *Course) noDocument() *masticerror.Error {
+// documented returns the table to serve from. Before the first document it waits for it.
+func (c *Course) documented(ctx context.Context) (*table, *masticerror.Error) {
+	if t := c.table.Load(); t != nil && t.index != nil {
+		return t, nil
+	}
+	timer := time.NewTimer(documentPatience)
+	defer timer.Stop()
+	select {
+	case <-c.first.documented:
+		return c.table.Load(), nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 	wait := max(0, time.Until(c.startedAt.Add(documentSpan)))
-	return masticerror.New(masticerror.KindNoLease, "this host has no document yet").WithRetryAfter(wait + c.soon())
+	return nil, masticerror.New(masticerror.KindNoLease, "this host has no document yet").WithRetryAfter(wait + c.soon())
 }
 
+// firstDocument tells waiting requests of the first document.
+type firstDocument struct {
+	documented chan struct{}
+	once       sync.Once
+}
+
+func (f *firstDocument) tell() { f.once.Do(f.close) }
+
+func (f *firstDocument) close() { close(f.documented) }
+
 func unavailable(c *Course, k masticerror.Kind, format string, args ...any) *masticerror.Error {
 	return masticerror.New(k, format, args...).WithRetryAfter(c.soon())
 }
--- a/masticcourse/course_test.go
+++ b/masticcourse/course_test.go
@@ -369,7 +369,35 @@
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(b.limiter.returned, qt.Equals, 1)
 	c.Assert(s.seen(), qt.HasLen, 0)
+}
+
+// TestWaitsForTheFirstDocument replays the restart of all hosts: a request that comes before
+// the document is answered once that is there, and is refused as not run if it stays out.
+func TestWaitsForTheFirstDocument(t *testing.T) {
+	c := qt.New(t)
+	s := newRawServer(c, okAnswer)
+	b := newBench(c, once, s)
+	view := testView(c, once)
 	b.course.table.Store(nil)
-	status, _, _ = b.ask(c)
+	b.course.first = firstDocument{documented: make(chan struct{})}
+	status, _, _ := b.ask(c)
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	later := &laterView{course: b.course, view: view}
+	go later.run()
+	status, body, _ := b.ask(c)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(body, qt.Equals, "whole")
+}
+
+// laterView brings the view once a request waits.
+type laterView struct {
+	course *Course
+	view   masticview.View
+}
+
+func (l *laterView) run() {
+	for l.course.Running() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	l.course.SetView(l.view)
 }
--- a/masticcourse/serve.go
+++ b/masticcourse/serve.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	r.course.first(r.pool.Name)
+	r.course.firstAttempt(r.pool.Name)
 	e := r.attemptAll(ctx)
 	if admission != nil && e != nil && !r.ran {
 		admission.Settle(0)
@@ -87,11 +87,11 @@
 }
 
 // admit finds the route, the workspace and the pool.
-func (r *run) admit(context.Context) *masticerror.Error {
+func (r *run) admit(ctx context.Context) *masticerror.Error {
 	c := r.course
-	t := c.table.Load()
-	if t == nil || t.index == nil {
-		return c.noDocument()
+	t, err := c.documented(ctx)
+	if err != nil {
+		return err
 	}
 	route, ok := t.index.Route(r.call.Host, r.call.Path)
 	if !ok {
