--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -86,8 +86,8 @@
 		return time.Time{}
 	}
 	next := d.nextTick
-	if d.placement != nil && d.placement.next.Before(next) {
-		next = d.placement.next
+	if d.placement != nil && d.placement.due(d.loop.state.View().Revision()).Before(next) {
+		next = d.placement.due(d.loop.state.View().Revision())
 	}
 	now := masticclock.Now()
 	for _, f := range d.forces {
--- a/masticcontrol/place.go
+++ b/masticcontrol/place.go
@@ -33,26 +33,41 @@
 	planner  *masticplace.Planner
 	revision uint64
 	next     time.Time
+	// from is when wishes may be derived again: a change of weights makes a revision an order.
+	from time.Time
+	// sizes are the numbers of servers by pool.
+	sizes map[string]int
 }
 
 func newPlacement(now time.Time, d *leader) *placement {
+	p := &placement{leader: d}
 	options := []masticplace.Option{
 		masticplace.WithFormer(d.loop.state.OpenLoads()),
-		masticplace.WithLimit(d.loop.poolLoads),
+		masticplace.WithLimit(p.poolLoads),
 	}
-	options = append(options, d.loop.placeOptions...)
-	return &placement{leader: d, planner: masticplace.NewPlanner(d.term, now, options...)}
+	p.planner = masticplace.NewPlanner(d.term, now, append(options, d.loop.placeOptions...)...)
+	return p
+}
+
+// due returns when wishes are derived next, given the revision of the view.
+func (p *placement) due(revision uint64) time.Time {
+	if revision != p.revision {
+		return p.from
+	}
+	return p.next
 }
 
 // propose derives the wishes and proposes the orders that may be given now.
 func (p *placement) propose(now time.Time) {
 	view := p.leader.loop.state.View()
-	if view.Revision() == p.revision && now.Before(p.next) {
+	if (view.Revision() == p.revision && now.Before(p.next)) || now.Before(p.from) {
 		return
 	}
 	p.revision = view.Revision()
 	p.next = now.Add(placeInterval)
+	p.from = now.Add(p.leader.loop.pushInterval)
 	servers := view.Servers()
+	p.count(servers)
 	slices.SortStableFunc(servers, func(a, b masticview.Server) int {
 		return cmp.Compare(versionOf(a.WeightsVersion), versionOf(b.WeightsVersion))
 	})
@@ -79,14 +94,16 @@
 )
 
 // poolLoads returns how many servers of a pool may load at once.
-func (l *loop) poolLoads(pool string) int {
-	n := 0
-	for _, s := range l.state.View().Servers() {
-		if s.Service == pool {
-			n++
-		}
+func (p *placement) poolLoads(pool string) int {
+	return max(minPoolLoads, int(float64(p.sizes[pool])/serversPerLoad+0.5))
+}
+
+// count counts the servers of each pool.
+func (p *placement) count(servers []masticview.Server) {
+	p.sizes = map[string]int{}
+	for _, s := range servers {
+		p.sizes[s.Service]++
 	}
-	return max(minPoolLoads, int(float64(n)/serversPerLoad+0.5))
 }
 
 // wish returns the load that s lacks. A backend server that lists several models is
