Name the store for every long prompt, leave it while it is down, hold on to beliefs longer

Change: beliefs end at 0.75 to 1.05 of the room; a store is asked for any long prompt (a miss costs 1 ms) unless four first tokens in a row came late; hosts that know of no copy agree on one engine more firmly.

--- a/masticcache/server.go
+++ b/masticcache/server.go
@@ -49,9 +49,9 @@
 const (
 	// sureShare is the share of the capacity after whose writing the first beliefs are doubted:
 	// running requests use a part of the memory.
-	sureShare = 0.6
+	sureShare = 0.75
 	// lostShare is the share after whose writing they are lost.
-	lostShare = 0.9
+	lostShare = 1.05
 )
 
 // evicted returns the likelihood, 0 to 1, that h was evicted by what was written since.
--- a/masticroute/peer.go
+++ b/masticroute/peer.go
@@ -138,6 +138,57 @@
 	address, zone string
 }
 
+const (
+	// storeOverrun is how much later than predicted a first token comes where its engine
+	// waited for a store that is down: a dead source costs some hundred ms.
+	storeOverrun = 250 * time.Millisecond
+	// storeOverruns is the number of such first tokens in a row after which a store is taken
+	// to be down, and storePause for how long it is left then.
+	storeOverruns = 4
+	storePause    = 3 * time.Second
+)
+
+// storeHealth judges a store by the first tokens of requests that were to fetch from it.
+type storeHealth struct {
+	overruns  int
+	downUntil time.Time
+}
+
+func (h *storeHealth) observe(now time.Time, overrun time.Duration) {
+	if overrun < storeOverrun {
+		h.overruns = 0
+		return
+	}
+	h.overruns++
+	if h.overruns >= storeOverruns {
+		h.overruns, h.downUntil = 0, now.Add(storePause)
+	}
+}
+
+// storeUsable reports whether the store at address is not taken to be down.
+func (r *Router) storeUsable(now time.Time, address string) bool {
+	h := r.storeHealth[address]
+	return h == nil || !now.Before(h.downUntil)
+}
+
+// observeStore judges the source of w by when its first token came.
+func (r *Router) observeStore(now time.Time, w *Work) {
+	for _, s := range r.stores {
+		if s.address != w.Fetch {
+			continue
+		}
+		if r.storeHealth == nil {
+			r.storeHealth = map[string]*storeHealth{}
+		}
+		h := r.storeHealth[s.address]
+		if h == nil {
+			h = &storeHealth{}
+			r.storeHealth[s.address] = h
+		}
+		h.observe(now, now.Sub(w.StartedAt)-w.Predicted)
+	}
+}
+
 // setPools takes the stores and the engines' links from the document of v.
 func (r *Router) setPools(v masticview.View) {
 	if !r.shared || v.Document() == r.document {
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -34,6 +34,8 @@
 	// memory is the room of an engine by its pool, in tokens; document is that of the view.
 	memory   map[string]float64
 	document *masticproto.Document
+	// storeHealth has the health of the stores by address.
+	storeHealth map[string]*storeHealth
 	// touched are the uses of pieces that other hosts were not told of.
 	touched []Touch
 	// speeds is the moving mean of the measured prefill speeds.
@@ -262,6 +264,9 @@
 	Suspect bool
 	// Save is the store that gets the pieces once they are read.
 	Save string
+	// Fetch is where the server fetches from, Predicted the predicted time to the first token.
+	Fetch     string
+	Predicted time.Duration
 	// StartedAt is when the work was sent.
 	StartedAt time.Time
 	// FirstTokenAt is zero before the first token.
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -31,7 +31,7 @@
 	// waiting: the users price 1,000 of them like a tenth of a review.
 	rereadCost = 60 * time.Microsecond
 	// homeCredit leads hosts that do not know of each other's decisions yet to one engine.
-	homeCredit = 25 * time.Millisecond
+	homeCredit = 80 * time.Millisecond
 	// fullCost is what a request costs that an engine's memory has no room for: another one
 	// is put back and read again.
 	fullCost = 600 * time.Millisecond
@@ -123,8 +123,13 @@
 	}
 	shared := sharedTokens(w.pieces)
 	for _, s := range r.stores {
+		if !r.storeUsable(now, s.address) {
+			continue
+		}
 		stored := r.lookup.Cached(now, s.slot)
-		if stored > w.fetchable {
+		// A store is named also where it is not believed to have any of the prompt: a miss costs
+		// an engine a millisecond.
+		if stored > w.fetchable || w.source.address == "" {
 			w.source, w.fetchable = source{s.address, s.zone}, stored
 		}
 		if stored < shared-minFetch {
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -18,7 +18,7 @@
 	w := Work{
 		Slot: d.Slot, Epoch: r.beliefs.Epoch(d.Slot), Class: q.Class,
 		Uncached: max(0, float64(d.Tokens)-d.Cached), Ahead: d.Ahead, Tokens: d.Tokens, Trial: d.Trial,
-		Pieces: d.Pieces, Suspect: q.Suspect, StartedAt: now, Save: d.Save,
+		Pieces: d.Pieces, Suspect: q.Suspect, StartedAt: now, Save: d.Save, Fetch: d.Fetch, Predicted: d.Predicted(),
 	}
 	s := r.servers[w.Slot]
 	s.load.add(now, &w)
@@ -59,6 +59,7 @@
 	w.FirstTokenAt = now
 	s := r.servers[w.Slot]
 	s.load.firstToken(now, w)
+	r.observeStore(now, w)
 	if slot, ok := r.slots[w.Save]; ok && w.Save != "" {
 		r.touch(now, slot, r.beliefs.Epoch(slot), w.Pieces)
 	}
