--- /dev/null
+++ b/masticagent/share_test.go
@@ -0,0 +1,53 @@
+package masticagent
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"masticladder/masticerror"
+)
+
+// TestShareBoundsAdmission: whatever is asked and given back, a host out of control's reach
+// admits no more over any time than its share's burst and rate.
+func TestShareBoundsAdmission(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate, burst = 1000.0, 500.0
+		s := newShares(func(string) Share { return Share{RateTokensPerSecond: rate, BurstTokens: burst} })
+		start := time.UnixMilli(1_000_000)
+		now, admitted := start, 0.0
+		for range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pass")) * time.Millisecond)
+			tokens := rapid.Int64Range(1, 600).Draw(t, "tokens")
+			a, err := s.admit(now, "w", tokens)
+			if err != nil {
+				continue
+			}
+			admitted += float64(tokens)
+			if rapid.Bool().Draw(t, "unused") {
+				a.Settle(0)
+				admitted -= float64(tokens)
+			}
+			if bound := rate * now.Sub(start).Seconds(); admitted > bound+1e-6 {
+				t.Fatalf("%v tokens in %v, the bound is %v", admitted, now.Sub(start), bound)
+			}
+		}
+	})
+}
+
+// TestShareRefusalSaysWhen: the time to come back is when the share has the tokens.
+func TestShareRefusalSaysWhen(t *testing.T) {
+	c := qt.New(t)
+	s := newShares(func(string) Share { return Share{RateTokensPerSecond: 1000, BurstTokens: 500} })
+	now := time.UnixMilli(1_000_000)
+	_, err := s.admit(now, "w", 250)
+	e := masticerror.From(err)
+	c.Assert(e.Kind(), qt.Equals, masticerror.KindRateLimited)
+	c.Assert(e.RetryAfter(), qt.Equals, 250*time.Millisecond)
+	_, err = s.admit(now.Add(e.RetryAfter()), "w", 250)
+	c.Assert(err, qt.IsNil)
+	_, err = newShares(func(string) Share { return Share{} }).admit(now, "w", 1)
+	c.Assert(err, qt.IsNotNil)
+}
--- /dev/null
+++ b/masticgossip/codec_test.go
@@ -0,0 +1,32 @@
+package masticgossip
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticprompt"
+	"masticladder/masticproto"
+	"masticladder/masticroute"
+)
+
+func TestReportSurvivesTheWire(t *testing.T) {
+	c := qt.New(t)
+	r := masticroute.PeerReport{
+		Host:    "10.0.0.1:7600",
+		Servers: []masticroute.ServerLoad{{Server: "i-1", Tokens: 100, Urgent: 20, Held: 300, Running: 2, Speed: 5000}},
+		Touches: []masticroute.Touch{{Server: "i-1", Pieces: []masticprompt.Piece{{ID: masticprompt.PieceID{1}, Tokens: 800}, {ID: masticprompt.PieceID{2}, Tokens: 400}}}},
+	}
+	c.Assert(decode(encode(r)), qt.DeepEquals, r)
+}
+
+// TestMalformedTouch: a report of another version of the program spoils nothing.
+func TestMalformedTouch(t *testing.T) {
+	c := qt.New(t)
+	r := decode(&masticproto.LoadReport{Touches: []*masticproto.CacheTouch{
+		{Server: "a", Pieces: [][]byte{{1, 2}}, Tokens: []int64{5}},
+		{Server: "b", Pieces: [][]byte{make([]byte, 16), make([]byte, 16)}, Tokens: []int64{5}},
+	}})
+	c.Assert(r.Touches[0].Pieces, qt.HasLen, 0)
+	c.Assert(r.Touches[1].Pieces, qt.HasLen, 1)
+}
--- /dev/null
+++ b/masticroute/shared_test.go
@@ -0,0 +1,121 @@
+package masticroute
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticcall"
+	"masticladder/masticprompt"
+	"masticladder/masticproto"
+	"masticladder/masticview"
+)
+
+// sharedRouter returns a router over n engines of one pool with a store.
+func sharedRouter(c *qt.C, n int) *Router {
+	change := &masticproto.ViewChange{Document: &masticproto.Document{Number: 1, Pools: []*masticproto.Pool{
+		{Name: "pool", Engine: true, CacheTokens: 160_000, TransferTokensPerSecond: 200_000},
+		{Name: "keep", Store: "10.0.9.9:80", Zone: "z", CacheTokens: 2_000_000, TransferTokensPerSecond: 200_000},
+	}}}
+	for i := range n {
+		change.Servers = append(change.Servers, poolEngine(i, "1").ToProto())
+	}
+	v, err := masticview.View{}.Apply(change, time.UnixMilli(0))
+	c.Assert(err, qt.IsNil)
+	r := New(WithSharedLoad())
+	r.SetView(v)
+	return r
+}
+
+func poolEngine(i int, version string) masticview.Server {
+	return masticview.Server{
+		Name: fmt.Sprint("e", i), Kind: masticview.ServerEngine, URL: fmt.Sprintf("http://10.0.0.%d:80", i+1), Zone: "z", Slots: 32,
+		Models: []string{"m"}, Service: "pool", WeightsVersion: version, State: masticview.ServerActive,
+	}
+}
+
+func longQuery(prefix, own string) *Query {
+	prompt := masticprompt.Cut([]masticcall.Level{{Role: "part", Text: prefix, Tokens: 13_300}, {Role: "part", Text: own, Tokens: 3_700}})
+	return &Query{Model: masticview.PoolModel("pool", "m"), Class: masticview.ClassLong, Prompt: prompt, PromptTokens: 17_000}
+}
+
+func decide(c *qt.C, r *Router, now time.Time, q *Query) Decision {
+	d, ok := r.Decide(now, q)
+	c.Assert(ok, qt.IsTrue)
+	return d
+}
+
+// TestSharedLoadSpreads replays a burst over several hosts: each host alone saw idle engines,
+// and one engine got 3 to 6 times the mean.
+func TestSharedLoadSpreads(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_000_000)
+	a, b := sharedRouter(c, 4), sharedRouter(c, 4)
+	taken := map[string]int{}
+	for i := range 8 {
+		here, there := a, b
+		if i%2 == 1 {
+			here, there = b, a
+		}
+		q := longQuery(fmt.Sprint("prefix", i), "own")
+		d := decide(c, here, now, q)
+		here.Start(now, q, &d)
+		taken[here.Server(d.Slot).Name]++
+		there.Peer(now, here.Own(fmt.Sprint("host", i%2)))
+	}
+	for i := range 4 {
+		c.Assert(taken[fmt.Sprint("e", i)], qt.Equals, 2)
+	}
+}
+
+// TestPrefixIsFetchedElsewhere: a prompt that another host had saved is not read again.
+func TestPrefixIsFetchedElsewhere(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_000_000)
+	a, b := sharedRouter(c, 2), sharedRouter(c, 2)
+	q := longQuery("prefix", "own")
+	d := decide(c, a, now, q)
+	c.Assert(d.Cached, qt.Equals, 0.0)
+	c.Assert(d.Save, qt.Equals, "10.0.9.9:80")
+	w := a.Start(now, q, &d)
+	a.FirstToken(now, &w)
+	b.Peer(now, a.Own("a"))
+	other := longQuery("prefix", "other")
+	other.Avoid = []string{a.Server(d.Slot).Name}
+	e := decide(c, b, now, other)
+	c.Assert(e.Fetch, qt.Equals, "10.0.9.9:80")
+	c.Assert(e.Cached, qt.Equals, 13_300.0)
+	c.Assert(e.Save, qt.Equals, "")
+}
+
+// TestPeersAgeOut: what a host that has fallen silent said counts no more.
+func TestPeersAgeOut(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_000_000)
+	r := sharedRouter(c, 1)
+	r.Peer(now, PeerReport{Host: "gone", Servers: []ServerLoad{{Server: "e0", Tokens: 1e6, Running: 9}}})
+	busy := decide(c, r, now, longQuery("p", "o"))
+	idle := decide(c, r, now.Add(peerAge+1), longQuery("p", "o"))
+	c.Assert(idle.Wait < busy.Wait/10, qt.IsTrue)
+}
+
+// TestOldWeightsAreLeft: the newest weights are preferred, old ones are refused once no
+// request may begin on them.
+func TestOldWeightsAreLeft(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_000_000)
+	r := sharedRouter(c, 2)
+	q := longQuery("p", "o")
+	q.Versions = []NamedVersion{{Version: 2, Deadline: now.Add(time.Second)}}
+	c.Assert(decide(c, r, now, q).Fetch, qt.Equals, "10.0.9.9:80")
+	_, ok := r.Decide(now.Add(time.Second), q)
+	c.Assert(ok, qt.IsFalse)
+	v, err := masticview.View{}.Apply(&masticproto.ViewChange{Servers: []*masticproto.Server{
+		poolEngine(0, "1").ToProto(), poolEngine(1, "2").ToProto(),
+	}}, now)
+	c.Assert(err, qt.IsNil)
+	r.SetView(v)
+	c.Assert(r.Server(decide(c, r, now, q).Slot).Name, qt.Equals, "e1")
+}
