--- a/masticwire/outbox.go
+++ b/masticwire/outbox.go
@@ -34,7 +34,10 @@
 		return err
 	}
 	c.outbox.start.Do(c.outbox.begin)
-	q.Mode = masticproto.PeerMode_PEER_ONE_WAY
+	// A message to several hosts is in several outboxes, and is not written to after the first.
+	if q.GetMode() != masticproto.PeerMode_PEER_ONE_WAY {
+		q.Mode = masticproto.PeerMode_PEER_ONE_WAY
+	}
 	return c.outbox.ring.Offer(q)
 }
 
