--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -100,7 +100,7 @@
 	registry  metrics.Registry
 
 	wire       *masticwire.Wire
-	control    *masticcontrol.Control
+	control    *keeper
 	agent      *masticagent.Agent
 	dispatcher *masticdispatch.Dispatcher
 	client     *masticbackend.Client
@@ -142,12 +142,20 @@
 }
 
 func (n *Node) openControl() error {
-	s := n.settings
-	if s.Folder == "" {
+	if n.settings.Folder == "" {
 		return nil
 	}
-	var err error
-	n.control, err = masticcontrol.New(
+	c, err := n.newControl()
+	if err != nil {
+		return err
+	}
+	n.control = newKeeper(c, n.newControl, n.log)
+	return nil
+}
+
+func (n *Node) newControl() (*masticcontrol.Control, error) {
+	s := n.settings
+	return masticcontrol.New(
 		masticcontrol.WithID(s.Peer),
 		masticcontrol.WithFolder(s.Folder),
 		masticcontrol.WithAddress(s.Peer),
@@ -164,7 +172,6 @@
 		masticcontrol.WithSnapshotEntries(snapshotEntries, snapshotEntries/2),
 		masticcontrol.WithLoader(n.protocols.Loader, nodeLoadSenders, masticplace.WithOrderSpan(s.LoadSpan), masticplace.WithSupersede()),
 	)
-	return err
 }
 
 const (
@@ -339,7 +346,7 @@
 	agent := newAwaited(n.agent)
 	g.Add(agent.run, agent.stop)
 	if n.control != nil {
-		g.Add(n.control.Run, n.control.Stop)
+		g.Add(n.control.run, n.control.stop)
 	}
 	err := g.Run()
 	if errors.Is(err, errEnded) {
@@ -376,7 +383,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		if j.node.control.Joined() {
+		if j.node.control.joined() {
 			continue
 		}
 		j.join()
