Admit small requests from a part of the share while the quota's owner is slow

Each request of a host that sees a workspace seldom is a demand. Change: a request without a grant in time is admitted from 0.15 of this host's share; that adds 1.2 s of the rate to a window of 8 s at most. The cause itself, a demand a request at one owner, is left (docs/CAPACITY.md).

--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -40,19 +40,21 @@
 	// lazy leaves the acknowledgement of a view to the next renewal.
 	lazy bool
 
-	leader   *leaderClient
-	views    *views
-	renewer  *renewer
-	watcher  *watcher
-	limiter  *limiter
-	shares   *shares
-	reporter *reporter
-	suspects *suspects
-	ledger   *ledger
-	finisher *finisher
-	running  sync.WaitGroup
-	context  context.Context
-	cancel   context.CancelFunc
+	leader  *leaderClient
+	views   *views
+	renewer *renewer
+	watcher *watcher
+	limiter *limiter
+	shares  *shares
+	// lateShares admit beside the grants of an owner that answers too late.
+	lateShares *shares
+	reporter   *reporter
+	suspects   *suspects
+	ledger     *ledger
+	finisher   *finisher
+	running    sync.WaitGroup
+	context    context.Context
+	cancel     context.CancelFunc
 }
 
 // New returns an Agent. Run begins to serve.
--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -84,13 +84,22 @@
 		return a.result(d)
 	case <-ctx.Done():
 		_ = l.events.Offer(limiterEvent{abandon: a})
-		if s := l.agent.shares; s != nil && l.silent(masticclock.Now()) {
-			return s.admit(masticclock.Now(), workspace, tokens)
+		if l.agent.shares != nil {
+			return l.admitLate(masticclock.Now(), workspace, tokens)
 		}
 		return nil, masticerror.Wrap(ctx.Err(), masticerror.KindRateLimited, "workspace %q got no grant in time", workspace)
 	}
 }
 
+// admitLate admits a request that got no grant in time. The owner of the quota is out of
+// reach, or too slow, and then a small part of this host's share stands in beside its grants.
+func (l *limiter) admitLate(now time.Time, workspace string, tokens int64) (masticcall.Admission, error) {
+	if l.silent(now) {
+		return l.agent.shares.admit(now, workspace, tokens)
+	}
+	return l.agent.lateShares.admit(now, workspace, tokens)
+}
+
 // ownerSilence is for how long a demand may be unanswered before the owner of the quota
 // counts as out of reach; an answer takes some milliseconds.
 const ownerSilence = 200 * time.Millisecond
--- a/masticagent/option.go
+++ b/masticagent/option.go
@@ -59,7 +59,10 @@
 // WithShare makes the host admit requests from its share of each workspace's rate while no
 // leader of control is in reach. Without it they are refused.
 func WithShare(limit func(workspace string) Share) Option {
-	return func(a *Agent) { a.shares = newShares(limit) }
+	return func(a *Agent) {
+		a.shares = newShares(limit)
+		a.lateShares = newShares(func(workspace string) Share { return limit(workspace).part(latePart) })
+	}
 }
 
 // WithLazyAcknowledgement leaves the acknowledgement of a view to the next renewal of its
--- a/masticagent/share.go
+++ b/masticagent/share.go
@@ -13,6 +13,16 @@
 	RateTokensPerSecond, BurstTokens float64
 }
 
+// latePart is the part of a share that is used beside the owner's grants. Over a window of 8 s
+// it adds 1.2 s of a workspace's rate, within the tenth and the slack that the users allow. It
+// lets small requests through while the owner is overloaded.
+const latePart = 0.15
+
+// part returns a part of s.
+func (s Share) part(p float64) Share {
+	return Share{RateTokensPerSecond: p * s.RateTokensPerSecond, BurstTokens: p * s.BurstTokens}
+}
+
 // shares admit requests while no leader of control is in reach, from this host's share of
 // each workspace's rate. All hosts' shares together are the rate.
 type shares struct {
