--- a/masticcourse/course.go
+++ b/masticcourse/course.go
@@ -19,7 +19,8 @@
 
 // Course serves calls from the view of its host. It is safe for concurrent use.
 type Course struct {
-	views      masticcall.Views
+	// lease is nil where the course serves without one.
+	lease      masticcall.Views
 	limiter    masticcall.Limiter
 	dispatcher masticcall.Dispatcher
 	client     *masticbackend.Client
@@ -44,8 +45,9 @@
 // Option sets one property of a Course.
 type Option func(*Course)
 
-// WithViews sets where the view comes from.
-func WithViews(v masticcall.Views) Option { return func(c *Course) { c.views = v } }
+// WithLease makes the course refuse callers while the host's view lease does not hold; without
+// it a host out of control's reach serves on from the view it has.
+func WithLease(v masticcall.Views) Option { return func(c *Course) { c.lease = v } }
 
 // WithLimiter sets what admits requests within their workspaces' rates.
 func WithLimiter(l masticcall.Limiter) Option { return func(c *Course) { c.limiter = l } }
--- a/masticcourse/course_test.go
+++ b/masticcourse/course_test.go
@@ -401,3 +401,21 @@
 	}
 	l.course.SetView(l.view)
 }
+
+// noLease is the lease of a host that is out of control's reach.
+type noLease struct{ masticcall.Views }
+
+func (noLease) Leased(time.Time) bool { return false }
+
+// TestFailClosed: a host without a lease serves on, unless it is set to refuse.
+func TestFailClosed(t *testing.T) {
+	c := qt.New(t)
+	s := newRawServer(c, okAnswer)
+	b := newBench(c, once, s)
+	status, _, _ := b.ask(c)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	b.course.lease = noLease{}
+	status, _, _ = b.ask(c)
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(s.seen(), qt.HasLen, 1)
+}
--- a/masticcourse/serve.go
+++ b/masticcourse/serve.go
@@ -8,6 +8,7 @@
 
 	"masticladder/masticbackend"
 	"masticladder/masticcall"
+	"masticladder/masticclock"
 	"masticladder/masticdocument"
 	"masticladder/masticerror"
 	"masticladder/masticview"
@@ -93,6 +94,9 @@
 	if err != nil {
 		return err
 	}
+	if c.lease != nil && !c.lease.Leased(masticclock.Now()) {
+		return unavailable(c, masticerror.KindNoLease, "this host's view lease has ended")
+	}
 	route, ok := t.index.Route(r.call.Host, r.call.Path)
 	if !ok {
 		return masticerror.New(masticerror.KindNotFound, "no route for %s%s", r.call.Host, r.call.Path)
