--- a/masticcontrol/bench_test.go
+++ b/masticcontrol/bench_test.go
@@ -112,3 +112,22 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkDemand asks the leader for quota as hosts do that see a workspace seldom: nearly
+// one demand a request.
+func BenchmarkDemand(b *testing.B) {
+	_, agents := idleAgents(b, 20)
+	before := processorTime()
+	var i atomic.Int64
+	b.SetParallelism(4)
+	b.RunParallel(func(p *testing.PB) {
+		a := agents[int(i.Add(1))%len(agents)]
+		for p.Next() {
+			admission, err := a.Limiter().Admit(b.Context(), workspaceName(0), 1)
+			if err == nil {
+				admission.Settle(0)
+			}
+		}
+	})
+	b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(b.N), "cpu-us/op")
+}
