--- a/masticcall/dispatcher.go
+++ b/masticcall/dispatcher.go
@@ -36,7 +36,7 @@
 	// CachedUnknown reports that the answer did not tell how many tokens were cached.
 	CachedUnknown bool
 	CachedTokens  int64
-	OutputTokens      int64
+	OutputTokens  int64
 }
 
 // Dispatcher assigns requests to model engines.
