Count a caller that leaves in the middle of an answer as the caller's end

Change: the client's read returns the error of its context, and the course judges by it. The test failed first.

--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -158,15 +158,14 @@
 	}
 }
 
-// Read reads the body. It returns io.EOF only after the whole body.
+// Read reads the body. It returns io.EOF only after the whole body, and the error of the
+// context once that has ended.
 func (a *Answer) Read(p []byte) (int, error) {
 	k, err := a.response.Body.Read(p)
-	if err == io.EOF {
-		if a.context.Err() != nil {
-			return k, a.context.Err()
-		}
-		a.whole = true
+	if err != nil && a.context.Err() != nil {
+		return k, a.context.Err()
 	}
+	a.whole = a.whole || err == io.EOF
 	return k, err
 }
 
--- a/masticcourse/course_test.go
+++ b/masticcourse/course_test.go
@@ -110,6 +110,8 @@
 	servers []masticview.Server
 	asked   []masticcall.Request
 	results []masticcall.Result
+	// ended is closed when an attempt has ended, if it is set.
+	ended chan struct{}
 }
 
 func (d *fakeDispatcher) Acquire(_ context.Context, r masticcall.Request) (masticcall.Assignment, error) {
@@ -145,6 +147,9 @@
 
 func (a *fakeAssignment) Done(_ time.Time, r masticcall.Result) {
 	a.dispatcher.results = append(a.dispatcher.results, r)
+	if a.dispatcher.ended != nil {
+		close(a.dispatcher.ended)
+	}
 }
 
 // fakeBackends is a small protocol of backend servers.
@@ -419,3 +424,44 @@
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(s.seen(), qt.HasLen, 1)
 }
+
+// TestCallerThatLeavesSpeaksNotAgainstTheServer replays callers that leave in the middle of a
+// stream: the connection that their leaving closed counted as a server that had ended, and
+// healthy servers were paused.
+func TestCallerThatLeavesSpeaksNotAgainstTheServer(t *testing.T) {
+	for _, head := range []string{streamHead + chunk(event(1)), okHead + "Content-Length: 50\r\n\r\n"} {
+		c := qt.New(t)
+		s := newRawServer(c, head)
+		b := newBench(c, stream, s)
+		b.dispatcher.ended = make(chan struct{})
+		ctx, cancel := context.WithCancel(context.Background())
+		q, err := http.NewRequestWithContext(ctx, http.MethodPost, b.front.URL+"/a/x", nil)
+		c.Assert(err, qt.IsNil)
+		q.Header.Set("Key", testKey)
+		l := &leaver{server: s, cancel: cancel}
+		go l.run()
+		a, err := http.DefaultTransport.RoundTrip(q)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, a.Body)
+			_ = a.Body.Close()
+		}
+		<-b.dispatcher.ended
+		c.Assert(b.dispatcher.results, qt.HasLen, 1)
+		c.Assert(b.dispatcher.results[0].Failure, qt.Equals, string(masticerror.KindCancelled))
+		c.Assert(b.dispatcher.results[0].ServerEnded, qt.IsFalse)
+	}
+}
+
+// leaver cancels a request once the server has it.
+type leaver struct {
+	server *rawServer
+	cancel context.CancelFunc
+}
+
+func (l *leaver) run() {
+	for len(l.server.seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	l.cancel()
+}
--- a/masticcourse/relay.go
+++ b/masticcourse/relay.go
@@ -1,6 +1,7 @@
 package masticcourse
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -171,7 +172,15 @@
 	return nil
 }
 
+// brokenOff returns the failure of an answer that was not read to its end. Where the caller
+// or the time ended it, that says nothing of the server.
 func brokenOff(err error, server string) *masticbackend.Failure {
+	switch {
+	case errors.Is(err, context.Canceled):
+		return callerGone(err)
+	case errors.Is(err, context.DeadlineExceeded):
+		return &masticbackend.Failure{Err: masticerror.Wrap(err, masticerror.KindDeadline, "the deadline passed in the answer of %s", server), Sent: true}
+	}
 	return &masticbackend.Failure{
 		Err:  masticerror.Wrap(err, masticerror.KindStreamBroken, "the answer of %s broke off", server),
 		Sent: true, Ended: true,
