Set a watchdog's timer once it is known

Ruled out: load alone; 20,000 starts with a tick of 1 ns show it without load. Change: the timer is created unset and then set.

--- a/masticengine/watchdog.go
+++ b/masticengine/watchdog.go
@@ -17,10 +17,15 @@
 	timer   *time.Timer
 }
 
+// never is longer than any process runs.
+const never = time.Duration(1<<63 - 1)
+
 func newWatchdog(cancel context.CancelCauseFunc, guard func() error, every time.Duration) *watchdog {
 	w := &watchdog{start: time.Now(), every: every, cancel: cancel, guard: guard}
 	w.until.Store(int64(1<<63 - 1))
-	w.timer = time.AfterFunc(every, w.run)
+	// The timer is set once it is known: the first tick may come at once.
+	w.timer = time.AfterFunc(never, w.run)
+	w.timer.Reset(every)
 	return w
 }
 
