--- a/masticbackend/client.go
+++ b/masticbackend/client.go
@@ -128,17 +128,6 @@
 	c.free[n.address] = append(list, n)
 }
 
-// Drop closes the unused connections to address.
-func (c *Client) Drop(address string) {
-	c.mutex.Lock()
-	list := c.free[address]
-	delete(c.free, address)
-	c.mutex.Unlock()
-	for _, n := range list {
-		n.close()
-	}
-}
-
 // Sweep closes the unused connections whose time is over.
 func (c *Client) Sweep(now time.Time) {
 	c.mutex.Lock()
@@ -160,14 +149,14 @@
 	}
 }
 
-// connect returns a connection to address, and whether it was used before.
-func (c *Client) connect(ctx context.Context, address string) (*connection, bool, error) {
+// connect returns a connection to address, an unused one if there is any.
+func (c *Client) connect(ctx context.Context, address string) (*connection, error) {
 	if n := c.take(address); n != nil {
-		return n, true, nil
+		return n, nil
 	}
 	conn, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
-	return newConnection(address, conn.(*net.TCPConn)), false, nil
+	return newConnection(address, conn.(*net.TCPConn)), nil
 }
--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -73,7 +73,7 @@
 }
 
 func (c *Client) do(ctx context.Context, q Request) (*Answer, error) {
-	n, _, err := c.connect(ctx, q.Address)
+	n, err := c.connect(ctx, q.Address)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, ended(ctx, false)
--- a/masticcourse/course.go
+++ b/masticcourse/course.go
@@ -132,9 +132,6 @@
 // Drain makes the course not ready; it goes on serving what still comes.
 func (c *Course) Drain() { c.draining.Store(true) }
 
-// Draining reports whether Drain was called.
-func (c *Course) Draining() bool { return c.draining.Load() }
-
 // Running returns the number of requests under way.
 func (c *Course) Running() int64 { return c.running.Load() }
 
