Take no speed from an overdue request of less than minSample tokens

Cause: load.bound took an engine's speed from the oldest pending request, however few tokens it had: two tokens that waited a second made four tokens a second, and requests were refused for minutes (TestOperationsPage red beside load, TestSmallOverdueRequestKeepsTheSpeed). Ruled out: a floor on the tokens instead (2,000 tokens in one second still halve the speed of an idle engine for a latency that is not its speed). Change: the oldest pending request with at least minSample tokens bounds it.

--- a/masticroute/load.go
+++ b/masticroute/load.go
@@ -187,15 +187,18 @@
 	}
 }
 
-// bound returns speed, or less where the oldest pending request is overdue at that speed.
+// bound returns speed, or less where the oldest pending request that measures a speed is
+// overdue at it. One of less work than minSample measures none: its wait is a latency, and
+// as a speed it would be some tokens a second.
 func (l *load) bound(now time.Time, speed float64) float64 {
-	if len(l.pending) == 0 {
-		return speed
-	}
-	oldest := l.pending[0]
-	elapsed := now.Sub(oldest.startedAt)
-	if elapsed < minOverdue {
-		return speed
+	for _, p := range l.pending {
+		elapsed := now.Sub(p.startedAt)
+		if elapsed < minOverdue {
+			return speed
+		}
+		if p.tokens >= minSample {
+			return min(speed, overdueFactor*p.tokens/elapsed.Seconds())
+		}
 	}
-	return min(speed, overdueFactor*oldest.tokens/elapsed.Seconds())
+	return speed
 }
