--- a/masticcourse/log.go
+++ b/masticcourse/log.go
@@ -30,7 +30,7 @@
 		return
 	}
 	log.WithField("reason", string(err.Kind())).WithField("cause", err.Message()).
-		WithField("retryAfterMillis", err.RetryAfter().Milliseconds()).Info("request refused or failed")
+		WithField("retryAfterMillis", err.RetryAfter().Milliseconds()).Warn("request refused or failed")
 }
 
 // logAttempt writes the line of a failed attempt.
@@ -38,7 +38,7 @@
 	r.course.log.WithFields(logrus.Fields{
 		"request": r.call.ID, "server": r.server, "sends": r.sends, "sent": f.Sent, "ended": f.Ended,
 		"reason": string(f.Err.Kind()), "cause": f.Err.Error(),
-	}).Info("attempt failed")
+	}).Warn("attempt failed")
 }
 
 func (t *table) number() int64 {
