--- a/masticcontrol/control.go
+++ b/masticcontrol/control.go
@@ -38,6 +38,7 @@
 		tailEntries:     DefaultSnapshotEntries,
 		batchCalls:      DefaultBatchCalls,
 		seed:            rand.Uint64(),
+		counters:        &Counters{},
 	}}
 	for _, o := range options {
 		o(&c.settings)
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -30,8 +30,8 @@
 	placement *placement
 	// listingIndex is the log index of the last change that followed from the list of servers.
 	listingIndex uint64
-	// silentSince is when each voter last answered.
-	silentSince map[string]time.Time
+	// silences are the times of the members' last answers.
+	silences silences
 }
 
 // observe takes or drops the leader's part after the core has moved. It is kept for the
@@ -63,7 +63,7 @@
 	}
 	d := &leader{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval)}
 	d.absences = newAbsences(now)
-	d.silentSince = map[string]time.Time{}
+	d.silences = silences{}
 	d.workspaces, d.seen = map[string]bool{}, view.Revision()
 	for _, name := range l.workspaceNames() {
 		d.workspaces[name] = true
--- a/masticcontrol/listing.go
+++ b/masticcontrol/listing.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"masticladder/masticclock"
 	"masticladder/masticproto"
 	"masticladder/masticring"
 	"masticladder/masticview"
@@ -67,6 +68,7 @@
 	ctx, cancel := context.WithTimeout(r.loop.sending, listTimeout)
 	defer cancel()
 	servers, err := r.lister.List(ctx)
+	r.loop.counters.noteList(masticclock.Now(), err)
 	if (err != nil) != r.failing {
 		r.failing = err != nil
 		r.loop.log.WithField("lost", r.failing).WithField("cause", err).Warn("list of backend servers")
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -134,6 +134,7 @@
 func (l *loop) note() {
 	l.lists.leading.Store(l.status.LeaseHeld)
 	own := memberOf(l.status.Members, l.id)
+	l.counters.noteRole(l.status.Term, l.status.LeaseHeld)
 	l.joined.Store(own.GetVoter() && l.status.Leader != "")
 }
 
--- a/masticcontrol/option.go
+++ b/masticcontrol/option.go
@@ -48,12 +48,16 @@
 	lister          Lister
 	listInterval    time.Duration
 	quotaSlack      int64
-	spareVoters     int
+	keptVoters      int
+	counters        *Counters
 }
 
 // Option sets one property of a Control.
 type Option func(*settings)
 
+// WithCounters sets where the host counts what it does.
+func WithCounters(c *Counters) Option { return func(s *settings) { s.counters = c } }
+
 // WithID names this host.
 func WithID(id string) Option { return func(s *settings) { s.id = id } }
 
@@ -124,7 +128,7 @@
 
 // WithVoterRemoval makes the leader remove a voter that has been silent for long, as long as
 // the given number of others answers. Without it only operators remove voters.
-func WithVoterRemoval(kept int) Option { return func(s *settings) { s.spareVoters = kept } }
+func WithVoterRemoval(kept int) Option { return func(s *settings) { s.keptVoters = kept } }
 
 // WithStoreOptions passes options to the store.
 func WithStoreOptions(options ...masticstore.Option) Option {
--- a/masticcontrol/place.go
+++ b/masticcontrol/place.go
@@ -226,7 +226,9 @@
 	ctx, cancel := context.WithDeadline(s.loop.sending, o.order.Deadline)
 	defer cancel()
 	log := s.loop.log.WithField("server", o.order.Server).WithField("fence", o.order.Fence)
-	if err := s.loop.loader.Load(ctx, o.server, o.order); err != nil {
+	err := s.loop.loader.Load(ctx, o.server, o.order)
+	s.loop.counters.noteOrder(err)
+	if err != nil {
 		log.WithError(err).Warn("load order failed")
 		if err := s.loop.failures.Offer(o); err != nil {
 			log.WithError(err).Warn("the failure of a load was not noted; its deadline ends it")
--- a/masticcontrol/quota.go
+++ b/masticcontrol/quota.go
@@ -15,7 +15,9 @@
 	}
 	answer := &masticproto.QuotaAnswer{}
 	for _, r := range q.GetDemands() {
-		answer.Grants = append(answer.Grants, quotaGrant(d.owner.Grant(now, quotaRequest(r))))
+		g := d.owner.Grant(now, quotaRequest(r))
+		d.loop.counters.noteGrant(g.Tokens)
+		answer.Grants = append(answer.Grants, quotaGrant(g))
 	}
 	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Quota{Quota: answer}})
 }
