--- a/masticadmin/metrics.go
+++ b/masticadmin/metrics.go
@@ -12,14 +12,19 @@
 
 var quantiles = []float64{0.5, 0.95, 0.99}
 
-// metrics writes the registry in the usual text format, in the order of the names.
-func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+// Metrics answers with the registry in the usual text format, in the order of the names.
+func Metrics(r metrics.Registry) http.Handler { return metricsPage{r} }
+
+type metricsPage struct{ registry metrics.Registry }
+
+// ServeHTTP writes the page.
+func (p metricsPage) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	var names []string
-	s.registry.Each(func(name string, _ any) { names = append(names, name) })
+	p.registry.Each(func(name string, _ any) { names = append(names, name) })
 	slices.Sort(names)
 	for _, n := range names {
-		writeMetric(w, textName(n), s.registry.Get(n))
+		writeMetric(w, textName(n), p.registry.Get(n))
 	}
 }
 
--- a/masticadmin/server.go
+++ b/masticadmin/server.go
@@ -61,7 +61,7 @@
 
 func (s *Server) routes() {
 	s.mux.HandleFunc("GET /healthz", s.health)
-	s.mux.HandleFunc("GET /metrics", s.metrics)
+	s.mux.Handle("GET /metrics", Metrics(s.registry))
 	s.mux.HandleFunc("GET /v1/status", s.status)
 	s.mux.HandleFunc("GET /v1/usage", s.usage)
 	s.mux.HandleFunc("POST /v1/publish", s.publish)
--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -45,16 +45,16 @@
 	renewer *renewer
 	watcher *watcher
 	limiter *limiter
-	shares  *shares
-	// lateShares admit beside the grants of an owner that answers too late.
-	lateShares *shares
-	reporter   *reporter
-	suspects   *suspects
-	ledger     *ledger
-	finisher   *finisher
-	running    sync.WaitGroup
-	context    context.Context
-	cancel     context.CancelFunc
+	// shares stand in for an owner out of reach, standing beside its grants; nil for none.
+	shares, standing *shares
+	admissions       Admissions
+	reporter         *reporter
+	suspects         *suspects
+	ledger           *ledger
+	finisher         *finisher
+	running          sync.WaitGroup
+	context          context.Context
+	cancel           context.CancelFunc
 }
 
 // New returns an Agent. Run begins to serve.
@@ -119,6 +119,9 @@
 // Limiter returns the limiter of workspaces.
 func (a *Agent) Limiter() masticcall.Limiter { return a.limiter }
 
+// Admissions returns how many requests were admitted, by what, and refused.
+func (a *Agent) Admissions() *Admissions { return &a.admissions }
+
 // Usage returns what counts usage.
 func (a *Agent) Usage() masticcall.Usage { return a.reporter }
 
--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -68,6 +68,14 @@
 // Admit takes tokens from the workspace's quota, waiting for a grant while one can
 // still come before ctx ends.
 func (l *limiter) Admit(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
+	a, err := l.admission(ctx, workspace, tokens)
+	if err != nil {
+		l.agent.admissions.Refused.Add(1)
+	}
+	return a, err
+}
+
+func (l *limiter) admission(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
 	if s := l.agent.shares; s != nil && (!l.agent.Reached() || l.silent(masticclock.Now())) {
 		return s.admit(masticclock.Now(), workspace, tokens)
 	}
@@ -84,20 +92,19 @@
 		return a.result(d)
 	case <-ctx.Done():
 		_ = l.events.Offer(limiterEvent{abandon: a})
-		if l.agent.shares != nil {
-			return l.admitLate(masticclock.Now(), workspace, tokens)
+		if s := l.late(masticclock.Now()); s != nil {
+			return s.admit(masticclock.Now(), workspace, tokens)
 		}
 		return nil, masticerror.Wrap(ctx.Err(), masticerror.KindRateLimited, "workspace %q got no grant in time", workspace)
 	}
 }
 
-// admitLate admits a request that got no grant in time. The owner of the quota is out of
-// reach, or too slow, and then a small part of this host's share stands in beside its grants.
-func (l *limiter) admitLate(now time.Time, workspace string, tokens int64) (masticcall.Admission, error) {
-	if l.silent(now) {
-		return l.agent.shares.admit(now, workspace, tokens)
+// late returns the shares that stand in for a grant that did not come in time, or nil.
+func (l *limiter) late(now time.Time) *shares {
+	if l.agent.shares != nil && l.silent(now) {
+		return l.agent.shares
 	}
-	return l.agent.lateShares.admit(now, workspace, tokens)
+	return l.agent.standing
 }
 
 // ownerSilence is for how long a demand may be unanswered before the owner of the quota
@@ -113,6 +120,7 @@
 
 func (a *admission) result(d masticquota.Decision) (masticcall.Admission, error) {
 	if d.Verdict == masticquota.Admitted {
+		a.limiter.agent.admissions.Granted.Add(1)
 		return a, nil
 	}
 	e := masticerror.New(masticerror.KindRateLimited, "workspace %q is over its rate", a.workspace)
--- a/masticagent/option.go
+++ b/masticagent/option.go
@@ -59,10 +59,14 @@
 // WithShare makes the host admit requests from its share of each workspace's rate while no
 // leader of control is in reach. Without it they are refused.
 func WithShare(limit func(workspace string) Share) Option {
-	return func(a *Agent) {
-		a.shares = newShares(limit)
-		a.lateShares = newShares(func(workspace string) Share { return limit(workspace).part(latePart) })
-	}
+	return func(a *Agent) { a.shares = newShares(limit, &a.admissions.Shared) }
+}
+
+// WithStandingShare makes the host admit small requests, and those that the owner of the quota
+// answers too late, from a share beside the owner's grants. All hosts' standing shares come on
+// top of a workspace's rate and burst: they have to stay within what the users allow beyond them.
+func WithStandingShare(limit func(workspace string) Share) Option {
+	return func(a *Agent) { a.standing = newShares(limit, &a.admissions.Standing) }
 }
 
 // WithLazyAcknowledgement leaves the acknowledgement of a view to the next renewal of its
--- a/masticagent/share.go
+++ b/masticagent/share.go
@@ -2,31 +2,32 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"masticladder/masticcall"
 	"masticladder/masticerror"
 )
 
+// Admissions count by what admitted requests, and those that nothing did. They are safe for
+// concurrent use.
+type Admissions struct {
+	// Granted were admitted from the owner's grants, Standing from the standing share beside
+	// them, Shared from the share of a host out of the owner's reach.
+	Granted, Standing, Shared, Refused atomic.Int64
+}
+
 // Share is the part of a workspace's rate and burst that one host may use on its own.
 type Share struct {
 	RateTokensPerSecond, BurstTokens float64
 }
 
-// latePart is the part of a share that is used beside the owner's grants. Over a window of 8 s
-// it adds 1.2 s of a workspace's rate, within the tenth and the slack that the users allow. It
-// lets small requests through while the owner is overloaded.
-const latePart = 0.15
-
-// part returns a part of s.
-func (s Share) part(p float64) Share {
-	return Share{RateTokensPerSecond: p * s.RateTokensPerSecond, BurstTokens: p * s.BurstTokens}
-}
-
-// shares admit requests while no leader of control is in reach, from this host's share of
-// each workspace's rate. All hosts' shares together are the rate.
+// shares admit requests without the owner of the quota, from this host's share of what all
+// hosts together may admit without it.
 type shares struct {
 	limit func(workspace string) Share
+	// admitted counts what these shares admit.
+	admitted *atomic.Int64
 
 	mutex   sync.Mutex
 	buckets map[string]*shareBucket
@@ -43,8 +44,8 @@
 	at     time.Time
 }
 
-func newShares(limit func(workspace string) Share) *shares {
-	return &shares{limit: limit, buckets: map[string]*shareBucket{}}
+func newShares(limit func(workspace string) Share, admitted *atomic.Int64) *shares {
+	return &shares{limit: limit, admitted: admitted, buckets: map[string]*shareBucket{}}
 }
 
 // admit takes tokens from the share of workspace.
@@ -63,6 +64,7 @@
 		return nil, s.refusal(workspace, limit, float64(tokens)-b.tokens)
 	}
 	b.tokens -= float64(tokens)
+	s.admitted.Add(1)
 	return &shareAdmission{shares: s, workspace: workspace, tokens: tokens}, nil
 }
 
--- a/masticagent/share_test.go
+++ b/masticagent/share_test.go
@@ -1,6 +1,7 @@
 package masticagent
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 func TestShareBoundsAdmission(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const rate, burst = 1000.0, 500.0
-		s := newShares(func(string) Share { return Share{RateTokensPerSecond: rate, BurstTokens: burst} })
+		s := newShares(func(string) Share { return Share{RateTokensPerSecond: rate, BurstTokens: burst} }, &atomic.Int64{})
 		start := time.UnixMilli(1_000_000)
 		now, admitted := start, 0.0
 		for range 60 {
@@ -41,7 +42,7 @@
 // TestShareRefusalSaysWhen: the time to come back is when the share has the tokens.
 func TestShareRefusalSaysWhen(t *testing.T) {
 	c := qt.New(t)
-	s := newShares(func(string) Share { return Share{RateTokensPerSecond: 1000, BurstTokens: 500} })
+	s := newShares(func(string) Share { return Share{RateTokensPerSecond: 1000, BurstTokens: 500} }, &atomic.Int64{})
 	now := time.UnixMilli(1_000_000)
 	_, err := s.admit(now, "w", 250)
 	c.Assert(err, qt.IsNil)
@@ -51,6 +52,48 @@
 	c.Assert(e.RetryAfter(), qt.Equals, 250*time.Millisecond)
 	_, err = s.admit(now.Add(e.RetryAfter()), "w", 250)
 	c.Assert(err, qt.IsNil)
-	_, err = newShares(func(string) Share { return Share{} }).admit(now, "w", 1)
+	_, err = newShares(func(string) Share { return Share{} }, &atomic.Int64{}).admit(now, "w", 1)
 	c.Assert(err, qt.IsNotNil)
 }
+
+// TestStandingSharesStayWithinOverage: hosts that admit without the owner, each from its part
+// by weight, admit together in no window more than the rate and burst that they share.
+func TestStandingSharesStayWithinOverage(t *testing.T) {
+	type admitted struct {
+		at     time.Time
+		tokens float64
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		const rate, burst = 1000.0, 2000.0
+		weights := rapid.SliceOfN(rapid.IntRange(1, 50), 1, 8).Draw(t, "weights")
+		sum := 0
+		for _, w := range weights {
+			sum += w
+		}
+		var hosts []*shares
+		for _, w := range weights {
+			part := float64(w) / float64(sum)
+			hosts = append(hosts, newShares(func(string) Share {
+				return Share{RateTokensPerSecond: part * rate, BurstTokens: part * burst}
+			}, &atomic.Int64{}))
+		}
+		now := time.UnixMilli(1_000_000)
+		var history []admitted
+		for range 80 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pass")) * time.Millisecond)
+			tokens := rapid.Int64Range(1, 700).Draw(t, "tokens")
+			host := hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "host")]
+			if _, err := host.admit(now, "w", tokens); err != nil {
+				continue
+			}
+			history = append(history, admitted{now, float64(tokens)})
+			window := 0.0
+			for i := len(history) - 1; i >= 0; i-- {
+				window += history[i].tokens
+				if bound := burst + rate*now.Sub(history[i].at).Seconds(); window > bound+1e-6 {
+					t.Fatalf("%v tokens in %v, the bound is %v", window, now.Sub(history[i].at), bound)
+				}
+			}
+		}
+	})
+}
--- a/masticcourse/course.go
+++ b/masticcourse/course.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"masticladder/masticbackend"
@@ -27,6 +28,7 @@
 	backends   Backends
 	callers    Callers
 	log        logrus.FieldLogger
+	measures   *measures
 
 	table atomic.Pointer[table]
 	first firstDocument
@@ -67,6 +69,9 @@
 // WithLog sets the log.
 func WithLog(l logrus.FieldLogger) Option { return func(c *Course) { c.log = l } }
 
+// WithMetrics counts the requests in r.
+func WithMetrics(r metrics.Registry) Option { return func(c *Course) { c.measures = newMeasures(r) } }
+
 // New returns a Course.
 func New(options ...Option) *Course {
 	c := &Course{
@@ -74,6 +79,7 @@
 		first:     firstDocument{documented: make(chan struct{})},
 		budget:    masticretry.NewBudget(),
 		startedAt: time.Now(),
+		measures:  newMeasures(metrics.NewRegistry()),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, o := range options {
--- a/masticcourse/serve.go
+++ b/masticcourse/serve.go
@@ -60,6 +60,7 @@
 	r := &run{course: c, writer: w, call: call}
 	err := r.serve(ctx)
 	r.log(err)
+	c.measures.outcome(r, err, time.Now())
 	switch {
 	case err == nil:
 	case r.begun || err.Kind() == masticerror.KindCancelled:
@@ -124,7 +125,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, quotaPatience)
 	defer cancel()
+	began := time.Now()
 	a, err := r.course.limiter.Admit(ctx, r.tenant.Name, r.call.tokens(r.tenant))
+	r.course.measures.quotaWait.Update(time.Since(began).Milliseconds())
 	if err != nil {
 		return nil, masticerror.From(err)
 	}
@@ -149,7 +152,15 @@
 	if ctx.Err() != nil || time.Until(r.deadline) < leastTime || !r.repeatable(f) {
 		return false
 	}
-	return r.course.again(r.pool.Name)
+	if !r.course.again(r.pool.Name) {
+		r.course.measures.overBudget.Inc(1)
+		return false
+	}
+	r.course.measures.retries.Inc(1)
+	if r.begun {
+		r.course.measures.resumed.Inc(1)
+	}
+	return true
 }
 
 func (r *run) repeatable(f *masticbackend.Failure) bool {
--- a/masticdaemon/metrics.go
+++ b/masticdaemon/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"masticladder/masticclock"
 )
 
 // registerMetrics makes the state of the host's parts readable at /metrics.
@@ -26,6 +28,55 @@
 	d.counter("engine.ended", &c.Ended)
 }
 
+// registerMetrics makes the state of the node's parts readable on its metrics address.
+func (n *Node) registerMetrics() {
+	values := map[string]func() int64{
+		"view.revision":            n.revision,
+		"document.number":          n.documentNumber,
+		"control.reached":          n.reached,
+		"lease.remainingMillis":    n.leaseRemainingMillis,
+		"quota.admittedByGrant":    n.agent.Admissions().Granted.Load,
+		"quota.admittedByStanding": n.agent.Admissions().Standing.Load,
+		"quota.admittedByShare":    n.agent.Admissions().Shared.Load,
+		"quota.refused":            n.agent.Admissions().Refused.Load,
+	}
+	if n.control != nil {
+		c := &n.counters
+		values["control.term"], values["control.leads"] = c.Term.Load, c.Leads.Load
+		values["quota.demands"], values["quota.grants"], values["quota.grantedTokens"] = c.Demands.Load, c.Grants.Load, c.GrantedTokens.Load
+		values["orders.sent"], values["orders.failed"] = c.Orders.Load, c.FailedOrders.Load
+		values["list.ageMillis"], values["list.failures"] = n.listAgeMillis, c.ListFailures.Load
+	}
+	if n.course != nil {
+		values["requests.running"] = n.course.Running
+		if err := n.dispatcher.Drops().Register(n.registry); err != nil {
+			n.log.WithError(err).Warn("metrics of the dispatcher are missing")
+		}
+	}
+	for name, value := range values {
+		_ = n.registry.Register(name, metrics.NewFunctionalGauge(value))
+	}
+}
+
+func (n *Node) revision() int64 { return int64(n.agent.View().Revision()) }
+
+func (n *Node) documentNumber() int64 { return n.agent.View().Document().GetNumber() }
+
+// reached is 1 while the leader of control is in reach.
+func (n *Node) reached() int64 {
+	if n.agent.Reached() {
+		return 1
+	}
+	return 0
+}
+
+func (n *Node) leaseRemainingMillis() int64 {
+	return max(0, masticclock.Until(n.agent.LeaseUntil()).Milliseconds())
+}
+
+// listAgeMillis is negative on a host that has not read the list.
+func (n *Node) listAgeMillis() int64 { return n.counters.ListAge(masticclock.Now()).Milliseconds() }
+
 func (d *Daemon) gauge(name string, value func() int64) {
 	_ = d.registry.Register(name, metrics.NewFunctionalGauge(value))
 }
--- /dev/null
+++ b/masticdaemon/metrics_test.go
@@ -0,0 +1,56 @@
+package masticdaemon
+
+import (
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"masticladder/masticadmin"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// values are the parts of a page that differ from run to run.
+var values = regexp.MustCompile(`(?m) -?[0-9.e+]+$`)
+
+// TestMetricsPage: the names and types of a host that takes callers and of a control host are
+// those that docs/OPERATIONS.md lists; scripts of operators read them.
+func TestMetricsPage(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		settings NodeSettings
+	}{
+		{"entry", NodeSettings{Peer: "127.0.0.1:0", Founders: []string{"127.0.0.1:1"}, Callers: "127.0.0.1:0"}},
+		{"control", NodeSettings{Peer: "127.0.0.1:0", Founders: []string{"127.0.0.1:0"}, Found: true, Election: time.Second, Heartbeat: 100 * time.Millisecond, ViewLease: time.Second}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			if x.name == "control" {
+				x.settings.Folder = t.TempDir()
+			}
+			log := logrus.New()
+			log.SetLevel(logrus.ErrorLevel)
+			n, err := NewNode(x.settings, Protocols{}, log)
+			c.Assert(err, qt.IsNil)
+			n.End()
+			c.Assert(n.Run(), qt.IsNil)
+			w := httptest.NewRecorder()
+			masticadmin.Metrics(n.registry).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+			page := values.ReplaceAllString(w.Body.String(), " VALUE")
+			golden := "testdata/metrics-" + x.name + ".txt"
+			if *update {
+				c.Assert(os.WriteFile(golden, []byte(page), 0o644), qt.IsNil)
+			}
+			want, err := os.ReadFile(golden)
+			c.Assert(err, qt.IsNil)
+			c.Assert(page, qt.Equals, string(want))
+		})
+	}
+}
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -12,9 +12,12 @@
 	"github.com/oklog/run"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
 
+	"masticladder/masticadmin"
 	"masticladder/masticagent"
 	"masticladder/masticbackend"
+	"masticladder/masticcontrol"
 	"masticladder/masticcourse"
 	"masticladder/masticdispatch"
 	"masticladder/masticgossip"
@@ -29,6 +32,7 @@
 	protocols Protocols
 	log       *logrus.Logger
 	registry  metrics.Registry
+	counters  masticcontrol.Counters
 
 	wire       *masticwire.Wire
 	control    *keeper
@@ -41,8 +45,8 @@
 	drain      *drainer
 	callers    *httpServer
 	servers    []*httpServer
-	// liveHosts is the number of live hosts of the view.
-	liveHosts atomic.Int64
+	// liveWeight is the weight of the live hosts that take callers.
+	liveWeight atomic.Int64
 
 	ended   chan struct{}
 	endOnce sync.Once
@@ -60,6 +64,7 @@
 			return nil, err
 		}
 	}
+	n.registerMetrics()
 	return n, nil
 }
 
@@ -67,24 +72,38 @@
 func (n *Node) onView(v masticview.View) {
 	live := int64(0)
 	for _, h := range v.Hosts() {
-		if h.State == masticview.HostLive {
-			live++
+		if h.State == masticview.HostLive && h.Address != "" {
+			live += h.Weight
 		}
 	}
-	n.liveHosts.Store(live)
+	n.liveWeight.Store(live)
 	if n.course != nil {
 		n.dispatcher.SetView(v)
 		n.course.SetView(v)
 	}
 }
 
-// share returns this host's part of a workspace's rate.
+// part returns this host's part of all that live hosts may admit, by weight, as callers are
+// spread.
+func (n *Node) part() float64 {
+	return shareMargin * float64(n.settings.Weight) / float64(max(1, n.settings.Weight, n.liveWeight.Load()))
+}
+
+// share returns what this host may admit of a workspace while the owner is out of reach.
 func (n *Node) share(workspace string) masticagent.Share {
-	hosts := float64(max(1, n.liveHosts.Load())) / shareMargin
 	rate, burst := n.course.Rate(workspace)
 	return masticagent.Share{
-		RateTokensPerSecond: float64(rate) / hosts,
-		BurstTokens:         (float64(burst) + float64(n.settings.QuotaSlack)) / hosts,
+		RateTokensPerSecond: n.part() * float64(rate),
+		BurstTokens:         n.part() * (float64(burst) + ownerSlack*float64(n.settings.QuotaSlack)),
+	}
+}
+
+// standingShare returns what this host may admit of a workspace beside the owner's grants.
+func (n *Node) standingShare(workspace string) masticagent.Share {
+	rate, burst := n.course.Rate(workspace)
+	return masticagent.Share{
+		RateTokensPerSecond: n.part() * n.settings.QuotaOverage * float64(rate),
+		BurstTokens:         n.part() * (n.settings.QuotaOverage*float64(burst) + standingSlack*float64(n.settings.QuotaSlack)),
 	}
 }
 
@@ -94,8 +113,10 @@
 // Course returns what serves callers, or nil.
 func (n *Node) Course() *masticcourse.Course { return n.course }
 
-// Registry returns the metrics.
-func (n *Node) Registry() metrics.Registry { return n.registry }
+// ServeMetrics opens the address of the metrics.
+func (n *Node) ServeMetrics(address string) error {
+	return n.Serve(address, &http.Server{Handler: masticadmin.Metrics(n.registry), ReadHeaderTimeout: metricsTimeout})
+}
 
 // ServeCallers opens the address for callers.
 func (n *Node) ServeCallers(server *http.Server) error {
@@ -103,6 +124,9 @@
 	if err != nil {
 		return err
 	}
+	if n.settings.Descriptors > 0 {
+		h.listener = netutil.LimitListener(h.listener, max(1, int(callersPart*float64(n.settings.Descriptors))))
+	}
 	n.callers = h
 	n.announce = &announcer{
 		host: masticview.Host{
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -45,11 +45,12 @@
 		masticcontrol.WithMembers(founders(s)...),
 		masticcontrol.WithWire(n.wire),
 		masticcontrol.WithLog(n.log),
+		masticcontrol.WithCounters(&n.counters),
 		masticcontrol.WithElectionTimeout(s.Election),
 		masticcontrol.WithHeartbeat(s.Heartbeat),
 		masticcontrol.WithViewLease(s.ViewLease),
 		masticcontrol.WithLister(n.protocols.Lister, s.ListInterval),
-		masticcontrol.WithQuotaSlack(s.QuotaSlack),
+		masticcontrol.WithQuotaSlack(int64(ownerSlack*float64(s.QuotaSlack))),
 		masticcontrol.WithPushInterval(pushInterval),
 		masticcontrol.WithVoterRemoval(s.KeptVoters),
 		masticcontrol.WithSnapshotEntries(snapshotEntries, snapshotEntries/2),
@@ -92,6 +93,7 @@
 		masticagent.WithLog(n.log),
 		masticagent.WithRenewInterval(s.ViewLease*3/10),
 		masticagent.WithShare(n.share),
+		masticagent.WithStandingShare(n.standingShare),
 		masticagent.WithLazyAcknowledgement(),
 	)
 	n.agent = agent
@@ -119,6 +121,7 @@
 		masticcourse.WithBackends(n.protocols.Backends),
 		masticcourse.WithCallers(n.protocols.Callers),
 		masticcourse.WithLog(n.log),
+		masticcourse.WithMetrics(n.registry),
 	)...)
 	n.gossip, err = masticgossip.New(n.settings.Peer, n.wire, n.agent.View, n.dispatcher, n.log)
 	return err
--- a/masticdaemon/nodesettings.go
+++ b/masticdaemon/nodesettings.go
@@ -31,8 +31,10 @@
 	AddressSpan time.Duration
 	// Grace is the time from the order to stop to the end of the process.
 	Grace time.Duration
-	// QuotaSlack is what all hosts together may admit beyond a workspace's rate and burst.
-	QuotaSlack int64
+	// QuotaSlack is what all hosts together may admit beyond a workspace's rate and burst, in
+	// tokens, and QuotaOverage the part of both that they may admit beyond.
+	QuotaSlack   int64
+	QuotaOverage float64
 	// FailClosed makes the host refuse callers while it is out of control's reach.
 	FailClosed bool
 	// KeptVoters is the number of answering voters above which a silent one is removed.
@@ -41,6 +43,8 @@
 	LoadSpan time.Duration
 	// MemoryBytes is what the process may use; zero sets no bound.
 	MemoryBytes int64
+	// Descriptors is the number of descriptors that the process may open; zero sets no bound.
+	Descriptors int
 }
 
 // Protocols are the codecs of a Node.
@@ -58,12 +62,23 @@
 	collectPercent = 60
 	// memoryPart is the part of the allowed memory at which the runtime collects harder.
 	memoryPart = 0.8
-	// shareMargin is the part of a workspace's rate that hosts out of control's reach use.
+	// callersPart is the part of the descriptors that callers' connections may take. Backend
+	// servers, other hosts and files need the rest; more callers wait until others leave.
+	callersPart = 0.6
+	// shareMargin is the part of a workspace's rate that hosts out of control's reach use, and
+	// of the overage that they use beside the owner's grants: they may differ for some
+	// seconds about which hosts are live.
 	shareMargin = 0.9
+	// ownerSlack and standingSlack are the parts of the slack of quotas that the owner and the
+	// hosts' standing shares may use. A new owner and hosts out of reach need the rest.
+	ownerSlack    = 0.5
+	standingSlack = 0.25
 	// dialPauseLeast and dialPauseMost bound the pause after a failed connection to another
 	// host: when all start at once, control is there within some hundred milliseconds.
 	dialPauseLeast = 20 * time.Millisecond
 	dialPauseMost  = 200 * time.Millisecond
+	// metricsTimeout bounds the reading of a request for the metrics.
+	metricsTimeout = 5 * time.Second
 	// exitMargin is how long before the end of the grace period the process has stopped.
 	exitMargin = 900 * time.Millisecond
 )
--- a/masticdaemon/server_test.go
+++ b/masticdaemon/server_test.go
@@ -1,13 +1,18 @@
 package masticdaemon
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 )
 
 // heldHandler answers when it is told to.
@@ -73,3 +78,48 @@
 	s.stop(nil)
 	c.Assert(<-a.ended, qt.IsNil)
 }
+
+// TestCallersLeaveDescriptors: more callers than their part of the descriptors allows wait
+// until one leaves; the host keeps the rest for backend servers.
+func TestCallersLeaveDescriptors(t *testing.T) {
+	c := qt.New(t)
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	n, err := NewNode(NodeSettings{Peer: "127.0.0.1:0", Founders: []string{"127.0.0.1:1"}, Callers: "127.0.0.1:0", Descriptors: 4}, Protocols{}, log)
+	c.Assert(err, qt.IsNil)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })}
+	c.Assert(n.ServeCallers(server), qt.IsNil)
+	defer func() { n.End(); c.Check(n.Run(), qt.IsNil) }()
+	r := &httpRun{server: n.callers}
+	go r.run()
+
+	var open []net.Conn
+	for range 3 {
+		conn, err := net.Dial("tcp", n.callers.address())
+		c.Assert(err, qt.IsNil)
+		_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+		c.Assert(err, qt.IsNil)
+		open = append(open, conn)
+	}
+	answered := func(conn net.Conn) {
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(answer.StatusCode, qt.Equals, http.StatusNoContent)
+	}
+	answered(open[0])
+	answered(open[1])
+	// A slow machine cannot make this red: nothing may come, however long one waits.
+	_ = open[2].SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err = open[2].Read(make([]byte, 1))
+	c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
+	_ = open[2].SetReadDeadline(time.Time{})
+	c.Assert(open[0].Close(), qt.IsNil)
+	answered(open[2])
+	_ = open[1].Close()
+	_ = open[2].Close()
+}
+
+// httpRun serves until the server is stopped.
+type httpRun struct{ server *httpServer }
+
+func (r *httpRun) run() { _ = r.server.run() }
