Admit small requests from the standing share first

Cause: with 57 hosts a host sees a workspace about once a second, so that each request was a demand at the quota's owner, which has 0.24 of a core. Seven in eight requests are of some 400 tokens and make a tenth of the tokens. Ruled out: larger stocks ahead (grants live 2 s at most and are returned after one, so the number of demands stays).

--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -79,6 +79,11 @@
 	if s := l.agent.shares; s != nil && (!l.agent.Reached() || l.silent(masticclock.Now())) {
 		return s.admit(masticclock.Now(), workspace, tokens)
 	}
+	if s := l.agent.standing; s != nil && tokens <= smallTokens {
+		if a, err := s.admit(masticclock.Now(), workspace, tokens); err == nil {
+			return a, nil
+		}
+	}
 	until, bounded := ctx.Deadline()
 	if !bounded {
 		until = masticclock.Now().Add(l.agent.reservePatience)
--- a/masticagent/share.go
+++ b/masticagent/share.go
@@ -22,6 +22,11 @@
 	RateTokensPerSecond, BurstTokens float64
 }
 
+// smallTokens is the size up to which a request is admitted from the standing share first.
+// With 57 hosts a host sees a workspace about once a second, so each request was a demand at
+// the owner; seven in eight of them were of 400 tokens, and a tenth of the tokens.
+const smallTokens = 1024
+
 // shares admit requests without the owner of the quota, from this host's share of what all
 // hosts together may admit without it.
 type shares struct {
--- a/masticagent/share_test.go
+++ b/masticagent/share_test.go
@@ -1,6 +1,7 @@
 package masticagent
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -56,6 +57,30 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
+// TestSmallRequestsNeedNoGrant: a small request is admitted from the standing share without
+// a word to the owner, a large one and one beyond the share ask it. On the grown sites each
+// small request was a demand, and the owner had no time for the others.
+func TestSmallRequestsNeedNoGrant(t *testing.T) {
+	c := qt.New(t)
+	limit := func(string) Share { return Share{RateTokensPerSecond: 0.001, BurstTokens: 2 * smallTokens} }
+	a, err := New(WithHost("h"), WithControlPeers(unused), WithStandingShare(limit))
+	c.Assert(err, qt.IsNil)
+	ended, end := context.WithCancel(t.Context())
+	end()
+	_, err = a.limiter.Admit(ended, "w", smallTokens)
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.limiter.events.Len(), qt.Equals, 0)
+
+	_, err = a.limiter.Admit(ended, "w", smallTokens)
+	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindRateLimited)
+	c.Assert(a.limiter.events.Len() > 0, qt.IsTrue)
+
+	asked := a.limiter.events.Len()
+	_, err = a.limiter.Admit(ended, "other", smallTokens+1)
+	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindRateLimited)
+	c.Assert(a.limiter.events.Len() > asked, qt.IsTrue)
+}
+
 // TestStandingSharesStayWithinOverage: hosts that admit without the owner, each from its part
 // by weight, admit together in no window more than the rate and burst that they share.
 func TestStandingSharesStayWithinOverage(t *testing.T) {
