Hear the owner of the quota again after a silence

A demand had gone to a leader that was not there yet; the owner counted as silent, requests were admitted from shares, and as these raise no demands nothing was asked again. Ruled out: no lease or no leader (leadership taken at 5.09 s, refusals at 0 ms). Change: after a demand without an answer the host asks the owner for nothing, each 100 ms, until it answers; demands that waited are dropped. Test: TestSilentOwnerIsHeardAgain, ran into its timeout before.

--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -254,19 +254,47 @@
 			l.askedAt.Store(&now)
 		}
 		answers, err := l.ask(ctx, q)
-		if err == nil {
-			l.askedAt.Store(nil)
-		}
 		if err != nil {
 			l.agent.log.WithError(err).Debug("quota was not granted")
+			l.awaitOwner(ctx)
 			continue
 		}
+		l.askedAt.Store(nil)
 		if err := l.events.Offer(limiterEvent{answers: answers}); err != nil {
 			l.agent.log.WithError(err).Warn("a grant was not taken; it counts as spent")
 		}
 	}
 }
 
+// ownerProbe is the time between two questions to an owner that left one unanswered.
+const ownerProbe = 100 * time.Millisecond
+
+// awaitOwner asks the owner for nothing until it answers. While it counts as silent, requests
+// are admitted without it and raise no demands, so nothing else would show that it is back.
+// Demands that waited meanwhile are out of date.
+func (l *limiter) awaitOwner(ctx context.Context) {
+	began := masticclock.Now()
+	ticker := time.NewTicker(ownerProbe)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if _, err := l.ask(ctx, &masticproto.QuotaRequest{}); err == nil {
+			break
+		}
+	}
+	for {
+		if _, waits := l.demands.Take(); !waits {
+			break
+		}
+	}
+	l.askedAt.Store(nil)
+	l.agent.log.WithField("silentMillis", masticclock.Now().Sub(began).Milliseconds()).Info("the owner of the quota answers again")
+}
+
 func (l *limiter) ask(ctx context.Context, q *masticproto.QuotaRequest) ([]masticquota.GrantAnswer, error) {
 	a, err := l.agent.leader.once(ctx, &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Quota{Quota: q}}, l.agent.renewTimeout)
 	if err != nil {
--- a/masticagent/share_test.go
+++ b/masticagent/share_test.go
@@ -10,6 +10,8 @@
 	"pgregory.net/rapid"
 
 	"masticladder/masticerror"
+	"masticladder/masticproto"
+	"masticladder/masticquota"
 )
 
 // TestShareBoundsAdmission: whatever is asked and given back, a host out of control's reach
@@ -122,3 +124,43 @@
 		}
 	})
 }
+
+// quotaHost is a control host that answers demands only while it is up.
+type quotaHost struct{ up, asked atomic.Bool }
+
+func (h *quotaHost) answer(ctx context.Context) (*masticproto.PeerAnswer, error) {
+	h.asked.Store(true)
+	if !h.up.Load() {
+		return silent(ctx)
+	}
+	return &masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Quota{Quota: &masticproto.QuotaAnswer{}}}, nil
+}
+
+// TestSilentOwnerIsHeardAgain replays a power loss of all hosts on a site of 85: a host's
+// demand went to a leader that was not there yet, and as requests were admitted from shares
+// from then on, no demand was raised again. For 30 s, until the next restart, requests within
+// their rates were refused.
+func TestSilentOwnerIsHeardAgain(t *testing.T) {
+	c := qt.New(t)
+	q := &quotaHost{}
+	host := newFakeHost(t, q.answer)
+	a, err := New(WithHost("h"), WithControlPeers(host.server.Address()))
+	c.Assert(err, qt.IsNil)
+	a.renewTimeout = 20 * time.Millisecond
+	l := a.limiter
+	ctx, cancel := context.WithCancel(t.Context())
+	a.running.Add(1)
+	go l.run(ctx)
+	defer a.running.Wait()
+	defer l.demands.Close()
+	defer cancel()
+	c.Assert(l.demands.Offer([]masticquota.GrantRequest{{ID: 1, Workspace: "w", NeedTokens: 5}}), qt.IsNil)
+	for !q.asked.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(l.askedAt.Load(), qt.IsNotNil)
+	q.up.Store(true)
+	for l.askedAt.Load() != nil {
+		time.Sleep(time.Millisecond)
+	}
+}
