Leave the rate of hosts out of reach ungranted

Hosts out of the leader's reach admit 0.9 of the rate by their weight while the leader granted the others the whole rate: with half the hosts cut off, 1.45 times the rate. Change: the owner lowers each rate by 0.9 of the weight of the hosts that have not renewed for 0.6 s, less what a fifth of the slack allows. Hosts that have ended count too: the leader cannot tell.

--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -32,6 +32,9 @@
 	listingIndex uint64
 	// silences are the times of the members' last answers.
 	silences silences
+	// apart is the part of the hosts out of reach when they were last looked at.
+	apart     float64
+	apartFrom time.Time
 }
 
 // observe takes or drops the leader's part after the core has moved. It is kept for the
@@ -80,6 +83,7 @@
 // limit returns the rate and burst of a workspace in the present view.
 func (d *leader) limit(workspace string) (masticquota.Limit, bool) {
 	if limit, ok := d.loop.documentLimit(workspace); ok {
+		limit.RateTokensPerSecond = d.loop.ownShares.left(limit.RateTokensPerSecond, d.apart)
 		return limit, true
 	}
 	w, ok := d.loop.state.View().Workspace(workspace)
@@ -142,6 +146,7 @@
 func (d *leader) propose(now time.Time) {
 	d.changeMembers(now)
 	d.proposeLost(now)
+	d.noteApart(now)
 	if d.placement != nil {
 		d.placement.propose(now)
 	}
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -30,6 +30,7 @@
 		})
 		answer.SpanUs = g.Span.Microseconds()
 		d.absences.renewed[r.GetHost()] = now
+		d.absences.heard[r.GetHost()] = now
 	}
 	if r.GetRevision() < answer.GetRevision() {
 		answer.Update = d.loop.updateFrom(r.GetRevision())
--- a/masticcontrol/lost.go
+++ b/masticcontrol/lost.go
@@ -21,11 +21,13 @@
 type absences struct {
 	since   time.Time
 	renewed map[string]time.Time
-	next    time.Time
+	// heard is like renewed, but is not set anew when a host is taken to be lost.
+	heard map[string]time.Time
+	next  time.Time
 }
 
 func newAbsences(now time.Time) *absences {
-	return &absences{since: now, renewed: map[string]time.Time{}, next: now}
+	return &absences{since: now, renewed: map[string]time.Time{}, heard: map[string]time.Time{}, next: now}
 }
 
 // lost returns the live hosts of v that have not renewed for span before now.
--- a/masticcontrol/option.go
+++ b/masticcontrol/option.go
@@ -50,6 +50,7 @@
 	quotaSlack      int64
 	keptVoters      int
 	counters        *Counters
+	ownShares       ownShares
 }
 
 // Option sets one property of a Control.
@@ -130,6 +131,13 @@
 // the given number of others answers. Without it only operators remove voters.
 func WithVoterRemoval(kept int) Option { return func(s *settings) { s.keptVoters = kept } }
 
+// WithOwnShares says that hosts out of the leader's reach admit by themselves, all together
+// part of each rate that a document states, of which the users allow spare tokens a second
+// beyond the rate. The leader grants less while hosts are out of its reach.
+func WithOwnShares(part float64, spare int64) Option {
+	return func(s *settings) { s.ownShares = ownShares{part, spare} }
+}
+
 // WithStoreOptions passes options to the store.
 func WithStoreOptions(options ...masticstore.Option) Option {
 	return func(s *settings) { s.storeOptions = options }
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -51,6 +51,7 @@
 		masticcontrol.WithViewLease(s.ViewLease),
 		masticcontrol.WithLister(n.protocols.Lister, s.ListInterval),
 		masticcontrol.WithQuotaSlack(int64(ownerSlack*float64(s.QuotaSlack))),
+		masticcontrol.WithOwnShares(shareMargin, int64(spareSlack*float64(s.QuotaSlack)/quotaWindow.Seconds())),
 		masticcontrol.WithPushInterval(pushInterval),
 		masticcontrol.WithVoterRemoval(s.KeptVoters),
 		masticcontrol.WithSnapshotEntries(snapshotEntries, snapshotEntries/2),
--- a/masticdaemon/nodesettings.go
+++ b/masticdaemon/nodesettings.go
@@ -70,9 +70,13 @@
 	// seconds about which hosts are live.
 	shareMargin = 0.9
 	// ownerSlack and standingSlack are the parts of the slack of quotas that the owner and the
-	// hosts' standing shares may use. A new owner and hosts out of reach need the rest.
+	// hosts' standing shares may use; spareSlack is left for hosts out of reach, and a new
+	// owner needs the rest.
 	ownerSlack    = 0.5
 	standingSlack = 0.25
+	spareSlack    = 0.2
+	// quotaWindow is the time over which the users sum up what was admitted.
+	quotaWindow = 8 * time.Second
 	// dialPauseLeast and dialPauseMost bound the pause after a failed connection to another
 	// host: when all start at once, control is there within some hundred milliseconds.
 	dialPauseLeast = 20 * time.Millisecond
