Replace the prior speed by the first measurements

Cause: an engine that nobody has measured is taken for as fast as the mean of all, which began at 10,000 tokens a second and moved by a fiftieth a measurement. Engines read 64,000 a second: on the grown sites first tokens of idle engines were predicted after 1,666 ms in the first half second and 550 ms in the second. Change: the mean is the plain one of the first 50 measurements, and those that other hosts tell of engines unknown here count.

--- a/masticroute/peer.go
+++ b/masticroute/peer.go
@@ -81,6 +81,9 @@
 			s.load.peers = map[string]peerLoad{}
 		}
 		s.load.peers[report.Host] = peerLoad{tokens: l.Tokens, urgent: l.Urgent, held: l.Held, running: l.Running, at: now}
+		if s.load.speed == 0 {
+			r.learnSpeeds(l.Speed)
+		}
 		s.load.blend(l.Speed)
 	}
 	for _, t := range report.Touches {
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -40,6 +40,8 @@
 	touched []Touch
 	// speeds is the moving mean of the measured prefill speeds.
 	speeds float64
+	// speedsSeen is the number of measurements in that mean.
+	speedsSeen int
 	// quickShare is the moving share of the quick class in the requests sent.
 	quickShare float64
 	// workMean and urgentMean are the moving means of the work of a request, in tokens:
--- a/masticroute/shared_test.go
+++ b/masticroute/shared_test.go
@@ -147,3 +147,18 @@
 	huge.PromptTokens = memory
 	c.Assert(decide(c, sharedRouter(c, 1), now, huge).Open, qt.IsTrue)
 }
+
+// TestFirstSpeedsReplaceThePrior: one host's measurement, told to another, stands in for the
+// speeds of engines that nobody has measured.
+func TestFirstSpeedsReplaceThePrior(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_000_000)
+	r := sharedRouter(c, 3)
+	const speed = 64_000
+	r.Peer(now, PeerReport{Host: "h", Servers: []ServerLoad{{Server: "e0", Speed: speed, Running: 1}}})
+	c.Assert(r.speeds, qt.Equals, float64(speed))
+	r.Peer(now, PeerReport{Host: "h", Servers: []ServerLoad{{Server: "e0", Speed: 2 * speed, Running: 1}}})
+	c.Assert(r.speeds, qt.Equals, float64(speed))
+	r.Peer(now, PeerReport{Host: "g", Servers: []ServerLoad{{Server: "e1", Speed: speed / 2, Running: 1}}})
+	c.Assert(r.speeds, qt.Equals, 0.75*speed)
+}
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -141,9 +141,13 @@
 	r.beliefs.Observe(w.Slot, w.Epoch, w.Trial, e.CachedTokens)
 }
 
-// learnSpeeds moves the mean of all speeds, which stands in for an unknown one.
+// learnSpeeds moves the mean of all speeds, which stands in for an unknown one. It is the plain
+// mean of the first measurements: a host of a large fleet measures two a second, and with the
+// gain alone it took an engine for six times too slow through the first half minute.
 func (r *Router) learnSpeeds(speed float64) {
-	if speed > 0 {
-		r.speeds += speedsGain * (speed - r.speeds)
+	if speed <= 0 {
+		return
 	}
+	r.speedsSeen++
+	r.speeds += max(speedsGain, 1/float64(r.speedsSeen)) * (speed - r.speeds)
 }
