Let two hosts that find an engine ended tell all others

Ended engines look idle, so three of them were all that a request tried, and it was refused with 503. Change: a host tells the others at once of an engine whose connection broke or that answers 421; two hosts' word within a second keeps the others off it for half a second. One host's word does not count, nor that of a host that finds most engines ended, nor against an answer of the last second. A new run or new weights in the list clear what was found before.

--- a/masticcourse/call.go
+++ b/masticcourse/call.go
@@ -76,6 +76,9 @@
 	Header(c *Call, a Attempt, now time.Time) http.Header
 	// NotRun reports that the answer states that the request has not run.
 	NotRun(status int, h http.Header) bool
+	// Replaced reports that the answer states that the server is not the one that was expected,
+	// or has other weights: nobody with the same view can use it.
+	Replaced(status int) bool
 	// Proper reports that an answer is one that this protocol may give.
 	Proper(status int, h http.Header) bool
 }
--- a/masticcourse/course_test.go
+++ b/masticcourse/course_test.go
@@ -165,6 +165,8 @@
 	return h
 }
 func (fakeBackends) NotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
+func (fakeBackends) Replaced(status int) bool         { return status == http.StatusMisdirectedRequest }
+
 func (fakeBackends) Proper(status int, h http.Header) bool {
 	return status/100 != 2 || h.Get("Digest") != ""
 }
--- a/masticcourse/relay.go
+++ b/masticcourse/relay.go
@@ -26,7 +26,7 @@
 	c := r.course
 	if c.backends.NotRun(answer.Status, answer.Header) {
 		drain(answer)
-		return &masticbackend.Failure{Err: masticerror.New(masticerror.KindBackendRefused, "%s answered %d: not run", r.server, answer.Status)}
+		return &masticbackend.Failure{Err: masticerror.New(masticerror.KindBackendRefused, "%s answered %d: not run", r.server, answer.Status), Ended: c.backends.Replaced(answer.Status)}
 	}
 	if !c.backends.Proper(answer.Status, answer.Header) {
 		return failed("%s gave an improper answer with status %d", r.server, answer.Status)
--- a/masticdispatch/command.go
+++ b/masticdispatch/command.go
@@ -66,7 +66,12 @@
 	result masticcall.Result
 }
 
-func (c *done) apply(d *Dispatcher, _ time.Time) { d.scheduler.Done(c.at, c.ticket, c.result) }
+func (c *done) apply(d *Dispatcher, _ time.Time) {
+	d.scheduler.Done(c.at, c.ticket, c.result)
+	if c.result.ServerEnded {
+		d.signal()
+	}
+}
 
 type setView struct{ view masticview.View }
 
--- a/masticdispatch/dispatcher.go
+++ b/masticdispatch/dispatcher.go
@@ -195,14 +195,19 @@
 // it occupies an engine for some 100 ms, and its shared parts need not be read elsewhere.
 const tellTokens = 4096
 
-// Placed signals that a prompt was placed of which other hosts should be told at once.
+// Placed signals that other hosts should be told at once: a long prompt was placed, or a
+// backend server was found ended.
 func (d *Dispatcher) Placed() <-chan struct{} { return d.placed }
 
-// tell signals o, unless a signal waits already.
+// tell signals o where others should know.
 func (d *Dispatcher) tell(o *masticschedule.Outcome) {
-	if o.Err != nil || o.Decision.Tokens < tellTokens {
-		return
+	if o.Err == nil && o.Decision.Tokens >= tellTokens {
+		d.signal()
 	}
+}
+
+// signal makes other hosts be told at once, unless a signal waits already.
+func (d *Dispatcher) signal() {
 	select {
 	case d.placed <- struct{}{}:
 	default:
--- a/masticgossip/codec.go
+++ b/masticgossip/codec.go
@@ -7,7 +7,7 @@
 )
 
 func encode(r masticroute.PeerReport) *masticproto.LoadReport {
-	p := &masticproto.LoadReport{Host: r.Host}
+	p := &masticproto.LoadReport{Host: r.Host, Ended: r.Ended}
 	for _, s := range r.Servers {
 		p.Servers = append(p.Servers, &masticproto.ServerLoad{
 			Server: s.Server, Tokens: int64(s.Tokens), UrgentTokens: int64(s.Urgent), HeldTokens: int64(s.Held),
@@ -26,7 +26,7 @@
 }
 
 func decode(p *masticproto.LoadReport) masticroute.PeerReport {
-	r := masticroute.PeerReport{Host: p.GetHost()}
+	r := masticroute.PeerReport{Host: p.GetHost(), Ended: p.GetEnded()}
 	for _, s := range p.GetServers() {
 		r.Servers = append(r.Servers, masticroute.ServerLoad{
 			Server: s.GetServer(), Tokens: float64(s.GetTokens()), Urgent: float64(s.GetUrgentTokens()), Held: float64(s.GetHeldTokens()),
--- a/masticgossip/codec_test.go
+++ b/masticgossip/codec_test.go
@@ -14,6 +14,7 @@
 	c := qt.New(t)
 	r := masticroute.PeerReport{
 		Host:    "10.0.0.1:7600",
+		Ended:   []string{"i-2"},
 		Servers: []masticroute.ServerLoad{{Server: "i-1", Tokens: 100, Urgent: 20, Held: 300, Running: 2, Speed: 5000}},
 		Touches: []masticroute.Touch{{Server: "i-1", Pieces: []masticprompt.Piece{{ID: masticprompt.PieceID{1}, Tokens: 800}, {ID: masticprompt.PieceID{2}, Tokens: 400}}}},
 	}
--- a/masticroute/peer.go
+++ b/masticroute/peer.go
@@ -42,6 +42,8 @@
 	Host    string
 	Servers []ServerLoad
 	Touches []Touch
+	// Ended are the backend servers that the host found ended or replaced.
+	Ended []string
 }
 
 // peerLoad is another host's work on one backend server.
@@ -86,6 +88,7 @@
 		}
 		s.load.blend(l.Speed)
 	}
+	r.hear(now, report)
 	for _, t := range report.Touches {
 		if slot, ok := r.slots[t.Server]; ok {
 			r.beliefs.Touch(now, slot, r.beliefs.Epoch(slot), t.Pieces)
@@ -106,8 +109,8 @@
 
 // Own returns this host's work, and the uses of pieces since the last call.
 func (r *Router) Own(host string) PeerReport {
-	report := PeerReport{Host: host, Touches: r.touched}
-	r.touched = nil
+	report := PeerReport{Host: host, Touches: r.touched, Ended: r.ended}
+	r.touched, r.ended = nil, nil
 	for _, s := range r.servers {
 		if s.load.running == 0 {
 			continue
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -38,6 +38,8 @@
 	storeHealth map[string]*storeHealth
 	// touched are the uses of pieces that other hosts were not told of.
 	touched []Touch
+	// ended are the backend servers found ended that other hosts were not told of.
+	ended []string
 	// speeds is the moving mean of the measured prefill speeds.
 	speeds float64
 	// speedsSeen is the number of measurements in that mean.
@@ -124,6 +126,10 @@
 	before, wasActive := s.info, s.active
 	if before.URL != i.URL || before.WeightsVersion != i.WeightsVersion || before.Incarnation != i.Incarnation {
 		r.beliefs.Reset(slot)
+		if r.shared {
+			// What was found of the former run or weights says nothing of these.
+			s.hearsay, s.health = hearsay{}, mastichealth.Server{}
+		}
 	}
 	s.info = i
 	if room := r.memory[i.Service]; room > 0 && room != s.memory {
--- a/masticroute/server.go
+++ b/masticroute/server.go
@@ -22,9 +22,10 @@
 
 // server is what a router knows of one backend server.
 type server struct {
-	info   masticview.Server
-	load   load
-	health mastichealth.Server
+	info    masticview.Server
+	load    load
+	health  mastichealth.Server
+	hearsay hearsay
 	// active reports that the view lets the backend server get new work.
 	active bool
 	// failures is the moving share of failures in the answers.
@@ -39,7 +40,7 @@
 
 // usable reports whether the backend server may get one more request at now.
 func (s *server) usable(now time.Time) bool {
-	if !s.active || !s.health.Usable(now) {
+	if !s.active || !s.health.Usable(now) || now.Before(s.hearsay.shunnedUntil) {
 		return false
 	}
 	return !s.health.Probing() || s.load.running == 0
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -104,6 +104,7 @@
 	switch {
 	case e.ServerEnded:
 		s.health.Break(now)
+		r.noteEnded(s)
 	case e.Failed:
 		if s.failing(1) || !r.shared {
 			s.health.Fail(now)
@@ -111,6 +112,7 @@
 	case !e.Partial:
 		s.failing(0)
 		s.health.Succeed(now)
+		s.hearsay = hearsay{provenAt: now}
 	}
 }
 
