Build the whole view once a revision

Cause: after a loss of all power on the site of 85 hosts, leadership was taken after 0.47 s and lost 0.3 s later; a second leader stood 1.5 s after the start, and hosts had no document until then (1,439 requests waited for one). Each host without a view made the leader build the whole one, and again for its watch. Change: it is built once a revision and sent to all. Test: TestWholeViewIsBuiltOnceARevision.

--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -45,6 +45,9 @@
 	// changed reports that the view has changed in this turn since pushedRevision.
 	changed        bool
 	pushedRevision uint64
+	// whole is the view of wholeRevision as it is sent to hosts that have none.
+	whole         *masticproto.ViewUpdate
+	wholeRevision uint64
 	// pushFrom is when the watchers may be told next.
 	pushFrom time.Time
 	lists    *listReader
--- a/masticcontrol/watch.go
+++ b/masticcontrol/watch.go
@@ -83,5 +83,15 @@
 	if deltas, ok := l.state.Deltas(revision); ok {
 		return &masticproto.ViewUpdate{Deltas: append([]*masticproto.ViewDelta(nil), deltas...)}
 	}
-	return &masticproto.ViewUpdate{Whole: l.state.View().Snapshot()}
+	return l.wholeView()
+}
+
+// wholeView returns the present view whole. It is built once a revision: after a loss of power
+// all hosts ask for it at once, for 85 of them a tenth of a second of the leader.
+func (l *loop) wholeView() *masticproto.ViewUpdate {
+	view := l.state.View()
+	if l.whole == nil || l.wholeRevision != view.Revision() {
+		l.whole, l.wholeRevision = &masticproto.ViewUpdate{Whole: view.Snapshot()}, view.Revision()
+	}
+	return l.whole
 }
--- /dev/null
+++ b/masticcontrol/watch_test.go
@@ -0,0 +1,59 @@
+package masticcontrol
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"masticladder/masticproto"
+	"masticladder/masticstate"
+)
+
+// viewLoop returns a loop whose state has a view of hosts and engines.
+func viewLoop(hosts, engines int) *loop {
+	l := &loop{settings: settings{log: logrus.New()}, state: masticstate.New()}
+	change := &masticproto.ViewChange{}
+	for i := range hosts {
+		change.Hosts = append(change.Hosts, &masticproto.Host{
+			Name: fmt.Sprint("host", i), Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "z", Weight: 20, State: "live",
+		})
+	}
+	for i := range engines {
+		change.Servers = append(change.Servers, &masticproto.Server{
+			Name: fmt.Sprint("engine", i), Kind: "engine", Url: fmt.Sprintf("http://10.0.1.%d:80", i+1), Models: []string{"m"}, State: "active",
+		})
+	}
+	publishTo(l, "first", change)
+	return l
+}
+
+func publishTo(l *loop, id string, change *masticproto.ViewChange) {
+	l.state.Apply(l.state.View().Revision()+1, &masticproto.Command{AtUnixMs: 1, Kind: &masticproto.Command_Publish{
+		Publish: &masticproto.Publish{RequestId: id, Change: change},
+	}})
+}
+
+// TestWholeViewIsBuiltOnceARevision: all hosts without a view are sent the same message, and
+// another one once the view has changed.
+func TestWholeViewIsBuiltOnceARevision(t *testing.T) {
+	c := qt.New(t)
+	l := viewLoop(85, 99)
+	first := l.wholeView()
+	c.Assert(first.GetWhole().GetItems().GetHosts(), qt.HasLen, 85)
+	c.Assert(l.wholeView() == first, qt.IsTrue)
+	publishTo(l, "second", &masticproto.ViewChange{RemovedServers: []string{"engine0"}})
+	second := l.wholeView()
+	c.Assert(second.GetWhole().GetItems().GetServers(), qt.HasLen, 98)
+	c.Assert(first.GetWhole().GetItems().GetServers(), qt.HasLen, 99)
+}
+
+// BenchmarkWholeView is what each host without a view costs the leader besides sending it.
+func BenchmarkWholeView(b *testing.B) {
+	l := viewLoop(85, 99)
+	for b.Loop() {
+		l.wholeRevision = 0
+		l.wholeView()
+	}
+}
