--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -75,6 +75,8 @@
 	return a, err
 }
 
+// admission asks what may admit a request, in turn: this host's share while the owner is out of
+// reach, the standing share for a small one, the owner, and the shares again where it is late.
 func (l *limiter) admission(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
 	if s := l.agent.shares; s != nil && (!l.agent.Reached() || l.silent(masticclock.Now())) {
 		return s.admit(masticclock.Now(), workspace, tokens)
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -85,8 +85,7 @@
 
 // openShared reports whether s may get the request at once: engines queue and order by
 // themselves, but only some requests beyond their slots. A long prompt waits until the engine's
-// memory has room: else the engine puts back the newest run and reads it again, which on a day
-// with a quarter of the engines dark was a quarter of all that was read.
+// memory has room: else the engine puts back the newest run and reads it again.
 func (r *Router) openShared(now time.Time, s *server, q *Query, tokens int64) bool {
 	peers := s.load.peersNow(now)
 	running := int64(s.load.running) + peers.running
--- a/masticroute/shared_test.go
+++ b/masticroute/shared_test.go
@@ -120,10 +120,9 @@
 	c.Assert(r.Server(decide(c, r, now, q).Slot).Name, qt.Equals, "e1")
 }
 
-// TestLongPromptsWaitForMemory replays a day with a quarter of the engines dark: the others
-// got more long prompts than their memory holds, and read a quarter of all tokens twice. What
-// runs on an engine leaves a part of its memory to quick requests, which go on; an idle engine
-// takes a prompt of any length.
+// TestLongPromptsWaitForMemory replays a day with a quarter of the engines dark: some of the
+// others got more long prompts than their memory holds. What runs on an engine leaves a part
+// of its memory to quick requests, which go on; an idle engine takes a prompt of any length.
 func TestLongPromptsWaitForMemory(t *testing.T) {
 	c := qt.New(t)
 	now := time.UnixMilli(1_000_000)
