masticladder explain: one request over all logs

The three kinds of failed request of docs/OPERATIONS.md are real lines of runs, which a test repeats.

--- a/masticcommand/command.go
+++ b/masticcommand/command.go
@@ -45,6 +45,7 @@
 		{"repair", "Empty a damaged data folder", repairHelp, &repairCommand{}},
 		{"usage", "Show both owners' usage and its cross-check", usageHelp, &usageCommand{}},
 		{"status", "Show the state of control", statusHelp, &statusCommand{}},
+		{"explain", "Show from the logs what decided how a request ended", explainHelp, &explainCommand{}},
 		{"measure", "Measure the policy or a running system", measureHelp, &measureCommand{}},
 		{"standin", "Run stand-in backend servers", standinHelp, &standinCommand{}},
 	}
--- /dev/null
+++ b/masticexplain/account_test.go
@@ -0,0 +1,84 @@
+package masticexplain
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticerror"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// TestAccounts: for the three kinds of failed request of docs/OPERATIONS.md the account of real
+// lines names the one that decided, as the page shows it.
+func TestAccounts(t *testing.T) {
+	for _, x := range []struct {
+		name, request, deciding string
+	}{
+		{"refused", "c23cccc88e4c6175", "request refused or failed"},
+		{"broken", "07ba90aee11dbf52", "attempt failed"},
+		{"unknown", "86b187d92917fe1c", "attempt failed"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			log, err := os.Open("testdata/" + x.name + ".log")
+			c.Assert(err, qt.IsNil)
+			defer log.Close()
+			r := NewReader(x.request)
+			c.Assert(r.Read("run", log), qt.IsNil)
+			a, err := r.Account()
+			c.Assert(err, qt.IsNil)
+			c.Assert(a.Lines[a.Deciding].Text, qt.Equals, x.deciding)
+			page, err := os.ReadFile("../docs/OPERATIONS.md")
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(page), qt.Contains, "> "+a.Lines[a.Deciding].String())
+			var b strings.Builder
+			for _, l := range append(a.Before, a.Lines...) {
+				b.WriteString(l.String() + "\n")
+			}
+			golden := "testdata/" + x.name + ".txt"
+			if *update {
+				c.Assert(os.WriteFile(golden, []byte(b.String()), 0o644), qt.IsNil)
+			}
+			want, err := os.ReadFile(golden)
+			c.Assert(err, qt.IsNil)
+			c.Assert(b.String(), qt.Equals, string(want))
+		})
+	}
+}
+
+// TestLinesOfManyProcesses: lines come in the order of their times whatever the order of the
+// files; what a process believes after the request came is not part of the account; what is
+// no line of a log is passed over.
+func TestLinesOfManyProcesses(t *testing.T) {
+	c := qt.New(t)
+	r := NewReader("a1")
+	c.Assert(r.Read("second", strings.NewReader(`not a line
+{"time":"2026-01-01T00:00:02Z","msg":"request answered","request":"a1","sends":2}
+{"time":"2026-01-01T00:00:03Z","msg":"document in force","number":2}
+`)), qt.IsNil)
+	c.Assert(r.Read("first", strings.NewReader(`{"time":"2026-01-01T00:00:00Z","msg":"document in force","number":1}
+{"time":"2026-01-01T00:00:01Z","msg":"request routed","request":"a1","server":"e1"}
+{"time":"2026-01-01T00:00:01Z","msg":"attempt failed","request":"a1","server":"e1"}
+{"time":"2026-01-01T00:00:01Z","msg":"request routed","request":"a1","server":"e2"}
+{"time":"2026-01-01T00:00:01Z","msg":"request routed","request":"b2","server":"e3"}
+{"time":"yesterday","msg":"request routed","request":"a1","server":"e4"}
+`)), qt.IsNil)
+	a, err := r.Account()
+	c.Assert(err, qt.IsNil)
+	var texts []string
+	for _, l := range a.Lines {
+		texts = append(texts, l.Source+" "+l.Text)
+	}
+	c.Assert(texts, qt.DeepEquals, []string{"first request routed", "first attempt failed", "first request routed", "second request answered"})
+	c.Assert(a.Deciding, qt.Equals, 2)
+	c.Assert(a.Before, qt.HasLen, 1)
+	c.Assert(a.Before[0].Fields["number"], qt.Equals, 1.0)
+
+	_, err = NewReader("none").Account()
+	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindNotFound)
+}
