Show a list that was never read as minus one millisecond

Cause: found in reading: ListAge returned minus one nanosecond, which the metrics page showed as 0, against docs/OPERATIONS.md. Nothing decides by it.

--- a/masticcontrol/counters.go
+++ b/masticcontrol/counters.go
@@ -19,12 +19,12 @@
 	listed       atomic.Pointer[time.Time]
 }
 
-// ListAge returns the age of the list of backend servers that this host read last, or a
-// negative time where it has read none.
+// ListAge returns the age of the list of backend servers that this host read last, or minus
+// one millisecond where it has read none.
 func (c *Counters) ListAge(now time.Time) time.Duration {
 	at := c.listed.Load()
 	if at == nil {
-		return -1
+		return -time.Millisecond
 	}
 	return now.Sub(*at)
 }
