--- a/masticcontrol/listing_test.go
+++ b/masticcontrol/listing_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"masticladder/masticplace"
 	"masticladder/masticview"
@@ -60,3 +61,40 @@
 		})
 	}
 }
+
+// TestListGoesBeforeWhatIsHeld: whatever a leader holds of a server and has ordered it to do, a
+// server that the list shows as leaving gets nothing more, another run of it is as the list
+// shows it, and the same run never has older weights than were known.
+func TestListGoesBeforeWhatIsHeld(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	states := []masticview.ServerState{masticview.ServerActive, masticview.ServerLoading, masticview.ServerLeaving}
+	server := func(t *rapid.T, name string) masticview.Server {
+		return masticview.Server{
+			Name:           "i",
+			Incarnation:    rapid.SampledFrom([]string{"1", "2"}).Draw(t, name+" incarnation"),
+			WeightsVersion: rapid.SampledFrom([]string{"", "2", "3", "10"}).Draw(t, name+" weights"),
+			State:          rapid.SampledFrom(states).Draw(t, name+" state"),
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		p := &placement{planner: masticplace.NewPlanner(1, now)}
+		if rapid.Bool().Draw(t, "ordered") {
+			p.planner.Want(masticplace.Load{Server: "i", ChecksFencing: true})
+			p.planner.Decide(now)
+		}
+		d := &leader{loop: &loop{turnTime: now}, placement: p}
+		held, listed := server(t, "held"), server(t, "listed")
+		known := rapid.Bool().Draw(t, "known")
+		next := d.reconcile(held, known, listed)
+		switch {
+		case !known || held.Incarnation != listed.Incarnation:
+			if !sameServer(next, listed) {
+				t.Fatalf("another run is %+v, the list says %+v", next, listed)
+			}
+		case listed.State == masticview.ServerLeaving && next.State != masticview.ServerLeaving:
+			t.Fatalf("a server that leaves is %s", next.State)
+		case newer(held.WeightsVersion, next.WeightsVersion) || newer(listed.WeightsVersion, next.WeightsVersion):
+			t.Fatalf("weights went from %q, listed %q, to %q", held.WeightsVersion, listed.WeightsVersion, next.WeightsVersion)
+		}
+	})
+}
--- a/masticdaemon/nodeopen_test.go
+++ b/masticdaemon/nodeopen_test.go
@@ -1,11 +1,17 @@
 package masticdaemon
 
 import (
+	"flag"
+	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 )
 
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // TestOnlyTheFirstStartFounds: an empty disk founds a group only at the first start of the
 // whole system and on a seed; a replacement, a wiped seed and the other control hosts join.
 func TestOnlyTheFirstStartFounds(t *testing.T) {
@@ -32,3 +38,38 @@
 		})
 	}
 }
+
+// TestOneGroupWhateverTheSeeds: at the first start the seeds, and no others, found one and the
+// same group in whatever order they were told; whoever comes later founds none, whatever its
+// disk and its seeds.
+func TestOneGroupWhateverTheSeeds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var hosts []string
+		for i := range rapid.IntRange(3, 9).Draw(t, "hosts") {
+			hosts = append(hosts, fmt.Sprintf("10.0.0.%d:7600", i+1))
+		}
+		seeds := rapid.Permutation(hosts).Draw(t, "seeds")[:3]
+		var group []string
+		for _, peer := range hosts {
+			told := rapid.Permutation(seeds).Draw(t, "told")
+			var members []string
+			for _, m := range founders(NodeSettings{Peer: peer, Found: true, Founders: told}) {
+				members = append(members, m.GetId())
+			}
+			slices.Sort(members)
+			switch {
+			case slices.Contains(seeds, peer) != (len(members) > 0):
+				t.Fatalf("%s founds %v, the seeds are %v", peer, members, seeds)
+			case len(members) == 0:
+			case group == nil:
+				group = members
+			case !slices.Equal(group, members):
+				t.Fatalf("%s founds %v, another host %v", peer, members, group)
+			}
+			later := rapid.Permutation(hosts).Draw(t, "seeds of a later start")[:rapid.IntRange(1, 3).Draw(t, "number")]
+			if m := founders(NodeSettings{Peer: peer, Founders: later}); len(m) > 0 {
+				t.Fatalf("%s founds %v at a later start", peer, m)
+			}
+		}
+	})
+}
--- a/process_test.go
+++ b/process_test.go
@@ -139,8 +139,19 @@
 	p.command.Stderr = p.log
 	qt.Assert(p.t, p.command.Start(), qt.IsNil)
 	p.t.Cleanup(p.kill)
+	p.t.Cleanup(p.showLog)
 }
 
+// showLog prints the end of what the process wrote when the test has failed.
+func (p *process) showLog() {
+	if p.t.Failed() {
+		p.t.Logf("the log of %s ends with:\n%s", p.host, tail(p.log.String(), shownLogBytes))
+	}
+}
+
+// shownLogBytes is how much of a process's log a failed test shows.
+const shownLogBytes = 6000
+
 func (p *process) signal(s os.Signal) { _ = p.command.Process.Signal(s) }
 
 // freeze stops the process and returns once all its threads have stopped.
