One reading of the lease and one registration for both hosts' metrics

Daemon and Node each had their own; the Daemon's counted by the runtime's clock, which stands while a machine is suspended, the lease is counted by masticclock.

--- a/masticdaemon/metrics.go
+++ b/masticdaemon/metrics.go
@@ -2,10 +2,10 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"masticladder/masticagent"
 	"masticladder/masticclock"
 )
 
@@ -54,7 +54,7 @@
 		}
 	}
 	for name, value := range values {
-		_ = n.registry.Register(name, metrics.NewFunctionalGauge(value))
+		registerGauge(n.registry, name, value)
 	}
 }
 
@@ -70,22 +70,25 @@
 	return 0
 }
 
-func (n *Node) leaseRemainingMillis() int64 {
-	return max(0, masticclock.Until(n.agent.LeaseUntil()).Milliseconds())
-}
+func (n *Node) leaseRemainingMillis() int64 { return leaseRemainingMillis(n.agent) }
 
 // listAgeMillis is negative on a host that has not read the list.
 func (n *Node) listAgeMillis() int64 { return n.counters.ListAge(masticclock.Now()).Milliseconds() }
 
-func (d *Daemon) gauge(name string, value func() int64) {
-	_ = d.registry.Register(name, metrics.NewFunctionalGauge(value))
+func (d *Daemon) gauge(name string, value func() int64) { registerGauge(d.registry, name, value) }
+
+// registerGauge adds a gauge to r. Names are registered once a process, so there is no error.
+func registerGauge(r metrics.Registry, name string, value func() int64) {
+	_ = r.Register(name, metrics.NewFunctionalGauge(value))
 }
 
 func (d *Daemon) counter(name string, value *atomic.Int64) { d.gauge(name, value.Load) }
 
 func (d *Daemon) running() int64 { return int64(d.gate.Running()) }
 
+func (d *Daemon) leaseRemainingMillis() int64 { return leaseRemainingMillis(d.agent) }
+
 // leaseRemainingMillis returns how long the view lease still holds, zero where it does not.
-func (d *Daemon) leaseRemainingMillis() int64 {
-	return max(0, time.Until(d.agent.LeaseUntil()).Milliseconds())
+func leaseRemainingMillis(a *masticagent.Agent) int64 {
+	return max(0, masticclock.Until(a.LeaseUntil()).Milliseconds())
 }
