Log what joins the attempts of one content, and whether a server has ended

Now every line has the content (workspace, method, path and body), a failed attempt has the server's incarnation and whether the server refuses a new connection, and each retry is one decision with its reason.

--- a/masticbackend/client.go
+++ b/masticbackend/client.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -153,6 +154,25 @@
 	}
 }
 
+// refuseTimeout bounds Refuses. A host that is up refuses within a round trip; from one that is
+// cut off no answer comes.
+const refuseTimeout = 250 * time.Millisecond
+
+// Refuses reports whether the host at address refuses connections, so that no process listens
+// there. A connection that is established instead is kept for later requests.
+func (c *Client) Refuses(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), refuseTimeout)
+	defer cancel()
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	n := newConnection(address, conn.(*net.TCPConn))
+	n.idleDeadline = time.Now().Add(c.idleTimeout)
+	c.putIdle(n)
+	return false
+}
+
 // acquire returns an idle connection to address if there is one, else a new one.
 func (c *Client) acquire(ctx context.Context, address string) (*connection, error) {
 	if n := c.getIdle(address); n != nil {
--- a/masticrelay/call.go
+++ b/masticrelay/call.go
@@ -10,6 +10,8 @@
 package masticrelay
 
 import (
+	"crypto/sha256"
+	"io"
 	"net/http"
 	"time"
 
@@ -56,6 +58,18 @@
 	}
 }
 
+// contentOf returns the digest of what a caller's retry has in common with the request: the
+// workspace, method, path and body, but not the ID.
+func contentOf(c *Call, workspace string) masticview.Digest {
+	h := sha256.New()
+	for _, part := range []string{workspace, c.Method, c.Host, c.URI} {
+		// Writing to a hash does not fail.
+		_, _ = io.WriteString(h, part+"\x00")
+	}
+	_, _ = h.Write(c.Body)
+	return masticview.Digest(h.Sum(nil))
+}
+
 // Attempt holds what a backend server is sent in addition to the request.
 type Attempt struct {
 	Server masticview.Server
--- a/masticrelay/metrics.go
+++ b/masticrelay/metrics.go
@@ -24,6 +24,9 @@
 	retries, overBudget metrics.Counter
 	// resumed counts streams that were resumed on another backend server.
 	resumed metrics.Counter
+	// firstAttempts counts the requests that were given to a pool; the retry budget is a fraction of
+	// them. endedServers counts the attempts under which a server ended.
+	firstAttempts, endedServers metrics.Counter
 	// quotaWait is the time in milliseconds that requests waited for their workspace's quota.
 	quotaWait metrics.Histogram
 	kinds     map[string]kindMetrics
@@ -41,12 +44,14 @@
 		kinds[kind] = kindMetrics{firstByte: histogram(r, "requests."+kind+".firstMillis"), total: histogram(r, "requests."+kind+".millis")}
 	}
 	return &requestMetrics{
-		kinds:      kinds,
-		registry:   r,
-		retries:    metrics.GetOrRegisterCounter("attempts.repeated", r),
-		overBudget: metrics.GetOrRegisterCounter("attempts.overBudget", r),
-		resumed:    metrics.GetOrRegisterCounter("streams.resumed", r),
-		quotaWait:  histogram(r, "quota.waitMillis"),
+		kinds:         kinds,
+		registry:      r,
+		retries:       metrics.GetOrRegisterCounter("attempts.repeated", r),
+		overBudget:    metrics.GetOrRegisterCounter("attempts.overBudget", r),
+		resumed:       metrics.GetOrRegisterCounter("streams.resumed", r),
+		firstAttempts: metrics.GetOrRegisterCounter("attempts.first", r),
+		endedServers:  metrics.GetOrRegisterCounter("attempts.serverEnded", r),
+		quotaWait:     histogram(r, "quota.waitMillis"),
 	}
 }
 
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -176,6 +176,7 @@
 func (c *Relay) recordFirstAttempt(pool string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.metrics.firstAttempts.Inc(1)
 	c.budget.RecordFirstAttempt(pool)
 }
 
@@ -186,6 +187,13 @@
 	return c.budget.TakeRetry(pool)
 }
 
+// retriesLeft returns the rest of the retry budget of pool.
+func (c *Relay) retriesLeft(pool string) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.budget.Left(pool)
+}
+
 // retryAfter returns how long a caller should wait before it retries, for refusals that may not
 // occur on another host. It is jittered so that callers do not retry all at once.
 func (c *Relay) retryAfter() time.Duration {
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -39,6 +39,8 @@
 	pool      masticdocument.Pool
 	service   masticview.Service
 
+	// content identifies the request over all hosts and callers' retries.
+	content  masticview.Digest
 	deadline time.Time
 	avoid    []string
 	// possibleRuns counts the failed attempts in which a backend server may have run the request.
@@ -117,6 +119,7 @@
 	if !r.call.Deadline.IsZero() && r.call.Deadline.Before(r.deadline) {
 		r.deadline = r.call.Deadline
 	}
+	r.content = contentOf(r.call, r.workspace.Name)
 	r.pool, _ = t.index.Pool(c.pickPool(route.Targets))
 	r.service = t.services[r.pool.Name]
 	r.service.Name = r.pool.Name
@@ -156,11 +159,13 @@
 // mayRetry reports whether the request may be sent once more after f, and if so takes a retry
 // from the budget.
 func (r *requestState) mayRetry(ctx context.Context, f *masticbackend.Failure) bool {
-	if ctx.Err() != nil || time.Until(r.deadline) < minRemainingTime || !r.retryable(f) {
-		return false
-	}
-	if !r.relay.takeRetry(r.pool.Name) {
+	denial := r.retryDenial(ctx, f)
+	if denial == "" && !r.relay.takeRetry(r.pool.Name) {
 		r.relay.metrics.overBudget.Inc(1)
+		denial = denialBudget
+	}
+	r.logRetry(denial)
+	if denial != "" {
 		return false
 	}
 	r.relay.metrics.retries.Inc(1)
@@ -170,20 +175,42 @@
 	return true
 }
 
-// retryable reports whether the route and the progress of the request allow another attempt after f.
-func (r *requestState) retryable(f *masticbackend.Failure) bool {
+// retryDenial is why a request is not sent once more; empty if it may be.
+type retryDenial string
+
+// Reasons not to send a request once more.
+const (
+	denialCancelled retryDenial = "cancelled"
+	denialDeadline  retryDenial = "deadline"
+	// denialNoServer means that no backend server could be assigned to the first attempt.
+	denialNoServer retryDenial = "noServer"
+	denialAttempts retryDenial = "attempts"
+	// denialProgress means that the response has begun and cannot be resumed.
+	denialProgress retryDenial = "progress"
+	// denialRoute means that the route does not allow another possible run.
+	denialRoute  retryDenial = "route"
+	denialBudget retryDenial = "budget"
+)
+
+// retryDenial returns why the request, its route or its progress rule out another attempt after f.
+func (r *requestState) retryDenial(ctx context.Context, f *masticbackend.Failure) retryDenial {
 	switch {
-	case f.Err.Kind() == masticerror.KindCancelled || r.attempts == 0:
-		// With 0 attempts, no backend server could be assigned.
-		return false
+	case errors.Is(ctx.Err(), context.Canceled) || f.Err.Kind() == masticerror.KindCancelled:
+		return denialCancelled
+	case ctx.Err() != nil || time.Until(r.deadline) < minRemainingTime:
+		return denialDeadline
+	case r.attempts == 0:
+		return denialNoServer
 	case r.attempts >= max(1, r.route.Attempts)+maxExtraAttempts:
-		return false
+		return denialAttempts
 	case !f.Sent:
-		return true
+		return ""
 	case r.headerWritten && !(r.route.Resumable && r.events.count > 0):
-		return false
+		return denialProgress
+	case !r.route.Idempotent() || r.possibleRuns >= r.route.Attempts:
+		return denialRoute
 	}
-	return r.route.Idempotent() && r.possibleRuns < r.route.Attempts
+	return ""
 }
 
 // finalError returns the error for the caller after the last attempt.
@@ -229,7 +256,7 @@
 		Levels:             r.call.Levels,
 		PromptTokens:       r.call.InputTokens,
 		OutputTokens:       r.call.OutputTokens,
-		Digest:             masticview.DigestOf(r.call.Body),
+		Digest:             r.content,
 		FirstTokenDeadline: firstTokenDeadline,
 		Deadline:           r.deadline,
 		ServerWaitDeadline: r.call.Received.Add(r.route.TargetLatency / usableTimeoutDivisor),
@@ -244,7 +271,7 @@
 	if err != nil {
 		return &masticbackend.Failure{Err: masticerror.From(err)}
 	}
-	server := a.Server()
+	c, server := r.relay, a.Server()
 	r.server = server.Name
 	r.attempts++
 	f := r.exchange(ctx, a)
@@ -256,7 +283,11 @@
 			r.mayHaveRun = true
 			r.possibleRuns++
 		}
-		r.logAttempt(f)
+		refusing := f.Sent && f.ServerEnded && c.client.Refuses(server.Address())
+		if refusing {
+			c.metrics.endedServers.Inc(1)
+		}
+		r.logAttempt(server, f, refusing)
 	}
 	a.Done(time.Now(), result)
 	return f
--- a/masticretry/budget.go
+++ b/masticretry/budget.go
@@ -46,6 +46,9 @@
 	return true
 }
 
+// Left returns the number of retries that the key has left.
+func (b *Budget) Left(key string) int { return int(b.get(key)) }
+
 func (b *Budget) get(key string) float64 {
 	if n, ok := b.remaining[key]; ok {
 		return n
