--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -14,6 +14,7 @@
 	"masticladder/masticcall"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
+	"masticladder/masticsuspect"
 	"masticladder/masticview"
 	"masticladder/masticwire"
 )
@@ -37,6 +38,7 @@
 	reserveTimeout        time.Duration
 	orderRetention        time.Duration
 	quarantinePeriod      time.Duration
+	quarantineAfter       int
 	// lazyAcknowledgement defers the acknowledgement of a view to the next regular renewal.
 	lazyAcknowledgement bool
 
@@ -73,6 +75,7 @@
 		reserveTimeout:        DefaultReserveTimeout,
 		orderRetention:        DefaultOrderRetention,
 		quarantinePeriod:      DefaultQuarantinePeriod,
+		quarantineAfter:       masticsuspect.DefaultQuarantineAfter,
 	}
 	for _, o := range options {
 		o(a)
--- a/masticagent/option.go
+++ b/masticagent/option.go
@@ -97,5 +97,10 @@
 // WithQuarantine sets how long a request that crashed backend servers is refused.
 func WithQuarantine(d time.Duration) Option { return func(a *Agent) { a.quarantinePeriod = d } }
 
+// WithQuarantineAfter sets the number of backend servers that have to end under a request before it
+// is refused; the default is masticsuspect.DefaultQuarantineAfter. One end before that it needs a
+// hold. All hosts should have the same number.
+func WithQuarantineAfter(ends int) Option { return func(a *Agent) { a.quarantineAfter = ends } }
+
 // WithOrderRetention sets how long the record of a call that must not be repeated is kept.
 func WithOrderRetention(d time.Duration) Option { return func(a *Agent) { a.orderRetention = d } }
--- a/masticagent/suspects.go
+++ b/masticagent/suspects.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,9 +15,11 @@
 const (
 	// holdEndTimeout is how long the end of a hold is retried; after that the hold ends at its deadline.
 	holdEndTimeout = 10 * time.Second
-	// ownSuspectTTL is how long a suspect reported by this host counts without confirmation by the
-	// control group.
-	ownSuspectTTL = 5 * time.Second
+	// localRecordTTL is how long the ends that this host has seen count. The control group gets to
+	// know of them within milliseconds, but a host may be cut off from it.
+	localRecordTTL = time.Minute
+	// maxLocalRecords bounds the requests whose ends this host remembers itself.
+	maxLocalRecords = 4096
 )
 
 // suspects implements masticcall.SuspectReporter and masticcall.Holds. It holds the digests of
@@ -27,30 +31,62 @@
 	mutex              sync.Mutex
 	currentFingerprint uint64
 	fromControl        map[masticview.Digest]bool
-	local              map[masticview.Digest]time.Time
+	local              map[masticview.Digest]localRecord
+}
+
+// localRecord is a request under which this host has seen backend servers end.
+type localRecord struct {
+	incarnations []string
+	expiresAt    time.Time
 }
 
 func newSuspects(a *Agent) *suspects {
-	return &suspects{agent: a, fromControl: map[masticview.Digest]bool{}, local: map[masticview.Digest]time.Time{}}
+	return &suspects{agent: a, fromControl: map[masticview.Digest]bool{}, local: map[masticview.Digest]localRecord{}}
 }
 
 // Report records and reports the requests that ran on a backend server when its incarnation ended.
 func (s *suspects) Report(server, serverIncarnation string, digests []masticview.Digest) {
-	until := masticclock.Now().Add(ownSuspectTTL)
+	now := masticclock.Now()
 	s.mutex.Lock()
 	for _, d := range digests {
-		s.local[d] = until
+		s.record(now, d, server+"\x00"+serverIncarnation)
 	}
 	s.mutex.Unlock()
 	s.notify()
 	s.agent.reporter.Report(server, serverIncarnation, digests)
 }
 
-// Suspected reports whether the request with digest d may crash a backend server.
+// record adds an ended incarnation to the local record of d. With maxLocalRecords records that
+// have not expired it adds none; the control group gets the report all the same.
+func (s *suspects) record(now time.Time, d masticview.Digest, incarnation string) {
+	r, known := s.local[d]
+	if !known && len(s.local) >= maxLocalRecords {
+		s.expire(now)
+		if len(s.local) >= maxLocalRecords {
+			return
+		}
+	}
+	if !slices.Contains(r.incarnations, incarnation) {
+		r.incarnations = append(r.incarnations, incarnation)
+	}
+	r.expiresAt = now.Add(localRecordTTL)
+	s.local[d] = r
+}
+
+func (s *suspects) expire(now time.Time) {
+	maps.DeleteFunc(s.local, func(_ masticview.Digest, r localRecord) bool { return !now.Before(r.expiresAt) })
+}
+
+// Suspected reports whether the request with digest d may crash a backend server: the control
+// group or this host itself has counted so many ends that one more would quarantine it.
 func (s *suspects) Suspected(d masticview.Digest) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.fromControl[d] || masticclock.Now().Before(s.local[d])
+	return s.fromControl[d] || s.locallySuspected(masticclock.Now(), s.local[d])
+}
+
+func (s *suspects) locallySuspected(now time.Time, r localRecord) bool {
+	return now.Before(r.expiresAt) && len(r.incarnations) >= s.agent.quarantineAfter-1
 }
 
 func (s *suspects) fingerprint() uint64 {
@@ -83,15 +119,10 @@
 func (s *suspects) all(now time.Time) []masticview.Digest {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	out := make([]masticview.Digest, 0, len(s.fromControl)+len(s.local))
-	for d := range s.fromControl {
-		out = append(out, d)
-	}
-	for d, until := range s.local {
-		switch {
-		case !now.Before(until):
-			delete(s.local, d)
-		case !s.fromControl[d]:
+	s.expire(now)
+	out := slices.Collect(maps.Keys(s.fromControl))
+	for d, r := range s.local {
+		if !s.fromControl[d] && s.locallySuspected(now, r) {
 			out = append(out, d)
 		}
 	}
@@ -117,6 +148,11 @@
 // Release ends a hold in the background, so that the answer to the caller does not wait for the
 // control group.
 func (s *suspects) Release(d masticview.Digest, server string, completed bool) {
+	if completed {
+		s.mutex.Lock()
+		delete(s.local, d)
+		s.mutex.Unlock()
+	}
 	s.agent.commandRetrier.add(pendingCommand{
 		command: &masticproto.Command{Kind: &masticproto.Command_SuspectEnd{SuspectEnd: &masticproto.SuspectEnd{
 			Digest:      d[:],
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -49,7 +49,7 @@
 func (l *loop) suspectSet() *masticproto.SuspectSet {
 	tracker := l.state.Suspects()
 	set := &masticproto.SuspectSet{Fingerprint: tracker.Fingerprint()}
-	for _, x := range tracker.Digests() {
+	for _, x := range tracker.Suspects() {
 		set.Digests = append(set.Digests, x[:])
 	}
 	return set
--- a/masticsuspect/property_test.go
+++ b/masticsuspect/property_test.go
@@ -47,6 +47,8 @@
 	held        [3]map[int]bool
 	crashes     int
 	quarantined map[masticview.Digest]bool
+	// quarantineAfter is what the hosts' reports state.
+	quarantineAfter int
 }
 
 func (f *fleet) hold(server, request int, host string) *masticproto.SuspectHold {
@@ -102,7 +104,7 @@
 	f.crashes++
 	for range 2 {
 		for _, host := range []string{"h1", "h2"} {
-			r := &masticproto.SuspectReport{Server: fmt.Sprint("s", server), ServerIncarnation: fmt.Sprint(f.incarnation[server])}
+			r := &masticproto.SuspectReport{Server: fmt.Sprint("s", server), ServerIncarnation: fmt.Sprint(f.incarnation[server]), QuarantineAfter: uint32(f.quarantineAfter)}
 			for q, by := range f.running[server] {
 				if d := digest(q); by == host {
 					r.Digests = append(r.Digests, d[:])
@@ -122,12 +124,25 @@
 	f.running[server], f.held[server] = make(map[int]string), make(map[int]bool)
 }
 
+// restore replaces the tracker by one restored from its snapshot.
+func (f *fleet) restore() {
+	restored, err := Restore(f.tracker.Snapshot())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if restored.Fingerprint() != f.tracker.Fingerprint() || fmt.Sprint(restored.Suspects()) != fmt.Sprint(f.tracker.Suspects()) {
+		f.t.Fatalf("suspects %v restored as %v", f.tracker.Suspects(), restored.Suspects())
+	}
+	f.tracker = restored
+}
+
 // TestOnlyTheCrashingRequestIsQuarantined runs innocent requests besides one that crashes any
-// backend server: that one is quarantined at its second crash, no other is, and no two
-// suspects run on the same backend server.
+// backend server: that one is quarantined at the crash that the reports state, no other is, and
+// no two suspects run on the same backend server. Snapshots in between change nothing.
 func TestOnlyTheCrashingRequestIsQuarantined(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fleet{t: t, now: begin, tracker: New(), quarantined: make(map[masticview.Digest]bool)}
+		f.quarantineAfter = pick(t, "quarantine after", 2, 3, 4)
 		for s := range f.running {
 			f.running[s], f.held[s] = make(map[int]string), make(map[int]bool)
 		}
@@ -135,15 +150,17 @@
 			f.now = f.now.Add(pick(t, "pass", 0, time.Second))
 			server := pick(t, "server", 0, 1, 2)
 			request := pick(t, "request", 0, 1, 2, 3)
-			switch pick(t, "action", "start", "start", "complete", "crash") {
+			switch pick(t, "action", "start", "start", "complete", "crash", "restore") {
 			case "start":
 				f.start(server, request, pick(t, "host", "h1", "h2"))
 			case "complete":
 				f.complete(server, request)
+			case "restore":
+				f.restore()
 			default:
 				f.crash(server)
 			}
-			if f.crashes >= 2 != f.quarantined[digest(0)] {
+			if f.crashes >= f.quarantineAfter != f.quarantined[digest(0)] {
 				t.Fatalf("%d crashes, quarantined: %v", f.crashes, f.quarantined[digest(0)])
 			}
 			for q := range 3 {
@@ -158,7 +175,7 @@
 func TestTrackerIsBounded(t *testing.T) {
 	c := qt.New(t)
 	g := New()
-	for i := range MaxSuspects/100 + 2 {
+	for i := range MaxRecords/100 + 2 {
 		r := &masticproto.SuspectReport{Server: "s", ServerIncarnation: fmt.Sprint(i)}
 		for j := range 100 {
 			d := masticview.DigestOf(fmt.Append(nil, i, j))
@@ -167,10 +184,10 @@
 		_, err := g.Report(begin.Add(time.Duration(i)*time.Millisecond), r)
 		c.Assert(err, qt.IsNil)
 	}
-	c.Assert(g.Suspects(), qt.Equals, MaxSuspects)
+	c.Assert(g.Records(), qt.Equals, MaxRecords)
 	c.Assert(g.Suspect(masticview.DigestOf(fmt.Append(nil, 0, 0))), qt.IsFalse)
 	g.Expire(begin.Add(time.Hour))
-	c.Assert(g.Suspects(), qt.Equals, 0)
+	c.Assert(g.Records(), qt.Equals, 0)
 }
 
 // TestHoldExcludesOtherSuspectsUntilItEnds checks that a backend server is available to
--- a/masticsuspect/snapshot.go
+++ b/masticsuspect/snapshot.go
@@ -8,12 +8,14 @@
 	"masticladder/masticview"
 )
 
-// Snapshot returns all suspects and holds in wire form, in a deterministic order.
+// Snapshot returns all records and holds in wire form, in a deterministic order.
 func (t *Tracker) Snapshot() *masticproto.SuspectSnapshot {
 	out := &masticproto.SuspectSnapshot{}
 	for _, d := range t.sortedDigests() {
-		s := t.suspects[d]
-		out.Suspects = append(out.Suspects, &masticproto.SuspectRecord{Digest: d[:], Ended: s.incarnations, UntilUnixMs: s.expiresUnixMs})
+		r := t.records[d]
+		out.Suspects = append(out.Suspects, &masticproto.SuspectRecord{
+			Digest: d[:], Ended: r.incarnations, UntilUnixMs: r.expiresUnixMs, QuarantineAfter: uint32(r.quarantineAfter),
+		})
 	}
 	for _, n := range slices.Sorted(maps.Keys(t.holds)) {
 		out.Holds = append(out.Holds, t.holds[n])
@@ -30,7 +32,10 @@
 		if err != nil {
 			return nil, err
 		}
-		t.put(d, suspect{incarnations: r.GetEnded(), expiresUnixMs: r.GetUntilUnixMs()})
+		t.put(d, record{
+			incarnations: r.GetEnded(), expiresUnixMs: r.GetUntilUnixMs(),
+			quarantineAfter: max(int(r.GetQuarantineAfter()), DefaultQuarantineAfter),
+		})
 	}
 	for _, h := range s.GetHolds() {
 		t.holds[h.GetServer()] = h
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -1,11 +1,11 @@
 // Package masticsuspect identifies the requests that crash backend servers. It is a
 // deterministic state machine: commands and the time come from the replicated log.
 //
-// When an incarnation of a backend server ends, the requests that ran on it become suspects.
-// A suspect is sent again only under a hold, an exclusive lease on its backend server among
-// suspects. As two suspects never run on the same backend server, an innocent one completes
-// and is cleared. A request that ran on two distinct incarnations when they ended is
-// quarantined.
+// When an incarnation of a backend server ends, the requests that ran on it are recorded. A
+// request is quarantined when a number of distinct incarnations, which the reports state, have
+// ended under it. One end before that it is a suspect, which is sent again only under a hold, an
+// exclusive lease on its backend server among suspects. As two suspects never run on the same
+// backend server, an innocent one completes and is cleared.
 package masticsuspect
 
 import (
@@ -20,71 +20,79 @@
 )
 
 const (
-	// SuspectTTL is how long a request stays a suspect after the last incarnation that ended.
-	SuspectTTL = 10 * time.Minute
-	// QuarantineThreshold is the number of ended incarnations at which a request is quarantined.
-	QuarantineThreshold = 2
-	// MaxSuspects bounds the number of suspects; those that expire first are evicted.
-	MaxSuspects = 16_384
+	// RecordTTL is how long a request is recorded after the last incarnation that ended.
+	RecordTTL = 10 * time.Minute
+	// DefaultQuarantineAfter is the number of ended incarnations at which a request is quarantined
+	// if the report states none. It is also the least such number.
+	DefaultQuarantineAfter = 2
+	// MaxRecords bounds the number of recorded requests; those that expire first are evicted.
+	MaxRecords = 16_384
 	// MaxHoldTTL bounds the duration of a hold.
 	MaxHoldTTL = 30 * time.Minute
 )
 
-// suspect is a request that ran on backend servers when they ended.
-type suspect struct {
-	incarnations  []string
-	expiresUnixMs int64
+// record is a request that ran on backend servers when they ended.
+type record struct {
+	incarnations    []string
+	quarantineAfter int
+	expiresUnixMs   int64
 }
 
-// Tracker is the set of suspects and holds. It is not safe for concurrent use.
+// suspect reports whether one more ended incarnation would quarantine the request.
+func (r record) suspect() bool { return len(r.incarnations) >= r.quarantineAfter-1 }
+
+// Tracker is the set of recorded requests and holds. It is not safe for concurrent use.
 type Tracker struct {
-	suspects    map[masticview.Digest]suspect
+	records     map[masticview.Digest]record
 	holds       map[string]*masticproto.SuspectHold
 	fingerprint uint64
 }
 
-// New returns a Tracker without suspects and holds.
+// New returns a Tracker without records and holds.
 func New() *Tracker {
 	return &Tracker{
-		suspects: make(map[masticview.Digest]suspect),
-		holds:    make(map[string]*masticproto.SuspectHold),
+		records: make(map[masticview.Digest]record),
+		holds:   make(map[string]*masticproto.SuspectHold),
 	}
 }
 
 // Suspect reports whether the request with digest d is a suspect.
 func (t *Tracker) Suspect(d masticview.Digest) bool {
-	_, ok := t.suspects[d]
-	return ok
+	r, ok := t.records[d]
+	return ok && r.suspect()
 }
 
-// Suspects returns the number of suspects.
-func (t *Tracker) Suspects() int { return len(t.suspects) }
+// Records returns the number of recorded requests, suspects or not.
+func (t *Tracker) Records() int { return len(t.records) }
 
-// Digests returns the digests of all suspects in ascending order.
-func (t *Tracker) Digests() []masticview.Digest { return t.sortedDigests() }
+// Suspects returns the digests of all suspects in ascending order.
+func (t *Tracker) Suspects() []masticview.Digest {
+	return slices.DeleteFunc(t.sortedDigests(), func(d masticview.Digest) bool { return !t.Suspect(d) })
+}
 
 // Fingerprint returns a hash of the set of suspects. It is equal on all replicas and zero for
 // an empty set; different sets can collide.
 func (t *Tracker) Fingerprint() uint64 { return t.fingerprint }
 
-// put adds or replaces a suspect. Like remove, it updates the fingerprint, the exclusive or
-// of the digests' first 8 bytes.
-func (t *Tracker) put(d masticview.Digest, s suspect) {
-	if !t.Suspect(d) {
+// put adds or replaces a record. Like remove, it updates the fingerprint, the exclusive or
+// of the suspects' first 8 bytes.
+func (t *Tracker) put(d masticview.Digest, r record) {
+	t.remove(d)
+	t.records[d] = r
+	if r.suspect() {
 		t.fingerprint ^= binary.BigEndian.Uint64(d[:])
 	}
-	t.suspects[d] = s
 }
 
 func (t *Tracker) remove(d masticview.Digest) {
 	if t.Suspect(d) {
 		t.fingerprint ^= binary.BigEndian.Uint64(d[:])
 	}
-	delete(t.suspects, d)
+	delete(t.records, d)
 }
 
 // Report records that an incarnation of a backend server ended while it ran the given
-// requests. It returns the requests to quarantine now; they are no longer suspects. Several
+// requests. It returns the requests to quarantine now; they are no longer recorded. Several
 // hosts may report the end of the same incarnation.
 func (t *Tracker) Report(now time.Time, r *masticproto.SuspectReport) ([]masticview.Digest, error) {
 	digests := make([]masticview.Digest, 0, len(r.GetDigests()))
@@ -99,7 +107,7 @@
 	incarnation := r.GetServer() + "\x00" + r.GetServerIncarnation()
 	var quarantined []masticview.Digest
 	for _, d := range digests {
-		if t.addIncarnation(now, d, incarnation) {
+		if t.addIncarnation(now, d, incarnation, int(r.GetQuarantineAfter())) {
 			quarantined = append(quarantined, d)
 		}
 	}
@@ -107,32 +115,36 @@
 	return quarantined, nil
 }
 
-// addIncarnation adds an ended incarnation to the suspect d and reports whether d reached the
-// quarantine threshold.
-func (t *Tracker) addIncarnation(now time.Time, d masticview.Digest, incarnation string) bool {
-	s := t.suspects[d]
-	if !slices.Contains(s.incarnations, incarnation) {
-		s.incarnations = append(slices.Clone(s.incarnations), incarnation)
-		s.expiresUnixMs = now.Add(SuspectTTL).UnixMilli()
+// addIncarnation adds an ended incarnation to the record of d and reports whether d is to be
+// quarantined. Of the numbers of ends that reports state, the smallest counts.
+func (t *Tracker) addIncarnation(now time.Time, d masticview.Digest, incarnation string, quarantineAfter int) bool {
+	quarantineAfter = max(quarantineAfter, DefaultQuarantineAfter)
+	r, ok := t.records[d]
+	if !ok || quarantineAfter < r.quarantineAfter {
+		r.quarantineAfter = quarantineAfter
+	}
+	if !slices.Contains(r.incarnations, incarnation) {
+		r.incarnations = append(slices.Clone(r.incarnations), incarnation)
+		r.expiresUnixMs = now.Add(RecordTTL).UnixMilli()
 	}
-	if len(s.incarnations) >= QuarantineThreshold {
+	if len(r.incarnations) >= r.quarantineAfter {
 		t.remove(d)
 		return true
 	}
-	t.put(d, s)
+	t.put(d, r)
 	return false
 }
 
-// evictExcess removes the suspects that expire first, down to MaxSuspects.
+// evictExcess removes the records that expire first, down to MaxRecords.
 func (t *Tracker) evictExcess() {
-	if len(t.suspects) <= MaxSuspects {
+	if len(t.records) <= MaxRecords {
 		return
 	}
 	digests := t.sortedDigests()
 	slices.SortStableFunc(digests, func(a, b masticview.Digest) int {
-		return cmp.Compare(t.suspects[a].expiresUnixMs, t.suspects[b].expiresUnixMs)
+		return cmp.Compare(t.records[a].expiresUnixMs, t.records[b].expiresUnixMs)
 	})
-	for _, d := range digests[:len(digests)-MaxSuspects] {
+	for _, d := range digests[:len(digests)-MaxRecords] {
 		t.remove(d)
 	}
 }
@@ -163,7 +175,7 @@
 	return bytes.Equal(a.GetDigest(), b.GetDigest()) && a.GetHost() == b.GetHost() && a.GetIncarnation() == b.GetIncarnation()
 }
 
-// ReleaseHold releases the hold of a suspect. A request that completed is no longer a suspect.
+// ReleaseHold releases the hold of a suspect. A request that completed is no longer recorded.
 func (t *Tracker) ReleaseHold(e *masticproto.SuspectEnd) {
 	h, ok := t.holds[e.GetServer()]
 	ended := &masticproto.SuspectHold{Digest: e.GetDigest(), Host: e.GetHost(), Incarnation: e.GetIncarnation()}
@@ -176,10 +188,10 @@
 	}
 }
 
-// Expire removes expired suspects and holds.
+// Expire removes expired records and holds.
 func (t *Tracker) Expire(now time.Time) {
-	for d, s := range t.suspects {
-		if s.expiresUnixMs <= now.UnixMilli() {
+	for d, r := range t.records {
+		if r.expiresUnixMs <= now.UnixMilli() {
 			t.remove(d)
 		}
 	}
@@ -191,8 +203,8 @@
 }
 
 func (t *Tracker) sortedDigests() []masticview.Digest {
-	out := make([]masticview.Digest, 0, len(t.suspects))
-	for d := range t.suspects {
+	out := make([]masticview.Digest, 0, len(t.records))
+	for d := range t.records {
 		out = append(out, d)
 	}
 	slices.SortFunc(out, func(a, b masticview.Digest) int { return bytes.Compare(a[:], b[:]) })
