A failed assignment ends the request instead of spending the retry budget

Callers saw retries denied for a pool that had just lost its servers: when no server was left after a failed attempt, the request took retry after retry from its pool's budget on this host, within microseconds and without sending anything, until the budget was empty. retryable() took an assignment that failed for an attempt that was not sent. Such a failure now ends the request.

TestFailedAssignmentSpendsTheRetryBudget failed before (0 of 5 retries left after one request); now one is taken, for the attempt that was to follow.

--- a/masticrelay/log.go
+++ b/masticrelay/log.go
@@ -48,9 +48,6 @@
 // logRetry logs whether the request is sent once more, and what is left of the pool's retry budget
 // on this host.
 func (r *requestState) logRetry(denial retryDenial) {
-	if r.attempts == 0 {
-		return
-	}
 	r.relay.log.WithFields(logrus.Fields{
 		"request": r.call.ID, "content": shortDigest(r.content), "pool": r.pool.Name, "again": denial == "", "denial": string(denial),
 		"sends": r.attempts, "possibleRuns": r.possibleRuns, "budgetLeft": r.relay.retriesLeft(r.pool.Name),
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -334,6 +334,17 @@
 	}
 }
 
+// TestFailedAssignmentSpendsTheRetryBudget: when no server was left after a failed attempt, the
+// request took retry after retry from the budget of its pool without sending anything.
+func TestFailedAssignmentSpendsTheRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(c, safe, newRawServer(c, "CUT"))
+	before := b.relay.retriesLeft("p")
+	status, _, _ := b.send(c)
+	c.Assert(status, qt.Not(qt.Equals), http.StatusOK)
+	c.Assert(before-b.relay.retriesLeft("p") <= 1, qt.IsTrue, qt.Commentf("%d of %d left", b.relay.retriesLeft("p"), before))
+}
+
 // TestRequestIsForwardedUnchanged checks that a backend server gets the caller's method, path,
 // query and body.
 func TestRequestIsForwardedUnchanged(t *testing.T) {
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -146,7 +146,11 @@
 // sendWithRetries sends the request until it is answered or may not be retried.
 func (r *requestState) sendWithRetries(ctx context.Context) *masticerror.Error {
 	for {
-		f := r.attempt(ctx)
+		a, err := r.acquire(ctx)
+		if err != nil {
+			return r.finalError(ctx, &masticbackend.Failure{Err: masticerror.From(err)})
+		}
+		f := r.attempt(ctx, a)
 		if f == nil {
 			return nil
 		}
@@ -182,8 +186,6 @@
 const (
 	denialCancelled retryDenial = "cancelled"
 	denialDeadline  retryDenial = "deadline"
-	// denialNoServer means that no backend server could be assigned to the first attempt.
-	denialNoServer retryDenial = "noServer"
 	denialAttempts retryDenial = "attempts"
 	// denialProgress means that the response has begun and cannot be resumed.
 	denialProgress retryDenial = "progress"
@@ -199,8 +201,6 @@
 		return denialCancelled
 	case ctx.Err() != nil || time.Until(r.deadline) < minRemainingTime:
 		return denialDeadline
-	case r.attempts == 0:
-		return denialNoServer
 	case r.attempts >= max(1, r.route.Attempts)+maxExtraAttempts:
 		return denialAttempts
 	case !f.Sent:
@@ -265,12 +265,8 @@
 	})
 }
 
-// attempt sends the request to one backend server and relays the response.
-func (r *requestState) attempt(ctx context.Context) *masticbackend.Failure {
-	a, err := r.acquire(ctx)
-	if err != nil {
-		return &masticbackend.Failure{Err: masticerror.From(err)}
-	}
+// attempt sends the request to the assigned backend server and relays the response.
+func (r *requestState) attempt(ctx context.Context, a masticcall.Assignment) *masticbackend.Failure {
 	c, server := r.relay, a.Server()
 	r.server = server.Name
 	r.attempts++
