Refuse what ends servers on the relay's path too, over all hosts

Its caller sent it again, at any host, and each time another server ended; with it ended what others ran there.

Cause: the mechanism for this promise was only in masticgate. masticrelay, which serves the users' machines, reported no end, asked for no hold and checked no quarantine, and the node gave it nothing to do so with. Each resend has a new ID, so nothing on this path joined the two. Ruled out: late or lost reports (there were none; the reproduction has control in order), and the retry budget (12 requests stay within any).

Now a host that finds a server gone under a request reports the content; with two ended servers it runs only under a hold, with three it is quarantined on all hosts. A server that returns under its name before the list shows it counts as another incarnation. The answer is 503 with Retry-After, since on this platform only that promises that the request has not run. Without control a host counts for itself and refuses what it gets no hold for.

Mutants, each caught: no report, no hold, no check of the quarantine, no local count, restarts not told apart, quarantine after two.

--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// onSuspects passes the digests of requests that may crash a backend server to the dispatcher.
+func (n *Node) onSuspects(digests []masticview.Digest) {
+	if n.dispatcher != nil {
+		n.dispatcher.SetSuspects(digests)
+	}
+}
+
 // admissionFraction returns this host's fraction of what all live hosts may admit. It is the host's
 // fraction of their weight, as callers are distributed by weight, times shareSafetyFactor.
 func (n *Node) admissionFraction() float64 {
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -66,6 +66,9 @@
 	// pushInterval limits how often views are pushed, since a change of weights makes some tens
 	// of revisions a second. Documents must be in force within 2 s.
 	pushInterval = 50 * time.Millisecond
+	// quarantineAfter is the number of backend servers that have to end under a request before it
+	// is refused. Crashes of several servers can hit a harmless request twice.
+	quarantineAfter = 3
 	// nodeLoadSenders is the maximum number of concurrent load orders.
 	nodeLoadSenders = 24
 )
@@ -98,6 +101,8 @@
 		masticagent.WithOutageShare(n.outageShare),
 		masticagent.WithStandingShare(n.standingShare),
 		masticagent.WithLazyAcknowledgement(),
+		masticagent.WithQuarantineAfter(quarantineAfter),
+		masticagent.WithOnSuspects(n.onSuspects),
 	)
 	n.agent = agent
 	return err
@@ -120,6 +125,7 @@
 	n.relay = masticrelay.New(append(lease,
 		masticrelay.WithLimiter(n.agent.Limiter()),
 		masticrelay.WithDispatcher(n.dispatcher),
+		masticrelay.WithSuspects(n.agent.Suspects(), n.agent.Holds()),
 		masticrelay.WithClient(n.client),
 		masticrelay.WithBackends(n.protocols.Backends),
 		masticrelay.WithCallers(n.protocols.Callers),
--- a/mastichold/hold.go
+++ b/mastichold/hold.go
@@ -21,6 +21,8 @@
 	Holds    masticcall.Holds
 	Digest   masticview.Digest
 	Deadline time.Time
+	// Timeout bounds each request for a hold; zero means that only the context does.
+	Timeout time.Duration
 	// Acquire assigns a backend server other than those listed, on which other suspects run.
 	Acquire func(ctx context.Context, unavailable []string) (masticcall.Assignment, error)
 	// Now is the clock for the end of an assignment that is not used.
@@ -45,7 +47,7 @@
 		case r.Holds == nil || !r.Holds.Suspected(r.Digest):
 			return a, false, nil
 		}
-		held, err := r.Holds.Hold(ctx, r.Digest, a.Server().Name, r.Deadline)
+		held, err := r.hold(ctx, a.Server().Name)
 		if held {
 			return a, true, nil
 		}
@@ -57,6 +59,15 @@
 	}
 }
 
+func (r *Request) hold(ctx context.Context, server string) (bool, error) {
+	if r.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.Timeout)
+		defer cancel()
+	}
+	return r.Holds.Hold(ctx, r.Digest, server, r.Deadline)
+}
+
 // sleep waits for RetryInterval. It returns the context's error if that ends first.
 func sleep(ctx context.Context) error {
 	t := time.NewTimer(RetryInterval)
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -24,12 +24,16 @@
 	lease      masticcall.Views
 	limiter    masticcall.Limiter
 	dispatcher masticcall.Dispatcher
-	client     *masticbackend.Client
-	backends   BackendProtocol
-	callers    CallerProtocol
-	log        logrus.FieldLogger
-	metrics    *requestMetrics
-
+	// suspects and holds are nil if hosts do not share which requests end backend servers.
+	suspects masticcall.SuspectReporter
+	holds    masticcall.Holds
+	client   *masticbackend.Client
+	backends BackendProtocol
+	callers  CallerProtocol
+	log      logrus.FieldLogger
+	metrics  *requestMetrics
+
+	ended         endedServers
 	table         atomic.Pointer[routingTable]
 	firstDocument firstDocument
 
@@ -57,6 +61,12 @@
 // WithDispatcher sets the dispatcher, which assigns backend servers.
 func WithDispatcher(d masticcall.Dispatcher) Option { return func(c *Relay) { c.dispatcher = d } }
 
+// WithSuspects sets the receiver of requests under which a backend server ended, and the exclusive
+// holds of servers for requests that have ended several.
+func WithSuspects(s masticcall.SuspectReporter, h masticcall.Holds) Option {
+	return func(c *Relay) { c.suspects, c.holds = s, h }
+}
+
 // WithClient sets the client for requests to backend servers.
 func WithClient(b *masticbackend.Client) Option { return func(c *Relay) { c.client = b } }
 
@@ -92,15 +102,15 @@
 
 // routingTable is what requests are served from under one view. It is immutable.
 type routingTable struct {
-	revision uint64
-	index    *masticdocument.Index
+	view  masticview.View
+	index *masticdocument.Index
 	// services maps each pool to its plain service, with the names of its active servers.
 	services map[string]masticview.Service
 }
 
 // SetView makes the relay serve from v.
 func (c *Relay) SetView(v masticview.View) {
-	t := &routingTable{revision: v.Revision(), services: map[string]masticview.Service{}}
+	t := &routingTable{view: v, services: map[string]masticview.Service{}}
 	old := c.table.Load()
 	switch {
 	case v.Document() == nil:
@@ -125,6 +135,7 @@
 		x.Servers = append(x.Servers, s.Name)
 		t.services[s.Service] = x
 	}
+	c.ended.forgetExcept(v)
 	c.table.Store(t)
 	if t.index != nil {
 		c.firstDocument.notify()
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -24,7 +24,8 @@
 )
 
 // rawServer answers each request with the next scripted response, as raw bytes. "ID" in it is
-// replaced by the request's identifier, and "CUT" at its end closes the connection.
+// replaced by the request's identifier, and "CUT" at its end closes the connection. "END" closes
+// the listener too.
 type rawServer struct {
 	listener net.Listener
 	mutex    sync.Mutex
@@ -80,6 +81,10 @@
 		if !ok {
 			return
 		}
+		if answer == "END" {
+			_ = r.server.listener.Close()
+			return
+		}
 		answer, cut := strings.CutSuffix(answer, "CUT")
 		if _, err := io.WriteString(r.conn, strings.ReplaceAll(answer, "ID", q.Header.Get("Id"))); err != nil || cut {
 			return
@@ -210,17 +215,18 @@
 	relay      *Relay
 	dispatcher *fakeDispatcher
 	limiter    *unlimitedLimiter
+	suspects   *fakeSuspects
 	front      *httptest.Server
 }
 
 func newFixture(c *qt.C, r masticdocument.Route, servers ...*rawServer) *fixture {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	b := &fixture{dispatcher: &fakeDispatcher{}, limiter: &unlimitedLimiter{}}
+	b := &fixture{dispatcher: &fakeDispatcher{}, limiter: &unlimitedLimiter{}, suspects: &fakeSuspects{}}
 	for i, s := range servers {
-		b.dispatcher.servers = append(b.dispatcher.servers, masticview.Server{Name: fmt.Sprint("s", i), URL: "http://" + s.listener.Addr().String()})
+		b.dispatcher.servers = append(b.dispatcher.servers, masticview.Server{Name: fmt.Sprint("s", i), Incarnation: "born", URL: "http://" + s.listener.Addr().String()})
 	}
-	b.relay = New(WithLimiter(b.limiter), WithDispatcher(b.dispatcher), WithBackends(fakeBackends{}), WithCallers(fakeCallers{}), WithLog(log),
+	b.relay = New(WithLimiter(b.limiter), WithDispatcher(b.dispatcher), WithBackends(fakeBackends{}), WithCallers(fakeCallers{}), WithLog(log), WithSuspects(b.suspects, b.suspects),
 		WithClient(masticbackend.New(masticbackend.WithIdentify(func(h map[string][]string) string { return http.Header(h).Get("Id") }))))
 	b.relay.SetView(testView(c, r))
 	b.front = httptest.NewServer(b)
@@ -485,3 +491,56 @@
 	time.Sleep(20 * time.Millisecond)
 	l.cancel()
 }
+
+// fakeSuspects records the reports and holds of a relay.
+type fakeSuspects struct {
+	suspected bool
+	events    []string
+}
+
+func (f *fakeSuspects) Report(server, incarnation string, digests []masticview.Digest) {
+	f.events = append(f.events, fmt.Sprintf("report %s %s %d", server, incarnation, len(digests)))
+}
+
+func (f *fakeSuspects) Suspected(masticview.Digest) bool { return f.suspected }
+
+func (f *fakeSuspects) Hold(_ context.Context, _ masticview.Digest, server string, _ time.Time) (bool, error) {
+	f.events = append(f.events, "hold "+server)
+	return server != "s0", nil
+}
+
+func (f *fakeSuspects) Release(_ masticview.Digest, server string, completed bool) {
+	f.events = append(f.events, fmt.Sprintf("release %s %t", server, completed))
+}
+
+// TestSuspectRunsOnlyUnderHold checks that a request under which servers have ended runs only on a
+// server of which it has the hold, and that the hold is released with its outcome.
+func TestSuspectRunsOnlyUnderHold(t *testing.T) {
+	c := qt.New(t)
+	a, b := newRawServer(c), newRawServer(c, okAnswer, notRunHead)
+	route := once
+	route.Timeout = 300 * time.Millisecond
+	x := newFixture(c, route, a, b)
+	x.suspects.suspected = true
+	status, _, _ := x.send(c)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(x.suspects.events, qt.DeepEquals, []string{"hold s0", "hold s1", "release s1 true"})
+	c.Assert(a.received(), qt.HasLen, 0)
+	x.suspects.events = nil
+	x.send(c)
+	c.Assert(x.suspects.events[:3], qt.DeepEquals, []string{"hold s0", "hold s1", "release s1 false"})
+}
+
+// TestOnlyEndedServerIsReported checks that a connection that breaks while the server accepts new
+// ones is not reported, since the request has not ended the server.
+func TestOnlyEndedServerIsReported(t *testing.T) {
+	c := qt.New(t)
+	alive := newRawServer(c, "CUT")
+	x := newFixture(c, once, alive)
+	x.send(c)
+	c.Assert(x.suspects.events, qt.HasLen, 0)
+	ends := newRawServer(c, "END")
+	x = newFixture(c, once, ends)
+	x.send(c)
+	c.Assert(x.suspects.events, qt.DeepEquals, []string{"report s0 born 1"})
+}
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -11,6 +11,7 @@
 	"masticladder/masticclock"
 	"masticladder/masticdocument"
 	"masticladder/masticerror"
+	"masticladder/mastichold"
 	"masticladder/masticview"
 )
 
@@ -25,6 +26,9 @@
 	// waits at most Target/usableTimeoutDivisor. The wait is short because the caller may retry,
 	// and another host may know of a usable server.
 	usableTimeoutDivisor = 6
+	// holdTimeout bounds one request for a hold, which takes a commit of the control group. A request
+	// that has ended servers does not run without one.
+	holdTimeout = 250 * time.Millisecond
 	// minRemainingTime is the time before the deadline below which no attempt is started.
 	minRemainingTime = 15 * time.Millisecond
 )
@@ -50,6 +54,8 @@
 	attempts int64
 	// mayHaveRun reports that a backend server may have run the request.
 	mayHaveRun bool
+	// held reports that the running attempt has an exclusive hold of its backend server.
+	held bool
 	// headerWritten reports that the header of the response was relayed to the caller.
 	headerWritten bool
 	events        eventSplitter
@@ -186,7 +192,7 @@
 const (
 	denialCancelled retryDenial = "cancelled"
 	denialDeadline  retryDenial = "deadline"
-	denialAttempts retryDenial = "attempts"
+	denialAttempts  retryDenial = "attempts"
 	// denialProgress means that the response has begun and cannot be resumed.
 	denialProgress retryDenial = "progress"
 	// denialRoute means that the route does not allow another possible run.
@@ -240,10 +246,24 @@
 	}
 }
 
-// acquire assigns a backend server.
+// acquire assigns a backend server. A request that has ended backend servers gets one on which, over
+// all hosts, no other such request runs.
 func (r *requestState) acquire(ctx context.Context) (masticcall.Assignment, error) {
+	a, held, err := mastichold.Acquire(ctx, mastichold.Request{
+		Holds: r.relay.holds, Digest: r.content, Deadline: r.deadline, Timeout: holdTimeout, Acquire: r.acquireExcept, Now: time.Now,
+	})
+	r.held = held
+	return a, err
+}
+
+// acquireExcept assigns a backend server other than the unavailable ones.
+func (r *requestState) acquireExcept(ctx context.Context, unavailable []string) (masticcall.Assignment, error) {
+	if err := r.quarantineError(); err != nil {
+		return nil, err
+	}
+	avoid := append(r.avoid[:len(r.avoid):len(r.avoid)], unavailable...)
 	if !r.pool.Engine {
-		return r.relay.dispatcher.AcquireService(ctx, r.service, r.avoid)
+		return r.relay.dispatcher.AcquireService(ctx, r.service, avoid)
 	}
 	firstTokenDeadline := r.call.Received.Add(r.route.TargetLatency)
 	return r.relay.dispatcher.Acquire(ctx, masticcall.Request{
@@ -260,14 +280,24 @@
 		FirstTokenDeadline: firstTokenDeadline,
 		Deadline:           r.deadline,
 		ServerWaitDeadline: r.call.Received.Add(r.route.TargetLatency / usableTimeoutDivisor),
-		Avoid:              r.avoid,
+		Avoid:              avoid,
 		Attempt:            0,
 	})
 }
 
+// quarantineError returns the refusal of a request under which several backend servers have ended,
+// by the newest view; nil for other requests.
+func (r *requestState) quarantineError() error {
+	q, ok := r.relay.table.Load().view.Quarantine(r.content)
+	if left := time.Until(q.Until); ok && left > 0 {
+		return masticerror.New(masticerror.KindQuarantined, "requests with this content ended several backend servers").WithRetryAfter(left)
+	}
+	return nil
+}
+
 // attempt sends the request to the assigned backend server and relays the response.
 func (r *requestState) attempt(ctx context.Context, a masticcall.Assignment) *masticbackend.Failure {
-	c, server := r.relay, a.Server()
+	server, startedAt := a.Server(), time.Now()
 	r.server = server.Name
 	r.attempts++
 	f := r.exchange(ctx, a)
@@ -279,16 +309,32 @@
 			r.mayHaveRun = true
 			r.possibleRuns++
 		}
-		refusing := f.Sent && f.ServerEnded && c.client.Refuses(server.Address())
-		if refusing {
-			c.metrics.endedServers.Inc(1)
-		}
-		r.logAttempt(server, f, refusing)
+		r.logAttempt(server, f, r.reportIfEnded(startedAt, server, f))
 	}
 	a.Done(time.Now(), result)
+	if r.held {
+		r.relay.holds.Release(r.content, server.Name, f == nil)
+		r.held = false
+	}
 	return f
 }
 
+// reportIfEnded reports the request to all hosts if the backend server ended while it ran: its
+// connection broke and no new one is accepted. A connection can break for other reasons. It returns
+// whether the server has ended.
+func (r *requestState) reportIfEnded(startedAt time.Time, server masticview.Server, f *masticbackend.Failure) bool {
+	c := r.relay
+	if !f.Sent || !f.ServerEnded || !c.client.Refuses(server.Address()) {
+		return false
+	}
+	c.metrics.endedServers.Inc(1)
+	if c.suspects != nil {
+		incarnation := c.ended.record(time.Now(), startedAt, server)
+		c.suspects.Report(server.Name, incarnation, []masticview.Digest{r.content})
+	}
+	return true
+}
+
 // lastEventID returns the identifier of the last event that the caller received: in this
 // response, or in the one that its request resumes.
 func (r *requestState) lastEventID() string {
