A quarantined request stays a suspect until hosts know of the quarantine

Callers saw one or two more servers end than the limit says. Cause: with the end that quarantines a request the tracker removed it from the suspects. The set of suspects is pushed at once, the view with the quarantine up to 50 ms later (pushInterval), and in between hosts took the request for a harmless one and ran it without a hold. Ruled out: slow reports, since all ends had been committed (the third quarantined it).

Now it stays a suspect. A host that does not have the quarantine yet asks for a hold, which masticstate refuses for quarantined content.

TestQuarantinedRequestIsNoLongerSuspect failed before.

--- a/masticsuspect/property_test.go
+++ b/masticsuspect/property_test.go
@@ -210,3 +210,20 @@
 	f.now = begin.Add(2 * time.Minute)
 	c.Assert(f.tracker.AcquireHold(begin.Add(MaxHoldTTL), f.hold(0, 0, "h1")), qt.IsTrue)
 }
+
+// TestQuarantinedRequestIsNoLongerSuspect: hosts were told that the request is no suspect up to 50 ms
+// before they were told of its quarantine, and ran it without a hold in between.
+func TestQuarantinedRequestIsNoLongerSuspect(t *testing.T) {
+	c := qt.New(t)
+	g := New()
+	d := digest(0)
+	for i := range 3 {
+		c.Assert(g.Suspect(d), qt.Equals, i == 2)
+		quarantined, err := g.Report(begin, &masticproto.SuspectReport{Server: "s", ServerIncarnation: fmt.Sprint(i), Digests: [][]byte{d[:]}, QuarantineAfter: 3})
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(quarantined) == 1, qt.Equals, i == 2)
+	}
+	c.Assert(g.Suspect(d), qt.IsTrue)
+	g.Expire(begin.Add(RecordTTL))
+	c.Assert(g.Suspect(d), qt.IsFalse)
+}
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -92,7 +92,8 @@
 }
 
 // Report records that an incarnation of a backend server ended while it ran the given
-// requests. It returns the requests to quarantine now; they are no longer recorded. Several
+// requests. It returns the requests to quarantine now. They stay suspects, so that a host which
+// does not know of the quarantine yet asks for a hold, which it does not get. Several
 // hosts may report the end of the same incarnation.
 func (t *Tracker) Report(now time.Time, r *masticproto.SuspectReport) ([]masticview.Digest, error) {
 	digests := make([]masticview.Digest, 0, len(r.GetDigests()))
@@ -127,12 +128,8 @@
 		r.incarnations = append(slices.Clone(r.incarnations), incarnation)
 		r.expiresUnixMs = now.Add(RecordTTL).UnixMilli()
 	}
-	if len(r.incarnations) >= r.quarantineAfter {
-		t.remove(d)
-		return true
-	}
 	t.put(d, r)
-	return false
+	return len(r.incarnations) >= r.quarantineAfter
 }
 
 // evictExcess removes the records that expire first, down to MaxRecords.
