The relay settles every admission, as the gate does

Now each request is settled once, with all its tokens unless it has not run: what is charged stays the same, since an answer of this platform does not state what was used.

TestAdmissionOfServedRequestIsKeptForever failed before for requests that were served or may have run.

--- a/masticcall/limiter.go
+++ b/masticcall/limiter.go
@@ -14,8 +14,7 @@
 
 // Admission is an amount of quota taken for one request.
 type Admission interface {
-	// Settle returns unused tokens to the quota. It is called at most once: masticgate calls it
-	// after each request, masticrelay only with 0 after an error if the request has not run.
-	// Without a call, all tokens stay charged.
+	// Settle returns unused tokens to the quota. It is called exactly once, after the request: the
+	// limiter keeps an entry for each admission until then.
 	Settle(usedTokens int64)
 }
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -184,13 +184,13 @@
 	w.WriteHeader(e.Status())
 }
 
-// unlimitedLimiter admits every request and counts the settled admissions.
-type unlimitedLimiter struct{ returned int }
+// unlimitedLimiter admits every request. It records the used tokens of each settled admission.
+type unlimitedLimiter struct{ settled []int64 }
 
 func (l *unlimitedLimiter) Admit(context.Context, string, int64) (masticcall.Admission, error) {
 	return l, nil
 }
-func (l *unlimitedLimiter) Settle(int64) { l.returned++ }
+func (l *unlimitedLimiter) Settle(used int64) { l.settled = append(l.settled, used) }
 
 const testKey = "secret"
 
@@ -396,10 +396,30 @@
 	b.dispatcher.servers = nil
 	status, _, _ = b.send(c)
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
-	c.Assert(b.limiter.returned, qt.Equals, 1)
+	c.Assert(b.limiter.settled, qt.DeepEquals, []int64{0})
 	c.Assert(s.received(), qt.HasLen, 0)
 }
 
+// TestAdmissionOfServedRequestIsKeptForever: the holder of the quota kept an entry for each request
+// that was admitted by a grant and served, until the process ran out of memory.
+func TestAdmissionOfServedRequestIsKeptForever(t *testing.T) {
+	for _, x := range []struct {
+		name, answer string
+		used         int64
+	}{
+		{"served", okAnswer, 1},
+		{"may have run", "CUT", 1},
+		{"not run", notRunHead, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newFixture(c, once, newRawServer(c, x.answer))
+			b.send(c)
+			c.Assert(b.limiter.settled, qt.DeepEquals, []int64{x.used})
+		})
+	}
+}
+
 // TestRequestWaitsForFirstDocument covers the restart of all hosts: a request that arrives
 // before the first document is served once the document arrives, and refused as not run if it
 // does not.
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -95,12 +95,21 @@
 	}
 	r.relay.recordFirstAttempt(r.pool.Name)
 	e := r.sendWithRetries(ctx)
-	if admission != nil && e != nil && !r.mayHaveRun {
-		admission.Settle(0)
+	if admission != nil {
+		admission.Settle(r.usedTokens(e))
 	}
 	return e
 }
 
+// usedTokens returns the tokens that are charged to the workspace: none if the request has not run,
+// otherwise all that it was admitted for, since the answer does not state how many it used.
+func (r *requestState) usedTokens(e *masticerror.Error) int64 {
+	if e != nil && !r.mayHaveRun {
+		return 0
+	}
+	return r.call.tokens(r.workspace)
+}
+
 // resolve finds the route, the workspace, the deadline and the pool of the request.
 func (r *requestState) resolve(ctx context.Context) *masticerror.Error {
 	c := r.relay
