The relay checks the key before each attempt, as the gate does

Cause: masticrelay checked key, lease and quarantine when it resolved the request; masticgate checks them before and after each wait for a server. Ruled out: an old view (the relay had the new one).

Now each attempt is checked against the newest view, before and after the wait. What is running when its key is withdrawn completes within its route's timeout, also a stream: cutting it would be a broken answer for a caller whose request was allowed.

TestWithdrawnKeyIsSentToServers failed before in all three cases.

--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -12,6 +12,7 @@
 
 	"masticladder/masticbackend"
 	"masticladder/masticcall"
+	"masticladder/masticclock"
 	"masticladder/masticdocument"
 	"masticladder/masticerror"
 	"masticladder/masticretry"
@@ -257,6 +258,14 @@
 
 func (f *firstDocument) close() { close(f.available) }
 
+// leaseError returns a refusal if calls need a view lease and this host's has ended.
+func (c *Relay) leaseError() *masticerror.Error {
+	if c.lease != nil && !c.lease.Leased(masticclock.Now()) {
+		return unavailable(c, masticerror.KindNoLease, "this host's view lease has ended")
+	}
+	return nil
+}
+
 // unavailable returns an error of kind k that asks the caller to retry after a short delay.
 func unavailable(c *Relay, k masticerror.Kind, format string, args ...any) *masticerror.Error {
 	return masticerror.New(k, format, args...).WithRetryAfter(c.retryAfter())
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -116,6 +116,9 @@
 	servers  []masticview.Server
 	requests []masticcall.Request
 	results  []masticcall.Result
+	// beforeAssign, if not nil, is called before each assignment, with the number of earlier ones.
+	beforeAssign func(assigned int)
+	assigned     int
 	// ended, if not nil, is closed when an attempt ends.
 	ended chan struct{}
 }
@@ -130,6 +133,10 @@
 }
 
 func (d *fakeDispatcher) assign(avoid []string) (masticcall.Assignment, error) {
+	if d.beforeAssign != nil {
+		d.beforeAssign(d.assigned)
+	}
+	d.assigned++
 	for _, s := range d.servers {
 		if !strings.Contains(strings.Join(avoid, " "), s.Name) {
 			return &fakeAssignment{dispatcher: d, server: s}, nil
@@ -195,14 +202,19 @@
 const testKey = "secret"
 
 func testView(c *qt.C, r masticdocument.Route) masticview.View {
+	return testViewWithKey(c, r, 1, testKey)
+}
+
+// testViewWithKey returns a view with a document of the given number and one workspace.
+func testViewWithKey(c *qt.C, r masticdocument.Route, number int64, key string) masticview.View {
 	r.Name, r.Hostname, r.Prefix = "r", "host.example", "/a/"
 	r.Targets = []masticdocument.Target{{Pool: "p", Weight: 1}}
 	if r.Timeout == 0 {
 		r.Timeout = 5 * time.Second
 	}
 	d := masticdocument.Document{
-		Number: 1, Routes: []masticdocument.Route{r}, Pools: []masticdocument.Pool{{Name: "p"}},
-		Workspaces: []masticdocument.Workspace{{Name: "mill", Keys: []masticview.Digest{masticview.DigestOf([]byte(testKey))}, RateTokensPerSecond: 1000, BurstTokens: 1000}},
+		Number: number, Routes: []masticdocument.Route{r}, Pools: []masticdocument.Pool{{Name: "p"}},
+		Workspaces: []masticdocument.Workspace{{Name: "mill", Keys: []masticview.Digest{masticview.DigestOf([]byte(key))}, RateTokensPerSecond: 1000, BurstTokens: 1000}},
 	}
 	c.Assert(d.Check(), qt.IsNil)
 	v, err := masticview.View{}.Apply(viewChange(d), time.Now())
@@ -420,6 +432,42 @@
 	}
 }
 
+// TestWithdrawnKeyIsSentToServers: a request that waited for a server, was sent again or resumed its
+// stream reached servers after its key had been withdrawn, since the relay checked the key only once.
+func TestWithdrawnKeyIsSentToServers(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		route  masticdocument.Route
+		answer string
+		// withdrawnAt is the number of assignments before the key is withdrawn.
+		withdrawnAt int
+		status      int
+		sends       [2]int
+	}{
+		{"while it waits", once, okAnswer, 0, http.StatusUnauthorized, [2]int{0, 0}},
+		{"before it is sent again", safe, failure, 1, http.StatusUnauthorized, [2]int{1, 0}},
+		{"before its stream is resumed", resumable, streamHead + chunk(event(1)) + "CUT", 1, http.StatusOK, [2]int{1, 0}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			first, second := newRawServer(c, x.answer), newRawServer(c, okAnswer)
+			b := newFixture(c, x.route, first, second)
+			without := testViewWithKey(c, x.route, 2, "another key")
+			b.dispatcher.beforeAssign = func(assigned int) {
+				if assigned == x.withdrawnAt {
+					b.relay.SetView(without)
+				}
+			}
+			status, _, whole := b.send(c)
+			b.front.Close()
+			c.Assert([2]int{len(first.received()), len(second.received())}, qt.Equals, x.sends)
+			c.Assert(status, qt.Equals, x.status)
+			c.Assert(whole, qt.Equals, status != http.StatusOK)
+			c.Assert(b.dispatcher.results, qt.HasLen, b.dispatcher.assigned)
+		})
+	}
+}
+
 // TestRequestWaitsForFirstDocument covers the restart of all hosts: a request that arrives
 // before the first document is served once the document arrives, and refused as not run if it
 // does not.
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -8,7 +8,6 @@
 
 	"masticladder/masticbackend"
 	"masticladder/masticcall"
-	"masticladder/masticclock"
 	"masticladder/masticdocument"
 	"masticladder/masticerror"
 	"masticladder/mastichold"
@@ -117,18 +116,16 @@
 	if err != nil {
 		return err
 	}
-	if c.lease != nil && !c.lease.Leased(masticclock.Now()) {
-		return unavailable(c, masticerror.KindNoLease, "this host's view lease has ended")
+	if err := c.leaseError(); err != nil {
+		return err
 	}
 	route, ok := t.index.Route(r.call.Host, r.call.Path)
 	if !ok {
 		return masticerror.New(masticerror.KindNotFound, "no route for %s%s", r.call.Host, r.call.Path)
 	}
 	r.route = route
-	if !route.Public && t.index.RequiresKey() {
-		if r.workspace, ok = t.index.WorkspaceByKey(r.call.Key); !ok || !r.call.HasKey {
-			return masticerror.New(masticerror.KindUnauthenticated, "the key is not known")
-		}
+	if r.workspace, ok = r.authenticate(t); !ok {
+		return errUnknownKey()
 	}
 	r.deadline = r.call.Received.Add(route.Timeout)
 	if !r.call.Deadline.IsZero() && r.call.Deadline.Before(r.deadline) {
@@ -141,6 +138,37 @@
 	return nil
 }
 
+// authenticate returns the workspace of the key, the zero workspace if the request needs no key. It
+// reports false if t does not know the key.
+func (r *requestState) authenticate(t *routingTable) (masticdocument.Workspace, bool) {
+	if r.route.Public || !t.index.RequiresKey() {
+		return masticdocument.Workspace{}, true
+	}
+	w, ok := t.index.WorkspaceByKey(r.call.Key)
+	return w, ok && r.call.HasKey
+}
+
+func errUnknownKey() *masticerror.Error {
+	return masticerror.New(masticerror.KindUnauthenticated, "the key is not known")
+}
+
+// recheck returns why the newest view no longer allows the request to be sent to a backend server:
+// the lease has ended, the key was withdrawn, or several servers have ended under the request.
+func (r *requestState) recheck() *masticerror.Error {
+	t := r.relay.table.Load()
+	if err := r.relay.leaseError(); err != nil {
+		return err
+	}
+	if w, ok := r.authenticate(t); !ok || w.Name != r.workspace.Name {
+		return errUnknownKey()
+	}
+	q, ok := t.view.Quarantine(r.content)
+	if left := time.Until(q.Until); ok && left > 0 {
+		return masticerror.New(masticerror.KindQuarantined, "requests with this content ended several backend servers").WithRetryAfter(left)
+	}
+	return nil
+}
+
 // acquireQuota takes the request's tokens from its workspace's quota. The admission is nil if
 // the workspace has no rate.
 func (r *requestState) acquireQuota(ctx context.Context) (masticcall.Admission, *masticerror.Error) {
@@ -248,7 +276,8 @@
 // when no backend server can have run it.
 func notRunError(c *Relay, e *masticerror.Error) *masticerror.Error {
 	switch e.Kind() {
-	case masticerror.KindOverloaded, masticerror.KindNoServer, masticerror.KindQuarantined, masticerror.KindRateLimited:
+	case masticerror.KindOverloaded, masticerror.KindNoServer, masticerror.KindQuarantined, masticerror.KindRateLimited,
+		masticerror.KindUnauthenticated, masticerror.KindNoLease:
 		return e
 	default:
 		return unavailable(c, masticerror.KindOverloaded, "no backend server took the request: %s", e.Message())
@@ -265,11 +294,25 @@
 	return a, err
 }
 
-// acquireExcept assigns a backend server other than the unavailable ones.
+// acquireExcept assigns a backend server other than the unavailable ones. The request is checked
+// against the newest view before and after the wait for one.
 func (r *requestState) acquireExcept(ctx context.Context, unavailable []string) (masticcall.Assignment, error) {
-	if err := r.quarantineError(); err != nil {
+	if err := r.recheck(); err != nil {
+		return nil, err
+	}
+	a, err := r.assign(ctx, unavailable)
+	if err != nil {
 		return nil, err
 	}
+	if err := r.recheck(); err != nil {
+		a.Done(time.Now(), masticcall.Result{Failure: string(masticerror.KindCancelled)})
+		return nil, err
+	}
+	return a, nil
+}
+
+// assign has the dispatcher assign a backend server other than the unavailable ones.
+func (r *requestState) assign(ctx context.Context, unavailable []string) (masticcall.Assignment, error) {
 	avoid := append(r.avoid[:len(r.avoid):len(r.avoid)], unavailable...)
 	if !r.pool.Engine {
 		return r.relay.dispatcher.AcquireService(ctx, r.service, avoid)
@@ -294,16 +337,6 @@
 	})
 }
 
-// quarantineError returns the refusal of a request under which several backend servers have ended,
-// by the newest view; nil for other requests.
-func (r *requestState) quarantineError() error {
-	q, ok := r.relay.table.Load().view.Quarantine(r.content)
-	if left := time.Until(q.Until); ok && left > 0 {
-		return masticerror.New(masticerror.KindQuarantined, "requests with this content ended several backend servers").WithRetryAfter(left)
-	}
-	return nil
-}
-
 // attempt sends the request to the assigned backend server and relays the response.
 func (r *requestState) attempt(ctx context.Context, a masticcall.Assignment) *masticbackend.Failure {
 	server, startedAt := a.Server(), time.Now()
