Mend the race in the server of TestNotSentFailureMeansNothingArrived

The test's own server called conns.Add(1) after Accept while the test could already be in conns.Wait().

--- a/masticengine/sent_test.go
+++ b/masticengine/sent_test.go
@@ -35,10 +35,12 @@
 
 	mu       sync.Mutex
 	received strings.Builder
-	conns    sync.WaitGroup
+	// conns counts the open connections and the loop that accepts them.
+	conns sync.WaitGroup
 }
 
 func (s *resettingServer) loop() {
+	defer s.conns.Done()
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
@@ -92,6 +94,7 @@
 			t.Fatal(err)
 		}
 		s := &resettingServer{listener: l, reads: rapid.IntRange(0, 3).Draw(t, "reads"), answers: rapid.IntRange(0, 3).Draw(t, "answers")}
+		s.conns.Add(1)
 		go s.loop()
 		if rapid.IntRange(0, 4).Draw(t, "down") == 0 {
 			_ = l.Close()
