Refuse calls of plain services that end servers on the product's own interface

Callers of a plain service could end one server with each resend: the client reported ends of engines only, and service calls had no content to report, asked for no hold and checked no quarantine.

Now a service call has a content digest (workspace and what the ledger's digest has), is checked against the quarantine before and after it gets a server, runs under a hold once it is a suspect, and is reported if its server refuses the next connection. Plain services state no incarnation: ends of one server within 2 s count as one, by the log's time, and the quarantine takes three ends instead of two, since an end is known by its signs only.

--- a/masticagent/option.go
+++ b/masticagent/option.go
@@ -22,6 +22,9 @@
 	MaxPendingSuspectReports     = 1024
 	DefaultOrderRetention        = 24 * time.Hour
 	DefaultQuarantinePeriod      = 10 * time.Minute
+	// UnnamedQuarantineAfter is the least number of ends at which a request is quarantined if the
+	// servers state no incarnation, so that an end is known by its signs only.
+	UnnamedQuarantineAfter = 3
 )
 
 // Option sets one property of an Agent.
@@ -98,7 +101,8 @@
 func WithQuarantine(d time.Duration) Option { return func(a *Agent) { a.quarantinePeriod = d } }
 
 // WithQuarantineAfter sets the number of backend servers that have to end under a request before it
-// is refused; the default is masticsuspect.DefaultQuarantineAfter. One end before that it needs a
+// is refused; the default is masticsuspect.DefaultQuarantineAfter, for servers that state no
+// incarnation UnnamedQuarantineAfter. One end before that it needs a
 // hold. All hosts should have the same number.
 func WithQuarantineAfter(ends int) Option { return func(a *Agent) { a.quarantineAfter = ends } }
 
--- a/masticagent/reporter.go
+++ b/masticagent/reporter.go
@@ -41,7 +41,7 @@
 		Server:                server,
 		ServerIncarnation:     serverIncarnation,
 		QuarantineUntilUnixMs: masticclock.Now().Add(r.agent.quarantinePeriod).UnixMilli(),
-		QuarantineAfter:       uint32(r.agent.quarantineAfter),
+		QuarantineAfter:       uint32(r.agent.quarantineAfterFor(serverIncarnation)),
 	}
 	for _, d := range digests {
 		report.Digests = append(report.Digests, d[:])
--- a/masticagent/suspects.go
+++ b/masticagent/suspects.go
@@ -36,8 +36,17 @@
 
 // localRecord is a request under which this host has seen backend servers end.
 type localRecord struct {
-	incarnations []string
-	expiresAt    time.Time
+	incarnations    []string
+	quarantineAfter int
+	expiresAt       time.Time
+}
+
+// quarantineAfterFor returns the number of ends at which a request is quarantined.
+func (a *Agent) quarantineAfterFor(serverIncarnation string) int {
+	if serverIncarnation == "" {
+		return max(a.quarantineAfter, UnnamedQuarantineAfter)
+	}
+	return a.quarantineAfter
 }
 
 func newSuspects(a *Agent) *suspects {
@@ -49,7 +58,7 @@
 	now := masticclock.Now()
 	s.mutex.Lock()
 	for _, d := range digests {
-		s.record(now, d, server+"\x00"+serverIncarnation)
+		s.record(now, d, server, serverIncarnation)
 	}
 	s.mutex.Unlock()
 	s.notify()
@@ -58,7 +67,7 @@
 
 // record adds an ended incarnation to the local record of d. With maxLocalRecords records that
 // have not expired it adds none; the control group gets the report all the same.
-func (s *suspects) record(now time.Time, d masticview.Digest, incarnation string) {
+func (s *suspects) record(now time.Time, d masticview.Digest, server, serverIncarnation string) {
 	r, known := s.local[d]
 	if !known && len(s.local) >= maxLocalRecords {
 		s.expire(now)
@@ -66,9 +75,13 @@
 			return
 		}
 	}
-	if !slices.Contains(r.incarnations, incarnation) {
+	// Each unnamed end counts. Requests with one content that run on one server at once can count its
+	// end more than once.
+	incarnation := server + "\x00" + serverIncarnation
+	if serverIncarnation == "" || !slices.Contains(r.incarnations, incarnation) {
 		r.incarnations = append(r.incarnations, incarnation)
 	}
+	r.quarantineAfter = s.agent.quarantineAfterFor(serverIncarnation)
 	r.expiresAt = now.Add(localRecordTTL)
 	s.local[d] = r
 }
@@ -86,7 +99,7 @@
 }
 
 func (s *suspects) locallySuspected(now time.Time, r localRecord) bool {
-	return now.Before(r.expiresAt) && len(r.incarnations) >= s.agent.quarantineAfter-1
+	return now.Before(r.expiresAt) && len(r.incarnations) >= r.quarantineAfter-1
 }
 
 func (s *suspects) fingerprint() uint64 {
--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -139,10 +139,10 @@
 }
 
 // mayHaveEnded reports whether the exchange failed in a way that may mean that the server has
-// ended: an engine's connection failed after the request was sent, the call was not ended by its
-// caller or a timeout, and the answer was not a protocol violation.
+// ended: the connection failed after the request was sent, the call was not ended by its caller or
+// a timeout, and the answer was not a protocol violation.
 func (x *exchange) mayHaveEnded(f *Failure, err error) bool {
-	if !f.Sent || !x.isEngine() || x.ctx.Err() != nil {
+	if !f.Sent || x.ctx.Err() != nil {
 		return false
 	}
 	switch err {
--- a/masticengine/incarnation.go
+++ b/masticengine/incarnation.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
+	"syscall"
 
 	"masticladder/masticview"
 )
@@ -131,6 +133,9 @@
 // r has ended. A server that answers without stating its incarnation counts as alive. The first
 // call that detects the end reports the digests of all calls running on that incarnation.
 func (c *Client) checkEnded(call Call, r *runningCall) bool {
+	if call.Server.Kind != masticview.ServerEngine {
+		return c.checkServiceEnded(call)
+	}
 	now, err := c.probe(context.Background(), call.Server)
 	if err == nil && (now == "" || now == r.incarnation) {
 		return false
@@ -142,6 +147,23 @@
 	return true
 }
 
+// checkServiceEnded reports whether a plain service's server refuses connections after one broke, so
+// that it has ended. These servers state no incarnation. Each call reports itself.
+func (c *Client) checkServiceEnded(call Call) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), millis(c.limits.ProbeTimeoutMillis))
+	defer cancel()
+	conn, err := c.dial(ctx, "tcp", call.Server.Address())
+	if err == nil {
+		_ = conn.Close()
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	c.counters.ServersEnded.Add(1)
+	c.onEnded(call.Server.Name, "", []masticview.Digest{call.Digest})
+	return true
+}
+
 // endIncarnation marks the incarnation of r as ended and returns the digests of the calls
 // running on it. It returns false if the incarnation was already marked.
 func (c *Client) endIncarnation(r *runningCall) ([]masticview.Digest, bool) {
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -11,6 +11,7 @@
 	"masticladder/masticengine"
 	"masticladder/masticerror"
 	"masticladder/masticstream"
+	"masticladder/masticview"
 )
 
 // modelCall is one model request over all its attempts.
@@ -201,7 +202,13 @@
 	if e := g.recheck(m.inbound.identity, m.prompt.allowedBy); e != nil {
 		return e
 	}
-	q, ok := g.views.View().Quarantine(m.prompt.digest)
+	return g.quarantineError(m.prompt.digest)
+}
+
+// quarantineError returns the refusal of a request whose content is quarantined by the newest view,
+// nil for other requests.
+func (g *Gate) quarantineError(content masticview.Digest) *masticerror.Error {
+	q, ok := g.views.View().Quarantine(content)
 	if now := g.now(); ok && q.Until.After(now) {
 		e := masticerror.New(masticerror.KindQuarantined, "requests with this content ended more than one backend server")
 		return e.WithRetryAfter(q.Until.Sub(now))
--- a/masticgate/order.go
+++ b/masticgate/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"net/http"
 	"time"
 
@@ -76,16 +75,7 @@
 
 // digest returns the digest of the call's content, by which the ledger refuses a key that is
 // reused for another call.
-func (o *keyedOrder) digest() masticview.Digest {
-	h := sha256.New()
-	r := o.inbound.request
-	for _, part := range []string{o.service.Name, r.Method, o.path, r.URL.RawQuery, r.Header.Get("Content-Type"), string(o.body)} {
-		writePart(h, part)
-	}
-	var d masticview.Digest
-	h.Sum(d[:0])
-	return d
-}
+func (o *keyedOrder) digest() masticview.Digest { return o.digestOf() }
 
 func (o *keyedOrder) run(ctx context.Context) {
 	r, e := o.reserve(ctx)
--- a/masticgate/service.go
+++ b/masticgate/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +10,7 @@
 	"masticladder/masticcall"
 	"masticladder/masticengine"
 	"masticladder/masticerror"
+	"masticladder/mastichold"
 	"masticladder/masticview"
 )
 
@@ -21,6 +23,11 @@
 	avoid       []string
 	server      string
 	serverOwner string
+	// content identifies the call in reports of ended servers: its workspace and all that is sent but
+	// the idempotency key.
+	content masticview.Digest
+	// held reports that the running attempt has an exclusive hold of its backend server.
+	held bool
 	// sent reports that a byte may have reached a backend server.
 	sent bool
 }
@@ -60,7 +67,19 @@
 	if q.containsKey(body) {
 		return nil, errContainsKey()
 	}
-	return &serviceCall{inbound: q, service: s, path: servicePath(q.request), body: body}, nil
+	c := &serviceCall{inbound: q, service: s, path: servicePath(q.request), body: body}
+	c.content = c.digestOf(q.identity.profile.Workspace)
+	return c, nil
+}
+
+// digestOf returns the digest of prefix and the call's content.
+func (c *serviceCall) digestOf(prefix ...string) masticview.Digest {
+	h := sha256.New()
+	r := c.inbound.request
+	for _, part := range append(prefix, c.service.Name, r.Method, c.path, r.URL.RawQuery, r.Header.Get("Content-Type"), string(c.body)) {
+		writePart(h, part)
+	}
+	return masticview.Digest(h.Sum(nil))
 }
 
 // servicePath returns the escaped path after /services/NAME.
@@ -75,9 +94,13 @@
 
 func (c *serviceCall) allowedBy(p masticview.Profile) bool { return p.AllowsService(c.service.Name) }
 
-// recheck checks the key again, unless the service was open at the start and still is.
+// recheck checks the quarantine, and the key again unless the service was open at the start and
+// still is.
 func (c *serviceCall) recheck() *masticerror.Error {
 	g := c.inbound.gate
+	if e := g.quarantineError(c.content); e != nil {
+		return e
+	}
 	if s, ok := g.views.View().Service(c.service.Name); !ok {
 		return errNoService()
 	} else if s.Open && c.service.Open {
@@ -86,14 +109,31 @@
 	return g.recheck(c.inbound.identity, c.allowedBy)
 }
 
-// acquire acquires a backend server. The key is checked before and after the acquisition.
+// acquire acquires a backend server. A call that is suspected of ending servers gets one on which,
+// over all hosts, no other suspected request runs.
 func (c *serviceCall) acquire(ctx context.Context) (masticcall.Assignment, *masticerror.Error) {
+	g := c.inbound.gate
+	deadline, _ := ctx.Deadline()
+	a, held, err := mastichold.Acquire(ctx, mastichold.Request{
+		Holds: g.holds, Digest: c.content, Deadline: deadline, Acquire: c.acquireExcept, Now: g.now,
+	})
+	c.held = held
+	if err != nil {
+		return nil, preDispatchError(err)
+	}
+	return a, nil
+}
+
+// acquireExcept acquires a backend server other than the unavailable ones. The key is checked before
+// and after the acquisition.
+func (c *serviceCall) acquireExcept(ctx context.Context, unavailable []string) (masticcall.Assignment, error) {
 	if e := c.recheck(); e != nil {
 		return nil, e
 	}
-	a, err := c.inbound.gate.dispatcher.AcquireService(ctx, c.service, c.avoid)
+	avoid := append(c.avoid[:len(c.avoid):len(c.avoid)], unavailable...)
+	a, err := c.inbound.gate.dispatcher.AcquireService(ctx, c.service, avoid)
 	if err != nil {
-		return nil, preDispatchError(err)
+		return nil, err
 	}
 	if e := c.recheck(); e != nil {
 		a.Done(c.inbound.gate.now(), masticcall.Result{Failure: string(e.Kind())})
@@ -115,11 +155,13 @@
 		Body:      c.body,
 		Workspace: c.inbound.identity.profile.Workspace,
 		Once:      !c.service.Idempotent,
+		Digest:    c.content,
 	})
+	c.releaseHold(err == nil)
 	if err != nil {
 		f := failureOf(err)
 		c.sent = c.sent || f.Sent
-		a.Done(c.inbound.gate.now(), masticcall.Result{Failure: string(f.Err.Kind())})
+		a.Done(c.inbound.gate.now(), masticcall.Result{Failure: string(f.Err.Kind()), ServerEnded: f.ServerEnded})
 		return answer, f
 	}
 	c.sent = true
@@ -127,6 +169,14 @@
 	return answer, nil
 }
 
+// releaseHold releases the hold, if any, of the attempt that has just ended.
+func (c *serviceCall) releaseHold(completed bool) {
+	if c.held {
+		c.inbound.gate.holds.Release(c.content, c.server, completed)
+	}
+	c.held = false
+}
+
 // serveIdempotent serves a call that may be sent to several backend servers until one answers.
 func (c *serviceCall) serveIdempotent() {
 	ctx, cancel := context.WithDeadline(c.inbound.request.Context(), c.inbound.deadline())
--- a/masticsuspect/property_test.go
+++ b/masticsuspect/property_test.go
@@ -227,3 +227,22 @@
 	g.Expire(begin.Add(RecordTTL))
 	c.Assert(g.Suspect(d), qt.IsFalse)
 }
+
+// TestUnnamedEndsCountOncePerWindow checks that the hosts' reports of one end of a server that states
+// no incarnation count as one end, and those of a later end as another.
+func TestUnnamedEndsCountOncePerWindow(t *testing.T) {
+	c := qt.New(t)
+	g := New()
+	d := digest(0)
+	report := func(after time.Duration, server string) bool {
+		quarantined, err := g.Report(begin.Add(after), &masticproto.SuspectReport{Server: server, Digests: [][]byte{d[:]}, QuarantineAfter: 3})
+		c.Assert(err, qt.IsNil)
+		return len(quarantined) == 1
+	}
+	c.Assert(report(0, "s1"), qt.IsFalse)
+	c.Assert(report(UnnamedWindow-time.Millisecond, "s1"), qt.IsFalse)
+	c.Assert(g.Suspect(d), qt.IsFalse)
+	c.Assert(report(UnnamedWindow, "s1"), qt.IsFalse)
+	c.Assert(g.Suspect(d), qt.IsTrue)
+	c.Assert(report(UnnamedWindow, "s2"), qt.IsTrue)
+}
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -13,6 +13,8 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"masticladder/masticproto"
@@ -25,6 +27,9 @@
 	// DefaultQuarantineAfter is the number of ended incarnations at which a request is quarantined
 	// if the report states none. It is also the least such number.
 	DefaultQuarantineAfter = 2
+	// UnnamedWindow is the time within which the ends of a server that states no incarnation count as
+	// one: several hosts report one end within it, and a server takes longer to start again.
+	UnnamedWindow = 2 * time.Second
 	// MaxRecords bounds the number of recorded requests; those that expire first are evicted.
 	MaxRecords = 16_384
 	// MaxHoldTTL bounds the duration of a hold.
@@ -92,7 +97,8 @@
 }
 
 // Report records that an incarnation of a backend server ended while it ran the given
-// requests. It returns the requests to quarantine now. They stay suspects, so that a host which
+// requests. For a server that states no incarnation, ends within UnnamedWindow are one. It returns
+// the requests to quarantine now. They stay suspects, so that a host which
 // does not know of the quarantine yet asks for a hold, which it does not get. Several
 // hosts may report the end of the same incarnation.
 func (t *Tracker) Report(now time.Time, r *masticproto.SuspectReport) ([]masticview.Digest, error) {
@@ -105,9 +111,9 @@
 		digests = append(digests, d)
 	}
 	t.Expire(now)
-	incarnation := r.GetServer() + "\x00" + r.GetServerIncarnation()
 	var quarantined []masticview.Digest
 	for _, d := range digests {
+		incarnation := t.incarnationName(now, d, r)
 		if t.addIncarnation(now, d, incarnation, int(r.GetQuarantineAfter())) {
 			quarantined = append(quarantined, d)
 		}
@@ -116,6 +122,22 @@
 	return quarantined, nil
 }
 
+// incarnationName returns the name under which the record of d has the incarnation that r reports. An
+// unnamed one has the time of the first report of its end instead.
+func (t *Tracker) incarnationName(now time.Time, d masticview.Digest, r *masticproto.SuspectReport) string {
+	if r.GetServerIncarnation() != "" {
+		return r.GetServer() + "\x00" + r.GetServerIncarnation()
+	}
+	prefix := r.GetServer() + "\x00@"
+	for _, name := range t.records[d].incarnations {
+		at, unnamed := strings.CutPrefix(name, prefix)
+		if ms, err := strconv.ParseInt(at, 10, 64); unnamed && err == nil && now.Sub(time.UnixMilli(ms)) < UnnamedWindow {
+			return name
+		}
+	}
+	return prefix + strconv.FormatInt(now.UnixMilli(), 10)
+}
+
 // addIncarnation adds an ended incarnation to the record of d and reports whether d is to be
 // quarantined. Of the numbers of ends that reports state, the smallest counts.
 func (t *Tracker) addIncarnation(now time.Time, d masticview.Digest, incarnation string, quarantineAfter int) bool {
