Log quarantines, holds and ends of servers, one line a decision

On-call engineers could join the lines of one content on the entry hosts, but not see why it was refused: the leader said nothing of a quarantine, a host nothing of a hold or of the report it made. Each is one line now, with the content as the relay's lines have it; seen in the log of TestRequestThatEndsServersIsSentAgainWithoutBound.

--- a/masticagent/suspects.go
+++ b/masticagent/suspects.go
@@ -62,6 +62,8 @@
 	}
 	s.mutex.Unlock()
 	s.notify()
+	s.agent.log.WithField("server", server).WithField("incarnation", serverIncarnation).WithField("requests", len(digests)).
+		Warn("backend server ended under requests")
 	s.agent.reporter.Report(server, serverIncarnation, digests)
 }
 
@@ -145,6 +147,13 @@
 // Hold requests the right to run a suspect on a backend server from the control group. Pending
 // reports of this host are sent first, so that the control group knows the suspect.
 func (s *suspects) Hold(ctx context.Context, d masticview.Digest, server string, deadline time.Time) (bool, error) {
+	granted, err := s.requestHold(ctx, d, server, deadline)
+	s.agent.log.WithField("content", d.Short()).WithField("server", server).WithField("granted", granted).
+		WithField("cause", err).Info("hold for a suspect requested")
+	return granted, err
+}
+
+func (s *suspects) requestHold(ctx context.Context, d masticview.Digest, server string, deadline time.Time) (bool, error) {
 	if err := s.agent.reporter.sendSuspects(ctx); err != nil {
 		return false, err
 	}
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -166,8 +166,16 @@
 func (d *leaderState) applied(now time.Time, result masticstate.Result) {
 	d.grantor.Committed(now, d.loop.state.View().Revision())
 	d.reportCreatedWorkspaces()
-	if q, ok := result.(masticstate.QuotaResult); ok && q.Applied {
-		d.owner.Committed(q.Term, q.Sequence)
+	switch r := result.(type) {
+	case masticstate.QuotaResult:
+		if r.Applied {
+			d.owner.Committed(r.Term, r.Sequence)
+		}
+	case masticstate.SuspectResult:
+		for _, digest := range r.Quarantined {
+			d.loop.log.WithField("content", digest.Short()).WithField("suspects", len(d.loop.state.Suspects().Suspects())).
+				Warn("request quarantined: several backend servers ended under it")
+		}
 	}
 }
 
--- a/masticrelay/log.go
+++ b/masticrelay/log.go
@@ -1,7 +1,6 @@
 package masticrelay
 
 import (
-	"encoding/hex"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,7 +14,7 @@
 func (r *requestState) logOutcome(err *masticerror.Error) {
 	now := time.Now()
 	fields := logrus.Fields{
-		"request": r.call.ID, "content": shortDigest(r.content), "route": r.route.Name, "workspace": r.workspace.Name, "pool": r.pool.Name,
+		"request": r.call.ID, "content": r.content.Short(), "route": r.route.Name, "workspace": r.workspace.Name, "pool": r.pool.Name,
 		"server": r.server, "sends": r.attempts, "ran": r.mayHaveRun, "status": r.status,
 		"millis": now.Sub(r.call.Received).Milliseconds(), "leftMillis": r.deadline.Sub(now).Milliseconds(),
 		"document": r.relay.table.Load().documentNumber(),
@@ -39,7 +38,7 @@
 // server then refused a new one, so that its incarnation has ended.
 func (r *requestState) logAttempt(server masticview.Server, f *masticbackend.Failure, refusing bool) {
 	r.relay.log.WithFields(logrus.Fields{
-		"request": r.call.ID, "content": shortDigest(r.content), "server": server.Name, "incarnation": server.Incarnation,
+		"request": r.call.ID, "content": r.content.Short(), "server": server.Name, "incarnation": server.Incarnation,
 		"sends": r.attempts, "sent": f.Sent, "ended": f.ServerEnded, "refusing": refusing,
 		"reason": string(f.Err.Kind()), "cause": f.Err.Error(),
 	}).Warn("attempt failed")
@@ -49,16 +48,11 @@
 // on this host.
 func (r *requestState) logRetry(denial retryDenial) {
 	r.relay.log.WithFields(logrus.Fields{
-		"request": r.call.ID, "content": shortDigest(r.content), "pool": r.pool.Name, "again": denial == "", "denial": string(denial),
+		"request": r.call.ID, "content": r.content.Short(), "pool": r.pool.Name, "again": denial == "", "denial": string(denial),
 		"sends": r.attempts, "possibleRuns": r.possibleRuns, "budgetLeft": r.relay.retriesLeft(r.pool.Name),
 	}).Info("retry decided")
 }
 
-// shortDigestBytes is how much of a digest logs show.
-const shortDigestBytes = 6
-
-func shortDigest(d masticview.Digest) string { return hex.EncodeToString(d[:shortDigestBytes]) }
-
 // documentNumber returns the number of the document, or 0 if there is no table.
 func (t *routingTable) documentNumber() int64 {
 	if t == nil {
