Answer a hold of quarantined content with its reason, not as held by another

Callers waited that long for a refusal that was already certain. Now the answer has the kind quarantined and ends the request.

TestHoldOfQuarantinedRequestIsTriedOnEveryServer failed before.

--- a/masticcall/suspects.go
+++ b/masticcall/suspects.go
@@ -19,7 +19,8 @@
 	// Suspected reports whether the request with digest d may crash a backend server.
 	Suspected(d masticview.Digest) bool
 	// Hold requests the exclusive right of suspect d to run on server until deadline. It
-	// returns false if another suspect has it. The error has kind noQuorum or outcomeUnknown.
+	// returns false if another suspect has it. The error has kind quarantined, noQuorum or
+	// outcomeUnknown.
 	Hold(ctx context.Context, d masticview.Digest, server string, deadline time.Time) (bool, error)
 	// Release releases a hold. A request that completed is no longer a suspect.
 	Release(d masticview.Digest, server string, completed bool)
--- a/masticcontrol/commandresult.go
+++ b/masticcontrol/commandresult.go
@@ -62,7 +62,7 @@
 	case masticstate.SuspectResult:
 		return &masticproto.CommandAnswer{Done: r.Err == nil}, r.Err
 	case masticstate.HoldResult:
-		return &masticproto.CommandAnswer{Done: r.Held}, nil
+		return &masticproto.CommandAnswer{Done: r.Held}, r.Err
 	case masticstate.LoadResult:
 		return &masticproto.CommandAnswer{Done: r.Applied}, nil
 	case masticstate.DocumentResult:
--- a/masticcontrol/operator_test.go
+++ b/masticcontrol/operator_test.go
@@ -129,6 +129,23 @@
 	q.Assert(known, quicktest.IsTrue)
 }
 
+// TestHoldOfQuarantinedRequestIsTriedOnEveryServer: a host that did not know of the quarantine yet was
+// told that another suspect held the server, and asked for the next one until it knew.
+func TestHoldOfQuarantinedRequestIsTriedOnEveryServer(t *testing.T) {
+	q := quicktest.New(t)
+	c := newCluster(t, three)
+	c.startAll()
+	a := c.agent(1)
+	digest := masticview.DigestOf([]byte("crash"))
+	a.Suspects().Report("engine", "one", []masticview.Digest{digest})
+	granted, err := a.Holds().Hold(c.context(), digest, "engine", time.Now().Add(time.Minute))
+	q.Assert(err, quicktest.IsNil)
+	q.Assert(granted, quicktest.IsTrue)
+	a.Suspects().Report("engine", "two", []masticview.Digest{digest})
+	_, err = a.Holds().Hold(c.context(), digest, "engine", time.Now().Add(time.Minute))
+	q.Assert(masticerror.KindOf(err), quicktest.Equals, masticerror.KindQuarantined)
+}
+
 func TestUsageSuspectsAndQuotaReachTheLeader(t *testing.T) {
 	q := quicktest.New(t)
 	c := newCluster(t, three)
--- a/masticstate/result.go
+++ b/masticstate/result.go
@@ -58,8 +58,11 @@
 }
 
 // HoldResult is the result of a SuspectHold. Held is also true, with no hold recorded, for a
-// request that is not a suspect; it is false for a quarantined request.
-type HoldResult struct{ Held bool }
+// request that is not a suspect. Err has kind quarantined for a quarantined request.
+type HoldResult struct {
+	Held bool
+	Err  error
+}
 
 // EndResult is the result of a SuspectEnd.
 type EndResult struct{}
--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -98,7 +98,7 @@
 	case *masticproto.Command_Suspect:
 		return s.applySuspectReport(k.Suspect)
 	case *masticproto.Command_SuspectHold:
-		return HoldResult{Held: s.holdSuspect(k.SuspectHold)}
+		return s.holdSuspect(k.SuspectHold)
 	case *masticproto.Command_SuspectEnd:
 		s.suspects.ReleaseHold(k.SuspectEnd)
 		return EndResult{}
@@ -170,18 +170,17 @@
 	return SuspectResult{Quarantined: digests}
 }
 
-// holdSuspect reports whether the request may run: true if its hold was granted, or if it is
-// not a suspect and needs none. It returns false for a quarantined request, which must not run
-// at all.
-func (s *State) holdSuspect(h *masticproto.SuspectHold) bool {
+// holdSuspect grants a hold, also to a request that is not a suspect and needs none. A quarantined
+// request is refused, since no other backend server will do.
+func (s *State) holdSuspect(h *masticproto.SuspectHold) HoldResult {
 	d, err := masticview.DigestFromBytes(h.GetDigest())
 	if err != nil {
-		return false
+		return HoldResult{Err: err}
 	}
 	if q, ok := s.view.Quarantine(d); ok && s.now.Before(q.Until) {
-		return false
+		return HoldResult{Err: masticerror.New(masticerror.KindQuarantined, "the content is quarantined").WithRetryAfter(q.Until.Sub(s.now))}
 	}
-	return s.suspects.AcquireHold(s.now, h)
+	return HoldResult{Held: s.suspects.AcquireHold(s.now, h)}
 }
 
 // minQuarantine is the shortest duration of a quarantine.
