Calls of plain services on the product's own interface have a retry budget

Model requests and everything on the relay are retried within a budget; masticgate's calls of plain services were not: with all servers failing each call was sent three times. Now a service gets a retry for every tenth call and five more on each host, as model requests of a workspace do.

--- a/masticgate/gate.go
+++ b/masticgate/gate.go
@@ -10,6 +10,7 @@
 	"masticladder/masticcall"
 	"masticladder/masticengine"
 	"masticladder/masticerror"
+	"masticladder/masticretry"
 )
 
 // Gate is the http.Handler that serves callers.
@@ -30,11 +31,12 @@
 	mux        *http.ServeMux
 	drain      drainState
 	bodyBudget byteBudget
+	retries    serviceRetries
 }
 
 // New returns a gate. It returns an error if a required dependency is not set.
 func New(options ...Option) (*Gate, error) {
-	g := &Gate{log: logrus.StandardLogger(), now: time.Now, limits: DefaultLimits()}
+	g := &Gate{log: logrus.StandardLogger(), now: time.Now, limits: DefaultLimits(), retries: serviceRetries{budget: masticretry.NewBudget()}}
 	for _, o := range options {
 		o(g)
 	}
--- a/masticgate/service.go
+++ b/masticgate/service.go
@@ -192,7 +192,10 @@
 func (c *serviceCall) sendWithRetries(ctx context.Context) (masticengine.Answer, *masticerror.Error) {
 	var busy *masticengine.Answer
 	var last *masticerror.Error
-	for range c.inbound.gate.limits.MaxAttempts {
+	for attempt := range c.inbound.gate.limits.MaxAttempts {
+		if !c.inbound.gate.retries.allow(c.service.Name, attempt) {
+			break
+		}
 		a, e := c.acquire(ctx)
 		if e != nil {
 			if last == nil || e.Kind() != masticerror.KindNoServer {
--- a/masticgate/service_crash_test.go
+++ b/masticgate/service_crash_test.go
@@ -88,3 +88,19 @@
 	b.c.Assert(s.Received(), qt.Not(qt.HasLen), 0)
 	b.c.Assert(b.suspects.all(), qt.HasLen, 0)
 }
+
+// TestServiceCallsAreRetriedWithoutBudget: when all servers of a plain service failed, each call was
+// sent as often as one call may be, which multiplied the load on them.
+func TestServiceCallsAreRetriedWithoutBudget(t *testing.T) {
+	b := newFixture(t)
+	s := masticfake.NewService("lookups")
+	s.SetMode(masticfake.ModeCut)
+	b.addService(masticview.Service{Name: "lookups", Idempotent: true}, s, s, s)
+	b.start()
+	// A service may be sent one retry for ten calls, and five more.
+	const calls, limit = 50, 50 + 50/10 + 5
+	for range calls {
+		b.send(http.MethodPost, "/services/lookups/x", "harmless")
+	}
+	b.c.Assert(s.Count("x") <= limit, qt.IsTrue, qt.Commentf("%d attempts of %d calls", s.Count("x"), calls))
+}
