--- a/masticengine/sent_test.go
+++ b/masticengine/sent_test.go
@@ -5,9 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,62 +24,6 @@
 	_ = flag.Set("rapid.nofailfile", "true")
 }
 
-// resettingServer does a number of reads on each connection, answers some of them, and resets
-// the connection.
-type resettingServer struct {
-	listener net.Listener
-	reads    int
-	answers  int
-
-	mu       sync.Mutex
-	received strings.Builder
-	// conns counts the open connections and the loop that accepts them.
-	conns sync.WaitGroup
-}
-
-func (s *resettingServer) loop() {
-	defer s.conns.Done()
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		s.conns.Add(1)
-		k := resettingConn{server: s, conn: c}
-		go k.run()
-	}
-}
-
-// resettingConn is one connection of a resettingServer.
-type resettingConn struct {
-	server *resettingServer
-	conn   net.Conn
-}
-
-func (k resettingConn) run() {
-	defer k.server.conns.Done()
-	defer k.conn.Close()
-	b := make([]byte, 4<<10)
-	for i := range k.server.reads {
-		n, err := k.conn.Read(b)
-		k.server.mu.Lock()
-		k.server.received.Write(b[:n])
-		k.server.mu.Unlock()
-		if err != nil {
-			return
-		}
-		if i < k.server.answers {
-			_, _ = k.conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
-		}
-	}
-	_ = k.conn.(*net.TCPConn).SetLinger(0)
-}
-
-// arrivals returns how often the request arrived. All connections must be closed.
-func (s *resettingServer) arrivals(id string) int {
-	return strings.Count(s.received.String(), "X-Request-Id: "+id+"\r\n")
-}
-
 // TestNotSentFailureMeansNothingArrived calls servers that reset connections at any point, over
 // new and reused connections. After a failure with Sent false nothing must have arrived, and a
 // call with Once set must arrive at most once.
@@ -89,23 +31,19 @@
 	limits := DefaultLimits()
 	limits.AnswerTimeoutMillis = 20
 	rapid.Check(t, func(t *rapid.T) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		s, err := masticfake.ServeResetting(rapid.IntRange(0, 3).Draw(t, "reads"), rapid.IntRange(0, 3).Draw(t, "answers"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := &resettingServer{listener: l, reads: rapid.IntRange(0, 3).Draw(t, "reads"), answers: rapid.IntRange(0, 3).Draw(t, "answers")}
-		s.conns.Add(1)
-		go s.loop()
 		if rapid.IntRange(0, 4).Draw(t, "down") == 0 {
-			_ = l.Close()
+			s.Down()
 		}
 		client := New(WithLimits(limits))
-		calls := makeCalls(t, client, masticview.Server{Name: "rude", Kind: masticview.ServerService, URL: "http://" + l.Addr().String()})
+		calls := makeCalls(t, client, masticview.Server{Name: "rude", Kind: masticview.ServerService, URL: "http://" + s.Address()})
 		client.Close()
-		_ = l.Close()
-		s.conns.Wait()
+		s.Close()
 		for _, k := range calls {
-			n := s.arrivals(k.id)
+			n := s.Arrivals(k.id)
 			if k.notSent && n > 0 || k.once && n > 1 {
 				t.Fatalf("%+v arrived %d times", k, n)
 			}
--- /dev/null
+++ b/masticrelay/rank_test.go
@@ -0,0 +1,23 @@
+package masticrelay
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticdocument"
+)
+
+// TestSaltsKeepIsolatedWorkspacesAndWeightsApart checks that engines and stores, which check neither,
+// share no cached prompt between an isolated workspace and another, nor between weights versions.
+func TestSaltsKeepIsolatedWorkspacesAndWeightsApart(t *testing.T) {
+	c := qt.New(t)
+	seen := map[string]bool{}
+	for _, w := range []masticdocument.Workspace{{Name: "a", Isolated: true}, {Name: "b", Isolated: true}, {Name: "shared"}, {}} {
+		for _, version := range []string{"1", "2"} {
+			seen[salt(w, version)] = true
+		}
+	}
+	c.Assert(seen, qt.HasLen, 6)
+	c.Assert(salt(masticdocument.Workspace{Name: "x"}, "1"), qt.Equals, salt(masticdocument.Workspace{Name: "y"}, "1"))
+}
