Quarantine only what ran on half of the servers that ended at once

Callers of a hot item would be refused for ten minutes: when a rack is lost, copies of one harmless request run on several of its servers at once, and three of them counted like three servers that it had ended one after the other.

A request that ends servers ran on all of them; a hot one ran on some of those that end with it. Now the tracker keeps the ends of the last 2 s, and quarantines a request only if it ran on at least half of them. Else it stays a suspect, which runs alone under a hold, and is cleared when it completes or quarantined by its next end.

TestHotRequestOfLostRackIsQuarantined failed before.

--- a/masticsuspect/property_test.go
+++ b/masticsuspect/property_test.go
@@ -246,3 +246,29 @@
 	c.Assert(g.Suspect(d), qt.IsTrue)
 	c.Assert(report(UnnamedWindow, "s2"), qt.IsTrue)
 }
+
+// TestHotRequestOfLostRackIsQuarantined: copies of one harmless request ran on several of the servers
+// that were lost at once, which counted like one request that had ended each of them.
+func TestHotRequestOfLostRackIsQuarantined(t *testing.T) {
+	c := qt.New(t)
+	g := New()
+	hot := digest(0)
+	report := func(at time.Duration, server int, d masticview.Digest) bool {
+		quarantined, err := g.Report(begin.Add(at), &masticproto.SuspectReport{Server: fmt.Sprint("s", server), ServerIncarnation: "1", Digests: [][]byte{d[:]}, QuarantineAfter: 3})
+		c.Assert(err, qt.IsNil)
+		return len(quarantined) > 0
+	}
+	for server := range 20 {
+		at := time.Duration(server) * 10 * time.Millisecond
+		c.Assert(report(at, server, digest(server+1)), qt.IsFalse)
+		if server%4 == 1 {
+			c.Assert(report(at, server, hot), qt.IsFalse, qt.Commentf("server %d", server))
+		}
+	}
+	c.Assert(g.Suspect(hot), qt.IsTrue)
+	restored, err := Restore(g.Snapshot())
+	c.Assert(err, qt.IsNil)
+	g = restored
+	c.Assert(report(time.Second, 30, hot), qt.IsFalse)
+	c.Assert(report(10*time.Second, 31, hot), qt.IsTrue)
+}
--- a/masticsuspect/snapshot.go
+++ b/masticsuspect/snapshot.go
@@ -8,7 +8,7 @@
 	"masticladder/masticview"
 )
 
-// Snapshot returns all records and holds in wire form, in a deterministic order.
+// Snapshot returns all records, holds and recent ends in wire form, in a deterministic order.
 func (t *Tracker) Snapshot() *masticproto.SuspectSnapshot {
 	out := &masticproto.SuspectSnapshot{}
 	for _, d := range t.sortedDigests() {
@@ -20,6 +20,7 @@
 	for _, n := range slices.Sorted(maps.Keys(t.holds)) {
 		out.Holds = append(out.Holds, t.holds[n])
 	}
+	out.Ended = slices.Clone(t.recentEnds)
 	return out
 }
 
@@ -40,5 +41,6 @@
 	for _, h := range s.GetHolds() {
 		t.holds[h.GetServer()] = h
 	}
+	t.recentEnds = slices.Clone(s.GetEnded())
 	return t, nil
 }
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -3,7 +3,7 @@
 //
 // When an incarnation of a backend server ends, the requests that ran on it are recorded. A
 // request is quarantined when a number of distinct incarnations, which the reports state, have
-// ended under it. One end before that it is a suspect, which is sent again only under a hold, an
+// ended under it, unless most servers that end then did not run it. One end before that it is a suspect, which is sent again only under a hold, an
 // exclusive lease on its backend server among suspects. As two suspects never run on the same
 // backend server, an innocent one completes and is cleared.
 package masticsuspect
@@ -30,6 +30,11 @@
 	// UnnamedWindow is the time within which the ends of a server that states no incarnation count as
 	// one: several hosts report one end within it, and a server takes longer to start again.
 	UnnamedWindow = 2 * time.Second
+	// WaveWindow is the time within which ends of servers may have one cause, such as a lost rack. A
+	// request is quarantined only if it ran on at least half of the servers that ended within it.
+	WaveWindow = 2 * time.Second
+	// maxRecentEnds bounds the ends that are remembered for WaveWindow.
+	maxRecentEnds = 1024
 	// MaxRecords bounds the number of recorded requests; those that expire first are evicted.
 	MaxRecords = 16_384
 	// MaxHoldTTL bounds the duration of a hold.
@@ -51,6 +56,8 @@
 	records     map[masticview.Digest]record
 	holds       map[string]*masticproto.SuspectHold
 	fingerprint uint64
+	// recentEnds are the incarnations that ended within WaveWindow, the oldest first.
+	recentEnds []*masticproto.EndedServer
 }
 
 // New returns a Tracker without records and holds.
@@ -151,7 +158,33 @@
 		r.expiresUnixMs = now.Add(RecordTTL).UnixMilli()
 	}
 	t.put(d, r)
-	return len(r.incarnations) >= r.quarantineAfter
+	t.recordEnd(now, incarnation)
+	return len(r.incarnations) >= r.quarantineAfter && t.ranOnHalf(r)
+}
+
+// recordEnd adds an incarnation to the recent ends, unless it is one of them, and removes old ones.
+func (t *Tracker) recordEnd(now time.Time, incarnation string) {
+	oldest := now.Add(-WaveWindow).UnixMilli()
+	known := false
+	t.recentEnds = slices.DeleteFunc(t.recentEnds, func(e *masticproto.EndedServer) bool {
+		known = known || e.GetIncarnation() == incarnation
+		return e.GetAtUnixMs() <= oldest && e.GetIncarnation() != incarnation
+	})
+	if !known && len(t.recentEnds) < maxRecentEnds {
+		t.recentEnds = append(t.recentEnds, &masticproto.EndedServer{Incarnation: incarnation, AtUnixMs: now.UnixMilli()})
+	}
+}
+
+// ranOnHalf reports whether the recorded request ran on at least half of the servers that ended
+// recently. Of a harmless one, many copies may run on the servers of a rack that is lost.
+func (t *Tracker) ranOnHalf(r record) bool {
+	own := 0
+	for _, e := range t.recentEnds {
+		if slices.Contains(r.incarnations, e.GetIncarnation()) {
+			own++
+		}
+	}
+	return 2*own >= len(t.recentEnds)
 }
 
 // evictExcess removes the records that expire first, down to MaxRecords.
