Refuse quarantined requests before they take quota, and mark servers before asking them

Callers of a quarantined request waited for their workspace's quota, up to 250 ms, for a refusal that was certain. And a server whose connection broke was marked as failed only after the host had tried a new one, which takes up to 250 ms where it is cut off; other requests went there meanwhile. Both are a matter of order.

TestQuarantinedRequestTakesQuota failed before.

--- a/masticagent/option.go
+++ b/masticagent/option.go
@@ -102,8 +102,8 @@
 
 // WithQuarantineAfter sets the number of backend servers that have to end under a request before it
 // is refused; the default is masticsuspect.DefaultQuarantineAfter, for servers that state no
-// incarnation UnnamedQuarantineAfter. One end before that it needs a
-// hold. All hosts should have the same number.
+// incarnation at least UnnamedQuarantineAfter. One end before that it needs a hold. All hosts should
+// have the same number.
 func WithQuarantineAfter(ends int) Option { return func(a *Agent) { a.quarantineAfter = ends } }
 
 // WithOrderRetention sets how long the record of a call that must not be repeated is kept.
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -20,6 +20,7 @@
 	"masticladder/masticcall"
 	"masticladder/masticdocument"
 	"masticladder/masticerror"
+	"masticladder/masticproto"
 	"masticladder/masticview"
 )
 
@@ -191,10 +192,15 @@
 	w.WriteHeader(e.Status())
 }
 
-// unlimitedLimiter admits every request. It records the used tokens of each settled admission.
-type unlimitedLimiter struct{ settled []int64 }
+// unlimitedLimiter admits every request. It counts the admissions and records the used tokens of each
+// settled one.
+type unlimitedLimiter struct {
+	admitted int
+	settled  []int64
+}
 
 func (l *unlimitedLimiter) Admit(context.Context, string, int64) (masticcall.Admission, error) {
+	l.admitted++
 	return l, nil
 }
 func (l *unlimitedLimiter) Settle(used int64) { l.settled = append(l.settled, used) }
@@ -599,6 +605,25 @@
 	c.Assert(x.suspects.events[:3], qt.DeepEquals, []string{"hold s0", "hold s1", "release s1 false"})
 }
 
+// TestQuarantinedRequestTakesQuota: a request that was to be refused first waited for its workspace's
+// quota, up to 250 ms.
+func TestQuarantinedRequestTakesQuota(t *testing.T) {
+	c := qt.New(t)
+	s := newRawServer(c)
+	b := newFixture(c, once, s)
+	call := &Call{Method: http.MethodPost, Host: "host.example", URI: "/a/x?y=1", Body: []byte("the body")}
+	content := contentOf(call, "mill")
+	view, err := testView(c, once).Apply(&masticproto.ViewChange{Quarantines: []*masticproto.Quarantine{
+		{Digest: content[:], UntilUnixMs: time.Now().Add(time.Minute).UnixMilli()},
+	}}, time.Now())
+	c.Assert(err, qt.IsNil)
+	b.relay.SetView(view)
+	status, _, _ := b.send(c)
+	c.Assert(status, qt.Equals, masticerror.AnswerFor(masticerror.KindQuarantined).Status)
+	c.Assert(s.received(), qt.HasLen, 0)
+	c.Assert(b.limiter.admitted, qt.Equals, 0)
+}
+
 // TestOnlyEndedServerIsReported checks that a connection that breaks while the server accepts new
 // ones is not reported, since the request has not ended the server.
 func TestOnlyEndedServerIsReported(t *testing.T) {
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -135,7 +135,7 @@
 	r.pool, _ = t.index.Pool(c.pickPool(route.Targets))
 	r.service = t.services[r.pool.Name]
 	r.service.Name = r.pool.Name
-	return nil
+	return r.quarantineError(t)
 }
 
 // authenticate returns the workspace of the key, the zero workspace if the request needs no key. It
@@ -162,6 +162,12 @@
 	if w, ok := r.authenticate(t); !ok || w.Name != r.workspace.Name {
 		return errUnknownKey()
 	}
+	return r.quarantineError(t)
+}
+
+// quarantineError returns the refusal of a request under which several servers have ended, nil for
+// other requests.
+func (r *requestState) quarantineError(t *routingTable) *masticerror.Error {
 	q, ok := t.view.Quarantine(r.content)
 	if left := time.Until(q.Until); ok && left > 0 {
 		return masticerror.New(masticerror.KindQuarantined, "requests with this content ended several backend servers").WithRetryAfter(left)
@@ -351,9 +357,11 @@
 			r.mayHaveRun = true
 			r.possibleRuns++
 		}
-		r.logAttempt(server, f, r.reportIfEnded(startedAt, server, f))
 	}
 	a.Done(time.Now(), result)
+	if f != nil {
+		r.logAttempt(server, f, r.reportIfEnded(startedAt, server, f))
+	}
 	if r.held {
 		r.relay.holds.Release(r.content, server.Name, f == nil)
 		r.held = false
