--- /dev/null
+++ b/masticrelay/access.go
@@ -0,0 +1,45 @@
+package masticrelay
+
+import (
+	"time"
+
+	"masticladder/masticdocument"
+	"masticladder/masticerror"
+)
+
+// authenticate returns the workspace of the key, the zero workspace if the request needs no key. It
+// reports false if t does not know the key.
+func (r *requestState) authenticate(t *routingTable) (masticdocument.Workspace, bool) {
+	if r.route.Public || !t.index.RequiresKey() {
+		return masticdocument.Workspace{}, true
+	}
+	w, ok := t.index.WorkspaceByKey(r.call.Key)
+	return w, ok && r.call.HasKey
+}
+
+func errUnknownKey() *masticerror.Error {
+	return masticerror.New(masticerror.KindUnauthenticated, "the key is not known")
+}
+
+// recheck returns why the newest view no longer allows the request to be sent to a backend server:
+// the lease has ended, the key was withdrawn, or several servers have ended under the request.
+func (r *requestState) recheck() *masticerror.Error {
+	t := r.relay.table.Load()
+	if err := r.relay.leaseError(); err != nil {
+		return err
+	}
+	if w, ok := r.authenticate(t); !ok || w.Name != r.workspace.Name {
+		return errUnknownKey()
+	}
+	return r.quarantineError(t)
+}
+
+// quarantineError returns the refusal of a request under which several servers have ended, nil for
+// other requests.
+func (r *requestState) quarantineError(t *routingTable) *masticerror.Error {
+	q, ok := t.view.Quarantine(r.content)
+	if left := time.Until(q.Until); ok && left > 0 {
+		return masticerror.New(masticerror.KindQuarantined, "requests with this content ended several backend servers").WithRetryAfter(left)
+	}
+	return nil
+}
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -138,43 +138,6 @@
 	return r.quarantineError(t)
 }
 
-// authenticate returns the workspace of the key, the zero workspace if the request needs no key. It
-// reports false if t does not know the key.
-func (r *requestState) authenticate(t *routingTable) (masticdocument.Workspace, bool) {
-	if r.route.Public || !t.index.RequiresKey() {
-		return masticdocument.Workspace{}, true
-	}
-	w, ok := t.index.WorkspaceByKey(r.call.Key)
-	return w, ok && r.call.HasKey
-}
-
-func errUnknownKey() *masticerror.Error {
-	return masticerror.New(masticerror.KindUnauthenticated, "the key is not known")
-}
-
-// recheck returns why the newest view no longer allows the request to be sent to a backend server:
-// the lease has ended, the key was withdrawn, or several servers have ended under the request.
-func (r *requestState) recheck() *masticerror.Error {
-	t := r.relay.table.Load()
-	if err := r.relay.leaseError(); err != nil {
-		return err
-	}
-	if w, ok := r.authenticate(t); !ok || w.Name != r.workspace.Name {
-		return errUnknownKey()
-	}
-	return r.quarantineError(t)
-}
-
-// quarantineError returns the refusal of a request under which several servers have ended, nil for
-// other requests.
-func (r *requestState) quarantineError(t *routingTable) *masticerror.Error {
-	q, ok := t.view.Quarantine(r.content)
-	if left := time.Until(q.Until); ok && left > 0 {
-		return masticerror.New(masticerror.KindQuarantined, "requests with this content ended several backend servers").WithRetryAfter(left)
-	}
-	return nil
-}
-
 // acquireQuota takes the request's tokens from its workspace's quota. The admission is nil if
 // the workspace has no rate.
 func (r *requestState) acquireQuota(ctx context.Context) (masticcall.Admission, *masticerror.Error) {
@@ -209,87 +172,6 @@
 	}
 }
 
-// mayRetry reports whether the request may be sent once more after f, and if so takes a retry
-// from the budget.
-func (r *requestState) mayRetry(ctx context.Context, f *masticbackend.Failure) bool {
-	denial := r.retryDenial(ctx, f)
-	if denial == "" && !r.relay.takeRetry(r.pool.Name) {
-		r.relay.metrics.overBudget.Inc(1)
-		denial = denialBudget
-	}
-	r.logRetry(denial)
-	if denial != "" {
-		return false
-	}
-	r.relay.metrics.retries.Inc(1)
-	if r.headerWritten {
-		r.relay.metrics.resumed.Inc(1)
-	}
-	return true
-}
-
-// retryDenial is why a request is not sent once more; empty if it may be.
-type retryDenial string
-
-// Reasons not to send a request once more.
-const (
-	denialCancelled retryDenial = "cancelled"
-	denialDeadline  retryDenial = "deadline"
-	denialAttempts  retryDenial = "attempts"
-	// denialProgress means that the response has begun and cannot be resumed.
-	denialProgress retryDenial = "progress"
-	// denialRoute means that the route does not allow another possible run.
-	denialRoute  retryDenial = "route"
-	denialBudget retryDenial = "budget"
-)
-
-// retryDenial returns why the request, its route or its progress rule out another attempt after f.
-func (r *requestState) retryDenial(ctx context.Context, f *masticbackend.Failure) retryDenial {
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled) || f.Err.Kind() == masticerror.KindCancelled:
-		return denialCancelled
-	case ctx.Err() != nil || time.Until(r.deadline) < minRemainingTime:
-		return denialDeadline
-	case r.attempts >= max(1, r.route.Attempts)+maxExtraAttempts:
-		return denialAttempts
-	case !f.Sent:
-		return ""
-	case r.headerWritten && !(r.route.Resumable && r.events.count > 0):
-		return denialProgress
-	case !r.route.Idempotent() || r.possibleRuns >= r.route.Attempts:
-		return denialRoute
-	}
-	return ""
-}
-
-// finalError returns the error for the caller after the last attempt.
-func (r *requestState) finalError(ctx context.Context, f *masticbackend.Failure) *masticerror.Error {
-	switch {
-	case r.headerWritten:
-		return f.Err
-	case errors.Is(ctx.Err(), context.Canceled):
-		return masticerror.New(masticerror.KindCancelled, "the caller went away")
-	case !r.mayHaveRun:
-		return notRunError(r.relay, f.Err)
-	case f.Err.Kind() == masticerror.KindDeadline || ctx.Err() != nil:
-		return masticerror.New(masticerror.KindDeadline, "the deadline passed").WithSent()
-	default:
-		return f.Err.WithSent()
-	}
-}
-
-// notRunError returns e as a refusal that states that the request has not run. It is called only
-// when no backend server can have run it.
-func notRunError(c *Relay, e *masticerror.Error) *masticerror.Error {
-	switch e.Kind() {
-	case masticerror.KindOverloaded, masticerror.KindNoServer, masticerror.KindQuarantined, masticerror.KindRateLimited,
-		masticerror.KindUnauthenticated, masticerror.KindNoLease:
-		return e
-	default:
-		return unavailable(c, masticerror.KindOverloaded, "no backend server took the request: %s", e.Message())
-	}
-}
-
 // acquire assigns a backend server. A request that has ended backend servers gets one on which, over
 // all hosts, no other such request runs.
 func (r *requestState) acquire(ctx context.Context) (masticcall.Assignment, error) {
