Bystanders of an unnamed end do not count as ends of other servers

Callers of plain services on the product's own interface, whose servers state no incarnation: a request that ended a server stayed a suspect and ended one more with each resend. An unnamed end got a name for each request that was reported with it, from the time of that report; among the ends of the last 2 s the guilty request then seemed to have run on one of many. Now an unnamed end has one name for all.

TestBystandersOfUnnamedEndsPreventQuarantine failed before. Comments reflowed.

--- a/masticsuspect/property_test.go
+++ b/masticsuspect/property_test.go
@@ -272,3 +272,23 @@
 	c.Assert(report(time.Second, 30, hot), qt.IsFalse)
 	c.Assert(report(10*time.Second, 31, hot), qt.IsTrue)
 }
+
+// TestBystandersOfUnnamedEndsPreventQuarantine: the reports of harmless requests that ran on the same
+// server each counted as an end of their own, so that the one which ended it seemed one of many.
+func TestBystandersOfUnnamedEndsPreventQuarantine(t *testing.T) {
+	c := qt.New(t)
+	g := New()
+	for end := range 3 {
+		for request := range 5 {
+			// Request 4 ran on all three servers, the others on one each.
+			d := digest(10*end + request)
+			if request == 4 {
+				d = digest(255)
+			}
+			at := begin.Add(time.Duration(end)*time.Minute + time.Duration(request)*time.Millisecond)
+			quarantined, err := g.Report(at, &masticproto.SuspectReport{Server: fmt.Sprint("s", end), Digests: [][]byte{d[:]}, QuarantineAfter: 3})
+			c.Assert(err, qt.IsNil)
+			c.Assert(len(quarantined) == 1, qt.Equals, end == 2 && request == 4)
+		}
+	}
+}
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -3,9 +3,10 @@
 //
 // When an incarnation of a backend server ends, the requests that ran on it are recorded. A
 // request is quarantined when a number of distinct incarnations, which the reports state, have
-// ended under it, unless most servers that end then did not run it. One end before that it is a suspect, which is sent again only under a hold, an
-// exclusive lease on its backend server among suspects. As two suspects never run on the same
-// backend server, an innocent one completes and is cleared.
+// ended under it, unless most servers that ended at that time did not run it. One end before that
+// it is a suspect, which is sent again only under a hold, an exclusive lease on its backend server
+// among suspects. As two suspects never run on the same backend server, an innocent one completes
+// and is cleared.
 package masticsuspect
 
 import (
@@ -105,8 +106,8 @@
 
 // Report records that an incarnation of a backend server ended while it ran the given
 // requests. For a server that states no incarnation, ends within UnnamedWindow are one. It returns
-// the requests to quarantine now. They stay suspects, so that a host which
-// does not know of the quarantine yet asks for a hold, which it does not get. Several
+// the requests to quarantine now. They stay suspects, so that a host which does not know of the
+// quarantine yet asks for a hold, which it does not get. Several
 // hosts may report the end of the same incarnation.
 func (t *Tracker) Report(now time.Time, r *masticproto.SuspectReport) ([]masticview.Digest, error) {
 	digests := make([]masticview.Digest, 0, len(r.GetDigests()))
@@ -120,7 +121,7 @@
 	t.Expire(now)
 	var quarantined []masticview.Digest
 	for _, d := range digests {
-		incarnation := t.incarnationName(now, d, r)
+		incarnation := t.incarnationName(now, r)
 		if t.addIncarnation(now, d, incarnation, int(r.GetQuarantineAfter())) {
 			quarantined = append(quarantined, d)
 		}
@@ -129,17 +130,16 @@
 	return quarantined, nil
 }
 
-// incarnationName returns the name under which the record of d has the incarnation that r reports. An
-// unnamed one has the time of the first report of its end instead.
-func (t *Tracker) incarnationName(now time.Time, d masticview.Digest, r *masticproto.SuspectReport) string {
+// incarnationName returns the name of the incarnation that r reports. An unnamed one has the time of
+// the first report of its end instead, whichever request that was about.
+func (t *Tracker) incarnationName(now time.Time, r *masticproto.SuspectReport) string {
 	if r.GetServerIncarnation() != "" {
 		return r.GetServer() + "\x00" + r.GetServerIncarnation()
 	}
 	prefix := r.GetServer() + "\x00@"
-	for _, name := range t.records[d].incarnations {
-		at, unnamed := strings.CutPrefix(name, prefix)
-		if ms, err := strconv.ParseInt(at, 10, 64); unnamed && err == nil && now.Sub(time.UnixMilli(ms)) < UnnamedWindow {
-			return name
+	for _, e := range t.recentEnds {
+		if strings.HasPrefix(e.GetIncarnation(), prefix) && now.Sub(time.UnixMilli(e.GetAtUnixMs())) < UnnamedWindow {
+			return e.GetIncarnation()
 		}
 	}
 	return prefix + strconv.FormatInt(now.UnixMilli(), 10)
