Log what a new connection showed after a broken one, and what control counted

A host logged only that a new connection was not refused, not whether it was accepted, reset or never answered, and the leader logged nothing before the quarantine.

Now 'attempt failed' has 'connect' (refused, accepted, or the error) and 'ranMillis', and the leader logs each report with the number of ends that it counts for the request. No decision changes.

--- a/masticbackend/client.go
+++ b/masticbackend/client.go
@@ -159,18 +159,19 @@
 const refuseTimeout = 250 * time.Millisecond
 
 // Refuses reports whether the host at address refuses connections, so that no process listens
-// there. A connection that is established instead is kept for later requests.
-func (c *Client) Refuses(address string) bool {
+// there. The error is why no connection was established. One that is established is kept for later
+// requests.
+func (c *Client) Refuses(address string) (bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), refuseTimeout)
 	defer cancel()
 	conn, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return errors.Is(err, syscall.ECONNREFUSED), err
 	}
 	n := newConnection(address, conn.(*net.TCPConn))
 	n.idleDeadline = time.Now().Add(c.idleTimeout)
 	c.putIdle(n)
-	return false
+	return false, nil
 }
 
 // acquire returns an idle connection to address if there is one, else a new one.
--- a/masticrelay/log.go
+++ b/masticrelay/log.go
@@ -34,12 +34,12 @@
 		WithField("retryAfterMillis", err.RetryAfter().Milliseconds()).Warn("request refused or failed")
 }
 
-// logAttempt logs a failed attempt. "ended" means that the connection broke, "refusing" that the
-// server then refused a new one, so that its incarnation has ended.
-func (r *requestState) logAttempt(server masticview.Server, f *masticbackend.Failure, refusing bool) {
+// logAttempt logs a failed attempt. "ended" means that the connection broke; "connect" is what a new
+// connection showed then.
+func (r *requestState) logAttempt(server masticview.Server, f *masticbackend.Failure, ran time.Duration, connect string) {
 	r.relay.log.WithFields(logrus.Fields{
 		"request": r.call.ID, "content": r.content.Short(), "server": server.Name, "incarnation": server.Incarnation,
-		"sends": r.attempts, "sent": f.Sent, "ended": f.ServerEnded, "refusing": refusing,
+		"sends": r.attempts, "sent": f.Sent, "ended": f.ServerEnded, "connect": connect, "ranMillis": ran.Milliseconds(),
 		"reason": string(f.Err.Kind()), "cause": f.Err.Error(),
 	}).Warn("attempt failed")
 }
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -242,7 +242,7 @@
 	}
 	a.Done(time.Now(), result)
 	if f != nil {
-		r.logAttempt(server, f, r.reportIfEnded(startedAt, server, f))
+		r.logAttempt(server, f, time.Since(startedAt), r.reportIfEnded(startedAt, server, f))
 	}
 	if r.held {
 		r.relay.holds.Release(r.content, server.Name, f == nil)
@@ -253,18 +253,25 @@
 
 // reportIfEnded reports the request to all hosts if the backend server ended while it ran: its
 // connection broke and no new one is accepted. A connection can break for other reasons. It returns
-// whether the server has ended.
-func (r *requestState) reportIfEnded(startedAt time.Time, server masticview.Server, f *masticbackend.Failure) bool {
+// what a new connection showed, empty if none was tried.
+func (r *requestState) reportIfEnded(startedAt time.Time, server masticview.Server, f *masticbackend.Failure) string {
+	if !f.Sent || !f.ServerEnded {
+		return ""
+	}
 	c := r.relay
-	if !f.Sent || !f.ServerEnded || !c.client.Refuses(server.Address()) {
-		return false
+	refused, err := c.client.Refuses(server.Address())
+	switch {
+	case err == nil:
+		return "accepted"
+	case !refused:
+		return err.Error()
 	}
 	c.metrics.endedServers.Inc(1)
 	if c.suspects != nil {
 		incarnation := c.ended.record(time.Now(), startedAt, server)
 		c.suspects.Report(server.Name, incarnation, []masticview.Digest{r.content})
 	}
-	return true
+	return "refused"
 }
 
 // lastEventID returns the identifier of the last event that the caller received: in this
--- a/masticstate/result.go
+++ b/masticstate/result.go
@@ -53,7 +53,11 @@
 
 // SuspectResult is the result of a SuspectReport, with the digests that it quarantined.
 type SuspectResult struct {
-	Quarantined []masticview.Digest
+	// Server and Requests are those of the report; Ends is the largest number of ended servers that
+	// one of the requests has.
+	Server         string
+	Requests, Ends int
+	Quarantined    []masticview.Digest
 	Err         error
 }
 
--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -154,8 +154,9 @@
 // harmful. The quarantines take effect with the next revision of the view.
 func (s *State) applySuspectReport(r *masticproto.SuspectReport) SuspectResult {
 	digests, err := s.suspects.Report(s.now, r)
+	result := SuspectResult{Server: r.GetServer(), Requests: len(r.GetDigests()), Ends: s.suspects.MostEnds(r.GetDigests()), Err: err}
 	if err != nil || len(digests) == 0 {
-		return SuspectResult{Err: err}
+		return result
 	}
 	until := max(r.GetQuarantineUntilUnixMs(), s.now.Add(minQuarantine).UnixMilli())
 	c := &masticproto.ViewChange{EndedQuarantines: s.quarantinesToEvict(len(digests))}
@@ -164,10 +165,10 @@
 		end := max(until, q.Until.UnixMilli())
 		c.Quarantines = append(c.Quarantines, &masticproto.Quarantine{Digest: d[:], UntilUnixMs: end})
 	}
-	if err := s.applyChange(c); err != nil {
-		return SuspectResult{Err: err}
+	if result.Err = s.applyChange(c); result.Err == nil {
+		result.Quarantined = digests
 	}
-	return SuspectResult{Quarantined: digests}
+	return result
 }
 
 // holdSuspect grants a hold, also to a request that is not a suspect and needs none. A quarantined
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -78,6 +78,17 @@
 // Records returns the number of recorded requests, suspects or not.
 func (t *Tracker) Records() int { return len(t.records) }
 
+// MostEnds returns the largest number of ended servers that is recorded for one of the digests.
+func (t *Tracker) MostEnds(digests [][]byte) int {
+	most := 0
+	for _, b := range digests {
+		if d, err := masticview.DigestFromBytes(b); err == nil {
+			most = max(most, len(t.records[d].incarnations))
+		}
+	}
+	return most
+}
+
 // Suspects returns the digests of all suspects in ascending order.
 func (t *Tracker) Suspects() []masticview.Digest {
 	return slices.DeleteFunc(t.sortedDigests(), func(d masticview.Digest) bool { return !t.Suspect(d) })
