--- a/masticstate/result.go
+++ b/masticstate/result.go
@@ -58,7 +58,7 @@
 	Server         string
 	Requests, Ends int
 	Quarantined    []masticview.Digest
-	Err         error
+	Err            error
 }
 
 // HoldResult is the result of a SuspectHold. Held is also true, with no hold recorded, for a
