Join the signs of a failed backend server over time on the gate

Callers of the product's own interface could be refused for 10 minutes although their request had done nothing: an engine that reset or swallowed one probe after a broken connection, as a full one does, counted as ended, and two such answers quarantine a request. The other way round, a plain service's server whose port was still open when its connections broke was never counted.

Cause: the class of the fault on the relay. masticengine judged by one sign at one instant: any failed probe was an end for an engine, and only a connection refused at that moment was one for a plain service. Protocol violations (wrong request, gap, unframed answer) and silence were not looked at.

Now the client uses masticdetector, as the relay does: an engine is asked for its incarnation, a plain service with 'OPTIONS *', and only a refusal or another incarnation is a proof. A call that was given up counts if the server is found ended by other signs. The end of an incarnation is still reported once, with all calls that run on it (TestServerEndIsReportedOnce, unchanged but for the type of the report).

TestFailedProbeCountsAsEnd and TestServiceThatClosesItsPortLaterIsNotReported failed before and pass now.

--- a/masticdaemon/daemon.go
+++ b/masticdaemon/daemon.go
@@ -122,6 +122,9 @@
 		g.Add(d.control.Run, d.control.Stop)
 	}
 	err := g.Run()
+	if d.engine != nil {
+		d.engine.Close()
+	}
 	if errors.Is(err, errEnded) {
 		return nil
 	}
@@ -148,6 +151,9 @@
 		d.dispatcher.SetView(v)
 		d.prober.SetView(v)
 	}
+	if d.engine != nil {
+		d.engine.SetView(v)
+	}
 }
 
 // onSuspects passes the digests of requests that may crash a backend server to the dispatcher.
@@ -161,7 +167,7 @@
 	if !d.settings.Has(masticsettings.RoleEntry) {
 		return nil
 	}
-	d.engine = masticengine.New()
+	d.engine = masticengine.New(masticengine.WithLog(d.log))
 	addresses := masticaddress.New(d.agent.View, masticaddress.WithTTL(millis(d.settings.Timing.AddressListMillis)))
 	gate, err := masticgate.New(
 		masticgate.WithViews(d.agent),
--- a/masticengine/client.go
+++ b/masticengine/client.go
@@ -9,8 +9,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"masticladder/masticcall"
+	"masticladder/masticdetector"
 	"masticladder/masticstream"
+	"masticladder/masticview"
 )
 
 // Limits are the timeouts and size limits of a call to one backend server.
@@ -59,7 +63,7 @@
 	ServersEnded atomic.Int64
 }
 
-// ServerEndedFunc receives the report of an ended server, with the calls that were running on it.
+// ServerEndedFunc receives the verdict on a server under which calls failed.
 type ServerEndedFunc func(r masticcall.ServerReport)
 
 // Client sends calls to backend servers. It is safe for concurrent use.
@@ -68,6 +72,8 @@
 	pooled    *http.Transport
 	singleUse *http.Transport
 	onEnded   ServerEndedFunc
+	log       logrus.FieldLogger
+	detector  *masticdetector.Detector
 	counters  Counters
 
 	mu      sync.Mutex
@@ -86,6 +92,7 @@
 // New returns a client with DefaultLimits unless WithLimits is given.
 func New(options ...Option) *Client {
 	c := &Client{
+		log:     logrus.StandardLogger(),
 		limits:  DefaultLimits(),
 		onEnded: func(masticcall.ServerReport) {},
 		servers: make(map[string]*serverState),
@@ -95,9 +102,16 @@
 	}
 	c.pooled = c.transport(false)
 	c.singleUse = c.transport(true)
+	c.detector = masticdetector.New(&livenessChecker{client: c}, c, masticdetector.WithLog(c.log))
 	return c
 }
 
+// WithLog sets the logger; the default is logrus.StandardLogger.
+func WithLog(l logrus.FieldLogger) Option { return func(c *Client) { c.log = l } }
+
+// SetView passes the list of backend servers to the detector of ended servers.
+func (c *Client) SetView(v masticview.View) { c.detector.SetView(v) }
+
 // SetServerEnded replaces the function that receives reports of ended servers. It must be called
 // before the first call.
 func (c *Client) SetServerEnded(f ServerEndedFunc) { c.onEnded = f }
@@ -105,8 +119,9 @@
 // Counters returns the counters, which the client updates during calls.
 func (c *Client) Counters() *Counters { return &c.counters }
 
-// Close closes idle connections.
+// Close closes idle connections and ends the checks of servers.
 func (c *Client) Close() {
+	c.detector.Close()
 	c.pooled.CloseIdleConnections()
 	c.singleUse.CloseIdleConnections()
 }
--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"masticladder/masticdetector"
 	"masticladder/masticerror"
 	"masticladder/masticview"
 )
@@ -64,6 +65,7 @@
 	if x.isEngine() {
 		x.client.recordIncarnation(x.running, x.answer.Header.Get(HeaderIncarnation))
 	}
+	x.client.detector.Observe(x.call.Server, x.running.incarnation, x.running.sentAt, masticdetector.SignAnswered)
 	return nil
 }
 
@@ -103,8 +105,8 @@
 	return id != x.call.RequestID
 }
 
-// fail stops sending the request and returns the failure for err. After a connection failure it
-// also checks whether the server's incarnation has ended.
+// fail stops sending the request and returns the failure for err. Unless the call was ended by its
+// caller or a timeout, it also checks whether the server's incarnation has ended.
 func (x *exchange) fail(err error) *Failure {
 	sent := x.trace.stop() || x.answer != nil
 	f := &Failure{Err: classify(x.ctx, err, sent), Sent: sent}
@@ -113,7 +115,11 @@
 		return f
 	}
 	f.Incarnation = x.running.incarnation
-	if x.mayHaveEnded(f, err) {
+	switch {
+	case !sent:
+	case x.ctx.Err() != nil:
+		x.client.detector.Abandoned(x.call.Server, x.running.incarnation, x.running.sentAt, x.running.digest)
+	default:
 		f.ServerEnded = x.client.checkEnded(x.call, x.running)
 	}
 	return f
@@ -138,21 +144,6 @@
 	}
 }
 
-// mayHaveEnded reports whether the exchange failed in a way that may mean that the server has
-// ended: the connection failed after the request was sent, the call was not ended by its caller or
-// a timeout, and the answer was not a protocol violation.
-func (x *exchange) mayHaveEnded(f *Failure, err error) bool {
-	if !f.Sent || x.ctx.Err() != nil {
-		return false
-	}
-	switch err {
-	case errWrongRequest, errGap, errTooLarge, errUnframed:
-		return false
-	default:
-		return true
-	}
-}
-
 func (x *exchange) close() {
 	x.watch.stop()
 	x.cancel(context.Canceled)
--- a/masticengine/incarnation.go
+++ b/masticengine/incarnation.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
 	"slices"
 	"syscall"
+	"time"
 
 	"masticladder/masticcall"
-	"masticladder/masticclock"
+	"masticladder/masticdetector"
 	"masticladder/masticview"
 )
 
@@ -32,6 +34,9 @@
 	server      string
 	incarnation string
 	digest      masticview.Digest
+	sentAt      time.Time
+	// reported reports that the call was in the report of its server's end.
+	reported bool
 }
 
 // addRunning records the start of a call on a server, under the server's last known incarnation.
@@ -39,7 +44,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.stateOf(call.Server.Name)
-	r := &runningCall{server: call.Server.Name, incarnation: s.incarnation, digest: call.Digest}
+	r := &runningCall{server: call.Server.Name, incarnation: s.incarnation, digest: call.Digest, sentAt: c.detector.Now()}
 	s.running[r] = struct{}{}
 	return r
 }
@@ -131,50 +136,100 @@
 	return a.Header.Get(HeaderIncarnation), nil
 }
 
-// checkEnded probes the server after a broken connection and reports whether the incarnation of
-// r has ended. A server that answers without stating its incarnation counts as alive. The first
-// call that detects the end reports the digests of all calls running on that incarnation.
-func (c *Client) checkEnded(call Call, r *runningCall) bool {
-	if call.Server.Kind != masticview.ServerEngine {
-		return c.checkServiceEnded(call)
+// Check implements masticdetector.Checker: an engine is asked for its incarnation, another server
+// whether it answers.
+func (l *livenessChecker) Check(ctx context.Context, server masticview.Server, incarnation string) masticdetector.Sign {
+	now, err := l.client.ping(ctx, server)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return masticdetector.SignRefused
+	case err != nil:
+		return masticdetector.SignNone
+	case now == "" || now == incarnation:
+		return masticdetector.SignAnswered
+	}
+	return masticdetector.SignReplaced
+}
+
+// livenessChecker checks servers on which calls failed.
+type livenessChecker struct{ client *Client }
+
+// ping returns the incarnation that the server states, empty for a plain service, which states none.
+func (c *Client) ping(ctx context.Context, server masticview.Server) (string, error) {
+	if server.Kind == masticview.ServerEngine {
+		return c.probe(ctx, server)
 	}
-	now, err := c.probe(context.Background(), call.Server)
-	if err == nil && (now == "" || now == r.incarnation) {
-		return false
+	q := &http.Request{
+		Method: http.MethodOptions, Header: http.Header{},
+		URL: &url.URL{Scheme: "http", Host: server.Address(), Opaque: "*"},
 	}
-	if digests, first := c.endIncarnation(r); first {
-		c.counters.ServersEnded.Add(1)
-		c.reportEnded(r.server, r.incarnation, digests)
+	a, err := c.singleUse.RoundTrip(q.WithContext(ctx))
+	if err != nil {
+		return "", err
 	}
-	return true
+	return "", a.Body.Close()
 }
 
-// checkServiceEnded reports whether a plain service's server refuses connections after one broke, so
-// that it has ended. These servers state no incarnation. Each call reports itself.
-func (c *Client) checkServiceEnded(call Call) bool {
+// checkEnded reports the failed call to the detector, and returns whether the server has ended or is
+// lost.
+func (c *Client) checkEnded(call Call, r *runningCall) bool {
+	if c.reported(r) {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), millis(c.limits.ProbeTimeoutMillis))
 	defer cancel()
-	conn, err := c.dial(ctx, "tcp", call.Server.Address())
-	if err == nil {
-		_ = conn.Close()
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	switch c.detector.Failed(ctx, call.Server, r.incarnation, r.sentAt, r.digest) {
+	case masticcall.VerdictLost, masticcall.VerdictEnded:
+		return true
+	default:
 		return false
 	}
-	c.counters.ServersEnded.Add(1)
-	c.reportEnded(call.Server.Name, "", []masticview.Digest{call.Digest})
-	return true
 }
 
-// reportEnded reports that the calls with the given digests ran on an incarnation that has ended.
-func (c *Client) reportEnded(server, incarnation string, digests []masticview.Digest) {
-	r := masticcall.ServerReport{Server: server, Incarnation: incarnation, Verdict: masticcall.VerdictEnded, FailedAt: masticclock.Now()}
-	for _, d := range digests {
-		r.Requests = append(r.Requests, masticcall.FailedRequest{Digest: d})
+// reported reports whether r was in the report of its server's end.
+func (c *Client) reported(r *runningCall) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return r.reported
+}
+
+// Report passes a report of the detector on. The end of an incarnation is that of all calls that run
+// on it.
+func (c *Client) Report(r masticcall.ServerReport) {
+	if r.Verdict == masticcall.VerdictEnded {
+		ended := &runningCall{server: r.Server, incarnation: r.Incarnation}
+		if _, first := c.endIncarnation(ended); first || r.Incarnation == "" {
+			c.counters.ServersEnded.Add(1)
+		}
+		r.Requests = c.withRunning(r)
 	}
 	c.onEnded(r)
 }
 
+// withRunning returns the requests of r and of the calls that run on its incarnation.
+func (c *Client) withRunning(r masticcall.ServerReport) []masticcall.FailedRequest {
+	if r.Incarnation == "" {
+		return r.Requests
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seen := make(map[masticview.Digest]bool, len(r.Requests))
+	for _, q := range r.Requests {
+		seen[q.Digest] = true
+	}
+	for other := range c.stateOf(r.Server).running {
+		if other.incarnation != r.Incarnation || other.reported {
+			continue
+		}
+		other.reported = true
+		if !seen[other.digest] {
+			seen[other.digest] = true
+			r.Requests = append(r.Requests, masticcall.FailedRequest{Digest: other.digest, SentAt: other.sentAt})
+		}
+	}
+	return r.Requests
+}
+
 // endIncarnation marks the incarnation of r as ended and returns the digests of the calls
 // running on it. It returns false if the incarnation was already marked.
 func (c *Client) endIncarnation(r *runningCall) ([]masticview.Digest, bool) {
