Harmless requests of racks and full servers are no suspects

Cause: copies that ran on several servers which ended for one reason counted like one request that had ended each; and a single check without an answer made a server lost although it answered other requests all the time.

--- a/masticengine/answer.go
+++ b/masticengine/answer.go
@@ -34,6 +34,7 @@
 	if f != nil {
 		return Answer{}, f
 	}
+	c.detector.Completed(call.Digest)
 	if x.isEngine() && a.Status != http.StatusOK {
 		return Answer{}, rejectedFailure(a)
 	}
--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -7,7 +7,6 @@
 	"net/http/httptrace"
 	"time"
 
-	"masticladder/masticdetector"
 	"masticladder/masticerror"
 	"masticladder/masticview"
 )
@@ -65,7 +64,7 @@
 	if x.isEngine() {
 		x.client.recordIncarnation(x.running, x.answer.Header.Get(HeaderIncarnation))
 	}
-	x.client.detector.Observe(x.call.Server, x.running.incarnation, x.running.sentAt, masticdetector.SignAnswered)
+	x.client.detector.Answered(x.call.Server, x.running.incarnation, x.running.sentAt)
 	return nil
 }
 
--- a/masticengine/stream.go
+++ b/masticengine/stream.go
@@ -107,6 +107,9 @@
 		return false, s.exchange.fail(errWrongRequest)
 	}
 	s.sequence = next
+	if next.Ended() {
+		s.exchange.client.detector.Completed(s.exchange.call.Digest)
+	}
 	s.waiting = false
 	s.exchange.watch.suspend()
 	return true, nil
--- a/masticrelay/liveness.go
+++ b/masticrelay/liveness.go
@@ -66,11 +66,11 @@
 	d := r.relay.detector
 	switch {
 	case d == nil:
-	case f == nil || f.Answered:
-		d.Observe(server, server.Incarnation, sentAt, masticdetector.SignAnswered)
+	case f == nil:
+		d.Completed(r.content)
 	case f.Refused:
-		d.Observe(server, server.Incarnation, sentAt, masticdetector.SignRefused)
-	case !f.Sent:
+		d.Refused(server, server.Incarnation)
+	case !f.Sent || f.Answered:
 	case f.Err.Kind() == masticerror.KindDeadline || f.Err.Kind() == masticerror.KindCancelled:
 		d.Abandoned(server, server.Incarnation, sentAt, r.content)
 	default:
@@ -79,12 +79,21 @@
 	return masticcall.VerdictUnknown
 }
 
-// failed reports the request to the detector and waits for the first check of the server, for a
-// suspect for longer, since its hold is released afterwards.
+// answered passes to the detector that the server answered a request that was sent at sentAt, unless the
+// answer is not a proper one of this server.
+func (r *requestState) answered(server masticview.Server, sentAt time.Time, answer *masticbackend.Answer) {
+	c := r.relay
+	if c.detector != nil && c.backends.Valid(answer.Status, answer.Header) && !c.backends.Replaced(answer.Status) {
+		c.detector.Answered(server, server.Incarnation, sentAt)
+	}
+}
+
+// failed reports the request to the detector and waits for a verdict on the server, for a suspect for
+// longer, since its hold is released afterwards.
 func (r *requestState) failed(ctx context.Context, sentAt time.Time, server masticview.Server) masticcall.Verdict {
-	timeout := firstCheckTimeout
+	timeout := verdictTimeout
 	if r.held {
-		timeout = heldCheckTimeout
+		timeout = heldVerdictTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -29,11 +29,11 @@
 	// holdTimeout bounds one request for a hold, which takes a commit of the control group. A request
 	// that has ended servers does not run without one.
 	holdTimeout = 250 * time.Millisecond
-	// firstCheckTimeout bounds the wait for the first check of a server on which the request failed, so
-	// that its next attempt, and its caller's, come after the report. A live server answers within some
-	// milliseconds. heldCheckTimeout is that of a suspect.
-	firstCheckTimeout = 50 * time.Millisecond
-	heldCheckTimeout  = 300 * time.Millisecond
+	// verdictTimeout bounds the wait for a verdict on a server on which the request failed, so that its
+	// next attempt, and its caller's, come after the report. A live server answers a check within some
+	// milliseconds. heldVerdictTimeout is that of a suspect.
+	verdictTimeout     = 50 * time.Millisecond
+	heldVerdictTimeout = 400 * time.Millisecond
 	// minRemainingTime is the time before the deadline below which no attempt is started.
 	minRemainingTime = 15 * time.Millisecond
 )
@@ -236,7 +236,7 @@
 	server, sentAt := a.Server(), masticclock.Now()
 	r.server = server.Name
 	r.attempts++
-	f := r.exchange(ctx, a)
+	f := r.exchange(ctx, a, sentAt)
 	result := masticcall.Result{CachedUnknown: true, ServerIncarnation: server.Incarnation}
 	if f != nil {
 		result.Failure, result.ServerEnded = string(f.Err.Kind()), f.ServerEnded
@@ -268,7 +268,7 @@
 }
 
 // exchange sends the request to the assigned backend server and relays the response.
-func (r *requestState) exchange(ctx context.Context, a masticcall.Assignment) *masticbackend.Failure {
+func (r *requestState) exchange(ctx context.Context, a masticcall.Assignment, sentAt time.Time) *masticbackend.Failure {
 	c, now := r.relay, time.Now()
 	server := a.Server()
 	attempt := Attempt{
@@ -290,5 +290,6 @@
 		return &masticbackend.Failure{Err: masticerror.From(err), Sent: true}
 	}
 	defer answer.Close()
+	r.answered(server, sentAt, answer)
 	return r.relayResponse(a, answer)
 }
