A proof of a server's end concerns all requests that run on it

Cause: only an attempt that had failed was looked at. The list of servers shows the end long before.

Now the detector knows the attempts that run on each server. When the list does not name a server any more on which some run, and it was not being taken out of service, the server is checked; without an answer it has ended, and all that runs on it is reported. The same holds for any other proof, so that masticengine needs no list of running calls of its own. TestServerEndIsReportedAfterNextIncarnation checked that list; it still checks that an end counts once, and TestServerThatFallsSilentIsNotReported that running requests are reported once.

--- a/masticdetector/detector_test.go
+++ b/masticdetector/detector_test.go
@@ -80,10 +80,17 @@
 	})
 }
 
+func begin(d *Detector, request int) *Attempt {
+	return d.Begin(testServer, testServer.Incarnation, digest(request))
+}
+
+// fail fails an attempt a millisecond after it was sent.
 func fail(t testing.TB, d *Detector, request int) masticcall.Verdict {
+	a := begin(d, request)
+	time.Sleep(time.Millisecond)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	return d.Failed(ctx, testServer, testServer.Incarnation, time.Now().Add(-time.Millisecond), digest(request))
+	return a.Failed(ctx)
 }
 
 // TestServerThatClosesItsPortLaterIsNotReported: a check at the moment of the failure was the only one.
@@ -110,7 +117,7 @@
 func TestFailuresOfLiveServerAreChecked(t *testing.T) {
 	inBubble(t, func(c *qt.C, d *Detector, s *fakeServer) {
 		for request := range 100 {
-			d.fail(testServer, "1", time.Now(), digest(request), false)
+			d.fail(begin(d, request), false)
 		}
 		time.Sleep(time.Minute)
 		checks, reports := s.counts()
@@ -126,7 +133,7 @@
 		s.show(SignRefused)
 		began := time.Now()
 		c.Assert(fail(c, d, 2), qt.Equals, masticcall.VerdictEnded)
-		c.Assert(time.Since(began), qt.Equals, time.Millisecond)
+		c.Assert(time.Since(began), qt.Equals, 2*time.Millisecond)
 		_, reports := s.counts()
 		c.Assert(reports, qt.Equals, "ended 2")
 	})
@@ -142,7 +149,7 @@
 				c.Assert(fail(c, d, 1), qt.Equals, masticcall.VerdictLost)
 				time.Sleep(5 * time.Second)
 				if byRequest {
-					d.Answered(testServer, "1", time.Now())
+					begin(d, 9).Answered()
 				}
 				s.show(SignAnswered)
 				time.Sleep(time.Minute)
@@ -191,3 +198,63 @@
 		})
 	}
 }
+
+// TestServerThatFallsSilentIsNotReported: requests whose server ended without breaking their connections
+// ran to their deadlines, and nothing was reported.
+func TestServerThatFallsSilentIsNotReported(t *testing.T) {
+	leaving := testServer
+	leaving.State = masticview.ServerLeaving
+	for _, x := range []struct {
+		name string
+		sign Sign
+		// views are the lists that follow each other.
+		views   []masticview.View
+		reports string
+	}{
+		{"silent, not listed any more", SignNone, []masticview.View{viewOf()}, "ended 2"},
+		{"refusing, not listed any more", SignRefused, []masticview.View{viewOf()}, "ended 2"},
+		{"answering, not listed any more", SignAnswered, []masticview.View{viewOf()}, ""},
+		{"listed", SignNone, []masticview.View{viewOf(testServer)}, ""},
+		{"taken out of service", SignNone, []masticview.View{viewOf(leaving), viewOf()}, ""},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, d *Detector, s *fakeServer) {
+				s.show(x.sign)
+				first, second := begin(d, 1), begin(d, 2)
+				begin(d, 3).Completed()
+				time.Sleep(time.Second)
+				for _, v := range x.views {
+					d.SetView(v)
+					time.Sleep(time.Second)
+				}
+				_, reports := s.counts()
+				c.Assert(reports, qt.Equals, x.reports)
+				first.Abandoned()
+				second.End()
+				_, reports = s.counts()
+				c.Assert(reports, qt.Equals, x.reports)
+				c.Assert(d.attempts, qt.HasLen, 0)
+			})
+		})
+	}
+}
+
+// TestContentThatCompletedIsNotBlamed checks that a content which a server has completed is not blamed for
+// some time, and is afterwards.
+func TestContentThatCompletedIsNotBlamed(t *testing.T) {
+	inBubble(t, func(c *qt.C, d *Detector, s *fakeServer) {
+		begin(d, 1).Completed()
+		s.show(SignRefused)
+		time.Sleep(recentTTL)
+		first, second := begin(d, 1), begin(d, 2)
+		time.Sleep(time.Millisecond)
+		c.Assert(first.Failed(c.Context()), qt.Equals, masticcall.VerdictEnded)
+		c.Assert(second.Failed(c.Context()), qt.Equals, masticcall.VerdictEnded)
+		_, reports := s.counts()
+		c.Assert(reports, qt.Equals, "ended 1")
+		time.Sleep(2 * recentTTL)
+		c.Assert(fail(c, d, 1), qt.Equals, masticcall.VerdictEnded)
+		_, reports = s.counts()
+		c.Assert(reports, qt.Equals, "ended 1, ended 1")
+	})
+}
--- a/masticdetector/episode.go
+++ b/masticdetector/episode.go
@@ -24,6 +24,9 @@
 	SignReplaced
 )
 
+// proof reports whether s proves the end of the server.
+func (s Sign) proof() bool { return s == SignRefused || s == SignReplaced }
+
 // String returns the name that logs use.
 func (s Sign) String() string {
 	return [...]string{"none", "answered", "refused", "replaced"}[s]
@@ -49,7 +52,7 @@
 
 // checkDelays are the times of the checks after a failure. A server that ends may answer, or take
 // connections without answering, for a while after its first connections have broken.
-var checkDelays = []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, time.Second}
+var checkDelays = []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, time.Second, 2500 * time.Millisecond}
 
 // episode is the time from the first failure of a backend server until it is known whether its
 // incarnation has ended. It joins the signs of that time, and does no input or output.
@@ -59,8 +62,10 @@
 	verdict     masticcall.Verdict
 	// failedAt is the first failure since the server's last answer, lastFailureAt the last one.
 	failedAt, lastFailureAt time.Time
-	// endedAt is when the end was proved.
+	// endedAt is when the end was proved. It is planned if the server is taken out of service, so that no
+	// request is the cause.
 	endedAt time.Time
+	planned bool
 	// requests are those that may have caused the failure.
 	requests map[masticview.Digest]failedRequest
 	// active reports that a failure was more than a silence, so that the server is checked.
@@ -98,16 +103,22 @@
 // blame records that a request which was sent at sentAt failed at now. A request that was sent after the
 // server had failed, with no answer in between, is not the cause of that failure.
 func (e *episode) blame(now, sentAt time.Time, d masticview.Digest, abandoned bool) []masticcall.ServerReport {
-	if _, known := e.requests[d]; known || sentAt.After(e.failedAt) || len(e.requests) >= maxRequests {
-		return nil
-	}
-	e.requests[d] = failedRequest{sentAt: sentAt, failedAt: now, abandoned: abandoned}
-	if e.verdict == masticcall.VerdictUnknown {
+	if !e.add(now, sentAt, d, abandoned) || e.verdict == masticcall.VerdictUnknown {
 		return nil
 	}
 	return []masticcall.ServerReport{e.report([]masticcall.FailedRequest{{Digest: d, SentAt: sentAt}})}
 }
 
+// add adds a request to those that may have caused the failure, unless it cannot have. It reports whether
+// it is a new one.
+func (e *episode) add(now, sentAt time.Time, d masticview.Digest, abandoned bool) bool {
+	if _, known := e.requests[d]; known || e.planned || sentAt.After(e.failedAt) || len(e.requests) >= maxRequests {
+		return false
+	}
+	e.requests[d] = failedRequest{sentAt: sentAt, failedAt: now, abandoned: abandoned}
+	return true
+}
+
 // observe applies a sign that was seen at now. seenAt is the time of which it tells: a server that
 // answers was alive then.
 func (e *episode) observe(now, seenAt time.Time, sign Sign) []masticcall.ServerReport {
@@ -117,7 +128,7 @@
 	switch sign {
 	case SignRefused, SignReplaced:
 		if e.server.State == masticview.ServerLeaving {
-			// The end of a server that is taken out of service is planned.
+			e.planned = true
 			clear(e.requests)
 		}
 		e.verdict, e.endedAt = masticcall.VerdictEnded, now
@@ -166,15 +177,6 @@
 	return first
 }
 
-// unlisted applies that the list of servers does not name the server any more. It returns whether the
-// server is to be checked, since a list can leave out a server that lives.
-func (e *episode) unlisted(now time.Time) (reports []masticcall.ServerReport, check bool) {
-	if e.verdict == masticcall.VerdictLost {
-		return e.observe(now, now, SignReplaced), false
-	}
-	return nil, e.verdict != masticcall.VerdictEnded && !e.expired(now)
-}
-
 func (e *episode) all() []masticcall.FailedRequest {
 	out := make([]masticcall.FailedRequest, 0, len(e.requests))
 	for d, q := range e.requests {
--- a/masticdetector/episode_test.go
+++ b/masticdetector/episode_test.go
@@ -13,9 +13,9 @@
 	"masticladder/masticview"
 )
 
-var begin = time.Unix(1_800_000_000, 0)
+var epoch = time.Unix(1_800_000_000, 0)
 
-func at(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
 func digest(n int) masticview.Digest { return masticview.DigestOf([]byte{byte(n)}) }
 
@@ -26,9 +26,9 @@
 	request, sentAt int
 	// abandoned states that the request was given up.
 	abandoned bool
-	// sign tells of the same time, or of sentAt, unless unlisted is set.
-	sign              Sign
-	unlisted, planned bool
+	// sign tells of the same time, or of sentAt.
+	sign    Sign
+	planned bool
 }
 
 func fails(at, request, sentAt int) event { return event{at: at, request: request, sentAt: sentAt} }
@@ -51,8 +51,6 @@
 		{"port closed later", []event{fails(10, 1, 0), sees(11, SignNone), sees(120, SignNone), sees(2000, SignRefused)}, "lost 1, ended 1"},
 		{"answers while it ends", []event{fails(10, 1, 0), sees(11, SignAnswered), sees(120, SignRefused)}, "ended 1"},
 		{"address used again", []event{fails(10, 1, 0), sees(120, SignNone), sees(300, SignReplaced)}, "lost 1, ended 1"},
-		{"not listed any more, lost", []event{fails(10, 1, 0), sees(120, SignNone), {at: 1200, unlisted: true}}, "lost 1, ended 1"},
-		{"left out of one list, alive", []event{fails(10, 1, 0), sees(11, SignAnswered), {at: 1200, unlisted: true}}, ""},
 		{"resets for a moment, alive", []event{fails(10, 1, 0), sees(11, SignNone), sees(60, SignAnswered), sees(400, SignNone)}, ""},
 		{"resets for long, alive", []event{fails(10, 1, 0), sees(120, SignNone), sees(400, SignAnswered)}, "lost 1, alive 0"},
 		{"answers others while it resets", []event{fails(10, 1, 0), fails(60, 2, 59), {at: 70, sign: SignAnswered, sentAt: 50}, sees(120, SignNone), fails(130, 3, 129), sees(161, SignNone)}, "lost 1"},
@@ -91,9 +89,6 @@
 	case v.request > 0:
 		e.begin(now, v.abandoned)
 		return e.blame(now, at(v.sentAt), digest(v.request), v.abandoned)
-	case v.unlisted:
-		reports, _ := e.unlisted(now)
-		return reports
 	case v.planned:
 		e.server.State = masticview.ServerLeaving
 	}
--- a/masticengine/answer.go
+++ b/masticengine/answer.go
@@ -34,7 +34,7 @@
 	if f != nil {
 		return Answer{}, f
 	}
-	c.detector.Completed(call.Digest)
+	x.running.attempt.Completed()
 	if x.isEngine() && a.Status != http.StatusOK {
 		return Answer{}, rejectedFailure(a)
 	}
--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"masticladder/masticcall"
 	"masticladder/masticerror"
 	"masticladder/masticview"
 )
@@ -64,7 +65,7 @@
 	if x.isEngine() {
 		x.client.recordIncarnation(x.running, x.answer.Header.Get(HeaderIncarnation))
 	}
-	x.client.detector.Answered(x.call.Server, x.running.incarnation, x.running.sentAt)
+	x.running.attempt.Answered()
 	return nil
 }
 
@@ -117,13 +118,26 @@
 	switch {
 	case !sent:
 	case x.ctx.Err() != nil:
-		x.client.detector.Abandoned(x.call.Server, x.running.incarnation, x.running.sentAt, x.running.digest)
+		x.running.attempt.Abandoned()
 	default:
-		f.ServerEnded = x.client.checkEnded(x.call, x.running)
+		f.ServerEnded = x.checkEnded()
 	}
 	return f
 }
 
+// checkEnded reports the failed call to the detector, and returns whether the server has ended or is
+// lost.
+func (x *exchange) checkEnded() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), millis(x.client.limits.ProbeTimeoutMillis))
+	defer cancel()
+	switch x.running.attempt.Failed(ctx) {
+	case masticcall.VerdictLost, masticcall.VerdictEnded:
+		return true
+	default:
+		return false
+	}
+}
+
 // beforeWait calls Call.BeforeWait and ends the call if it returns an error.
 func (x *exchange) beforeWait() *Failure {
 	if x.call.BeforeWait == nil {
@@ -150,6 +164,6 @@
 		_ = x.answer.Body.Close()
 	}
 	if x.running != nil {
-		x.client.removeRunning(x.running)
+		x.running.attempt.End()
 	}
 }
--- a/masticengine/incarnation.go
+++ b/masticengine/incarnation.go
@@ -8,7 +8,6 @@
 	"net/url"
 	"slices"
 	"syscall"
-	"time"
 
 	"masticladder/masticcall"
 	"masticladder/masticdetector"
@@ -23,8 +22,7 @@
 	incarnation string
 	known       bool
 	// ended lists the latest incarnations that were reported as ended, newest last.
-	ended   []string
-	running map[*runningCall]struct{}
+	ended []string
 	// unnamedCount counts the incarnations of a server that does not state them.
 	unnamedCount int
 }
@@ -33,10 +31,7 @@
 type runningCall struct {
 	server      string
 	incarnation string
-	digest      masticview.Digest
-	sentAt      time.Time
-	// reported reports that the call was in the report of its server's end.
-	reported bool
+	attempt     *masticdetector.Attempt
 }
 
 // addRunning records the start of a call on a server, under the server's last known incarnation.
@@ -44,26 +39,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.stateOf(call.Server.Name)
-	r := &runningCall{server: call.Server.Name, incarnation: s.incarnation, digest: call.Digest, sentAt: c.detector.Now()}
-	s.running[r] = struct{}{}
-	return r
+	return &runningCall{
+		server: call.Server.Name, incarnation: s.incarnation,
+		attempt: c.detector.Begin(call.Server, s.incarnation, call.Digest),
+	}
 }
 
 func (c *Client) stateOf(server string) *serverState {
 	s, ok := c.servers[server]
 	if !ok {
-		s = &serverState{running: make(map[*runningCall]struct{})}
+		s = &serverState{}
 		c.servers[server] = s
 	}
 	return s
 }
 
-func (c *Client) removeRunning(r *runningCall) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.stateOf(r.server).running, r)
-}
-
 // recordIncarnation stores the incarnation that the server stated in its answer to r.
 func (c *Client) recordIncarnation(r *runningCall, incarnation string) {
 	c.mu.Lock()
@@ -72,6 +62,7 @@
 		return
 	}
 	r.incarnation = incarnation
+	r.attempt.SetIncarnation(incarnation)
 	c.stateOf(r.server).setIncarnation(incarnation)
 }
 
@@ -170,84 +161,26 @@
 	return "", a.Body.Close()
 }
 
-// checkEnded reports the failed call to the detector, and returns whether the server has ended or is
-// lost.
-func (c *Client) checkEnded(call Call, r *runningCall) bool {
-	if c.reported(r) {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), millis(c.limits.ProbeTimeoutMillis))
-	defer cancel()
-	switch c.detector.Failed(ctx, call.Server, r.incarnation, r.sentAt, r.digest) {
-	case masticcall.VerdictLost, masticcall.VerdictEnded:
-		return true
-	default:
-		return false
-	}
-}
-
-// reported reports whether r was in the report of its server's end.
-func (c *Client) reported(r *runningCall) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return r.reported
-}
-
-// Report passes a report of the detector on. The end of an incarnation is that of all calls that run
-// on it.
+// Report passes a report of the detector on.
 func (c *Client) Report(r masticcall.ServerReport) {
-	if r.Verdict == masticcall.VerdictEnded {
-		ended := &runningCall{server: r.Server, incarnation: r.Incarnation}
-		if _, first := c.endIncarnation(ended); first || r.Incarnation == "" {
-			c.counters.ServersEnded.Add(1)
-		}
-		r.Requests = c.withRunning(r)
+	if r.Verdict == masticcall.VerdictEnded && c.endIncarnation(r.Server, r.Incarnation) {
+		c.counters.ServersEnded.Add(1)
 	}
 	c.onEnded(r)
 }
 
-// withRunning returns the requests of r and of the calls that run on its incarnation.
-func (c *Client) withRunning(r masticcall.ServerReport) []masticcall.FailedRequest {
-	if r.Incarnation == "" {
-		return r.Requests
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	seen := make(map[masticview.Digest]bool, len(r.Requests))
-	for _, q := range r.Requests {
-		seen[q.Digest] = true
-	}
-	for other := range c.stateOf(r.Server).running {
-		if other.incarnation != r.Incarnation || other.reported {
-			continue
-		}
-		other.reported = true
-		if !seen[other.digest] {
-			seen[other.digest] = true
-			r.Requests = append(r.Requests, masticcall.FailedRequest{Digest: other.digest, SentAt: other.sentAt})
-		}
-	}
-	return r.Requests
-}
-
-// endIncarnation marks the incarnation of r as ended and returns the digests of the calls
-// running on it. It returns false if the incarnation was already marked.
-func (c *Client) endIncarnation(r *runningCall) ([]masticview.Digest, bool) {
+// endIncarnation marks an incarnation as ended. It returns false if it was already marked. A server that
+// states none may end any number of times.
+func (c *Client) endIncarnation(server, incarnation string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.stateOf(r.server)
-	if slices.Contains(s.ended, r.incarnation) {
-		return nil, false
-	}
-	s.markEnded(r.incarnation)
-	seen := make(map[masticview.Digest]struct{}, len(s.running))
-	var digests []masticview.Digest
-	for other := range s.running {
-		if _, ok := seen[other.digest]; ok || other.incarnation != r.incarnation {
-			continue
-		}
-		seen[other.digest] = struct{}{}
-		digests = append(digests, other.digest)
-	}
-	return digests, true
+	s := c.stateOf(server)
+	if incarnation == "" {
+		return true
+	}
+	if slices.Contains(s.ended, incarnation) {
+		return false
+	}
+	s.markEnded(incarnation)
+	return true
 }
--- a/masticengine/incarnation_test.go
+++ b/masticengine/incarnation_test.go
@@ -22,11 +22,8 @@
 	client.recordIncarnation(old, "one")
 	client.recordIncarnation(second, "one")
 	client.recordIncarnation(client.addRunning(call), "two")
-	digests, first := client.endIncarnation(old)
-	c.Assert(first, qt.IsTrue)
-	c.Assert(digests, qt.DeepEquals, []masticview.Digest{{1}})
-	_, first = client.endIncarnation(second)
-	c.Assert(first, qt.IsFalse)
+	c.Assert(client.endIncarnation("engine-1", old.incarnation), qt.IsTrue)
+	c.Assert(client.endIncarnation("engine-1", second.incarnation), qt.IsFalse)
 	c.Assert(client.knowsIncarnation("engine-1"), qt.IsTrue)
 	client.recordIncarnation(second, "one")
 	c.Assert(client.addRunning(call).incarnation, qt.Equals, "two")
@@ -59,9 +56,9 @@
 	c.Assert(err, qt.ErrorMatches, "backendFailed.*")
 	c.Assert(reports, qt.HasLen, 0)
 	for range 2 {
-		r := client.addRunning(call)
+		x := &exchange{client: client, call: call, running: client.addRunning(call)}
 		server.Down()
-		c.Assert(client.checkEnded(call, r), qt.IsTrue)
+		c.Assert(x.checkEnded(), qt.IsTrue)
 		c.Assert(server.Up(), qt.IsNil)
 		c.Assert(client.ensureIncarnation(context.Background(), call.Server), qt.IsNil)
 	}
--- a/masticengine/stream.go
+++ b/masticengine/stream.go
@@ -108,7 +108,7 @@
 	}
 	s.sequence = next
 	if next.Ended() {
-		s.exchange.client.detector.Completed(s.exchange.call.Digest)
+		s.exchange.running.attempt.Completed()
 	}
 	s.waiting = false
 	s.exchange.watch.suspend()
--- a/masticrelay/liveness.go
+++ b/masticrelay/liveness.go
@@ -60,44 +60,47 @@
 	return p.HealthPath
 }
 
+// noReports drops reports of failed servers, for hosts that do not share them.
+type noReports struct{}
+
+func (noReports) Report(masticcall.ServerReport) {}
+
 // observe passes what the attempt showed of its server to the detector. It returns the verdict on the
 // server, which is unknown if the attempt did not fail as it does when a server ends.
-func (r *requestState) observe(ctx context.Context, sentAt time.Time, server masticview.Server, f *masticbackend.Failure) masticcall.Verdict {
-	d := r.relay.detector
+func (r *requestState) observe(ctx context.Context, a *masticdetector.Attempt, f *masticbackend.Failure) masticcall.Verdict {
 	switch {
-	case d == nil:
 	case f == nil:
-		d.Completed(r.content)
+		a.Completed()
 	case f.Refused:
-		d.Refused(server, server.Incarnation)
+		a.Refused()
 	case !f.Sent || f.Answered:
+		a.End()
 	case f.Err.Kind() == masticerror.KindDeadline || f.Err.Kind() == masticerror.KindCancelled:
-		d.Abandoned(server, server.Incarnation, sentAt, r.content)
+		a.Abandoned()
 	default:
-		return r.failed(ctx, sentAt, server)
+		return r.failed(ctx, a)
 	}
 	return masticcall.VerdictUnknown
 }
 
-// answered passes to the detector that the server answered a request that was sent at sentAt, unless the
-// answer is not a proper one of this server.
-func (r *requestState) answered(server masticview.Server, sentAt time.Time, answer *masticbackend.Answer) {
-	c := r.relay
-	if c.detector != nil && c.backends.Valid(answer.Status, answer.Header) && !c.backends.Replaced(answer.Status) {
-		c.detector.Answered(server, server.Incarnation, sentAt)
+// answered passes to the detector that the server has begun to answer, unless the answer is not a proper
+// one of this server.
+func (c *Relay) answered(a *masticdetector.Attempt, answer *masticbackend.Answer) {
+	if c.backends.Valid(answer.Status, answer.Header) && !c.backends.Replaced(answer.Status) {
+		a.Answered()
 	}
 }
 
-// failed reports the request to the detector and waits for a verdict on the server, for a suspect for
+// failed reports the attempt to the detector and waits for a verdict on the server, for a suspect for
 // longer, since its hold is released afterwards.
-func (r *requestState) failed(ctx context.Context, sentAt time.Time, server masticview.Server) masticcall.Verdict {
+func (r *requestState) failed(ctx context.Context, a *masticdetector.Attempt) masticcall.Verdict {
 	timeout := verdictTimeout
 	if r.held {
 		timeout = heldVerdictTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	v := r.relay.detector.Failed(ctx, server, server.Incarnation, sentAt, r.content)
+	v := a.Failed(ctx)
 	if v == masticcall.VerdictEnded {
 		r.relay.metrics.endedServers.Inc(1)
 	}
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -35,7 +35,6 @@
 	log      logrus.FieldLogger
 	metrics  *requestMetrics
 
-	// detector is nil if hosts do not share which requests end backend servers.
 	detector      *masticdetector.Detector
 	table         atomic.Pointer[routingTable]
 	firstDocument firstDocument
@@ -103,18 +102,16 @@
 	for _, o := range options {
 		o(c)
 	}
+	var reporter masticcall.SuspectReporter = noReports{}
 	if c.suspects != nil {
-		c.detector = masticdetector.New(&livenessChecker{relay: c}, c.suspects, masticdetector.WithLog(c.log))
+		reporter = c.suspects
 	}
+	c.detector = masticdetector.New(&livenessChecker{relay: c}, reporter, masticdetector.WithLog(c.log))
 	return c
 }
 
 // Close ends the checks of failed backend servers.
-func (c *Relay) Close() {
-	if c.detector != nil {
-		c.detector.Close()
-	}
-}
+func (c *Relay) Close() { c.detector.Close() }
 
 // routingTable is what requests are served from under one view. It is immutable.
 type routingTable struct {
@@ -152,9 +149,7 @@
 		t.services[s.Service] = x
 	}
 	c.table.Store(t)
-	if c.detector != nil {
-		c.detector.SetView(v)
-	}
+	c.detector.SetView(v)
 	if t.index != nil {
 		c.firstDocument.notify()
 	}
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -8,7 +8,7 @@
 
 	"masticladder/masticbackend"
 	"masticladder/masticcall"
-	"masticladder/masticclock"
+	"masticladder/masticdetector"
 	"masticladder/masticdocument"
 	"masticladder/masticerror"
 	"masticladder/mastichold"
@@ -233,10 +233,11 @@
 
 // attempt sends the request to the assigned backend server and relays the response.
 func (r *requestState) attempt(ctx context.Context, a masticcall.Assignment) *masticbackend.Failure {
-	server, sentAt := a.Server(), masticclock.Now()
+	server := a.Server()
+	watched, sentAt := r.relay.detector.Begin(server, server.Incarnation, r.content), time.Now()
 	r.server = server.Name
 	r.attempts++
-	f := r.exchange(ctx, a, sentAt)
+	f := r.exchange(ctx, a, watched)
 	result := masticcall.Result{CachedUnknown: true, ServerIncarnation: server.Incarnation}
 	if f != nil {
 		result.Failure, result.ServerEnded = string(f.Err.Kind()), f.ServerEnded
@@ -247,9 +248,9 @@
 		}
 	}
 	a.Done(time.Now(), result)
-	verdict := r.observe(ctx, sentAt, server, f)
+	verdict := r.observe(ctx, watched, f)
 	if f != nil {
-		r.logAttempt(server, f, masticclock.Now().Sub(sentAt), verdict)
+		r.logAttempt(server, f, time.Since(sentAt), verdict)
 	}
 	if r.held {
 		r.relay.holds.Release(r.content, server.Name, f == nil)
@@ -268,7 +269,7 @@
 }
 
 // exchange sends the request to the assigned backend server and relays the response.
-func (r *requestState) exchange(ctx context.Context, a masticcall.Assignment, sentAt time.Time) *masticbackend.Failure {
+func (r *requestState) exchange(ctx context.Context, a masticcall.Assignment, watched *masticdetector.Attempt) *masticbackend.Failure {
 	c, now := r.relay, time.Now()
 	server := a.Server()
 	attempt := Attempt{
@@ -290,6 +291,6 @@
 		return &masticbackend.Failure{Err: masticerror.From(err), Sent: true}
 	}
 	defer answer.Close()
-	r.answered(server, sentAt, answer)
+	c.answered(watched, answer)
 	return r.relayResponse(a, answer)
 }
