A request that may have run is not answered as quarantined

A caller whose own attempts had ended the last servers before the quarantine sometimes got 422: none of the statuses for a request that may have run, and on the product's own interface that of a request which has not.

Cause: the error of the refused further attempt went before that of the attempt that had run, on both paths. Now the caller gets 502, as after any failed attempt.

--- a/masticgate/fake_test.go
+++ b/masticgate/fake_test.go
@@ -155,6 +155,8 @@
 type fakeSuspects struct {
 	mu      sync.Mutex
 	reports []endReport
+	// onReport, if not nil, is called with each report.
+	onReport func(endReport)
 }
 
 func (f *fakeSuspects) Report(r masticcall.ServerReport) {
@@ -165,6 +167,9 @@
 		report.Digests = append(report.Digests, q.Digest)
 	}
 	f.reports = append(f.reports, report)
+	if f.onReport != nil {
+		f.onReport(report)
+	}
 }
 
 func (f *fakeSuspects) all() []endReport {
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -160,7 +160,7 @@
 	for {
 		a, e := m.acquireExclusive(ctx)
 		if e != nil {
-			return m.preferAttemptError(e, last)
+			return preferAttemptError(e, last)
 		}
 		f := m.attempt(ctx, a)
 		m.releaseHold(a, f)
@@ -217,9 +217,9 @@
 }
 
 // preferAttemptError returns last, the error of an attempt, rather than e if e only states that
-// no server is left.
-func (m *modelCall) preferAttemptError(e, last *masticerror.Error) *masticerror.Error {
-	if last != nil && e.Kind() == masticerror.KindNoServer {
+// no server is left, or that the content is quarantined since.
+func preferAttemptError(e, last *masticerror.Error) *masticerror.Error {
+	if last != nil && (e.Kind() == masticerror.KindNoServer || e.Kind() == masticerror.KindQuarantined) {
 		return last
 	}
 	return e
--- a/masticgate/service.go
+++ b/masticgate/service.go
@@ -198,9 +198,7 @@
 		}
 		a, e := c.acquire(ctx)
 		if e != nil {
-			if last == nil || e.Kind() != masticerror.KindNoServer {
-				last = e
-			}
+			last = preferAttemptError(e, last)
 			break
 		}
 		answer, f := c.dispatch(ctx, a)
--- a/masticgate/service_crash_test.go
+++ b/masticgate/service_crash_test.go
@@ -76,6 +76,26 @@
 	}
 }
 
+// TestRequestQuarantinedByItsOwnAttemptsGets422: a caller whose own attempt had ended the last server before
+// the quarantine got 422, as for a request that has not run.
+func TestRequestQuarantinedByItsOwnAttemptsGets422(t *testing.T) {
+	b := newFixture(t)
+	b.addCrashingService(masticview.Service{Name: "lookups", Idempotent: true}, 2)
+	b.start()
+	b.suspects.onReport = func(r endReport) {
+		b.views.change(func(v masticview.View) masticview.View {
+			q := &masticproto.Quarantine{Digest: r.Digests[0][:], UntilUnixMs: time.Now().Add(time.Minute).UnixMilli()}
+			next, err := v.Apply(&masticproto.ViewChange{Quarantines: []*masticproto.Quarantine{q}}, time.Now())
+			b.c.Assert(err, qt.IsNil)
+			return next
+		})
+	}
+	r := b.send(http.MethodPost, "/services/lookups/x", crashText)
+	b.c.Assert(r.status, qt.Equals, http.StatusBadGateway)
+	b.c.Assert(r.detail(b.c).NotRun, qt.IsFalse)
+	b.c.Assert(b.suspects.all(), qt.HasLen, 1)
+}
+
 // TestBrokenServiceConnectionIsNoEnd checks that a call whose connection broke, while the server
 // accepts others, is not reported.
 func TestBrokenServiceConnectionIsNoEnd(t *testing.T) {
--- a/masticrelay/retry.go
+++ b/masticrelay/retry.go
@@ -73,6 +73,9 @@
 		return notRunError(r.relay, f.Err)
 	case f.Err.Kind() == masticerror.KindDeadline || ctx.Err() != nil:
 		return masticerror.New(masticerror.KindDeadline, "the deadline passed").WithSent()
+	case f.Err.Kind() == masticerror.KindQuarantined:
+		// The quarantine refused a further attempt, an earlier one may have run.
+		return masticerror.New(masticerror.KindBackendFailed, "the backend server failed: %s", f.Err.Message()).WithSent()
 	default:
 		return f.Err.WithSent()
 	}
