Control confirms the ends of lost servers by the list of servers

Cause: only that host followed up on them, and its detector ended with it.

Now the replicated state joins the two signs itself: a lost server whose incarnation the list does not name any more has ended, and the requests under which enough have are quarantined with the same entry of the log. Hosts still report what their own checks show.

TestLostServersOfRestartedHostStayUndecided failed before (the request was never quarantined).

--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -166,6 +166,14 @@
 func (d *leaderState) applied(now time.Time, result masticstate.Result) {
 	d.grantor.Committed(now, d.loop.state.View().Revision())
 	d.reportCreatedWorkspaces()
+	quarantined, err := d.loop.state.Quarantined()
+	if err != nil {
+		d.loop.log.WithError(err).Error("requests under which servers ended were not quarantined")
+	}
+	for _, digest := range quarantined {
+		d.loop.log.WithField("content", digest.Short()).WithField("suspects", len(d.loop.state.Suspects().Suspects())).
+			Warn("request quarantined: several backend servers ended under it")
+	}
 	switch r := result.(type) {
 	case masticstate.QuotaResult:
 		if r.Applied {
@@ -174,10 +182,6 @@
 	case masticstate.SuspectResult:
 		d.loop.log.WithField("server", r.Server).WithField("verdict", r.Verdict).WithField("requests", r.Requests).
 			WithField("failures", r.Failures).WithField("cause", r.Err).Info("failed backend server recorded")
-		for _, digest := range r.Quarantined {
-			d.loop.log.WithField("content", digest.Short()).WithField("suspects", len(d.loop.state.Suspects().Suspects())).
-				Warn("request quarantined: several backend servers ended under it")
-		}
 	}
 }
 
--- a/masticstate/publish.go
+++ b/masticstate/publish.go
@@ -82,7 +82,11 @@
 	if err := s.applyChange(p.GetChange()); err != nil {
 		return PublishResult{Revision: s.view.Revision(), Err: err}
 	}
-	return PublishResult{Revision: s.view.Revision()}
+	result := PublishResult{Revision: s.view.Revision()}
+	if c := p.GetChange(); len(c.GetServers())+len(c.GetRemovedServers()) > 0 {
+		s.confirmUnlisted()
+	}
+	return result
 }
 
 func (s *State) rejectPublish(k masticerror.Kind, format string, args ...any) PublishResult {
--- a/masticstate/read.go
+++ b/masticstate/read.go
@@ -46,5 +46,8 @@
 // Suspects returns the tracker of suspect requests. The caller must not modify it.
 func (s *State) Suspects() *masticsuspect.Tracker { return s.suspects }
 
+// Quarantined returns the requests that the last command quarantined, or why it could not.
+func (s *State) Quarantined() ([]masticview.Digest, error) { return s.quarantined, s.quarantineErr }
+
 // Orders returns the number of order records.
 func (s *State) Orders() int { return s.ledger.Orders() }
--- a/masticstate/result.go
+++ b/masticstate/result.go
@@ -3,7 +3,6 @@
 import (
 	"masticladder/masticcall"
 	"masticladder/masticproto"
-	"masticladder/masticview"
 )
 
 // Result is the result of a command of the log. Each kind of command has its own type,
@@ -52,14 +51,13 @@
 	Open bool
 }
 
-// SuspectResult is the result of a SuspectReport, with the digests that it quarantined.
+// SuspectResult is the result of a SuspectReport.
 type SuspectResult struct {
 	// Server, Verdict and Requests are those of the report; Failures is the largest number of failed
 	// servers that one of the requests has.
 	Server             string
 	Verdict            masticproto.Verdict
 	Requests, Failures int
-	Quarantined        []masticview.Digest
 	Err                error
 }
 
--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -39,6 +39,9 @@
 	usage     *masticusage.Totals
 	suspects  *masticsuspect.Tracker
 	loads     *masticplace.Orders
+	// quarantined are the requests that the last command quarantined, quarantineErr is why it could not.
+	quarantined   []masticview.Digest
+	quarantineErr error
 	// documentContent is the document in force as its operator sent it.
 	documentContent []byte
 	// deltaBytes is the encoded size of all deltas.
@@ -75,6 +78,7 @@
 	if at := time.UnixMilli(c.GetAtUnixMs()); at.After(s.now) {
 		s.now = at
 	}
+	s.quarantined, s.quarantineErr = nil, nil
 	s.ledger.Expire(s.now)
 	s.publishes.expire(s.now)
 	return s.dispatch(c)
@@ -158,20 +162,36 @@
 		Server: r.GetServer(), Verdict: r.GetVerdict(), Requests: len(r.GetDigests()),
 		Failures: s.suspects.MostFailures(r.GetDigests()), Err: err,
 	}
-	if err != nil || len(digests) == 0 {
-		return result
+	if err == nil {
+		s.quarantine(digests, max(r.GetQuarantineUntilUnixMs(), s.now.Add(minQuarantine).UnixMilli()))
+		result.Err = s.quarantineErr
+	}
+	return result
+}
+
+// confirmUnlisted quarantines the requests under which lost servers have ended, as the list of servers
+// shows. The hosts that reported them may have restarted since.
+func (s *State) confirmUnlisted() {
+	digests := s.suspects.ConfirmUnlisted(s.now, func(server string) (string, bool) {
+		x, ok := s.view.Server(server)
+		return x.Incarnation, ok
+	})
+	s.quarantine(digests, s.now.Add(unlistedQuarantine).UnixMilli())
+}
+
+// quarantine quarantines requests until a time.
+func (s *State) quarantine(digests []masticview.Digest, until int64) {
+	if len(digests) == 0 {
+		return
 	}
-	until := max(r.GetQuarantineUntilUnixMs(), s.now.Add(minQuarantine).UnixMilli())
 	c := &masticproto.ViewChange{EndedQuarantines: s.quarantinesToEvict(len(digests))}
 	for _, d := range digests {
 		q, _ := s.view.Quarantine(d)
-		end := max(until, q.Until.UnixMilli())
-		c.Quarantines = append(c.Quarantines, &masticproto.Quarantine{Digest: d[:], UntilUnixMs: end})
+		c.Quarantines = append(c.Quarantines, &masticproto.Quarantine{Digest: d[:], UntilUnixMs: max(until, q.Until.UnixMilli())})
 	}
-	if result.Err = s.applyChange(c); result.Err == nil {
-		result.Quarantined = digests
+	if s.quarantineErr = s.applyChange(c); s.quarantineErr == nil {
+		s.quarantined = digests
 	}
-	return result
 }
 
 // holdSuspect grants a hold, also to a request that is not a suspect and needs none. A quarantined
@@ -199,8 +219,12 @@
 // servers that are lost under it have ended. Lists of servers show an end within 1.2 s.
 const undecidedRetryAfter = time.Second
 
-// minQuarantine is the shortest duration of a quarantine.
-const minQuarantine = time.Minute
+const (
+	// minQuarantine is the shortest duration of a quarantine.
+	minQuarantine = time.Minute
+	// unlistedQuarantine is the duration of a quarantine that follows from the list of servers.
+	unlistedQuarantine = 10 * time.Minute
+)
 
 // quarantinesToEvict returns the digests of the quarantines to end, earliest end first, so
 // that the given number of quarantines can be added within the limit.
--- a/masticstate/state_test.go
+++ b/masticstate/state_test.go
@@ -93,10 +93,13 @@
 	c := qt.New(t)
 	s := New()
 	index := uint64(0)
-	report := func(server string, digests [][]byte) SuspectResult {
+	report := func(server string, digests [][]byte) []masticview.Digest {
 		index++
 		r := &masticproto.SuspectReport{Server: server, ServerIncarnation: "1", Digests: digests, QuarantineUntilUnixMs: startMs + 3_600_000 + int64(index)}
-		return s.Apply(index, &masticproto.Command{AtUnixMs: startMs, Kind: &masticproto.Command_Suspect{Suspect: r}}).(SuspectResult)
+		c.Assert(s.Apply(index, &masticproto.Command{AtUnixMs: startMs, Kind: &masticproto.Command_Suspect{Suspect: r}}).(SuspectResult).Err, qt.IsNil)
+		quarantined, err := s.Quarantined()
+		c.Assert(err, qt.IsNil)
+		return quarantined
 	}
 	var digests [][]byte
 	for i := range masticview.MaxQuarantines + 1 {
@@ -104,9 +107,52 @@
 		digests = append(digests, d[:])
 	}
 	report("a", digests)
-	c.Assert(report("b", digests[:1]).Quarantined, qt.HasLen, 1)
-	c.Assert(report("b", digests[1:]).Quarantined, qt.HasLen, masticview.MaxQuarantines)
+	c.Assert(report("b", digests[:1]), qt.HasLen, 1)
+	c.Assert(report("b", digests[1:]), qt.HasLen, masticview.MaxQuarantines)
 	c.Assert(s.View().Quarantines(), qt.HasLen, masticview.MaxQuarantines)
 	_, kept := s.View().Quarantine(masticview.Digest(digests[0]))
 	c.Assert(kept, qt.IsFalse)
 }
+
+// TestLostServersOfRestartedHostStayUndecided: when the host that had reported servers as lost restarted,
+// nobody reported their ends, and the request that had ended them was free again after half a minute.
+func TestLostServersOfRestartedHostStayUndecided(t *testing.T) {
+	c := qt.New(t)
+	s := New()
+	index := uint64(0)
+	apply := func(command *masticproto.Command) Result {
+		index++
+		command.AtUnixMs = startMs + int64(index)
+		return s.Apply(index, command)
+	}
+	list := func(id string, change *masticproto.ViewChange) {
+		c.Assert(apply(publishCommand(0, id, s.View().Revision(), change)).(PublishResult).Err, qt.IsNil)
+	}
+	var servers []*masticproto.Server
+	for i := range 4 {
+		servers = append(servers, masticview.Server{
+			Name: fmt.Sprint("s", i), Kind: masticview.ServerService, URL: fmt.Sprint("http://127.0.0.1:", 1+i), State: masticview.ServerActive, Incarnation: "1",
+		}.ToProto())
+	}
+	list("first", &masticproto.ViewChange{Servers: servers})
+	d := masticview.DigestOf([]byte("deadly"))
+	for i := range 3 {
+		r := &masticproto.SuspectReport{
+			Server: fmt.Sprint("s", i), ServerIncarnation: "1", Verdict: masticproto.Verdict_VERDICT_LOST, Digests: [][]byte{d[:]}, AgesMs: []int64{0}, QuarantineAfter: 3,
+		}
+		c.Assert(apply(&masticproto.Command{Kind: &masticproto.Command_Suspect{Suspect: r}}).(SuspectResult).Err, qt.IsNil)
+	}
+	quarantined := func() bool {
+		_, ok := s.View().Quarantine(d)
+		return ok
+	}
+	list("another", &masticproto.ViewChange{RemovedServers: []string{"s3"}})
+	c.Assert(quarantined(), qt.IsFalse)
+	replaced := masticview.Server{
+		Name: "s0", Kind: masticview.ServerService, URL: "http://127.0.0.1:1", State: masticview.ServerActive, Incarnation: "2",
+	}.ToProto()
+	list("two", &masticproto.ViewChange{Servers: []*masticproto.Server{replaced}, RemovedServers: []string{"s1"}})
+	c.Assert(quarantined(), qt.IsFalse)
+	list("three", &masticproto.ViewChange{RemovedServers: []string{"s2"}})
+	c.Assert(quarantined(), qt.IsTrue)
+}
--- a/masticsuspect/servers.go
+++ b/masticsuspect/servers.go
@@ -26,6 +26,8 @@
 	runningMargin = 50 * time.Millisecond
 	// maxFailedServers bounds the failed servers that are remembered.
 	maxFailedServers = 1024
+	// nameSeparator stands between the name of a server and that of its incarnation.
+	nameSeparator = "\x00"
 	// restartSeparator precedes the number of a restart in an incarnation's name.
 	restartSeparator = "+"
 )
@@ -72,6 +74,14 @@
 	return nil
 }
 
+// splitName returns the server's name and incarnation of a name in failedServers, without the number of a
+// restart.
+func splitName(name string) (server, incarnation string) {
+	server, incarnation, _ = strings.Cut(name, nameSeparator)
+	incarnation, _, _ = strings.Cut(incarnation, restartSeparator)
+	return server, incarnation
+}
+
 func restartName(name string, now time.Time) string {
 	return name + restartSeparator + strconv.FormatInt(now.UnixMilli(), 10)
 }
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -165,7 +165,7 @@
 		digests = append(digests, d)
 	}
 	t.Expire(now)
-	server := r.GetServer() + "\x00" + r.GetServerIncarnation()
+	server := r.GetServer() + nameSeparator + r.GetServerIncarnation()
 	if r.GetVerdict() == masticproto.Verdict_VERDICT_ALIVE {
 		t.clearLost(t.servers.latest(server))
 		return nil, nil
@@ -186,6 +186,22 @@
 	return t.toQuarantine(changed), nil
 }
 
+// ConfirmUnlisted makes ended those of the lost servers of which listed does not name the incarnation any
+// more: two signs of different kinds say so. It returns the requests to quarantine now.
+func (t *Tracker) ConfirmUnlisted(now time.Time, listed func(server string) (incarnation string, ok bool)) []masticview.Digest {
+	changed := map[masticview.Digest]bool{}
+	for _, x := range t.servers {
+		name, incarnation := splitName(x.GetIncarnation())
+		current, ok := listed(name)
+		if !x.GetLost() || ok && current == incarnation {
+			continue
+		}
+		x.Lost, x.EndedUnixMs = false, now.UnixMilli()
+		t.confirm(x.GetIncarnation(), changed)
+	}
+	return t.toQuarantine(changed)
+}
+
 // confirm makes a lost incarnation an ended one in all records, and adds these to changed.
 func (t *Tracker) confirm(incarnation string, changed map[masticview.Digest]bool) {
 	for d, r := range t.records {
