--- a/masticagent/suspects.go
+++ b/masticagent/suspects.go
@@ -20,6 +20,8 @@
 	// localRecordTTL is how long the failures that this host has seen count. The control group gets to
 	// know of them within milliseconds, but a host may be cut off from it.
 	localRecordTTL = time.Minute
+	// localExpireInterval is the time between two searches for expired records.
+	localExpireInterval = time.Second
 	// maxLocalRecords bounds the requests whose failures this host remembers itself.
 	maxLocalRecords = 4096
 )
@@ -33,8 +35,9 @@
 	mutex              sync.Mutex
 	currentFingerprint uint64
 	fromControl        map[masticview.Digest]bool
-	// local counts what this host has reported.
-	local *masticsuspect.Tracker
+	// local counts what this host has reported. It is next searched for expired records at expireAt.
+	local    *masticsuspect.Tracker
+	expireAt time.Time
 }
 
 // quarantineAfterFor returns the number of ends at which a request is quarantined.
@@ -68,9 +71,13 @@
 // Suspected reports whether the request with digest d may crash a backend server: the control
 // group or this host itself has counted so many failures that one more would quarantine it.
 func (s *suspects) Suspected(d masticview.Digest) bool {
+	now := masticclock.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.local.Expire(masticclock.Now())
+	if !now.Before(s.expireAt) {
+		s.local.Expire(now)
+		s.expireAt = now.Add(localExpireInterval)
+	}
 	return s.fromControl[d] || s.local.Suspect(d)
 }
 
