A suspect that any host has served a short time ago is cleared

Callers of a harmless request were refused as quarantined once (19 of 78) in the first run of TestRequestThatEndsProcessesIsSentAgainWithoutBound, case "no files, safe": a server that has used up its descriptors takes no new connections, serves the old ones, and exits a second later.

Cause, from the logs of that case: its host had not yet had the request served, and sent it to servers where it waited unread until they exited, one after the other. It was running when each ended, as was the one that had ended them. That other hosts had it served all the time was not asked.

--- a/masticagent/reporter.go
+++ b/masticagent/reporter.go
@@ -51,6 +51,8 @@
 	masticcall.VerdictAlive: masticproto.Verdict_VERDICT_ALIVE,
 	masticcall.VerdictLost:  masticproto.Verdict_VERDICT_LOST,
 	masticcall.VerdictEnded: masticproto.Verdict_VERDICT_ENDED,
+
+	masticcall.VerdictCompleted: masticproto.Verdict_VERDICT_COMPLETED,
 }
 
 // suspectReport returns r for the control group. Times are stated as ages, because the clocks of hosts
--- a/masticagent/suspects.go
+++ b/masticagent/suspects.go
@@ -60,6 +60,11 @@
 	now := masticclock.Now()
 	s.mutex.Lock()
 	_, err := s.local.Report(now, s.agent.suspectReport(now, r))
+	if r.Verdict == masticcall.VerdictCompleted {
+		for _, q := range r.Requests {
+			delete(s.fromControl, q.Digest)
+		}
+	}
 	s.mutex.Unlock()
 	s.notify()
 	s.agent.log.WithField("server", r.Server).WithField("incarnation", r.Incarnation).WithField("verdict", r.Verdict.String()).
--- a/masticcall/suspects.go
+++ b/masticcall/suspects.go
@@ -20,11 +20,14 @@
 	VerdictLost
 	// VerdictEnded means that its incarnation has ended.
 	VerdictEnded
+	// VerdictCompleted means that a server has completed the requests of the report, whatever became of
+	// others.
+	VerdictCompleted
 )
 
 // String returns the name that logs use.
 func (v Verdict) String() string {
-	return [...]string{"unknown", "alive", "lost", "ended"}[v]
+	return [...]string{"unknown", "alive", "lost", "ended", "completed"}[v]
 }
 
 // FailedRequest is a request that was running when a backend server failed.
--- a/masticdaemon/daemon.go
+++ b/masticdaemon/daemon.go
@@ -161,6 +161,9 @@
 	if d.dispatcher != nil {
 		d.dispatcher.SetSuspects(digests)
 	}
+	if d.engine != nil {
+		d.engine.SetSuspects(digests)
+	}
 }
 
 func (d *Daemon) openEntry() error {
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -86,8 +86,9 @@
 
 // onSuspects passes the digests of requests that may crash a backend server to the dispatcher.
 func (n *Node) onSuspects(digests []masticview.Digest) {
-	if n.dispatcher != nil {
+	if n.relay != nil {
 		n.dispatcher.SetSuspects(digests)
+		n.relay.SetSuspects(digests)
 	}
 }
 
--- a/masticdetector/detector.go
+++ b/masticdetector/detector.go
@@ -182,6 +182,23 @@
 	d.report(reports)
 }
 
+// SetSuspects applies that all hosts together suspect the requests with the given contents. Those that a
+// server has completed for this host a short time ago are reported as harmless.
+func (d *Detector) SetSuspects(digests []masticview.Digest) {
+	d.mutex.Lock()
+	now := d.now()
+	r := masticcall.ServerReport{Verdict: masticcall.VerdictCompleted, FailedAt: now}
+	for _, x := range digests {
+		if d.completed.contains(now, x) {
+			r.Requests = append(r.Requests, masticcall.FailedRequest{Digest: x, SentAt: now})
+		}
+	}
+	d.mutex.Unlock()
+	if len(r.Requests) > 0 {
+		d.reporter.Report(r)
+	}
+}
+
 func (d *Detector) report(reports []masticcall.ServerReport) {
 	for _, r := range reports {
 		d.reporter.Report(r)
--- a/masticdetector/detector_test.go
+++ b/masticdetector/detector_test.go
@@ -258,3 +258,17 @@
 		c.Assert(reports, qt.Equals, "ended 1, ended 1")
 	})
 }
+
+// TestSuspectThatThisHostServedIsReported checks that a suspect which a server has completed for this host is
+// reported as harmless, and no other one.
+func TestSuspectThatThisHostServedIsReported(t *testing.T) {
+	inBubble(t, func(c *qt.C, d *Detector, s *fakeServer) {
+		begin(d, 1).Completed()
+		d.SetSuspects([]masticview.Digest{digest(2)})
+		_, reports := s.counts()
+		c.Assert(reports, qt.Equals, "")
+		d.SetSuspects([]masticview.Digest{digest(1), digest(2)})
+		_, reports = s.counts()
+		c.Assert(reports, qt.Equals, "completed 1")
+	})
+}
--- a/masticengine/client.go
+++ b/masticengine/client.go
@@ -112,6 +112,9 @@
 // SetView passes the list of backend servers to the detector of ended servers.
 func (c *Client) SetView(v masticview.View) { c.detector.SetView(v) }
 
+// SetSuspects passes the requests that all hosts together suspect of ending servers to the detector.
+func (c *Client) SetSuspects(digests []masticview.Digest) { c.detector.SetSuspects(digests) }
+
 // SetServerEnded replaces the function that receives reports of ended servers. It must be called
 // before the first call.
 func (c *Client) SetServerEnded(f ServerEndedFunc) { c.onEnded = f }
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -155,6 +155,9 @@
 	}
 }
 
+// SetSuspects applies the requests that all hosts together suspect of ending backend servers.
+func (c *Relay) SetSuspects(digests []masticview.Digest) { c.detector.SetSuspects(digests) }
+
 // Ready reports whether the host can serve: it has a document and is not draining.
 func (c *Relay) Ready() bool {
 	t := c.table.Load()
--- a/masticsuspect/lost_test.go
+++ b/masticsuspect/lost_test.go
@@ -196,3 +196,20 @@
 	c.Assert(g.MostFailures([][]byte{d[:]}), qt.Equals, maxFailedServers)
 	c.Assert(g.records[masticview.Digest(d)].lost[0], qt.Equals, "s10\x00"+restartSeparator+fmt.Sprint(begin.UnixMilli()))
 }
+
+// TestRequestThatAnotherHostServesIsQuarantined: a harmless request that hung on servers which ended one
+// after the other was quarantined, although other hosts had just had it served.
+func TestRequestThatAnotherHostServesIsQuarantined(t *testing.T) {
+	c := qt.New(t)
+	g := New()
+	for i := range 4 {
+		at := time.Duration(i) * second
+		c.Assert(failure{at: at, server: fmt.Sprint("s", i), verdict: ended, failedAt: at, sentAt: at, request: 1}.report(c, g), qt.IsFalse)
+		if g.Suspect(digest(1)) {
+			d := digest(1)
+			_, err := g.Report(begin.Add(at), &masticproto.SuspectReport{Verdict: masticproto.Verdict_VERDICT_COMPLETED, Digests: [][]byte{d[:]}})
+			c.Assert(err, qt.IsNil)
+			c.Assert(g.Records(), qt.Equals, 0)
+		}
+	}
+}
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -166,9 +166,15 @@
 	}
 	t.Expire(now)
 	server := r.GetServer() + nameSeparator + r.GetServerIncarnation()
-	if r.GetVerdict() == masticproto.Verdict_VERDICT_ALIVE {
+	switch r.GetVerdict() {
+	case masticproto.Verdict_VERDICT_ALIVE:
 		t.clearLost(t.servers.latest(server))
 		return nil, nil
+	case masticproto.Verdict_VERDICT_COMPLETED:
+		for _, d := range digests {
+			t.remove(d)
+		}
+		return nil, nil
 	}
 	lost := r.GetVerdict() == masticproto.Verdict_VERDICT_LOST
 	changed := map[masticview.Digest]bool{}
