A caller that leaves does not end the checks of a failing server

Found by reading: a request that was given up on a server, a moment after another had failed there, began a new time of silence without checks and so ended those of the failure.

Now a request that was given up leaves the checks as they are. TestGivenUpRequestEndsTheChecksOfDyingServer failed before.

A service without a health check's path is checked at "/".

--- a/masticdetector/detector.go
+++ b/masticdetector/detector.go
@@ -92,7 +92,7 @@
 		d.mutex.Unlock()
 		return nil, nil
 	}
-	if w.episode.begin(now, abandoned) {
+	if w.episode.fail(now, abandoned) {
 		w.restart()
 	}
 	var reports []masticcall.ServerReport
@@ -159,7 +159,7 @@
 			continue
 		}
 		if w := d.watch(now, a.server, a.incarnation, a.sentAt); w != nil {
-			w.episode.begin(now, true)
+			w.episode.fail(now, true)
 		}
 	}
 	var reports []masticcall.ServerReport
--- a/masticdetector/detector_test.go
+++ b/masticdetector/detector_test.go
@@ -272,3 +272,17 @@
 		c.Assert(reports, qt.Equals, "completed 1")
 	})
 }
+
+// TestGivenUpRequestEndsTheChecksOfDyingServer: a caller that left ended the checks of a server on which
+// another request had failed a moment before, so that its end was not noticed.
+func TestGivenUpRequestEndsTheChecksOfDyingServer(t *testing.T) {
+	inBubble(t, func(c *qt.C, d *Detector, s *fakeServer) {
+		c.Assert(fail(c, d, 1), qt.Equals, masticcall.VerdictAlive)
+		begin(d, 2).Abandoned()
+		time.Sleep(200 * time.Millisecond)
+		s.show(SignRefused)
+		time.Sleep(time.Second)
+		_, reports := s.counts()
+		c.Assert(reports, qt.Equals, "ended 1")
+	})
+}
--- a/masticdetector/episode.go
+++ b/masticdetector/episode.go
@@ -86,14 +86,15 @@
 	return &episode{server: server, incarnation: incarnation, requests: map[masticview.Digest]failedRequest{}}
 }
 
-// begin begins with a failure at now, of which nothing is known yet. It returns whether the checks begin
-// again.
-func (e *episode) begin(now time.Time, abandoned bool) (restart bool) {
-	if e.verdict == masticcall.VerdictAlive || e.failedAt.IsZero() {
-		e.verdict, e.failedAt, e.active = masticcall.VerdictUnknown, now, false
+// fail applies that a request failed at now, after which nothing is known of the server until the next
+// sign. It returns whether the checks begin again; for a request that was given up they do not.
+func (e *episode) fail(now time.Time, abandoned bool) (restart bool) {
+	isFirst := e.verdict == masticcall.VerdictAlive || e.failedAt.IsZero()
+	if isFirst {
+		e.verdict, e.failedAt = masticcall.VerdictUnknown, now
 	}
 	e.lastFailureAt = now
-	if abandoned || e.active {
+	if abandoned || e.active && !isFirst {
 		return false
 	}
 	e.active, e.checks, e.checksFrom = true, 0, now
--- a/masticdetector/episode_test.go
+++ b/masticdetector/episode_test.go
@@ -87,7 +87,7 @@
 	}
 	switch {
 	case v.request > 0:
-		e.begin(now, v.abandoned)
+		e.fail(now, v.abandoned)
 		return e.blame(now, at(v.sentAt), digest(v.request), v.abandoned)
 	case v.planned:
 		e.server.State = masticview.ServerLeaving
--- a/masticrelay/liveness.go
+++ b/masticrelay/liveness.go
@@ -52,12 +52,12 @@
 
 // healthPath returns the path of the health check of the servers of pool.
 func (c *Relay) healthPath(pool string) string {
-	t := c.table.Load()
-	if t == nil || t.index == nil {
-		return ""
+	if t := c.table.Load(); t != nil && t.index != nil {
+		if p, _ := t.index.Pool(pool); p.HealthPath != "" {
+			return p.HealthPath
+		}
 	}
-	p, _ := t.index.Pool(pool)
-	return p.HealthPath
+	return "/"
 }
 
 // noReports drops reports of failed servers, for hosts that do not share them.
