A verdict on a server is given after its report

Traced: the wait for a verdict ended a moment before the report was made, so that the next attempt could precede it.

Now the report goes first.

--- a/masticdetector/detector.go
+++ b/masticdetector/detector.go
@@ -145,7 +145,7 @@
 	}
 	reports := w.observe(d.now(), seenAt, sign)
 	d.mutex.Unlock()
-	d.report(reports)
+	w.deliver(reports)
 }
 
 // SetView applies the list of backend servers in v, to the servers that are watched and to those on
@@ -162,24 +162,26 @@
 			w.episode.fail(now, true)
 		}
 	}
-	var reports []masticcall.ServerReport
+	reports := map[*watch][]masticcall.ServerReport{}
 	for name, w := range d.watches {
 		s, listed := v.Server(name)
 		switch {
 		case listed && s.Incarnation == w.episode.server.Incarnation:
 			w.episode.server = s
 		case listed:
-			reports = append(reports, w.observe(now, now, SignReplaced)...)
+			reports[w] = w.observe(now, now, SignReplaced)
 		case w.episode.verdict == masticcall.VerdictLost:
 			// Two signs of different kinds say that it has ended.
-			reports = append(reports, w.observe(now, now, SignReplaced)...)
+			reports[w] = w.observe(now, now, SignReplaced)
 		default:
 			// A list can leave out a server that lives.
 			w.checkOnce()
 		}
 	}
 	d.mutex.Unlock()
-	d.report(reports)
+	for w, of := range reports {
+		w.deliver(of)
+	}
 }
 
 // SetSuspects applies that all hosts together suspect the requests with the given contents. Those that a
--- a/masticdetector/detector_test.go
+++ b/masticdetector/detector_test.go
@@ -32,6 +32,8 @@
 	delay   time.Duration
 	checks  int
 	reports []string
+	// reportDelay is how long a report takes.
+	reportDelay time.Duration
 }
 
 func (f *fakeServer) Check(ctx context.Context, _ masticview.Server, _ string) Sign {
@@ -48,6 +50,7 @@
 }
 
 func (f *fakeServer) Report(r masticcall.ServerReport) {
+	time.Sleep(f.reportDelay)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.reports = append(f.reports, fmt.Sprint(r.Verdict, " ", len(r.Requests)))
@@ -286,3 +289,15 @@
 		c.Assert(reports, qt.Equals, "ended 1")
 	})
 }
+
+// TestNextAttemptPrecedesTheReport: a request whose server had ended was sent to the next one a moment before
+// the end was reported, so that it was no suspect yet.
+func TestNextAttemptPrecedesTheReport(t *testing.T) {
+	inBubble(t, func(c *qt.C, d *Detector, s *fakeServer) {
+		s.reportDelay = 10 * time.Millisecond
+		s.show(SignRefused)
+		c.Assert(fail(c, d, 1), qt.Equals, masticcall.VerdictEnded)
+		_, reports := s.counts()
+		c.Assert(reports, qt.Equals, "ended 1")
+	})
+}
--- a/masticdetector/watch.go
+++ b/masticdetector/watch.go
@@ -35,9 +35,17 @@
 			}
 		}
 	}
-	reports := e.observe(now, seenAt, sign)
+	return e.observe(now, seenAt, sign)
+}
+
+// deliver delivers reports, and then the verdict to those who wait for it: what they do next comes after
+// the report. The detector's mutex is not held.
+func (w *watch) deliver(reports []masticcall.ServerReport) {
+	d := w.detector
+	d.report(reports)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	w.updateDecided()
-	return reports
 }
 
 // updateDecided opens or closes decided by the verdict. The detector's mutex is held.
@@ -136,7 +144,7 @@
 	d.log.WithField("server", e.server.Name).WithField("incarnation", e.incarnation).WithField("sign", sign.String()).
 		WithField("verdict", e.verdict.String()).WithField("sinceMillis", now.Sub(e.failedAt).Milliseconds()).Info("failed backend server checked")
 	d.mutex.Unlock()
-	d.report(reports)
+	w.deliver(reports)
 }
 
 // checkOnce checks a server that is not listed any more, in addition to the checks that are due. The
