Check plain services with the scheme of their URL

Found by reading: the liveness check of a plain service of the product's own interface used http for any URL, so that a service over TLS would have counted as lost after each broken connection, and denied holds to its requests. TestServiceOverTLSIsCheckedWithoutTLS states the request.

--- a/masticengine/ended_test.go
+++ b/masticengine/ended_test.go
@@ -113,3 +113,14 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestServiceOverTLSIsCheckedWithoutTLS: the check of a plain service used http whatever its URL, so that a
+// service over TLS would have been lost after each broken connection.
+func TestServiceOverTLSIsCheckedWithoutTLS(t *testing.T) {
+	for _, scheme := range []string{"http", "https"} {
+		q := pingRequest(masticview.Server{URL: scheme + "://127.0.0.1:8080"})
+		qt.Assert(t, q.URL.Scheme, qt.Equals, scheme)
+		qt.Assert(t, q.URL.Host, qt.Equals, "127.0.0.1:8080")
+		qt.Assert(t, q.URL.RequestURI(), qt.Equals, "*")
+	}
+}
--- a/masticengine/incarnation.go
+++ b/masticengine/incarnation.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strings"
 	"syscall"
 
 	"masticladder/masticcall"
@@ -150,17 +151,22 @@
 	if server.Kind == masticview.ServerEngine {
 		return c.probe(ctx, server)
 	}
-	q := &http.Request{
-		Method: http.MethodOptions, Header: http.Header{},
-		URL: &url.URL{Scheme: "http", Host: server.Address(), Opaque: "*"},
-	}
-	a, err := c.singleUse.RoundTrip(q.WithContext(ctx))
+	a, err := c.singleUse.RoundTrip(pingRequest(server).WithContext(ctx))
 	if err != nil {
 		return "", err
 	}
 	return "", a.Body.Close()
 }
 
+// pingRequest returns the request "OPTIONS *", which any HTTP server answers without running anything.
+func pingRequest(server masticview.Server) *http.Request {
+	scheme, address, _ := strings.Cut(server.URL, "://")
+	return &http.Request{
+		Method: http.MethodOptions, Header: http.Header{},
+		URL: &url.URL{Scheme: scheme, Host: address, Opaque: "*"},
+	}
+}
+
 // Report passes a report of the detector on.
 func (c *Client) Report(r masticcall.ServerReport) {
 	if r.Verdict == masticcall.VerdictEnded && c.endIncarnation(r.Server, r.Incarnation) {
