Log the request rates that backend servers state

The relay now logs each change of a server's stated rate, with the request whose answer had it, and counts the answers that state one (attempts.limitStated). Nothing is decided by it yet.

--- a/masticrelay/metrics.go
+++ b/masticrelay/metrics.go
@@ -27,6 +27,8 @@
 	// firstAttempts counts the requests that were given to a pool; the retry budget is a fraction of
 	// them. endedServers counts the attempts under which a server ended.
 	firstAttempts, endedServers metrics.Counter
+	// limitedAnswers counts answers in which a backend server stated the rate of requests that it takes.
+	limitedAnswers metrics.Counter
 	// quotaWait is the time in milliseconds that requests waited for their workspace's quota.
 	quotaWait metrics.Histogram
 	kinds     map[string]kindMetrics
@@ -44,14 +46,15 @@
 		kinds[kind] = kindMetrics{firstByte: histogram(r, "requests."+kind+".firstMillis"), total: histogram(r, "requests."+kind+".millis")}
 	}
 	return &requestMetrics{
-		kinds:         kinds,
-		registry:      r,
-		retries:       metrics.GetOrRegisterCounter("attempts.repeated", r),
-		overBudget:    metrics.GetOrRegisterCounter("attempts.overBudget", r),
-		resumed:       metrics.GetOrRegisterCounter("streams.resumed", r),
-		firstAttempts: metrics.GetOrRegisterCounter("attempts.first", r),
-		endedServers:  metrics.GetOrRegisterCounter("attempts.serverEnded", r),
-		quotaWait:     histogram(r, "quota.waitMillis"),
+		kinds:          kinds,
+		registry:       r,
+		retries:        metrics.GetOrRegisterCounter("attempts.repeated", r),
+		overBudget:     metrics.GetOrRegisterCounter("attempts.overBudget", r),
+		resumed:        metrics.GetOrRegisterCounter("streams.resumed", r),
+		firstAttempts:  metrics.GetOrRegisterCounter("attempts.first", r),
+		endedServers:   metrics.GetOrRegisterCounter("attempts.serverEnded", r),
+		limitedAnswers: metrics.GetOrRegisterCounter("attempts.limitStated", r),
+		quotaWait:      histogram(r, "quota.waitMillis"),
 	}
 }
 
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -36,6 +36,7 @@
 	metrics  *requestMetrics
 
 	detector      *masticdetector.Detector
+	rates         statedRates
 	table         atomic.Pointer[routingTable]
 	firstDocument firstDocument
 
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -189,6 +190,18 @@
 func (fakeBackends) NotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
 func (fakeBackends) Replaced(status int) bool         { return status == http.StatusMisdirectedRequest }
 
+func (fakeBackends) StatedRate(status int, h http.Header) (masticcall.StatedRate, error) {
+	text := h.Get("Rate")
+	if text == "" && status/100 == 2 {
+		return masticcall.StatedRate{Kind: masticcall.RateUnlimited}, nil
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if text == "" || err != nil {
+		return masticcall.StatedRate{}, err
+	}
+	return masticcall.StatedRate{Kind: masticcall.RateLimited, RequestsPerSecond: rate}, nil
+}
+
 func (fakeBackends) LivenessCheck(masticview.Server, string) (string, http.Header) {
 	return livenessPath, http.Header{}
 }
