Core that shares the request rate of a backend server among hosts

Not used yet. One host for each server, chosen by rendezvous hashing among the hosts that hear each other, allocates the rate as tokens to the hosts that have requests. Weighed: a fixed share of each host (wastes most of the rate where callers are uneven, and a rate below one a second), a grant for each request from the leader (a message a request, and a fallback to shares without control), and each host counting what all others report (hosts spend the same token within a report's delay).

--- /dev/null
+++ b/masticlimit/fleet_test.go
@@ -0,0 +1,342 @@
+package masticlimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	simStep      = 5 * time.Millisecond
+	messageDelay = 5 * time.Millisecond
+	runTime      = 20 * time.Millisecond
+	testServer   = "w1"
+	// window is the time over which the users' pages count requests.
+	window = 4 * time.Second
+)
+
+var simStart = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// simHost is one entry host of a simFleet. It sends its requests to the limited server while it may.
+type simHost struct {
+	name    string
+	sharer  *Sharer
+	rate    float64
+	pending float64
+	down    bool
+}
+
+// simFleet is a fleet of hosts before one server, in injected time.
+type simFleet struct {
+	now    time.Time
+	random *rand.Rand
+	hosts  []*simHost
+	// limit is what the server states, negative for none.
+	limit    float64
+	arrivals []time.Time
+	byHost   map[string]int
+	events   []simEvent
+	// cut reports whether messages between two hosts are lost.
+	cut        func(from, to string) bool
+	nextReport time.Time
+}
+
+// simEvent is the arrival of a message or an answer.
+type simEvent struct {
+	at  time.Time
+	run func()
+}
+
+func newSimFleet(seed uint64, rates ...float64) *simFleet {
+	f := &simFleet{now: simStart, random: rand.New(rand.NewPCG(seed, 0)), limit: -1, byHost: map[string]int{}, cut: func(string, string) bool { return false }}
+	for i, rate := range rates {
+		f.hosts = append(f.hosts, &simHost{name: fmt.Sprintf("h%02d", i), rate: rate})
+	}
+	for _, h := range f.hosts {
+		f.restart(h)
+	}
+	return f
+}
+
+// restart replaces the host's state by that of a new process.
+func (f *simFleet) restart(h *simHost) {
+	h.sharer, h.down = New(h.name), false
+	h.sharer.SetServers(map[string]string{testServer: "born"})
+	h.sharer.SetHosts(f.live())
+}
+
+func (f *simFleet) live() []Host {
+	var out []Host
+	for _, h := range f.hosts {
+		if !h.down {
+			out = append(out, Host{Name: h.name, Weight: 1})
+		}
+	}
+	return out
+}
+
+// setView tells all hosts which hosts are live.
+func (f *simFleet) setView() {
+	for _, h := range f.hosts {
+		h.sharer.SetHosts(f.live())
+	}
+}
+
+func (f *simFleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(simStep) {
+		f.deliver()
+		if !f.now.Before(f.nextReport) {
+			f.nextReport = f.now.Add(40 * time.Millisecond * time.Duration(1+len(f.hosts)/16))
+			f.sendReports()
+		}
+		for _, h := range f.hosts {
+			f.sendRequests(h)
+		}
+	}
+}
+
+func (f *simFleet) deliver() {
+	due := f.events
+	f.events = nil
+	for _, e := range due {
+		if e.at.After(f.now) {
+			f.events = append(f.events, e)
+			continue
+		}
+		e.run()
+	}
+}
+
+func (f *simFleet) sendReports() {
+	for _, h := range f.hosts {
+		if h.down {
+			continue
+		}
+		for to, r := range h.sharer.Reports(f.now) {
+			i := slices.IndexFunc(f.hosts, func(o *simHost) bool { return o.name == to })
+			target, sharer := f.hosts[i], f.hosts[i].sharer
+			if f.cut(h.name, to) {
+				continue
+			}
+			f.events = append(f.events, simEvent{f.now.Add(messageDelay), func() {
+				if target.sharer == sharer && !target.down {
+					sharer.Receive(f.now, r)
+				}
+			}})
+		}
+	}
+}
+
+func (f *simFleet) sendRequests(h *simHost) {
+	if h.down {
+		return
+	}
+	h.pending += h.rate * simStep.Seconds() * 2 * f.random.Float64()
+	for ; h.pending >= 1; h.pending-- {
+		if !h.sharer.Available(f.now, testServer) {
+			continue
+		}
+		h.sharer.Spend(testServer)
+		f.arrivals = append(f.arrivals, f.now)
+		f.byHost[h.name]++
+		sentAt, sharer, stated := f.now, h.sharer, f.limit
+		f.events = append(f.events, simEvent{f.now.Add(runTime), func() {
+			sharer.Observe(f.now, testServer, Observation{Limited: stated >= 0, RequestsPerSecond: max(0, stated), SentAt: sentAt})
+		}})
+	}
+}
+
+// most returns the largest number of arrivals in one window from the given time on.
+func (f *simFleet) most(from time.Time) int {
+	most, first := 0, 0
+	for i, at := range f.arrivals {
+		if at.Before(from) {
+			first = i + 1
+			continue
+		}
+		for at.Sub(f.arrivals[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// allowed is the stated bound for one window.
+func allowed(limit float64) int { return int(1.5*limit*window.Seconds()) + 5 }
+
+// perSecond returns the rate of arrivals between two times.
+func (f *simFleet) perSecond(from, to time.Time) float64 {
+	n := 0
+	for _, at := range f.arrivals {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return float64(n) / to.Sub(from).Seconds()
+}
+
+// known returns the number of hosts that know a limit.
+func (f *simFleet) known() int {
+	n := 0
+	for _, h := range f.hosts {
+		if h.sharer.Statement(testServer).Limited {
+			n++
+		}
+	}
+	return n
+}
+
+func even(hosts int, total float64) []float64 {
+	return slices.Repeat([]float64{total / float64(hosts)}, hosts)
+}
+
+// TestLimitIsSharedAndUsed checks that a server gets no more than its limit allows over all hosts, and
+// at least 0.7 of it, whatever the limit and however unevenly the requests come.
+func TestLimitIsSharedAndUsed(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		limit float64
+		rates []float64
+	}{
+		{"seven hosts", 2, even(7, 20)},
+		{"one host", 2, even(1, 20)},
+		{"one busy host of seven", 2, []float64{20, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1}},
+		{"all requests at one host", 4, []float64{0, 0, 0, 30, 0, 0, 0}},
+		{"half a request a second", 0.5, even(7, 20)},
+		{"85 hosts, half a request a second", 0.5, even(85, 60)},
+		{"85 hosts", 8, even(85, 60)},
+		{"high limit", 50, even(8, 200)},
+		{"rare requests", 1, even(7, 3)},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newSimFleet(1, x.rates...)
+			f.run(time.Second)
+			f.limit = x.limit
+			from := f.now.Add(time.Second)
+			f.run(21 * time.Second)
+			c.Check(f.most(from) <= allowed(x.limit), qt.IsTrue, qt.Commentf("%d in %v", f.most(from), window))
+			got := f.perSecond(from, f.now)
+			t.Logf("limit %v: %.2f a second, at most %d in %v of %d", x.limit, got, f.most(from), window, allowed(x.limit))
+			c.Check(got >= 0.7*x.limit, qt.IsTrue, qt.Commentf("%.2f a second of %v", got, x.limit))
+			c.Check(got <= 1.05*x.limit, qt.IsTrue, qt.Commentf("%.2f a second of %v", got, x.limit))
+		})
+	}
+}
+
+// TestEndOfLimitIsNoticed checks that all hosts use a server again within a second after its limit ends.
+func TestEndOfLimitIsNoticed(t *testing.T) {
+	for _, limit := range []float64{2, 8} {
+		c := qt.New(t)
+		f := newSimFleet(2, even(7, 20)...)
+		f.run(time.Second)
+		f.limit = limit
+		f.run(8 * time.Second)
+		c.Assert(f.known(), qt.Equals, 7)
+		f.limit = -1
+		f.run(time.Second)
+		c.Assert(f.known(), qt.Equals, 0)
+	}
+}
+
+// TestServerThatTakesNothingIsAskedAgain checks that the end of a limit of zero is noticed.
+func TestServerThatTakesNothingIsAskedAgain(t *testing.T) {
+	c := qt.New(t)
+	f := newSimFleet(3, even(7, 20)...)
+	f.limit = 0
+	f.run(2 * time.Second)
+	from := f.now
+	f.run(12 * time.Second)
+	c.Assert(f.most(from) <= allowed(0), qt.IsTrue)
+	f.limit = -1
+	f.run(6 * time.Second)
+	c.Assert(f.known(), qt.Equals, 0)
+}
+
+// TestLimitHoldsWhileHostsFail checks the bound over hosts that are killed and restarted in turn, leave
+// and join, are partitioned, and are cut off from one other host each.
+func TestLimitHoldsWhileHostsFail(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newSimFleet(seed, even(2+int(seed%7), 30)...)
+		f.limit = []float64{0.5, 1, 2, 5, 20}[seed%5]
+		f.run(time.Second)
+		from := f.now
+		for range 20 {
+			f.disturb()
+			f.run(time.Duration(100+f.random.IntN(900)) * time.Millisecond)
+		}
+		qt.Check(t, f.most(from) <= allowed(f.limit), qt.IsTrue, qt.Commentf("seed %d: %d in %v, limit %v", seed, f.most(from), window, f.limit))
+	}
+}
+
+// disturb lets one disturbance begin or end.
+func (f *simFleet) disturb() {
+	h := f.hosts[f.random.IntN(len(f.hosts))]
+	switch f.random.IntN(6) {
+	case 0:
+		f.restart(h)
+	case 1:
+		h.down = true
+	case 2:
+		if h.down {
+			f.restart(h)
+		}
+	case 3:
+		f.setView()
+	case 4:
+		half := f.random.IntN(len(f.hosts))
+		f.cut = func(from, to string) bool { return (from < f.hosts[half].name) != (to < f.hosts[half].name) }
+	case 5:
+		f.cut = func(string, string) bool { return false }
+	}
+}
+
+// TestLimitBelongsToIncarnation checks that a restarted server is not held to its former limit.
+func TestLimitBelongsToIncarnation(t *testing.T) {
+	c := qt.New(t)
+	s := New("h")
+	s.SetServers(map[string]string{testServer: "a"})
+	c.Assert(s.Observe(simStart, testServer, Observation{Limited: true, RequestsPerSecond: 2, SentAt: simStart}), qt.IsTrue)
+	c.Assert(s.Available(simStart, testServer), qt.IsFalse)
+	s.SetServers(map[string]string{testServer: "b"})
+	c.Assert(s.Available(simStart, testServer), qt.IsTrue)
+	s.Receive(simStart, Report{Host: "other", Statements: []Statement{{Server: testServer, Incarnation: "a", Version: 9, Limited: true}}})
+	c.Assert(s.Available(simStart, testServer), qt.IsTrue)
+}
+
+// TestAnswerThatOvertakesAnother checks which of two statements holds if their answers may have
+// overtaken each other.
+func TestAnswerThatOvertakesAnother(t *testing.T) {
+	at := func(ms int) time.Time { return simStart.Add(time.Duration(ms) * time.Millisecond) }
+	limit := func(rate float64, sentAt int) Observation {
+		return Observation{Limited: true, RequestsPerSecond: rate, SentAt: at(sentAt)}
+	}
+	for _, x := range []struct {
+		name  string
+		first Observation
+		then  Observation
+		want  Observation
+	}{
+		{"end sent later", limit(2, 0), Observation{SentAt: at(110)}, Observation{}},
+		{"end that was under way", limit(2, 0), Observation{SentAt: at(90)}, limit(2, 0)},
+		{"higher limit sent later", limit(2, 0), limit(8, 110), limit(8, 0)},
+		{"higher limit that was under way", limit(2, 0), limit(8, 90), limit(2, 0)},
+		{"lower limit that was under way", limit(8, 0), limit(2, 90), limit(2, 0)},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := New("h")
+			s.SetServers(map[string]string{testServer: ""})
+			s.Observe(at(100), testServer, x.first)
+			s.Observe(at(200), testServer, x.then)
+			got := s.Statement(testServer)
+			c.Assert(got.Limited, qt.Equals, x.want.Limited)
+			c.Assert(got.RequestsPerSecond, qt.Equals, x.want.RequestsPerSecond)
+		})
+	}
+}
