Share the rate that a backend server states among all hosts

Cause: no code read the field. The class: a bound that a peer states for all hosts together. A host that obeyed it alone would send up to a host's count times as much, so the statement and the rate are shared.

The router now sends a request to a server that states a limit only with a token of masticlimit; first sends, retries, resumed streams and requests that get 421 all pass there. Statements, demand and tokens travel beside the load reports. Without a token a request goes to another server at once; if the limits are the only reason that none is left, it is refused at once, with a time to come back from the sum of the rates.

--- a/masticcall/dispatcher.go
+++ b/masticcall/dispatcher.go
@@ -40,6 +40,12 @@
 	OutputTokens  int64
 }
 
+// RateObserver receives what answers state of the request rates of their backend servers.
+type RateObserver interface {
+	// ObserveRate applies the statement in the answer to a request that was sent at the given time.
+	ObserveRate(server masticview.Server, request string, sentAt time.Time, r StatedRate)
+}
+
 // Dispatcher assigns requests to model engines and plain services.
 type Dispatcher interface {
 	// Acquire waits in the queue until a backend server is assigned. Error kinds:
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	n.dispatcher = masticdispatch.New(masticdispatch.WithLog(n.log.WithField("host", n.settings.Peer)), masticdispatch.WithSharedLoad())
+	n.dispatcher = masticdispatch.New(masticdispatch.WithLog(n.log.WithField("host", n.settings.Peer)), masticdispatch.WithSharedLoad(), masticdispatch.WithHost(n.settings.Peer))
 	n.client = masticbackend.New(masticbackend.WithSource(bound.Addr()), masticbackend.WithIdentify(n.protocols.Identify))
 	var lease []masticrelay.Option
 	if n.settings.FailClosed {
@@ -139,6 +139,7 @@
 		masticrelay.WithDispatcher(n.dispatcher),
 		masticrelay.WithSuspects(n.agent.Suspects(), n.agent.Holds()),
 		masticrelay.WithClient(n.client),
+		masticrelay.WithRateObserver(n.dispatcher),
 		masticrelay.WithBackends(n.protocols.Backends),
 		masticrelay.WithCallers(n.protocols.Callers),
 		masticrelay.WithLog(n.log),
--- a/masticdispatch/dispatcher.go
+++ b/masticdispatch/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,6 +43,8 @@
 	routerOptions []masticroute.Option
 	drops         *Drops
 	reportDue     chan struct{}
+	// limited are the backend servers that state a request rate.
+	limited atomic.Pointer[map[string]bool]
 }
 
 // Option configures New.
@@ -59,6 +62,11 @@
 	return func(d *Dispatcher) { d.routerOptions = append(d.routerOptions, masticroute.WithSharedLoad()) }
 }
 
+// WithHost sets the name of this host, under which it shares the request rates of backend servers.
+func WithHost(name string) Option {
+	return func(d *Dispatcher) { d.routerOptions = append(d.routerOptions, masticroute.WithHost(name)) }
+}
+
 // New returns a Dispatcher. It serves requests once Run is called.
 func New(options ...Option) *Dispatcher {
 	d := &Dispatcher{
--- a/masticdispatch/drops.go
+++ b/masticdispatch/drops.go
@@ -11,23 +11,28 @@
 	DropReport DropKind = iota
 	// DropEvents is a batch of cache events. The gap is detected with the next batch.
 	DropEvents
+	// DropRate is the request rate that an answer stated.
+	DropRate
 )
 
 // Drops counts the dropped commands by kind.
 type Drops struct {
-	reports, events metrics.Counter
+	reports, events, rates metrics.Counter
 }
 
 func newDrops() *Drops {
-	return &Drops{reports: metrics.NewCounter(), events: metrics.NewCounter()}
+	return &Drops{reports: metrics.NewCounter(), events: metrics.NewCounter(), rates: metrics.NewCounter()}
 }
 
 func (d *Drops) add(k DropKind) {
-	if k == DropReport {
+	switch k {
+	case DropReport:
 		d.reports.Inc(1)
-		return
+	case DropEvents:
+		d.events.Inc(1)
+	case DropRate:
+		d.rates.Inc(1)
 	}
-	d.events.Inc(1)
 }
 
 // Register adds the counters to r.
@@ -35,5 +40,8 @@
 	if err := r.Register("dispatch.droppedReports", d.reports); err != nil {
 		return err
 	}
-	return r.Register("dispatch.droppedEventBatches", d.events)
+	if err := r.Register("dispatch.droppedEventBatches", d.events); err != nil {
+		return err
+	}
+	return r.Register("dispatch.droppedRates", d.rates)
 }
--- a/masticgossip/exchange.go
+++ b/masticgossip/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"masticladder/masticerror"
+	"masticladder/masticlimit"
 	"masticladder/masticproto"
 	"masticladder/masticroute"
 	"masticladder/masticview"
@@ -36,6 +37,10 @@
 	ApplyPeerReport(p masticroute.PeerReport)
 	// ReportDue returns the channel that signals changes to report at once, such as a placement.
 	ReportDue() <-chan struct{}
+	// TakeLimitReports returns the reports of this host on request rates, by the host that each is for.
+	TakeLimitReports() map[string]masticlimit.Report
+	// ApplyLimitReport processes another host's report on request rates.
+	ApplyLimitReport(r masticlimit.Report)
 }
 
 // Exchange sends the reports of this host and receives those of its peers.
@@ -97,6 +102,7 @@
 			e.send(peers, report)
 		}
 		sentEmpty = empty
+		e.sendLimits()
 		timer.Reset(baseReportInterval * time.Duration(1+len(peers)/hostsPerBaseInterval))
 	}
 }
@@ -121,16 +127,36 @@
 		Kind: &masticproto.PeerRequest_Load{Load: encodeReport(report)},
 	}
 	for _, address := range peers {
-		c, err := e.client(address)
-		if err != nil {
-			e.log.WithError(err).WithField("peer", address).Warn("cannot create a client for the peer address; load report not sent")
-			continue
+		e.sendTo(address, q)
+	}
+}
+
+// sendLimits sends the reports on request rates.
+func (e *Exchange) sendLimits() {
+	reports := e.dispatcher.TakeLimitReports()
+	if len(reports) == 0 {
+		return
+	}
+	for _, h := range e.view().Hosts() {
+		if r, ok := reports[h.Name]; ok && h.Peer != "" {
+			e.sendTo(h.Peer, &masticproto.PeerRequest{
+				Mode: masticproto.PeerMode_PEER_ONE_WAY,
+				Kind: &masticproto.PeerRequest_Limit{Limit: encodeLimits(r)},
+			})
 		}
-		// An unsent report is replaced by the next one.
-		_ = c.Send(q)
 	}
 }
 
+func (e *Exchange) sendTo(address string, q *masticproto.PeerRequest) {
+	c, err := e.client(address)
+	if err != nil {
+		e.log.WithError(err).WithField("peer", address).Warn("cannot create a client for the peer address; report not sent")
+		return
+	}
+	// An unsent load report is replaced by the next one; tokens of an unsent grant are lost.
+	_ = c.Send(q)
+}
+
 func (e *Exchange) client(address string) (*masticwire.Client, error) {
 	if c, ok := e.clients[address]; ok {
 		return c, nil
@@ -162,9 +188,12 @@
 	return masticerror.New(masticerror.KindBadRequest, "this host has no streams")
 }
 
-// Receive passes a load report to the dispatcher and ignores other messages.
+// Receive passes reports to the dispatcher and ignores other messages.
 func (r *receiver) Receive(q *masticproto.PeerRequest) {
 	if l := q.GetLoad(); l != nil {
 		r.exchange.dispatcher.ApplyPeerReport(decodeReport(l))
 	}
+	if l := q.GetLimit(); l != nil {
+		r.exchange.dispatcher.ApplyLimitReport(decodeLimits(l))
+	}
 }
--- a/masticlimit/fleet_test.go
+++ b/masticlimit/fleet_test.go
@@ -62,10 +62,14 @@
 	return f
 }
 
+// listedAs lists all servers with an incarnation.
+func listedAs(incarnation string) Listed {
+	return func(string) (string, bool) { return incarnation, true }
+}
+
 // restart replaces the host's state by that of a new process.
 func (f *simFleet) restart(h *simHost) {
-	h.sharer, h.down = New(h.name), false
-	h.sharer.SetServers(map[string]string{testServer: "born"})
+	h.sharer, h.down = New(h.name, listedAs("born")), false
 	h.sharer.SetHosts(f.live())
 }
 
@@ -145,7 +149,7 @@
 		f.byHost[h.name]++
 		sentAt, sharer, stated := f.now, h.sharer, f.limit
 		f.events = append(f.events, simEvent{f.now.Add(runTime), func() {
-			sharer.Observe(f.now, testServer, Observation{Limited: stated >= 0, RequestsPerSecond: max(0, stated), SentAt: sentAt})
+			sharer.Observe(f.now, testServer, "born", Observation{Limited: stated >= 0, RequestsPerSecond: max(0, stated), SentAt: sentAt})
 		}})
 	}
 }
@@ -299,12 +303,14 @@
 // TestLimitBelongsToIncarnation checks that a restarted server is not held to its former limit.
 func TestLimitBelongsToIncarnation(t *testing.T) {
 	c := qt.New(t)
-	s := New("h")
-	s.SetServers(map[string]string{testServer: "a"})
-	c.Assert(s.Observe(simStart, testServer, Observation{Limited: true, RequestsPerSecond: 2, SentAt: simStart}), qt.IsTrue)
+	incarnation := "a"
+	s := New("h", func(string) (string, bool) { return incarnation, true })
+	c.Assert(s.Observe(simStart, testServer, "a", Observation{Limited: true, RequestsPerSecond: 2, SentAt: simStart}), qt.IsTrue)
 	c.Assert(s.Available(simStart, testServer), qt.IsFalse)
-	s.SetServers(map[string]string{testServer: "b"})
+	incarnation = "b"
+	s.RemoveUnlisted()
 	c.Assert(s.Available(simStart, testServer), qt.IsTrue)
+	c.Assert(s.Observe(simStart, testServer, "a", Observation{Limited: true, RequestsPerSecond: 2, SentAt: simStart}), qt.IsFalse)
 	s.Receive(simStart, Report{Host: "other", Statements: []Statement{{Server: testServer, Incarnation: "a", Version: 9, Limited: true}}})
 	c.Assert(s.Available(simStart, testServer), qt.IsTrue)
 }
@@ -330,10 +336,9 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			c := qt.New(t)
-			s := New("h")
-			s.SetServers(map[string]string{testServer: ""})
-			s.Observe(at(100), testServer, x.first)
-			s.Observe(at(200), testServer, x.then)
+			s := New("h", listedAs(""))
+			s.Observe(at(100), testServer, "", x.first)
+			s.Observe(at(200), testServer, "", x.then)
 			got := s.Statement(testServer)
 			c.Assert(got.Limited, qt.Equals, x.want.Limited)
 			c.Assert(got.RequestsPerSecond, qt.Equals, x.want.RequestsPerSecond)
--- a/masticlimit/report.go
+++ b/masticlimit/report.go
@@ -103,14 +103,17 @@
 	return out
 }
 
-// Receive applies the report of another host.
-func (s *Sharer) Receive(now time.Time, r Report) {
+// Receive applies the report of another host and returns the statements that it changed.
+func (s *Sharer) Receive(now time.Time, r Report) []Statement {
 	if r.Host == s.host {
-		return
+		return nil
 	}
 	s.heardAt[r.Host] = now
+	var changed []Statement
 	for _, t := range r.Statements {
-		s.merge(now, t)
+		if s.merge(now, t) {
+			changed = append(changed, t)
+		}
 	}
 	s.advanceIfDue(now)
 	for _, d := range r.Demands {
@@ -123,23 +126,27 @@
 			x.addTokens(now, g.Tokens)
 		}
 	}
+	return changed
 }
 
-// merge applies a statement that another host learned.
-func (s *Sharer) merge(now time.Time, t Statement) {
-	incarnation, listed := s.incarnations[t.Server]
-	if !listed || incarnation != t.Incarnation {
-		return
+// merge applies a statement that another host learned, and reports whether it changed this host's.
+func (s *Sharer) merge(now time.Time, t Statement) bool {
+	incarnation, ok := s.listed(t.Server)
+	if !ok || incarnation != t.Incarnation {
+		return false
 	}
 	x, known := s.servers[t.Server]
 	switch {
 	case !known:
 		s.add(now, t)
+		return t.Limited
 	case t.supersedes(x.statement):
 		x.replace(now, t)
+		return true
 	case x.statement.supersedes(t):
 		x.unsent = max(x.unsent, 1)
 	}
+	return false
 }
 
 // add starts to track a server.
--- a/masticlimit/server.go
+++ b/masticlimit/server.go
@@ -55,7 +55,7 @@
 // follow makes host the allocator. Tokens of the former allocator are dropped, because the new one
 // does not count them.
 func (s *server) follow(now time.Time, host string, own bool) {
-	if s.allocator == host {
+	if s.allocator == host && own == (s.allocation != nil) {
 		return
 	}
 	s.allocator, s.allocation = host, nil
--- a/masticlimit/sharer.go
+++ b/masticlimit/sharer.go
@@ -27,9 +27,8 @@
 	// hosts are the live hosts, heardAt is when each host last sent a report.
 	hosts   []Host
 	heardAt map[string]time.Time
-	// incarnations are the incarnations of the listed backend servers.
-	incarnations map[string]string
-	servers      map[string]*server
+	listed  Listed
+	servers map[string]*server
 	// names are the keys of servers, sorted; nextStatement is the position of the last one that a
 	// report repeated.
 	names         []string
@@ -37,9 +36,12 @@
 	advancedAt    time.Time
 }
 
-// New returns the state of the named host, without servers.
-func New(host string) *Sharer {
-	return &Sharer{host: host, heardAt: map[string]time.Time{}, incarnations: map[string]string{}, servers: map[string]*server{}}
+// Listed returns the incarnation of a backend server, and false if the server is not listed.
+type Listed func(server string) (incarnation string, ok bool)
+
+// New returns the state of the named host.
+func New(host string, listed Listed) *Sharer {
+	return &Sharer{host: host, listed: listed, heardAt: map[string]time.Time{}, servers: map[string]*server{}}
 }
 
 // SetHosts replaces the live hosts.
@@ -55,30 +57,31 @@
 	}
 }
 
-// SetServers replaces the listed backend servers, with their incarnations. The limit of a former
-// incarnation does not apply to a new one.
-func (s *Sharer) SetServers(incarnations map[string]string) {
-	s.incarnations = incarnations
+// RemoveUnlisted forgets the servers that are not listed any more. The limit of a former incarnation
+// does not apply to a new one.
+func (s *Sharer) RemoveUnlisted() {
 	s.names = slices.DeleteFunc(s.names, func(name string) bool {
-		incarnation, listed := incarnations[name]
-		kept := listed && incarnation == s.servers[name].statement.Incarnation
-		if !kept {
+		incarnation, ok := s.listed(name)
+		removed := !ok || incarnation != s.servers[name].statement.Incarnation
+		if removed {
 			delete(s.servers, name)
 		}
-		return !kept
+		return removed
 	})
 	s.nextStatement = 0
 }
 
-// Observe applies what an answer of a backend server stated, and reports whether that changed what is
-// known of its limit.
-func (s *Sharer) Observe(now time.Time, name string, o Observation) bool {
-	incarnation, listed := s.incarnations[name]
-	x, known := s.servers[name]
-	switch {
-	case known:
+// Observe applies what an answer of an incarnation of a server stated, and reports whether that
+// changed what is known of its limit.
+func (s *Sharer) Observe(now time.Time, name, incarnation string, o Observation) bool {
+	current, ok := s.listed(name)
+	if !ok || current != incarnation {
+		return false
+	}
+	if x, known := s.servers[name]; known {
 		return x.observe(now, o)
-	case !listed || !o.Limited:
+	}
+	if !o.Limited {
 		return false
 	}
 	s.add(now, Statement{Server: name, Incarnation: incarnation}.WithRate(o))
@@ -90,7 +93,18 @@
 	if x, ok := s.servers[name]; ok {
 		return x.statement
 	}
-	return Statement{Server: name, Incarnation: s.incarnations[name]}
+	return Statement{Server: name}
+}
+
+// Limited returns the names of the servers that state a limit.
+func (s *Sharer) Limited() []string {
+	var out []string
+	for _, name := range s.names {
+		if s.servers[name].statement.Limited {
+			out = append(out, name)
+		}
+	}
+	return out
 }
 
 // Available reports whether this host may send a request to the server now. A request for which the
--- a/masticrelay/liveness.go
+++ b/masticrelay/liveness.go
@@ -29,6 +29,7 @@
 	if !bounded {
 		deadline = time.Now().Add(time.Second)
 	}
+	sentAt := time.Now()
 	answer, err := c.client.DoOnNewConnection(ctx, masticbackend.Request{
 		Address: server.Address(), Method: http.MethodGet, URI: path, Host: server.Address(), Header: header, Deadline: deadline,
 	})
@@ -40,6 +41,7 @@
 		return masticdetector.SignNone
 	}
 	defer answer.Close()
+	c.observeRate(server, "", sentAt, answer)
 	body, err := io.ReadAll(io.LimitReader(answer, maxLivenessBytes))
 	switch {
 	case err != nil:
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -30,13 +30,14 @@
 	suspects masticcall.SuspectReporter
 	holds    masticcall.Holds
 	client   *masticbackend.Client
+	// rates is nil if request rates of backend servers are not observed.
+	rates    masticcall.RateObserver
 	backends BackendProtocol
 	callers  CallerProtocol
 	log      logrus.FieldLogger
 	metrics  *requestMetrics
 
 	detector      *masticdetector.Detector
-	rates         statedRates
 	table         atomic.Pointer[routingTable]
 	firstDocument firstDocument
 
@@ -70,6 +71,9 @@
 	return func(c *Relay) { c.suspects, c.holds = s, h }
 }
 
+// WithRateObserver sets the receiver of the request rates that backend servers state.
+func WithRateObserver(o masticcall.RateObserver) Option { return func(c *Relay) { c.rates = o } }
+
 // WithClient sets the client for requests to backend servers.
 func WithClient(b *masticbackend.Client) Option { return func(c *Relay) { c.client = b } }
 
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -291,7 +291,7 @@
 		return &masticbackend.Failure{Err: masticerror.From(err), Sent: true}
 	}
 	defer answer.Close()
-	c.observeRate(server, r.call.ID, answer)
+	c.observeRate(server, r.call.ID, now, answer)
 	c.answered(watched, answer)
 	return r.relayResponse(a, answer)
 }
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -222,7 +222,13 @@
 	return false
 }
 
+// canRun reports whether s may get the request now.
 func (r *Router) canRun(now time.Time, s *server, q *Query) bool {
+	return r.isEligible(now, s, q) && r.limits.Available(now, s.info.Name)
+}
+
+// isEligible is canRun without regard to the request rate that s states.
+func (r *Router) isEligible(now time.Time, s *server, q *Query) bool {
 	if !s.usable(now) || slices.Contains(q.Avoid, s.info.Name) {
 		return false
 	}
--- /dev/null
+++ b/masticroute/limit.go
@@ -0,0 +1,94 @@
+package masticroute
+
+import (
+	"slices"
+	"time"
+
+	"masticladder/masticlimit"
+	"masticladder/masticview"
+)
+
+// maxComeBackDelay bounds the time after which a request is told to come back that the rates of its
+// pool had no room for. Later ones are spread over its second half.
+const maxComeBackDelay = 4 * time.Second
+
+// Limits returns the request rates that backend servers state.
+func (r *Router) Limits() *masticlimit.Sharer { return r.limits }
+
+// incarnationOf implements masticlimit.Listed.
+func (r *Router) incarnationOf(name string) (string, bool) {
+	slot, ok := r.slots[name]
+	if !ok || !r.servers[slot].listed {
+		return "", false
+	}
+	return r.servers[slot].info.Incarnation, true
+}
+
+// setLimitView passes the servers and hosts of v on to the limits.
+func (r *Router) setLimitView(v masticview.View) {
+	r.limits.RemoveUnlisted()
+	var hosts []masticlimit.Host
+	for _, h := range v.Hosts() {
+		if h.State == masticview.HostLive && h.Address != "" {
+			hosts = append(hosts, masticlimit.Host{Name: h.Name, Weight: h.Weight})
+		}
+	}
+	r.limits.SetHosts(hosts)
+}
+
+// LimitedEngines reports whether the rates that engines state are the only reason why none is usable for
+// q, and if so after what time the request should come back.
+func (r *Router) LimitedEngines(now time.Time, q *Query) (time.Duration, bool) {
+	var names []string
+	for i := range r.pools[q.Model] {
+		p := &r.pools[q.Model][i]
+		if p.pastDeadline(now, q) {
+			continue
+		}
+		for _, slot := range p.slots {
+			if s := r.servers[slot]; r.isEligible(now, s, q) {
+				names = append(names, s.info.Name)
+			}
+		}
+	}
+	return r.comeBack(now, q.Model, names)
+}
+
+// LimitedService is LimitedEngines for the named servers of a plain service.
+func (r *Router) LimitedService(now time.Time, service string, names, avoid []string) (time.Duration, bool) {
+	var usable []string
+	for _, name := range names {
+		if slot, ok := r.slots[name]; ok && r.servers[slot].usable(now) && !slices.Contains(avoid, name) {
+			usable = append(usable, name)
+		}
+	}
+	return r.comeBack(now, service, usable)
+}
+
+// comeBack returns the time after which a refused request should come back: requests of one pool come
+// back one after the other, at this host's share of the sum of the rates. It reports false if there is
+// no server, or one without a limit.
+func (r *Router) comeBack(now time.Time, pool string, names []string) (time.Duration, bool) {
+	rate := 0.0
+	for _, name := range names {
+		share, limited := r.limits.Share(name)
+		if !limited {
+			return 0, false
+		}
+		rate += share
+	}
+	if rate == 0 {
+		return 0, false
+	}
+	at := r.comeBackAt[pool]
+	if at.Before(now) {
+		at = now
+	}
+	at = at.Add(min(seconds(1/rate), maxComeBackDelay))
+	delay := at.Sub(now)
+	if delay > maxComeBackDelay {
+		return maxComeBackDelay/2 + time.Duration(r.random.Int64N(int64(maxComeBackDelay/2))), true
+	}
+	r.comeBackAt[pool] = at
+	return delay, true
+}
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -10,6 +10,7 @@
 
 	"masticladder/masticcache"
 	"masticladder/mastichealth"
+	"masticladder/masticlimit"
 	"masticladder/masticprompt"
 	"masticladder/masticproto"
 	"masticladder/masticview"
@@ -23,6 +24,10 @@
 	pools      map[string][]pool
 	cacheIndex *masticcache.Index
 	random     *rand.Rand
+	// limits are the request rates that backend servers state, shared with the other hosts.
+	limits *masticlimit.Sharer
+	// comeBackAt is when the last refused request of a pool may come back, by model or service.
+	comeBackAt map[string]time.Time
 	lookup     masticcache.Lookup
 	// engines is the number of active engines.
 	engines int
@@ -81,6 +86,11 @@
 	return func(r *Router) { r.cacheIndex = index }
 }
 
+// WithHost sets the name of this host, under which it shares the request rates of backend servers.
+func WithHost(name string) Option {
+	return func(r *Router) { r.limits = masticlimit.New(name, r.incarnationOf) }
+}
+
 // New returns a Router without backend servers.
 func New(options ...Option) *Router {
 	r := &Router{
@@ -88,8 +98,10 @@
 		pools:      map[string][]pool{},
 		cacheIndex: masticcache.New(),
 		meanSpeed:  defaultSpeed,
+		comeBackAt: map[string]time.Time{},
 	}
 	WithSeed(1)(r)
+	WithHost("")(r)
 	for _, o := range options {
 		o(r)
 	}
@@ -115,10 +127,12 @@
 		}
 		changed = changed || (!ok && s.active)
 		s.active = s.active && ok
+		s.listed = s.listed && ok
 	}
 	if changed {
 		r.pools = r.newPools()
 	}
+	r.setLimitView(v)
 }
 
 // setServer adds or updates one backend server and reports whether the pools must be rebuilt.
@@ -138,7 +152,7 @@
 			s.peerFailures, s.health = peerFailures{}, mastichealth.Server{}
 		}
 	}
-	s.info = i
+	s.info, s.listed = i, true
 	if memoryTokens := r.memoryTokens[i.Service]; memoryTokens > 0 && memoryTokens != s.memoryTokens {
 		s.memoryTokens = memoryTokens
 		r.cacheIndex.SetCapacity(slot, int64(memoryTokens))
--- a/masticroute/server.go
+++ b/masticroute/server.go
@@ -29,6 +29,8 @@
 	peerFailures peerFailures
 	// active reports that the view allows new work on the backend server.
 	active bool
+	// listed reports that the view has the backend server.
+	listed bool
 	// failureRate is the moving share of failed answers.
 	failureRate float64
 	// suspects counts this host's running requests that may crash a backend server.
--- a/masticroute/service.go
+++ b/masticroute/service.go
@@ -18,7 +18,7 @@
 	for i := range names {
 		name := names[(from+i)%len(names)]
 		slot, ok := r.slots[name]
-		if !ok || !r.servers[slot].usable(now) || slices.Contains(avoid, name) {
+		if !ok || !r.servers[slot].usable(now) || slices.Contains(avoid, name) || !r.limits.Available(now, name) {
 			continue
 		}
 		if best < 0 || r.servers[slot].calls(now) < r.servers[best].calls(now) {
@@ -37,6 +37,7 @@
 // ServiceStart records that a call was sent to slot.
 func (r *Router) ServiceStart(now time.Time, slot masticcache.Slot) {
 	r.servers[slot].load.running++
+	r.limits.Spend(r.servers[slot].info.Name)
 }
 
 // ServiceDone records that a call to slot has ended.
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		e := r.newPoolEvaluation(now, p, q, tokens)
-		e.forEachCandidate(func(slot masticcache.Slot, reason Reason) {
+		use := func(slot masticcache.Slot, reason Reason) {
 			c, fetch, ok := e.evaluate(slot, reason)
 			if !ok {
 				return
@@ -78,7 +78,11 @@
 				best = c.score()
 				d.Candidate, d.Pieces, d.Tokens, d.Fetch, d.Save = c, e.pieces, tokens, fetch, e.saveTo
 			}
-		})
+		}
+		e.forEachCandidate(use)
+		if best == math.MaxInt64 {
+			e.forEachOther(use)
+		}
 	}
 	if best == math.MaxInt64 {
 		return d, false
@@ -222,6 +226,17 @@
 	}
 }
 
+// forEachOther calls use with all engines of a pool of which forEachCandidate passes a part: while most
+// state a limit, that part may have none that is usable.
+func (e *poolEvaluation) forEachOther(use func(masticcache.Slot, Reason)) {
+	if len(e.pool.slots) <= maxScanServers {
+		return
+	}
+	for _, slot := range e.pool.slots {
+		use(slot, ReasonAny)
+	}
+}
+
 // evaluate predicts the time to the first token on one engine, and returns the address from
 // which the engine would fetch. It reports false if the engine can't run the request.
 func (e *poolEvaluation) evaluate(slot masticcache.Slot, reason Reason) (Candidate, string, bool) {
--- a/masticschedule/admission.go
+++ b/masticschedule/admission.go
@@ -58,6 +58,23 @@
 	return masticerror.New(masticerror.KindNoServer, "no usable backend server for model %q", model)
 }
 
+// limitError returns the refusal of a request that no engine can take because of the request rates that
+// they state, or nil. Such a request is not queued: others have the tokens to come.
+func (s *Scheduler) limitError(now time.Time, w *waiting) *masticerror.Error {
+	if !w.noUsableServer {
+		return nil
+	}
+	delay, limited := s.router.LimitedEngines(now, &w.query)
+	if !limited {
+		return nil
+	}
+	return rateError(w.request.Model).WithRetryAfter(delay)
+}
+
+func rateError(pool string) *masticerror.Error {
+	return masticerror.New(masticerror.KindOverloaded, "all backend servers of %q are at the request rates that they state", pool)
+}
+
 // refuseExpired refuses queued requests whose deadline has passed. While no backend server is
 // usable, it also refuses those whose ServerWaitDeadline, or else FirstTokenDeadline, has passed.
 func (s *Scheduler) refuseExpired(now time.Time) {
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -9,6 +9,7 @@
 	"masticladder/masticcall"
 	"masticladder/masticerror"
 	"masticladder/masticfair"
+	"masticladder/masticlimit"
 	"masticladder/masticprompt"
 	"masticladder/masticretry"
 	"masticladder/masticroute"
@@ -118,6 +119,10 @@
 	s.announced.setQueryVersions(now, w)
 	d, ok := s.router.Decide(now, &w.query)
 	w.noUsableServer = !ok
+	if err := s.limitError(now, w); err != nil {
+		s.fail(t, err)
+		return
+	}
 	if err := s.overloadError(now, w, &d); err != nil {
 		s.fail(t, err)
 		return
@@ -237,6 +242,27 @@
 	return s.router.TakeOwnReport(host)
 }
 
+// ObserveRate applies what an answer of a backend server stated of its request rate. It returns the
+// statement if that changed it.
+func (s *Scheduler) ObserveRate(now time.Time, server, incarnation string, o masticlimit.Observation) (masticlimit.Statement, bool) {
+	changed := s.router.Limits().Observe(now, server, incarnation, o)
+	return s.router.Limits().Statement(server), changed
+}
+
+// ApplyLimitReport applies another host's report on request rates, and returns the statements that
+// changed.
+func (s *Scheduler) ApplyLimitReport(now time.Time, r masticlimit.Report) []masticlimit.Statement {
+	return s.router.Limits().Receive(now, r)
+}
+
+// TakeLimitReports returns this host's reports on request rates, by the host that each is for.
+func (s *Scheduler) TakeLimitReports(now time.Time) map[string]masticlimit.Report {
+	return s.router.Limits().Reports(now)
+}
+
+// LimitedServers returns the names of the backend servers that state a request rate.
+func (s *Scheduler) LimitedServers() []string { return s.router.Limits().Limited() }
+
 // Events applies cache events from an incarnation of the named backend server.
 func (s *Scheduler) Events(now time.Time, server, incarnation string, b masticcache.Batch) masticcache.Applied {
 	return s.router.ApplyCacheEvents(now, server, incarnation, b)
--- a/masticschedule/service.go
+++ b/masticschedule/service.go
@@ -18,6 +18,10 @@
 func (s *Scheduler) SubmitService(now time.Time, t Ticket, service masticview.Service, avoid []string) {
 	slot, ok := s.router.DecideService(now, service.Servers, avoid)
 	if !ok {
+		if delay, limited := s.router.LimitedService(now, service.Name, service.Servers, avoid); limited {
+			s.fail(t, rateError(service.Name).WithRetryAfter(delay))
+			return
+		}
 		s.fail(t, masticerror.New(masticerror.KindNoServer, "no usable backend server for service %q", service.Name))
 		return
 	}
