Share the request rates of backend servers on the gate

The gate's engines and plain services had no way to state a rate, and nothing would have obeyed it: with the field X-Max-Request-Rate: 3 in their answers an engine got 92 and a service 267 requests in 4 s from three hosts (23 by the users' bound). The same class on the second request path. Engines and services may now state a rate (docs/BACKENDS.md); the client passes it to the dispatcher, and the entry hosts exchange their reports on rates, on control hosts at the address of control.

--- a/masticcontrol/option.go
+++ b/masticcontrol/option.go
@@ -51,11 +51,18 @@
 	minResponsiveVoters int
 	counters            *Counters
 	outageShares        outageShares
+	receive             func(*masticproto.PeerRequest)
 }
 
 // Option sets one property of a Control.
 type Option func(*settings)
 
+// WithReceiver sets the receiver of one-way messages that are not for control, on a host where control
+// and other components have one address.
+func WithReceiver(receive func(*masticproto.PeerRequest)) Option {
+	return func(s *settings) { s.receive = receive }
+}
+
 // WithCounters sets the counters that this host updates.
 func WithCounters(c *Counters) Option { return func(s *settings) { s.counters = c } }
 
--- a/masticcontrol/service.go
+++ b/masticcontrol/service.go
@@ -25,10 +25,13 @@
 }
 
 // Receive queues a message of the consensus core. It is dropped if the queue is full; the core
-// sends it again.
+// sends it again. Other messages go to the receiver of WithReceiver.
 func (s *service) Receive(q *masticproto.PeerRequest) {
-	if q.GetQuorum() != nil {
+	switch {
+	case q.GetQuorum() != nil:
 		_ = s.loop.messages.Offer(q)
+	case s.loop.receive != nil:
+		s.loop.receive(q)
 	}
 }
 
--- a/masticdaemon/daemon.go
+++ b/masticdaemon/daemon.go
@@ -17,6 +17,8 @@
 	"masticladder/masticdispatch"
 	"masticladder/masticengine"
 	"masticladder/masticgate"
+	"masticladder/masticgossip"
+	"masticladder/masticproto"
 	"masticladder/masticprobe"
 	"masticladder/masticsettings"
 	"masticladder/masticview"
@@ -36,6 +38,7 @@
 	control      *masticcontrol.Control
 	agent        *masticagent.Agent
 	dispatcher   *masticdispatch.Dispatcher
+	gossip       *masticgossip.Exchange
 	prober       *masticprobe.Prober
 	engine       *masticengine.Client
 	gate         *masticgate.Gate
@@ -136,9 +139,20 @@
 	g.Add(d.announcer.run, d.announcer.stop)
 	g.Add(d.callerServer.run, d.callerServer.stop)
 	g.Add(d.prober.Run, d.prober.Stop)
+	if d.control == nil {
+		g.Add(d.gossip.Serve, d.gossip.StopServing)
+	}
+	g.Add(d.gossip.Run, d.gossip.Stop)
 	g.Add(d.dispatcher.Run, d.dispatcher.Stop)
 }
 
+// receiveFromPeer passes a message that came to the address of control to the other components.
+func (d *Daemon) receiveFromPeer(q *masticproto.PeerRequest) {
+	if d.gossip != nil {
+		d.gossip.Receive(q)
+	}
+}
+
 func (d *Daemon) waitForEnd() error {
 	<-d.ended
 	return errEnded
@@ -170,7 +184,7 @@
 	if !d.settings.Has(masticsettings.RoleEntry) {
 		return nil
 	}
-	d.engine = masticengine.New(masticengine.WithLog(d.log))
+	d.engine = masticengine.New(masticengine.WithLog(d.log), masticengine.WithRateObserver(d.dispatcher))
 	addresses := masticaddress.New(d.agent.View, masticaddress.WithTTL(millis(d.settings.Timing.AddressListMillis)))
 	gate, err := masticgate.New(
 		masticgate.WithViews(d.agent),
@@ -186,6 +200,21 @@
 		masticgate.WithHostName(d.settings.Host),
 	)
 	d.gate = gate
+	if err != nil {
+		return err
+	}
+	return d.openGossip()
+}
+
+// openGossip opens the exchange of request rates with the other entry hosts. On a control host, their
+// reports come to the address of control.
+func (d *Daemon) openGossip() error {
+	options := []masticgossip.Option{masticgossip.WithLimitsOnly()}
+	if d.control == nil {
+		options = append(options, masticgossip.WithListen(d.settings.PeerBound()))
+	}
+	gossip, err := masticgossip.New(d.settings.Host, d.wire, d.agent.View, d.dispatcher, d.log, options...)
+	d.gossip = gossip
 	return err
 }
 
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -146,6 +146,6 @@
 		masticrelay.WithMetrics(n.registry),
 		masticrelay.WithRetryBudget(newRetryBudget(n.settings, n.fleetFraction)),
 	)...)
-	n.gossip, err = masticgossip.New(n.settings.Peer, n.wire, n.agent.View, n.dispatcher, n.log)
+	n.gossip, err = masticgossip.New(n.settings.Peer, n.wire, n.agent.View, n.dispatcher, n.log, masticgossip.WithListen(n.settings.Peer))
 	return err
 }
--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -54,6 +54,7 @@
 		masticcontrol.WithElectionTimeout(millis(s.Timing.ElectionMillis)),
 		masticcontrol.WithHeartbeatInterval(millis(s.Timing.HeartbeatMillis)),
 		masticcontrol.WithViewLeaseLifetime(millis(s.Timing.ViewLeaseMillis)),
+		masticcontrol.WithReceiver(d.receiveFromPeer),
 		masticcontrol.WithLoader(masticloader.New(), loadSenders, placeOptions(s.Placement)...),
 	)
 	d.control = control
@@ -87,7 +88,7 @@
 func (d *Daemon) openAgent() error {
 	s := d.settings
 	if s.Has(masticsettings.RoleEntry) {
-		d.dispatcher = masticdispatch.New(masticdispatch.WithLog(d.log.WithField("host", s.Host)))
+		d.dispatcher = masticdispatch.New(masticdispatch.WithLog(d.log.WithField("host", s.Host)), masticdispatch.WithHost(s.Host))
 		d.prober = masticprobe.New(d.dispatcher)
 	}
 	agent, err := masticagent.New(
--- a/masticengine/client.go
+++ b/masticengine/client.go
@@ -72,6 +72,7 @@
 	pooled    *http.Transport
 	singleUse *http.Transport
 	onEnded   ServerEndedFunc
+	rates     masticcall.RateObserver
 	log       logrus.FieldLogger
 	detector  *masticdetector.Detector
 	counters  Counters
--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return &Failure{Err: classify(x.ctx, err, false)}
 	}
+	sentAt := time.Now()
 	x.answer, err = x.transport().RoundTrip(q)
 	if err != nil {
 		return x.fail(err)
@@ -65,6 +66,7 @@
 	if x.isEngine() {
 		x.client.recordIncarnation(x.running, x.answer.Header.Get(HeaderIncarnation))
 	}
+	x.observeRate(sentAt)
 	x.running.attempt.Answered()
 	return nil
 }
--- a/masticgossip/exchange.go
+++ b/masticgossip/exchange.go
@@ -46,6 +46,8 @@
 // Exchange sends the reports of this host and receives those of its peers.
 type Exchange struct {
 	host       string
+	address    string
+	limitsOnly bool
 	wire       *masticwire.Wire
 	view       func() masticview.View
 	dispatcher Dispatcher
@@ -55,18 +57,34 @@
 	stopped    chan struct{}
 }
 
-// New listens on host, which is both the peer address and the name of this host.
-func New(host string, w *masticwire.Wire, view func() masticview.View, d Dispatcher, log logrus.FieldLogger) (*Exchange, error) {
+// Option configures New.
+type Option func(*Exchange)
+
+// WithListen makes the exchange receive reports at address, an IP:port. Without it, they have to be
+// passed to Receive.
+func WithListen(address string) Option { return func(e *Exchange) { e.address = address } }
+
+// WithLimitsOnly leaves out the load reports.
+func WithLimitsOnly() Option { return func(e *Exchange) { e.limitsOnly = true } }
+
+// New returns the exchange of the named host.
+func New(host string, w *masticwire.Wire, view func() masticview.View, d Dispatcher, log logrus.FieldLogger, options ...Option) (*Exchange, error) {
 	e := &Exchange{
 		host: host, wire: w, view: view, dispatcher: d, log: log,
 		clients: map[string]*masticwire.Client{}, stopped: make(chan struct{}),
 	}
-	server, err := w.Listen(host, &receiver{exchange: e})
+	for _, o := range options {
+		o(e)
+	}
+	if e.address == "" {
+		return e, nil
+	}
+	server, err := w.Listen(e.address, &receiver{exchange: e})
 	e.server = server
 	return e, err
 }
 
-// Serve receives reports until StopServing.
+// Serve receives reports until StopServing. It needs WithListen.
 func (e *Exchange) Serve() error { return e.server.Run() }
 
 // StopServing ends Serve.
@@ -93,15 +111,17 @@
 		}
 		sentAt = time.Now()
 		peers := e.peers()
-		report, ok := e.dispatcher.TakeOwnReport(e.host)
-		if !ok {
-			return nil
-		}
-		empty := len(report.Servers) == 0 && len(report.Touches) == 0
-		if !empty || !sentEmpty {
-			e.send(peers, report)
+		if !e.limitsOnly {
+			report, ok := e.dispatcher.TakeOwnReport(e.host)
+			if !ok {
+				return nil
+			}
+			empty := len(report.Servers) == 0 && len(report.Touches) == 0
+			if !empty || !sentEmpty {
+				e.send(peers, report)
+			}
+			sentEmpty = empty
 		}
-		sentEmpty = empty
 		e.sendLimits()
 		timer.Reset(baseReportInterval * time.Duration(1+len(peers)/hostsPerBaseInterval))
 	}
@@ -189,11 +209,14 @@
 }
 
 // Receive passes reports to the dispatcher and ignores other messages.
-func (r *receiver) Receive(q *masticproto.PeerRequest) {
+func (r *receiver) Receive(q *masticproto.PeerRequest) { r.exchange.Receive(q) }
+
+// Receive passes a report of another host to the dispatcher. It ignores other messages.
+func (e *Exchange) Receive(q *masticproto.PeerRequest) {
 	if l := q.GetLoad(); l != nil {
-		r.exchange.dispatcher.ApplyPeerReport(decodeReport(l))
+		e.dispatcher.ApplyPeerReport(decodeReport(l))
 	}
 	if l := q.GetLimit(); l != nil {
-		r.exchange.dispatcher.ApplyLimitReport(decodeLimits(l))
+		e.dispatcher.ApplyLimitReport(decodeLimits(l))
 	}
 }
