Bound the head of a backend server's answer

Callers saw 504 at their deadline and an entry host of 134 MB grew to 346 MB (measured from outside) when a server sent a status line, header or interim answers without end: http.ReadResponse reads a head of any size, up to the request's deadline. Bytes after a complete answer had the same effect, as the head of the next one. A head now has at most 64 KiB, is complete within 1.5 s of its first byte, and follows at most five interim answers; then the attempt fails as any improper answer, and a request that may be repeated goes to another server.

--- a/masticbackend/connection.go
+++ b/masticbackend/connection.go
@@ -23,12 +23,14 @@
 type connection struct {
 	address      string
 	tcp          *net.TCPConn
+	head         *headReader
 	reader       *bufio.Reader
 	idleDeadline time.Time
 }
 
 func newConnection(address string, tcp *net.TCPConn) *connection {
-	return &connection{address: address, tcp: tcp, reader: bufio.NewReaderSize(tcp, readBufferBytes)}
+	head := &headReader{tcp: tcp}
+	return &connection{address: address, tcp: tcp, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 func (n *connection) close() { _ = n.tcp.Close() }
--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -150,14 +150,22 @@
 }
 
 // readHead reads the status line and header of the answer to q. It skips informational answers
-// and answers to earlier requests on the connection.
+// and answers to earlier requests on the connection. Each head and each skipped body is bounded.
 func (a *Answer) readHead(q Request) error {
-	for skipped := 0; ; {
+	skipped, interim := 0, 0
+	for {
+		if err := a.conn.head.begin(); err != nil {
+			return err
+		}
 		r, err := http.ReadResponse(a.conn.reader, &http.Request{Method: q.Method})
 		if err != nil {
 			return err
 		}
 		if r.StatusCode >= 100 && r.StatusCode < 200 {
+			interim++
+			if interim > maxInterimAnswers {
+				return errManyInterim
+			}
 			continue
 		}
 		if id := a.client.identify(r.Header); id != "" && id != q.ID {
@@ -165,13 +173,16 @@
 			if skipped > maxSkippedAnswers || r.ContentLength < 0 || r.ContentLength > maxSkippedBytes {
 				return errWrongRequest
 			}
+			if err := a.conn.head.begin(); err != nil {
+				return err
+			}
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				return errWrongRequest
 			}
 			continue
 		}
 		a.response, a.Status, a.Header, a.Length = r, r.StatusCode, r.Header, r.ContentLength
-		return nil
+		return a.conn.head.end()
 	}
 }
 
