Bound the headers of answers to calls through net/http

They now share one transport with headers of 64 KiB and none of those. The same class as the head of an answer on the relay: bytes of a peer without a bound. TestHeaderWithoutEndFillsMemory failed before.

--- a/masticengine/client.go
+++ b/masticengine/client.go
@@ -13,6 +13,7 @@
 
 	"masticladder/masticcall"
 	"masticladder/masticdetector"
+	"masticladder/mastichttp"
 	"masticladder/masticstream"
 	"masticladder/masticview"
 )
@@ -133,14 +134,13 @@
 // transport returns a transport without proxies, redirects, compression or HTTP/2. A single-use
 // transport uses each connection for one request, so that net/http never resends a request.
 func (c *Client) transport(singleUse bool) *http.Transport {
-	return &http.Transport{
-		DialContext:         c.dial,
-		DisableKeepAlives:   singleUse,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: c.limits.IdleConnections,
-		IdleConnTimeout:     time.Minute,
-		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
-	}
+	t := mastichttp.NewTransport()
+	t.DialContext = c.dial
+	t.DisableKeepAlives = singleUse
+	t.MaxIdleConnsPerHost = c.limits.IdleConnections
+	t.IdleConnTimeout = time.Minute
+	t.TLSNextProto = map[string]func(string, *tls.Conn) http.RoundTripper{}
+	return t
 }
 
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/masticloader/loader.go
+++ b/masticloader/loader.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"masticladder/masticerror"
+	"masticladder/mastichttp"
 	"masticladder/masticplace"
 	"masticladder/masticview"
 )
@@ -22,7 +23,7 @@
 }
 
 // New returns a Loader without timeouts; callers limit each call with its context.
-func New() *Loader { return &Loader{client: &http.Client{}} }
+func New() *Loader { return &Loader{client: mastichttp.NewClient()} }
 
 // orderBody is the request body of a load order.
 type orderBody struct {
--- a/masticprobe/prober.go
+++ b/masticprobe/prober.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"masticladder/mastichttp"
 	"masticladder/masticroute"
 	"masticladder/masticview"
 )
@@ -64,7 +65,7 @@
 	for _, o := range options {
 		o(p)
 	}
-	p.client = &http.Client{Timeout: p.timeout}
+	p.client = mastichttp.NewClient()
 	return p
 }
 
