Use a connection again only if its answers state their request

The gate now uses a connection of its own for each call until the service has stated the identifier of a call, and then takes no answer without one. On the relay answers with an identifier were told apart before; a connection is now closed after an answer without one.

--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -52,6 +52,8 @@
 	detachContext func() bool
 	context       context.Context
 	complete      bool
+	// identified reports that the answer states the request's identifier, or that the request has none.
+	identified bool
 	closed        sync.Once
 }
 
@@ -168,7 +170,8 @@
 			}
 			continue
 		}
-		if id := a.client.identify(r.Header); id != "" && id != q.ID {
+		id := a.client.identify(r.Header)
+		if id != "" && id != q.ID {
 			skipped++
 			if skipped > maxSkippedAnswers || r.ContentLength < 0 || r.ContentLength > maxSkippedBytes {
 				return errWrongRequest
@@ -181,6 +184,7 @@
 			}
 			continue
 		}
+		a.identified = id == q.ID
 		a.response, a.Status, a.Header, a.Length = r, r.StatusCode, r.Header, r.ContentLength
 		return a.conn.head.end()
 	}
@@ -201,13 +205,14 @@
 func (a *Answer) Complete() bool { return a.complete }
 
 // Close ends the exchange. The connection is reused only if the answer was read completely, has
-// a stated length or chunked encoding, and no data follows it.
+// a stated length or chunked encoding, no data follows it, and a second copy of it could be told from
+// another answer by its identifier.
 func (a *Answer) Close() { a.closed.Do(a.release) }
 
 func (a *Answer) release() {
 	idle := idleTimeoutOf(a.Header, a.client.idleTimeout)
 	framed := a.Length >= 0 || len(a.response.TransferEncoding) > 0
-	kept := a.detachContext() && a.complete && framed && !a.response.Close && idle > 0 && a.conn.reader.Buffered() == 0
+	kept := a.detachContext() && a.complete && a.identified && framed && !a.response.Close && idle > 0 && a.conn.reader.Buffered() == 0
 	if !kept {
 		a.conn.close()
 		return
--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -21,7 +21,9 @@
 	watch   *watchdog
 	trace   sendTrace
 	running *runningCall
-	answer  *http.Response
+	// singleUse reports that the call has a connection of its own.
+	singleUse bool
+	answer    *http.Response
 }
 
 // begin sends the call and returns after it has received the answer's header and verified that
@@ -54,11 +56,13 @@
 	if err != nil {
 		return &Failure{Err: classify(x.ctx, err, false)}
 	}
+	x.singleUse = x.call.Once || !x.isEngine() && !x.client.echoesID(x.call.Server.Name)
 	sentAt := time.Now()
 	x.answer, err = x.transport().RoundTrip(q)
 	if err != nil {
 		return x.fail(err)
 	}
+	x.client.setEchoesID(x.call.Server.Name, x.answer.Header.Get(HeaderRequestID) == x.call.RequestID)
 	if x.isWrongRequest() {
 		x.client.counters.WrongRequest.Add(1)
 		return x.fail(errWrongRequest)
@@ -88,8 +92,11 @@
 	return q, nil
 }
 
+// transport returns the single-use transport for calls that must not be repeated, and for plain services
+// whose answers do not state the request's ID: on a used connection, a second copy of an earlier answer
+// could not be told from the answer to this call.
 func (x *exchange) transport() *http.Transport {
-	if x.call.Once {
+	if x.singleUse {
 		return x.client.singleUse
 	}
 	return x.client.pooled
@@ -98,10 +105,10 @@
 func (x *exchange) isEngine() bool { return x.call.Server.Kind == masticview.ServerEngine }
 
 // isWrongRequest reports whether the answer belongs to another request. Engines must state the
-// request's ID; plain services may omit it.
+// request's ID; plain services may omit it on a connection of its own.
 func (x *exchange) isWrongRequest() bool {
 	id := x.answer.Header.Get(HeaderRequestID)
-	if id == "" && !x.isEngine() {
+	if id == "" && !x.isEngine() && x.singleUse {
 		return false
 	}
 	return id != x.call.RequestID
--- a/masticengine/incarnation.go
+++ b/masticengine/incarnation.go
@@ -24,6 +24,8 @@
 	known       bool
 	// ended lists the latest incarnations that were reported as ended, newest last.
 	ended []string
+	// echoesID reports that the server's last answer stated the ID of its request.
+	echoesID bool
 	// unnamedCount counts the incarnations of a server that does not state them.
 	unnamedCount int
 }
@@ -67,6 +69,18 @@
 	c.stateOf(r.server).setIncarnation(incarnation)
 }
 
+func (c *Client) echoesID(server string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stateOf(server).echoesID
+}
+
+func (c *Client) setEchoesID(server string, echoes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stateOf(server).echoesID = echoes
+}
+
 func (c *Client) knowsIncarnation(server string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
