Bound callers' bodies on the relay: in time, and all together

An entry host of 134 MB reached 141 MB when 24 callers sent bodies without end, 4 MB each, and a caller that sent a byte each half second was read for 25 s and more with a deadline of 3 s (both measured from outside). Cause: the relay's codec bounds each body by size only, and allocates a stated length before a byte of it is there. The gate has bounded both all along; its budget is now a package of its own (masticbody) that both use.

--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -6,6 +6,7 @@
 
 	"masticladder/masticagent"
 	"masticladder/masticbackend"
+	"masticladder/masticbody"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
 	"masticladder/masticgossip"
@@ -109,6 +110,14 @@
 	return err
 }
 
+// bodyBytes returns how many bytes the bodies of all requests may have together.
+func bodyBytes(s NodeSettings) int64 {
+	if s.MemoryLimitBytes <= 0 {
+		return masticrelay.DefaultBodyBytes
+	}
+	return int64(bodyMemoryFraction * float64(s.MemoryLimitBytes))
+}
+
 // newRetryBudget returns the retry budget of a host whose weight is the given fraction of that of all
 // hosts.
 func newRetryBudget(s NodeSettings, fraction func() float64) *masticretry.Budget {
@@ -140,6 +149,7 @@
 		masticrelay.WithSuspects(n.agent.Suspects(), n.agent.Holds()),
 		masticrelay.WithClient(n.client),
 		masticrelay.WithRateObserver(n.dispatcher),
+		masticrelay.WithBodyBudget(masticbody.NewBudget(bodyBytes(n.settings))),
 		masticrelay.WithBackends(n.protocols.Backends),
 		masticrelay.WithCallers(n.protocols.Callers),
 		masticrelay.WithLog(n.log),
--- a/masticgate/gate.go
+++ b/masticgate/gate.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"masticladder/masticbody"
 	"masticladder/masticcall"
 	"masticladder/masticengine"
 	"masticladder/masticerror"
@@ -30,7 +31,7 @@
 	limits     Limits
 	mux        *http.ServeMux
 	drain      drainState
-	bodyBudget byteBudget
+	bodyBudget *masticbody.Budget
 	retries    serviceRetries
 }
 
@@ -45,7 +46,7 @@
 		return nil, eris.New("gate: a required dependency is not set")
 	}
 	g.engine.SetServerEnded(g.suspects.Report)
-	g.bodyBudget.limit = g.limits.MaxBodiesBytes
+	g.bodyBudget = masticbody.NewBudget(g.limits.MaxBodiesBytes)
 	g.mux = g.routes()
 	return g, nil
 }
--- a/masticgate/inbound.go
+++ b/masticgate/inbound.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"masticladder/masticbody"
 	"masticladder/masticerror"
 )
 
@@ -42,7 +43,8 @@
 	writer             http.ResponseWriter
 	responseController *http.ResponseController
 	identity           identity
-	body               budgetReader
+	// body is nil before the body is read.
+	body *masticbody.Reader
 	// service and model are set once they are known to be configured names.
 	service string
 	model   string
@@ -59,7 +61,6 @@
 		writer:             w,
 		responseController: http.NewResponseController(w),
 		started:            g.now(),
-		body:               budgetReader{budget: &g.bodyBudget},
 	}
 	w.Header().Set(HeaderRequestID, q.id)
 	if g.drain.isDraining() {
@@ -80,13 +81,13 @@
 	if q.request.ContentLength > limit {
 		return nil, q.tooLarge()
 	}
-	q.body.reader = http.MaxBytesReader(q.writer, q.request.Body, limit)
-	body, err := io.ReadAll(&q.body)
+	q.body = q.gate.bodyBudget.Reader(http.MaxBytesReader(q.writer, q.request.Body, limit))
+	body, err := io.ReadAll(q.body)
 	var over *http.MaxBytesError
 	switch {
 	case errors.As(err, &over):
 		return nil, q.tooLarge()
-	case errors.Is(err, errBudgetExceeded):
+	case errors.Is(err, masticbody.ErrBudget):
 		q.writer.Header().Set("Connection", "close")
 		return nil, masticerror.New(masticerror.KindOverloaded, "this host holds as many request bodies as it may")
 	}
@@ -143,7 +144,9 @@
 
 // finish flushes the response and prepares the connection for its next request.
 func (q *inbound) finish() {
-	q.body.release()
+	if q.body != nil {
+		q.body.Release()
+	}
 	if q.answered {
 		_ = q.flush()
 	}
--- a/masticgate/load_test.go
+++ b/masticgate/load_test.go
@@ -268,7 +268,7 @@
 	b.c.Assert(r.detail(b.c).Kind, qt.Equals, masticerror.KindOverloaded)
 	b.c.Assert(r.detail(b.c).NotRun, qt.IsTrue)
 	cancel()
-	b.eventually(func() bool { return b.gate.bodyBudget.used.Load() == 0 })
+	b.eventually(func() bool { return b.gate.bodyBudget.Used() == 0 })
 	e.SetMode(masticfake.ModeNormal)
 	r = b.send(http.MethodPost, "/v1/chat/completions", large)
 	b.c.Assert(r.status, qt.Equals, http.StatusOK)
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"masticladder/masticbackend"
+	"masticladder/masticbody"
 	"masticladder/masticcall"
 	"masticladder/masticclock"
 	"masticladder/masticdetector"
@@ -34,8 +35,10 @@
 	rates    masticcall.RateObserver
 	backends BackendProtocol
 	callers  CallerProtocol
-	log      logrus.FieldLogger
-	metrics  *requestMetrics
+	// bodies bounds the bodies of all calls together.
+	bodies  *masticbody.Budget
+	log     logrus.FieldLogger
+	metrics *requestMetrics
 
 	detector      *masticdetector.Detector
 	table         atomic.Pointer[routingTable]
@@ -86,6 +89,9 @@
 // WithCallers sets the protocol of callers.
 func WithCallers(x CallerProtocol) Option { return func(c *Relay) { c.callers = x } }
 
+// WithBodyBudget sets the budget of the bodies of all calls, of DefaultBodyBytes otherwise.
+func WithBodyBudget(b *masticbody.Budget) Option { return func(c *Relay) { c.bodies = b } }
+
 // WithLog sets the logger; the default is logrus.StandardLogger.
 func WithLog(l logrus.FieldLogger) Option { return func(c *Relay) { c.log = l } }
 
@@ -94,12 +100,19 @@
 	return func(c *Relay) { c.metrics = newRequestMetrics(r) }
 }
 
+// DefaultBodyBytes is the default of WithBodyBudget.
+const DefaultBodyBytes = 64 << 20
+
+// Bodies returns the budget from which codecs read the bodies of calls.
+func (c *Relay) Bodies() *masticbody.Budget { return c.bodies }
+
 // New returns a Relay that has no document yet.
 func New(options ...Option) *Relay {
 	c := &Relay{
 		log:           logrus.StandardLogger(),
 		firstDocument: firstDocument{available: make(chan struct{})},
 		budget:        masticretry.NewBudget(),
+		bodies:        masticbody.NewBudget(DefaultBodyBytes),
 		startedAt:     time.Now(),
 		metrics:       newRequestMetrics(metrics.NewRegistry()),
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -184,6 +197,25 @@
 	return t.index.Limits(), true
 }
 
+// Deadline returns when the call must be answered: at its own deadline, or when the timeout of its route
+// has passed. The body must have arrived by then too.
+func (c *Relay) Deadline(call *Call) time.Time {
+	if t := c.table.Load(); t != nil && t.index != nil {
+		if route, ok := t.index.Route(call.Host, call.Path); ok {
+			return deadlineOf(route, call)
+		}
+	}
+	return call.Deadline
+}
+
+func deadlineOf(route masticdocument.Route, call *Call) time.Time {
+	d := call.Received.Add(route.Timeout)
+	if !call.Deadline.IsZero() && call.Deadline.Before(d) {
+		return call.Deadline
+	}
+	return d
+}
+
 // pickPool returns the pool of a random target, with probability proportional to its weight.
 func (c *Relay) pickPool(targets []masticdocument.Target) string {
 	if len(targets) == 1 {
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -133,10 +133,7 @@
 	if r.workspace, ok = r.authenticate(t); !ok {
 		return errUnknownKey()
 	}
-	r.deadline = r.call.Received.Add(route.Timeout)
-	if !r.call.Deadline.IsZero() && r.call.Deadline.Before(r.deadline) {
-		r.deadline = r.call.Deadline
-	}
+	r.deadline = deadlineOf(route, r.call)
 	r.content = contentOf(r.call, r.workspace.Name)
 	r.pool, _ = t.index.Pool(c.pickPool(route.Targets))
 	r.service = t.services[r.pool.Name]
