--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -129,7 +129,7 @@
 
 // ServeMetrics listens on address for requests for the metrics.
 func (n *Node) ServeMetrics(address string) error {
-	return n.Serve(address, &http.Server{Handler: masticadmin.Metrics(n.registry), ReadHeaderTimeout: metricsHeaderTimeout})
+	return n.Serve(address, &http.Server{Handler: masticadmin.Metrics(n.registry), ReadHeaderTimeout: metricsHeaderTimeout, MaxHeaderBytes: maxHeaderBytes})
 }
 
 // ServeCallers listens on the callers' address, with the number of connections bounded by
