Obey the header and idle timeouts of the document at callers' connections

A caller that sent a header line each half second, or nothing, was kept for 10 s, an idle connection for two minutes (measured from outside), where the document says 3 s and 15 s: its timeouts were decoded and never read, as net/http takes constants. Connections now apply them, also to those that were open when a document changed. TestTimeoutsOfDocumentAreIgnored fails without.

--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -142,6 +142,7 @@
 	if n.settings.MaxDescriptors > 0 {
 		h.listener = netutil.LimitListener(h.listener, max(1, int(callerDescriptorFraction*float64(n.settings.MaxDescriptors))))
 	}
+	limitCallers(h, n.relay.Limits)
 	n.callerServer = h
 	n.announcer = &announcer{
 		host: masticview.Host{
