--- a/masticdaemon/drain.go
+++ b/masticdaemon/drain.go
@@ -18,6 +18,9 @@
 	Running() int
 	Drain()
 	Wait(ctx context.Context) error
+	// Leave makes responses announce that their connections close, so that callers have left before the
+	// server closes them.
+	Leave()
 }
 
 // drainer shuts down a host's service to callers gracefully: running requests get up to
@@ -69,6 +72,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), d.drainTimeout)
 	defer cancel()
+	d.gate.Leave()
 	d.log.WithField("running", d.gate.Running()).Info("drain: started; withdrawing this host from address lists")
 	d.sleep(ctx, d.publishLeaving(ctx))
 	d.gate.Drain()
--- a/masticdaemon/drain_test.go
+++ b/masticdaemon/drain_test.go
@@ -20,6 +20,8 @@
 
 func (g *idleGate) Running() int { return 0 }
 
+func (g *idleGate) Leave() {}
+
 func (g *idleGate) Drain() { g.refusedAt = time.Now() }
 
 func (g *idleGate) Wait(context.Context) error { return nil }
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -174,7 +174,6 @@
 		return
 	}
 	n.relay.Drain()
-	n.callerServer.server.SetKeepAlivesEnabled(false)
 	n.drainer.start()
 }
 
@@ -230,6 +229,9 @@
 // Running returns the number of running requests.
 func (g *nodeGate) Running() int { return int(g.node.relay.Running()) }
 
+// Leave does nothing: the relay is draining already.
+func (g *nodeGate) Leave() {}
+
 // Drain does nothing: the server accepts no connections once Wait shuts it down.
 func (g *nodeGate) Drain() {}
 
--- a/masticgate/drain.go
+++ b/masticgate/drain.go
@@ -8,6 +8,8 @@
 // drainState counts the running requests of a host that may be shutting down.
 type drainState struct {
 	mu       sync.Mutex
+	// leaving reports that responses announce the end of their connections.
+	leaving  bool
 	draining bool
 	running  int
 	// idle is closed and set to nil when the last running request ends. Wait creates it; if Wait
@@ -42,6 +44,12 @@
 	return d.draining
 }
 
+func (d *drainState) isLeaving() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.leaving || d.draining
+}
+
 // idleSignal returns nil if no request runs, otherwise a channel that is closed once none runs.
 func (d *drainState) idleSignal() <-chan struct{} {
 	d.mu.Lock()
@@ -55,6 +63,13 @@
 	return d.idle
 }
 
+// Leave makes responses announce that their connections close. Requests are served as before.
+func (g *Gate) Leave() {
+	g.drain.mu.Lock()
+	defer g.drain.mu.Unlock()
+	g.drain.leaving = true
+}
+
 // Drain makes the gate refuse new requests for models and services. Running requests complete.
 func (g *Gate) Drain() {
 	g.drain.mu.Lock()
--- a/masticgate/inbound.go
+++ b/masticgate/inbound.go
@@ -63,7 +63,7 @@
 		started:            g.now(),
 	}
 	w.Header().Set(HeaderRequestID, q.id)
-	if g.drain.isDraining() {
+	if g.drain.isLeaving() {
 		w.Header().Set("Connection", "close")
 	}
 	return q
--- a/masticgate/load_test.go
+++ b/masticgate/load_test.go
@@ -222,6 +222,22 @@
 	b.c.Assert(b.gate.Wait(context.Background()), qt.IsNil)
 }
 
+// TestLeavingGateKeepsConnectionsUntilTheyAreCut: callers of a host that was leaving learned of it only
+// when their connections were closed.
+func TestLeavingGateKeepsConnectionsUntilTheyAreCut(t *testing.T) {
+	b := newFixture(t)
+	b.addEngine("engine-1")
+	b.start()
+	a := b.openStream(context.Background())
+	b.c.Assert(a.Close, qt.IsFalse)
+	b.c.Assert(a.Body.Close(), qt.IsNil)
+	b.gate.Leave()
+	a = b.openStream(context.Background())
+	b.c.Assert(a.StatusCode, qt.Equals, http.StatusOK)
+	b.c.Assert(a.Close, qt.IsTrue)
+	b.c.Assert(a.Body.Close(), qt.IsNil)
+}
+
 // largeBody counts how many bytes of a large body were read.
 type largeBody struct {
 	size      int64
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -182,9 +183,17 @@
 	return t != nil && t.index != nil && !c.draining.Load()
 }
 
-// Drain makes Ready report false. Requests that still arrive are served.
+// Drain makes Ready report false. Requests that still arrive are served, and their responses announce that
+// the connection closes. Idle connections stay open: a request may be under way on each.
 func (c *Relay) Drain() { c.draining.Store(true) }
 
+// announceClose adds to the header of a response that its connection closes, if the host is draining.
+func (c *Relay) announceClose(h http.Header) {
+	if c.draining.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // Running returns the number of calls of Serve that have not returned.
 func (c *Relay) Running() int64 { return c.running.Load() }
 
--- a/masticrelay/response.go
+++ b/masticrelay/response.go
@@ -95,6 +95,7 @@
 	if answer.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
+	r.relay.announceClose(h)
 	r.writer.WriteHeader(answer.Status)
 	r.headerWritten = true
 	r.firstByteAt = time.Now()
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -84,6 +84,7 @@
 	case r.headerWritten || err.Kind() == masticerror.KindCancelled:
 		panic(http.ErrAbortHandler)
 	default:
+		c.announceClose(w.Header())
 		c.callers.WriteError(w, err)
 	}
 }
