Bound the rates and tokens that servers and hosts may state

A rate of 1e300 in an answer, or such numbers in a report of another host, would have made the loop that routes requests grant tokens without end, and the host serve nobody: one malformed message. Limits of 10,000 a second and more bind no host and count as none; reports are cut to the tokens that a server can have.

--- a/masticlimit/allocation.go
+++ b/masticlimit/allocation.go
@@ -66,12 +66,16 @@
 		i, _ := slices.BinarySearch(a.names, host)
 		a.names = slices.Insert(a.names, i, host)
 	}
-	f.demandPerSecond, f.held, f.sinceReport, f.reportedAt = d.PerSecond, d.Held, 0, now
+	f.demandPerSecond, f.held = min(d.PerSecond, maxRequestsPerSecond), min(d.Held, maxTokens)
+	f.sinceReport, f.reportedAt = 0, now
 	if ok {
-		a.tokens += float64(d.Returned)
+		a.tokens = min(a.tokens+float64(d.Returned), maxTokens)
 	}
 }
 
+// maxTokens bounds what a report may state; it is more than the tokens that a server can have.
+const maxTokens = 2 * maxRequestsPerSecond
+
 // removeSilent removes the hosts that have not reported since the given time.
 func (a *allocation) removeSilent(since time.Time) {
 	for host, f := range a.followers {
@@ -85,7 +89,7 @@
 // refill adds the tokens of the time since the last call.
 func (a *allocation) refill(now time.Time, rate float64) {
 	limit := minUnspentTokens + rate*tokenLifetime.Seconds() - float64(a.unspent(now))
-	a.tokens = max(a.tokens, min(a.tokens+rate*now.Sub(a.at).Seconds(), limit))
+	a.tokens = min(max(a.tokens, min(a.tokens+rate*now.Sub(a.at).Seconds(), limit)), minUnspentTokens+rate*tokenLifetime.Seconds())
 	a.at = now
 }
 
--- a/masticlimit/fleet_test.go
+++ b/masticlimit/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -300,6 +301,30 @@
 	}
 }
 
+// TestAbsurdRatesStopTheHost: a rate or a report of tokens beyond all bounds made the loop that shares
+// them run without end.
+func TestAbsurdRatesStopTheHost(t *testing.T) {
+	c := qt.New(t)
+	s := New("h", listedAs(""))
+	s.SetHosts([]Host{{Name: "h", Weight: 1}, {Name: "other", Weight: 1}})
+	c.Assert(s.Observe(simStart, "a", "", Observation{Limited: true, RequestsPerSecond: math.MaxFloat64, SentAt: simStart}), qt.IsFalse)
+	c.Assert(s.Available(simStart, "a"), qt.IsTrue)
+	s.Observe(simStart, "b", "", Observation{Limited: true, RequestsPerSecond: 5, SentAt: simStart})
+	now := simStart
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		s.Receive(now, Report{
+			Host:       "other",
+			Statements: []Statement{{Server: "c", Limited: true, RequestsPerSecond: math.MaxFloat64, Version: math.MaxUint64}},
+			Demands:    []Demand{{Server: "b", PerSecond: math.MaxFloat64, Held: math.MaxInt64, Returned: math.MaxInt64}},
+			Grants:     []Grant{{Server: "b", Tokens: math.MaxInt64}},
+		})
+		s.Available(now, "b")
+		s.Reports(now)
+	}
+	c.Assert(s.Available(now, "c"), qt.IsTrue)
+}
+
 // TestLimitBelongsToIncarnation checks that a restarted server is not held to its former limit.
 func TestLimitBelongsToIncarnation(t *testing.T) {
 	c := qt.New(t)
--- a/masticlimit/report.go
+++ b/masticlimit/report.go
@@ -111,7 +111,7 @@
 	s.heardAt[r.Host] = now
 	var changed []Statement
 	for _, t := range r.Statements {
-		if s.merge(now, t) {
+		if t = t.bounded(); s.merge(now, t) {
 			changed = append(changed, t)
 		}
 	}
--- a/masticlimit/server.go
+++ b/masticlimit/server.go
@@ -66,7 +66,7 @@
 }
 
 func (s *server) addTokens(now time.Time, count int64) {
-	if count > 0 {
+	if count = min(count, maxTokens); count > 0 {
 		s.tokens = append(s.tokens, tokenBatch{count, now.Add(tokenLifetime)})
 	}
 }
--- a/masticlimit/sharer.go
+++ b/masticlimit/sharer.go
@@ -81,10 +81,11 @@
 	if x, known := s.servers[name]; known {
 		return x.observe(now, o)
 	}
-	if !o.Limited {
+	first := Statement{Server: name, Incarnation: incarnation}.WithRate(o)
+	if !first.Limited {
 		return false
 	}
-	s.add(now, Statement{Server: name, Incarnation: incarnation}.WithRate(o))
+	s.add(now, first)
 	return true
 }
 
--- a/masticlimit/statement.go
+++ b/masticlimit/statement.go
@@ -23,7 +23,7 @@
 	if o.Limited {
 		s.RequestsPerSecond = o.RequestsPerSecond
 	}
-	return s
+	return s.bounded()
 }
 
 // supersedes reports whether s replaces o. Of two statements with the same version, which hosts
@@ -40,6 +40,17 @@
 	return s.Limited && (!o.Limited || s.RequestsPerSecond < o.RequestsPerSecond)
 }
 
+// maxRequestsPerSecond is the rate from which a limit binds no host. It bounds the tokens of a server.
+const maxRequestsPerSecond = 10_000
+
+// bounded returns s without a limit that binds no host.
+func (s Statement) bounded() Statement {
+	if s.Limited && !(s.RequestsPerSecond < maxRequestsPerSecond) {
+		s.Limited, s.RequestsPerSecond = false, 0
+	}
+	return s
+}
+
 // minRequestsPerSecond is the rate allocated to a server that states a lower one, down to zero: without
 // any requests, the end of the limit would not be noticed.
 const minRequestsPerSecond = 0.25
