End a leader's orders with its lease

A leader that was cut off from the other control hosts went on with its load orders, and sent them again, until their deadlines, while the new leader sent its own: two holders acted on one backend server (TestOldLeaderSendsOrdersBesideTheNewOne fails before). Cause: an order ran under the life of the process and its own deadline. It now ends once the leader lease is not held, which is before another host can lead.

--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -1,6 +1,7 @@
 package masticcontrol
 
 import (
+	"context"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -34,6 +35,9 @@
 	lastAnswers lastAnswers
 	// unreachableFraction is the fraction of unreachable hosts, by weight, at the last check.
 	unreachableFraction  float64
+	// orders is cancelled when the leader lease is not held any more, before another host can lead.
+	orders       context.Context
+	cancelOrders context.CancelFunc
 	nextUnreachableCheck time.Time
 }
 
@@ -52,12 +56,26 @@
 		l.log.WithField("term", l.leader.term).Warn("leadership ended")
 		l.endLeadership()
 	}
+	if l.leader != nil {
+		l.leader.updateOrders()
+	}
 	if l.leader == nil && l.status.LeaseHeld {
 		l.leader = newLeaderState(now, l)
 		l.log.WithField("term", l.status.Term).WithField("revision", l.state.View().Revision()).Info("leadership taken")
 	}
 }
 
+// updateOrders ends the orders under way once the lease is not held, and allows new ones if it is held
+// again in the same term.
+func (d *leaderState) updateOrders() {
+	switch held := d.loop.status.LeaseHeld; {
+	case !held:
+		d.cancelOrders()
+	case d.orders.Err() != nil:
+		d.orders, d.cancelOrders = context.WithCancel(d.loop.background)
+	}
+}
+
 func newLeaderState(now time.Time, l *loop) *leaderState {
 	view := l.state.View()
 	var hosts []string
@@ -65,6 +83,7 @@
 		hosts = append(hosts, h.Name)
 	}
 	d := &leaderState{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval)}
+	d.orders, d.cancelOrders = context.WithCancel(l.background)
 	d.renewals = newRenewals(now)
 	d.lastAnswers = lastAnswers{}
 	d.workspaces, d.seenRevision = map[string]bool{}, view.Revision()
@@ -101,6 +120,7 @@
 	if l.leader == nil {
 		return
 	}
+	l.leader.cancelOrders()
 	for _, p := range l.leader.pendingPublishes {
 		p.call.answer(commandAnswer(p.answer))
 	}
--- a/masticcontrol/place.go
+++ b/masticcontrol/place.go
@@ -191,13 +191,14 @@
 	if !ok || order.Fence.Term != p.leader.term {
 		return
 	}
-	if err := p.leader.loop.orders.Offer(loadOrder{server, order}); err != nil {
+	if err := p.leader.loop.orders.Offer(loadOrder{p.leader.orders, server, order}); err != nil {
 		p.leader.loop.log.WithError(err).WithField("server", order.Server).Warn("load order not queued for sending; it expires at its deadline")
 	}
 }
 
-// loadOrder is a committed order to send.
+// loadOrder is a committed order to send, until its context ends with the lease of its leader.
 type loadOrder struct {
+	context context.Context
 	server masticview.Server
 	order  masticplace.Order
 }
@@ -228,7 +229,7 @@
 }
 
 func (s *loadSender) send(o loadOrder) {
-	ctx, cancel := context.WithDeadline(s.loop.background, o.order.Deadline)
+	ctx, cancel := context.WithDeadline(o.context, o.order.Deadline)
 	defer cancel()
 	log := s.loop.log.WithField("server", o.order.Server).WithField("fence", o.order.Fence)
 	err := s.loop.loader.Load(ctx, o.server, o.order)
--- a/masticcontrol/place_test.go
+++ b/masticcontrol/place_test.go
@@ -28,6 +28,10 @@
 	maxRunning map[string]int
 	fences     map[string][]masticplace.Fence
 	calls      []loadCall
+	// terms counts the running loads by the term of their order; overlaps counts those that began while
+	// one of an earlier term ran.
+	terms    map[uint64]int
+	overlaps int
 	release    chan struct{}
 }
 
@@ -36,6 +40,7 @@
 		running:    map[string]int{},
 		maxRunning: map[string]int{},
 		fences:     map[string][]masticplace.Fence{},
+		terms:      map[uint64]int{},
 		release:    make(chan struct{}),
 	}
 }
@@ -56,6 +61,12 @@
 	defer s.mu.Unlock()
 	s.running[o.Owner] += by
 	s.maxRunning[o.Owner] = max(s.maxRunning[o.Owner], s.running[o.Owner])
+	s.terms[o.Fence.Term] += by
+	for term, n := range s.terms {
+		if by > 0 && n > 0 && term < o.Fence.Term {
+			s.overlaps++
+		}
+	}
 	if by > 0 {
 		s.fences[o.Server] = append(s.fences[o.Server], o.Fence)
 		s.calls = append(s.calls, loadCall{o, time.Now()})
@@ -164,3 +175,31 @@
 		}
 	}
 }
+
+// TestOldLeaderSendsOrdersBesideTheNewOne: a leader that was cut off from the other control hosts went on
+// with its orders to their deadlines, while the new leader sent its own.
+func TestOldLeaderSendsOrdersBesideTheNewOne(t *testing.T) {
+	q := quicktest.New(t)
+	loader := newSlowLoader()
+	c := newCluster(t, three, masticcontrol.WithLoader(loader, 16,
+		masticplace.WithMaxConcurrentLoads("association", 1),
+		masticplace.WithMaxConcurrentLoads("glenmorven", 1),
+		masticplace.WithOrderTimeout(testTimeout),
+		masticplace.WithSupersede()))
+	c.startAll()
+	near, far := c.agent(1), c.agent(2)
+	c.publish(near, "first", baseChange(2))
+	c.publish(near, "engines", enginesChange(2))
+	c.eventually("one load of each owner", func() bool {
+		return loader.runningLoads("association") == 1 && loader.runningLoads("glenmorven") == 1
+	})
+	c.split(c.leader(near), near, far, c.network.block)
+	c.eventually("orders of the new leader", func() bool {
+		loader.mu.Lock()
+		defer loader.mu.Unlock()
+		return loader.calls[len(loader.calls)-1].order.Fence.Term > loader.calls[0].order.Fence.Term
+	})
+	loader.mu.Lock()
+	defer loader.mu.Unlock()
+	q.Assert(loader.overlaps, quicktest.Equals, 0)
+}
