Give leaving hosts tokens of the others

A host that was being stopped got no reports on request rates, as it was not on the list, and allocated a part for itself: the hosts together reached 1.25 of a rate with four hosts.

--- a/masticlimit/fleet_test.go
+++ b/masticlimit/fleet_test.go
@@ -234,6 +234,26 @@
 	}
 }
 
+// TestLeavingHostAllocatesBesideTheOthers checks that a host which is being stopped uses tokens of the
+// others, and that the rate holds over all of them.
+func TestLeavingHostAllocatesBesideTheOthers(t *testing.T) {
+	c := qt.New(t)
+	f := newSimFleet(4, even(4, 40)...)
+	f.limit = 8
+	f.run(2 * time.Second)
+	hosts := f.live()
+	hosts[0].Leaving = true
+	for _, h := range f.hosts {
+		h.sharer.SetHosts(hosts)
+	}
+	f.run(2 * time.Second)
+	from, before := f.now, f.byHost["h00"]
+	f.run(10 * time.Second)
+	got := f.perSecond(from, f.now)
+	c.Assert(got >= 7.5 && got <= 8.2, qt.IsTrue, qt.Commentf("%.2f a second", got))
+	c.Assert(f.byHost["h00"] > before+10, qt.IsTrue)
+}
+
 // TestEndOfLimitIsNoticed checks that all hosts use a server again within a second after its limit ends.
 func TestEndOfLimitIsNoticed(t *testing.T) {
 	for _, limit := range []float64{2, 8} {
--- a/masticlimit/sharer.go
+++ b/masticlimit/sharer.go
@@ -19,12 +19,15 @@
 type Host struct {
 	Name   string
 	Weight int64
+	// Leaving reports that the host is being stopped. It gets tokens for the requests that it still has,
+	// and allocates none to others.
+	Leaving bool
 }
 
 // Sharer is one host's state of the servers that state a limit. It is not safe for concurrent use.
 type Sharer struct {
 	host string
-	// hosts are the live hosts, heardAt is when each host last sent a report.
+	// hosts are the live and leaving hosts, heardAt is when each host last sent a report.
 	hosts   []Host
 	heardAt map[string]time.Time
 	listed  Listed
@@ -44,7 +47,7 @@
 	return &Sharer{host: host, listed: listed, heardAt: map[string]time.Time{}, servers: map[string]*server{}}
 }
 
-// SetHosts replaces the live hosts.
+// SetHosts replaces the live and leaving hosts.
 func (s *Sharer) SetHosts(hosts []Host) {
 	s.hosts = hosts
 	for _, x := range s.servers {
@@ -178,6 +181,9 @@
 	var counted, all int64
 	listed := false
 	for _, h := range s.hosts {
+		if h.Leaving {
+			continue
+		}
 		listed = listed || h.Name == s.host
 		all += max(1, h.Weight)
 		if counts(h) {
@@ -205,11 +211,14 @@
 	return s.host
 }
 
-// rank returns the names of the hosts in the order of rendezvous hashing for a server.
+// rank returns the names of the live hosts in the order of rendezvous hashing for a server.
 func rank(server string, hosts []Host) []string {
 	hashes := make(map[string]uint64, len(hosts))
 	names := make([]string, 0, len(hosts))
 	for _, h := range hosts {
+		if h.Leaving {
+			continue
+		}
 		hashes[h.Name] = xxhash.Sum64String(server + "\x00" + h.Name)
 		names = append(names, h.Name)
 	}
--- a/masticroute/limit.go
+++ b/masticroute/limit.go
@@ -29,8 +29,8 @@
 	r.limits.RemoveUnlisted()
 	var hosts []masticlimit.Host
 	for _, h := range v.Hosts() {
-		if h.State == masticview.HostLive && h.Address != "" {
-			hosts = append(hosts, masticlimit.Host{Name: h.Name, Weight: h.Weight})
+		if h.Address != "" && (h.State == masticview.HostLive || h.State == masticview.HostLeaving) {
+			hosts = append(hosts, masticlimit.Host{Name: h.Name, Weight: h.Weight, Leaving: h.State == masticview.HostLeaving})
 		}
 	}
 	r.limits.SetHosts(hosts)
