--- a/masticlimit/fleet_test.go
+++ b/masticlimit/fleet_test.go
@@ -38,6 +38,8 @@
 	hosts  []*simHost
 	// limit is what the server states, negative for none.
 	limit    float64
+	// declines reports that hosts consider the server and send their requests elsewhere.
+	declines bool
 	arrivals []time.Time
 	byHost   map[string]int
 	events   []simEvent
@@ -142,7 +144,7 @@
 	}
 	h.pending += h.rate * simStep.Seconds() * 2 * f.random.Float64()
 	for ; h.pending >= 1; h.pending-- {
-		if !h.sharer.Available(f.now, testServer) {
+		if !h.sharer.Available(f.now, testServer) || f.declines {
 			continue
 		}
 		h.sharer.Spend(testServer)
@@ -234,6 +236,73 @@
 	}
 }
 
+// TestTokensOfIdleHostsAreLost checks that all of a rate is used by one host once the others have no
+// requests any more.
+func TestTokensOfIdleHostsAreLost(t *testing.T) {
+	c := qt.New(t)
+	f := newSimFleet(5, even(7, 4)...)
+	f.limit = 0.5
+	f.run(10 * time.Second)
+	for i, h := range f.hosts {
+		h.rate = 0
+		if i == 3 {
+			h.rate = 20
+		}
+	}
+	f.run(4 * time.Second)
+	from := f.now
+	f.run(20 * time.Second)
+	got := f.perSecond(from, f.now)
+	c.Assert(got >= 0.9*f.limit, qt.IsTrue, qt.Commentf("%.2f a second", got))
+}
+
+// TestTokensPileUpAtHosts checks the bound when hosts that preferred other servers for a while all turn to
+// the limited one at once.
+func TestTokensPileUpAtHosts(t *testing.T) {
+	c := qt.New(t)
+	f := newSimFleet(6, even(30, 60)...)
+	f.limit = 1
+	f.run(time.Second)
+	f.declines = true
+	f.run(15 * time.Second)
+	from := f.now
+	f.declines = false
+	f.run(5 * time.Second)
+	c.Assert(f.most(from) <= allowed(f.limit), qt.IsTrue, qt.Commentf("%d in %v", f.most(from), window))
+}
+
+// TestTokensOutliveTheirAllocator checks that a host drops the tokens of an allocator that it does not
+// hear any more: the next one does not know of them.
+func TestTokensOutliveTheirAllocator(t *testing.T) {
+	c := qt.New(t)
+	s := New("a", listedAs(""))
+	s.SetHosts([]Host{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}, {Name: "c", Weight: 1}})
+	s.Observe(simStart, testServer, "", Observation{Limited: true, RequestsPerSecond: 1, SentAt: simStart})
+	x := s.servers[testServer]
+	now := simStart
+	hear := func(hosts ...string) {
+		for _, host := range hosts {
+			s.Receive(now, Report{Host: host, Grants: []Grant{{Server: testServer, Tokens: 1}}})
+		}
+	}
+	hear("b", "c")
+	s.Reports(now)
+	hear("b", "c")
+	first := x.ranking[0]
+	c.Assert(first, qt.Not(qt.Equals), "a")
+	c.Assert(s.Available(now, testServer), qt.IsTrue)
+	second := x.ranking[1]
+	for range 12 {
+		now = now.Add(hostTimeout / 10)
+		if second != "a" {
+			s.heardAt[second] = now
+		}
+	}
+	s.Reports(now)
+	c.Assert(x.allocator, qt.Equals, second)
+	c.Assert(s.Available(now, testServer), qt.IsFalse)
+}
+
 // TestLeavingHostAllocatesBesideTheOthers checks that a host which is being stopped uses tokens of the
 // others, and that the rate holds over all of them.
 func TestLeavingHostAllocatesBesideTheOthers(t *testing.T) {
