--- a/masticlimit/fleet_test.go
+++ b/masticlimit/fleet_test.go
@@ -37,7 +37,7 @@
 	random *rand.Rand
 	hosts  []*simHost
 	// limit is what the server states, negative for none.
-	limit    float64
+	limit float64
 	// declines reports that hosts consider the server and send their requests elsewhere.
 	declines bool
 	arrivals []time.Time
