--- a/masticlimit/fleet_test.go
+++ b/masticlimit/fleet_test.go
@@ -236,6 +236,22 @@
 	}
 }
 
+// TestRestartedHostLearnsLimits checks that a host which starts later learns of all limits.
+func TestRestartedHostLearnsLimits(t *testing.T) {
+	c := qt.New(t)
+	const servers = 40
+	f := newSimFleet(7, even(7, 7)...)
+	for i := range servers {
+		f.hosts[1].sharer.Observe(f.now, fmt.Sprint("server ", i), "born", Observation{Limited: true, RequestsPerSecond: 2, SentAt: f.now})
+	}
+	f.run(2 * time.Second)
+	f.restart(f.hosts[3])
+	f.run(time.Second)
+	for _, h := range f.hosts {
+		c.Assert(h.sharer.Limited(), qt.HasLen, servers)
+	}
+}
+
 // TestTokensOfIdleHostsAreLost checks that all of a rate is used by one host once the others have no
 // requests any more.
 func TestTokensOfIdleHostsAreLost(t *testing.T) {
--- a/masticlimit/report.go
+++ b/masticlimit/report.go
@@ -7,10 +7,12 @@
 )
 
 const (
-	// statementSends is the number of reports that carry a new statement. maxStatements bounds the
-	// statements of one report; known limits are repeated in turn, for hosts that started later.
-	statementSends = 3
-	maxStatements  = 16
+	// statementSends is the number of reports that carry a new statement. maxNewStatements bounds the new
+	// statements of one report. Known limits are repeated in turn for hosts that started later, which hear
+	// them from all others: maxRepeated in each report.
+	statementSends   = 3
+	maxNewStatements = 16
+	maxRepeated      = 2
 )
 
 // Report is what one host tells another. Reports must arrive in order and at most once; one that is
@@ -82,22 +84,24 @@
 	}
 }
 
-// takeStatements returns up to maxStatements statements: the new ones and, in turn, the limits.
+// takeStatements returns the new statements and, in turn, some of the limits.
 func (s *Sharer) takeStatements() []Statement {
 	var out []Statement
 	for _, name := range s.names {
-		if x := s.servers[name]; x.unsent > 0 && len(out) < maxStatements {
+		if x := s.servers[name]; x.unsent > 0 && len(out) < maxNewStatements {
 			x.unsent--
 			out = append(out, x.statement)
 		}
 	}
+	repeated := 0
 	for range s.names {
-		if len(out) == maxStatements {
+		if repeated == maxRepeated {
 			break
 		}
 		s.nextStatement = (s.nextStatement + 1) % len(s.names)
 		if x := s.servers[s.names[s.nextStatement]]; x.statement.Limited && !slices.Contains(out, x.statement) {
 			out = append(out, x.statement)
+			repeated++
 		}
 	}
 	return out
