--- a/masticdaemon/drain_test.go
+++ b/masticdaemon/drain_test.go
@@ -15,12 +15,12 @@
 	"masticladder/masticproto"
 )
 
-// idleGate has no running requests and records when Drain was called.
-type idleGate struct{ refusedAt time.Time }
+// idleGate has no running requests and records when Leave and Drain were called.
+type idleGate struct{ leftAt, refusedAt time.Time }
 
 func (g *idleGate) Running() int { return 0 }
 
-func (g *idleGate) Leave() {}
+func (g *idleGate) Leave() { g.leftAt = time.Now() }
 
 func (g *idleGate) Drain() { g.refusedAt = time.Now() }
 
@@ -61,6 +61,7 @@
 				started := time.Now()
 				d.start()
 				c.Assert(d.run(), qt.IsNil)
+				c.Assert(gate.leftAt, qt.Equals, started)
 				c.Assert(gate.refusedAt.Before(started.Add(x.earliestRefusal+maxRequestDelay)), qt.IsFalse)
 			})
 		})
