One place ends a leader's orders: the loss of its lease

The end of leadership cancelled them too, so that no test told the two apart; TestOldLeaderSendsOrdersBesideTheNewOne now fails without the remaining one.

--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -34,10 +34,10 @@
 	// lastAnswers holds the time of each member's last answer.
 	lastAnswers lastAnswers
 	// unreachableFraction is the fraction of unreachable hosts, by weight, at the last check.
-	unreachableFraction  float64
+	unreachableFraction float64
 	// orders is cancelled when the leader lease is not held any more, before another host can lead.
-	orders       context.Context
-	cancelOrders context.CancelFunc
+	orders               context.Context
+	cancelOrders         context.CancelFunc
 	nextUnreachableCheck time.Time
 }
 
@@ -52,13 +52,13 @@
 	if was.Leader != l.status.Leader || was.Term != l.status.Term {
 		l.log.WithField("leader", l.status.Leader).WithField("term", l.status.Term).Info("control leader changed")
 	}
+	if l.leader != nil {
+		l.leader.updateOrders()
+	}
 	if l.leader != nil && (!l.status.Leading || l.status.Term != l.leader.term) {
 		l.log.WithField("term", l.leader.term).Warn("leadership ended")
 		l.endLeadership()
 	}
-	if l.leader != nil {
-		l.leader.updateOrders()
-	}
 	if l.leader == nil && l.status.LeaseHeld {
 		l.leader = newLeaderState(now, l)
 		l.log.WithField("term", l.status.Term).WithField("revision", l.state.View().Revision()).Info("leadership taken")
@@ -68,7 +68,7 @@
 // updateOrders ends the orders under way once the lease is not held, and allows new ones if it is held
 // again in the same term.
 func (d *leaderState) updateOrders() {
-	switch held := d.loop.status.LeaseHeld; {
+	switch held := d.loop.status.LeaseHeld && d.loop.status.Term == d.term; {
 	case !held:
 		d.cancelOrders()
 	case d.orders.Err() != nil:
@@ -120,7 +120,6 @@
 	if l.leader == nil {
 		return
 	}
-	l.leader.cancelOrders()
 	for _, p := range l.leader.pendingPublishes {
 		p.call.answer(commandAnswer(p.answer))
 	}
--- a/masticcontrol/place.go
+++ b/masticcontrol/place.go
@@ -199,8 +199,8 @@
 // loadOrder is a committed order to send, until its context ends with the lease of its leader.
 type loadOrder struct {
 	context context.Context
-	server masticview.Server
-	order  masticplace.Order
+	server  masticview.Server
+	order   masticplace.Order
 }
 
 // failedLoadCooldown is the time before a backend server whose load failed is given another
--- a/masticcontrol/place_test.go
+++ b/masticcontrol/place_test.go
@@ -32,7 +32,7 @@
 	// one of an earlier term ran.
 	terms    map[uint64]int
 	overlaps int
-	release    chan struct{}
+	release  chan struct{}
 }
 
 func newSlowLoader() *slowLoader {
--- a/masticgate/drain.go
+++ b/masticgate/drain.go
@@ -7,7 +7,7 @@
 
 // drainState counts the running requests of a host that may be shutting down.
 type drainState struct {
-	mu       sync.Mutex
+	mu sync.Mutex
 	// leaving reports that responses announce the end of their connections.
 	leaving  bool
 	draining bool
