--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -54,7 +54,7 @@
 	complete      bool
 	// identified reports that the answer states the request's identifier, or that the request has none.
 	identified bool
-	closed        sync.Once
+	closed     sync.Once
 }
 
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
