--- a/masticlimit/fleet_test.go
+++ b/masticlimit/fleet_test.go
@@ -406,6 +406,21 @@
 	}
 }
 
+// TestReportsOfUnknownHostsFillMemory: the state of hosts was kept under any name that a report had.
+func TestReportsOfUnknownHostsFillMemory(t *testing.T) {
+	c := qt.New(t)
+	s := New("h", listedAs(""))
+	s.SetHosts([]Host{{Name: "h", Weight: 1}})
+	s.Observe(simStart, testServer, "", Observation{Limited: true, RequestsPerSecond: 5, SentAt: simStart})
+	for i := range 100 {
+		now := simStart.Add(time.Duration(i) * 20 * time.Millisecond)
+		s.Receive(now, Report{Host: fmt.Sprint("unknown ", i), Demands: []Demand{{Server: testServer, PerSecond: 1}}})
+		s.Reports(now)
+	}
+	c.Assert(s.heardAt, qt.HasLen, 0)
+	c.Assert(s.servers[testServer].allocation.followers, qt.HasLen, 1)
+}
+
 // TestAbsurdRatesStopTheHost: a rate or a report of tokens beyond all bounds made the loop that shares
 // them run without end.
 func TestAbsurdRatesStopTheHost(t *testing.T) {
@@ -437,6 +452,7 @@
 	s := New("h", func(string) (string, bool) { return incarnation, true })
 	c.Assert(s.Observe(simStart, testServer, "a", Observation{Limited: true, RequestsPerSecond: 2, SentAt: simStart}), qt.IsTrue)
 	c.Assert(s.Available(simStart, testServer), qt.IsFalse)
+	s.SetHosts([]Host{{Name: "h", Weight: 1}, {Name: "other", Weight: 1}})
 	incarnation = "b"
 	s.RemoveUnlisted()
 	c.Assert(s.Available(simStart, testServer), qt.IsTrue)
--- a/masticlimit/report.go
+++ b/masticlimit/report.go
@@ -107,9 +107,9 @@
 	return out
 }
 
-// Receive applies the report of another host and returns the statements that it changed.
+// Receive applies the report of another live or leaving host and returns the statements that it changed.
 func (s *Sharer) Receive(now time.Time, r Report) []Statement {
-	if r.Host == s.host {
+	if r.Host == s.host || !slices.ContainsFunc(s.hosts, func(h Host) bool { return h.Name == r.Host }) {
 		return nil
 	}
 	s.heardAt[r.Host] = now
