Obey what backend servers state about themselves: leaving, and wanting nothing for a time

Cause: no code read either field. What kept a busy server quiet was that its refusals counted as failures, and the slow return of a failed server then kept it out for too long.

Ruled out: a lag of the list (the test's list says ready throughout); retries and resumed streams as a way round (they ask the same scheduler); lost statements (they go through the loop before the next command of the same request, and wait for room).

Change: one parser for each path returns one Statement (rate, leaving, pause) of any answer: success, refusal, failure, informational answer, check, report, order. masticroute.Notice keeps it for each incarnation; statements only narrow it, so overtaking answers do not matter. A leaving server is told to the leader by the hosts that hear it before the view says so, and taken to all hosts by the view, whatever the list says; a host that heard it itself needs no control. Neither counts as a failure. If nothing is left, requests are refused at once with a time to come back that is bounded and spread.

--- a/masticagent/reporter.go
+++ b/masticagent/reporter.go
@@ -23,6 +23,8 @@
 	mutex    sync.Mutex
 	counter  *masticusage.Counter
 	suspects []*masticcall.ServerReport
+	// leaving are the backend servers that stated that they are leaving, the oldest first.
+	leaving []*masticproto.ServerLeaving
 }
 
 func newReporter(a *Agent) *reporter {
@@ -101,7 +103,7 @@
 	}
 }
 
-// send sends unacknowledged suspect and usage reports. Failed ones are sent again at the next
+// send sends unacknowledged reports. Failed ones are sent again at the next
 // interval.
 func (r *reporter) send(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.agent.reportInterval)
@@ -110,6 +112,10 @@
 		r.agent.log.WithError(err).Warn("suspect report failed; it is retried")
 		return
 	}
+	if err := r.sendLeaving(ctx); err != nil {
+		r.agent.log.WithError(err).Warn("report of a leaving backend server failed; it is retried")
+		return
+	}
 	r.sendUsage(ctx)
 }
 
--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -42,6 +42,8 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Informational are the headers of the informational answers that preceded it.
+	Informational []http.Header
 	// Length is the length of the body in bytes, -1 if not stated.
 	Length   int64
 	client   *Client
@@ -168,6 +170,7 @@
 			if interim > maxInterimAnswers {
 				return errManyInterim
 			}
+			a.Informational = append(a.Informational, r.Header)
 			continue
 		}
 		id := a.client.identify(r.Header)
--- a/masticbackend/failure.go
+++ b/masticbackend/failure.go
@@ -16,6 +16,8 @@
 	ServerEnded bool
 	// Answered reports that the server answered properly, so that it was alive.
 	Answered bool
+	// Paused reports that the server turned the request away and wants no further ones for a time.
+	Paused bool
 	// Refused reports that the server's host refused the connection.
 	Refused bool
 }
--- a/masticcall/dispatcher.go
+++ b/masticcall/dispatcher.go
@@ -32,6 +32,9 @@
 	// ServerEnded reports that the connection broke in a way that suggests that the backend
 	// server has terminated.
 	ServerEnded bool
+	// Paused reports that the backend server turned the request away and stated until when it wants no
+	// further ones. That is no failure of the server.
+	Paused bool
 	// ServerIncarnation is the incarnation that the backend server stated in its answer.
 	ServerIncarnation string
 	// CachedUnknown reports that the answer did not state how many tokens were cached.
@@ -40,10 +43,11 @@
 	OutputTokens  int64
 }
 
-// RateObserver receives what answers state of the request rates of their backend servers.
-type RateObserver interface {
-	// ObserveRate applies the statement in the answer to a request that was sent at the given time.
-	ObserveRate(server masticview.Server, request string, sentAt time.Time, r StatedRate)
+// StatementObserver receives what answers state about their backend servers.
+type StatementObserver interface {
+	// ObserveStatement applies the statement in the answer to a request that was sent at the given time.
+	// request is empty for checks and reports.
+	ObserveStatement(server masticview.Server, request string, sentAt time.Time, s Statement)
 }
 
 // Dispatcher assigns requests to model engines and plain services.
--- a/masticcontrol/commandresult.go
+++ b/masticcontrol/commandresult.go
@@ -63,6 +63,8 @@
 		return &masticproto.CommandAnswer{Done: r.Err == nil}, r.Err
 	case masticstate.HoldResult:
 		return &masticproto.CommandAnswer{Done: r.Held}, r.Err
+	case masticstate.LeavingResult:
+		return &masticproto.CommandAnswer{Done: r.Applied}, nil
 	case masticstate.LoadResult:
 		return &masticproto.CommandAnswer{Done: r.Applied}, nil
 	case masticstate.DocumentResult:
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -145,6 +145,10 @@
 		c.fail(masticerror.New(masticerror.KindBadRequest, "a host may not ask for this command"))
 		return
 	}
+	if l := command.GetLeaving(); l != nil && !d.isNews(l) {
+		c.answer(commandAnswer(&masticproto.CommandAnswer{}))
+		return
+	}
 	index, term, err := d.loop.propose(now, command)
 	if err != nil {
 		c.fail(err)
@@ -153,6 +157,13 @@
 	d.loop.proposals[index] = proposal{call: c, term: term}
 }
 
+// isNews reports whether the view does not say yet that the incarnation is leaving. Many hosts hear a
+// leaving server at the same time.
+func (d *leaderState) isNews(l *masticproto.ServerLeaving) bool {
+	s, ok := d.loop.state.View().Server(l.GetServer())
+	return ok && s.Incarnation == l.GetIncarnation() && !s.StatedLeaving
+}
+
 func (l *loop) propose(now time.Time, command *masticproto.Command) (index, term uint64, err error) {
 	command.AtUnixMs = now.UnixMilli()
 	data, err := proto.Marshal(command)
--- a/masticcontrol/listing.go
+++ b/masticcontrol/listing.go
@@ -122,11 +122,14 @@
 }
 
 // reconcile returns the view's next entry for the listed server s. The list lags behind, so the
-// results of load orders to the same incarnation take precedence over it.
+// results of load orders to the same incarnation, and what it stated itself, take precedence over it.
 func (d *leaderState) reconcile(current masticview.Server, known bool, s masticview.Server) masticview.Server {
 	if !known || current.Incarnation != s.Incarnation {
 		return s
 	}
+	if current.StatedLeaving {
+		s = s.WithStatedLeaving()
+	}
 	if newer(current.WeightsVersion, s.WeightsVersion) {
 		s.WeightsVersion = current.WeightsVersion
 	}
@@ -140,5 +143,5 @@
 	models := slices.Equal(a.Models, b.Models)
 	a.Models, b.Models = nil, nil
 	return models && a.Name == b.Name && a.Kind == b.Kind && a.URL == b.URL && a.Zone == b.Zone && a.Service == b.Service &&
-		a.WeightsVersion == b.WeightsVersion && a.Incarnation == b.Incarnation && a.State == b.State && a.Slots == b.Slots
+		a.WeightsVersion == b.WeightsVersion && a.Incarnation == b.Incarnation && a.State == b.State && a.Slots == b.Slots && a.StatedLeaving == b.StatedLeaving
 }
--- a/masticcontrol/listing_test.go
+++ b/masticcontrol/listing_test.go
@@ -63,6 +63,18 @@
 	}
 }
 
+// TestListUndoesWhatServerStated checks that a list which still names a server as active does not undo its
+// own statement.
+func TestListUndoesWhatServerStated(t *testing.T) {
+	c := qt.New(t)
+	d := &leaderState{loop: &loop{batchTime: time.UnixMilli(1_000_000)}, placement: &placement{planner: masticplace.NewPlanner(1, time.UnixMilli(0))}}
+	listed := masticview.Server{Name: "i", Incarnation: "1", State: masticview.ServerActive}
+	current := listed.WithStatedLeaving()
+	c.Assert(sameServer(d.reconcile(current, true, listed), current), qt.IsTrue)
+	listed.Incarnation = "2"
+	c.Assert(sameServer(d.reconcile(current, true, listed), listed), qt.IsTrue)
+}
+
 // TestReconcileKeepsInvariants checks for any view entry and order that a server listed as
 // leaving stays leaving, that another incarnation is taken as listed, and that the weights
 // version of the same incarnation never goes back.
--- a/masticcontrol/place.go
+++ b/masticcontrol/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -236,21 +237,28 @@
 	s.loop.counters.recordOrder(err)
 	if err != nil {
 		log.WithError(err).Warn("load order failed")
+		if errors.Is(err, masticplace.ErrServerLeaving) {
+			s.commit(ctx, log, &masticproto.Command{Kind: &masticproto.Command_Leaving{Leaving: &masticproto.ServerLeaving{
+				Server: o.server.Name, Incarnation: o.server.Incarnation,
+			}}})
+		}
 		if err := s.loop.failedLoads.Offer(o); err != nil {
 			log.WithError(err).Warn("failure of a load order not recorded; the order expires at its deadline")
 		}
 		return
 	}
 	log.Info("load order done")
-	request := &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Command{Command: &masticproto.Command{
-		Kind: &masticproto.Command_Load{Load: o.order.ToProto(true)},
-	}}}
-	c := newCall(ctx, request)
+	s.commit(ctx, log, &masticproto.Command{Kind: &masticproto.Command_Load{Load: o.order.ToProto(true)}})
+}
+
+// commit has the loop commit what came of an order.
+func (s *loadSender) commit(ctx context.Context, log logrus.FieldLogger, command *masticproto.Command) {
+	c := newCall(ctx, &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Command{Command: command}})
 	if err := s.loop.calls.Offer(c); err != nil {
-		log.WithError(err).Warn("completion of a load order not recorded; the order expires at its deadline")
+		log.WithError(err).Warn("outcome of a load order not recorded; the order expires at its deadline")
 		return
 	}
 	if _, err := c.wait(); err != nil {
-		log.WithError(err).Warn("completion of a load order not recorded; the order expires at its deadline")
+		log.WithError(err).Warn("outcome of a load order not recorded; the order expires at its deadline")
 	}
 }
--- a/masticdaemon/daemon.go
+++ b/masticdaemon/daemon.go
@@ -184,7 +184,7 @@
 	if !d.settings.Has(masticsettings.RoleEntry) {
 		return nil
 	}
-	d.engine = masticengine.New(masticengine.WithLog(d.log), masticengine.WithRateObserver(d.dispatcher))
+	d.engine = masticengine.New(masticengine.WithLog(d.log), masticengine.WithStatementObserver(d.dispatcher))
 	addresses := masticaddress.New(d.agent.View, masticaddress.WithTTL(millis(d.settings.Timing.AddressListMillis)))
 	gate, err := masticgate.New(
 		masticgate.WithViews(d.agent),
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -137,7 +137,8 @@
 	if err != nil {
 		return err
 	}
-	n.dispatcher = masticdispatch.New(masticdispatch.WithLog(n.log.WithField("host", n.settings.Peer)), masticdispatch.WithSharedLoad(), masticdispatch.WithHost(n.settings.Peer))
+	n.dispatcher = masticdispatch.New(masticdispatch.WithLog(n.log.WithField("host", n.settings.Peer)), masticdispatch.WithSharedLoad(), masticdispatch.WithHost(n.settings.Peer),
+		masticdispatch.WithLeavingReporter(n.agent.Leaving()))
 	n.client = masticbackend.New(masticbackend.WithSource(bound.Addr()), masticbackend.WithIdentify(n.protocols.Identify))
 	var lease []masticrelay.Option
 	if n.settings.FailClosed {
@@ -148,7 +149,7 @@
 		masticrelay.WithDispatcher(n.dispatcher),
 		masticrelay.WithSuspects(n.agent.Suspects(), n.agent.Holds()),
 		masticrelay.WithClient(n.client),
-		masticrelay.WithRateObserver(n.dispatcher),
+		masticrelay.WithStatementObserver(n.dispatcher),
 		masticrelay.WithBodyBudget(masticbody.NewBudget(bodyBytes(n.settings))),
 		masticrelay.WithBackends(n.protocols.Backends),
 		masticrelay.WithCallers(n.protocols.Callers),
--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -85,10 +85,19 @@
 	return members
 }
 
+// leavingReporter passes the leaving backend servers on to the agent, which is created after the dispatcher.
+type leavingReporter struct{ daemon *Daemon }
+
+// ReportLeaving implements masticdispatch.LeavingReporter.
+func (l *leavingReporter) ReportLeaving(server, incarnation string) {
+	l.daemon.agent.Leaving().ReportLeaving(server, incarnation)
+}
+
 func (d *Daemon) openAgent() error {
 	s := d.settings
 	if s.Has(masticsettings.RoleEntry) {
-		d.dispatcher = masticdispatch.New(masticdispatch.WithLog(d.log.WithField("host", s.Host)), masticdispatch.WithHost(s.Host))
+		d.dispatcher = masticdispatch.New(masticdispatch.WithLog(d.log.WithField("host", s.Host)), masticdispatch.WithHost(s.Host),
+			masticdispatch.WithLeavingReporter(&leavingReporter{d}))
 		d.prober = masticprobe.New(d.dispatcher)
 	}
 	agent, err := masticagent.New(
--- a/masticdispatch/command.go
+++ b/masticdispatch/command.go
@@ -76,7 +76,10 @@
 
 type setView struct{ view masticview.View }
 
-func (c *setView) apply(d *Dispatcher, now time.Time) { d.scheduler.SetView(now, c.view) }
+func (c *setView) apply(d *Dispatcher, now time.Time) {
+	d.scheduler.SetView(now, c.view)
+	d.forgetLeaving(c.view)
+}
 
 type setSuspects struct{ digests []masticview.Digest }
 
--- a/masticdispatch/dispatcher.go
+++ b/masticdispatch/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,10 @@
 	reportDue     chan struct{}
 	// limited are the backend servers that state a request rate.
 	limited atomic.Pointer[map[string]bool]
+	// leavingServers are the incarnations, by server name, that stated that they are leaving; leaving
+	// receives them, and may be nil.
+	leavingServers sync.Map
+	leaving        LeavingReporter
 }
 
 // Option configures New.
--- a/masticdispatch/rate.go
+++ b/masticdispatch/rate.go
@@ -10,10 +10,10 @@
 	"masticladder/masticview"
 )
 
-// ObserveRate applies what the answer to a request stated of the request rate of its backend server. It
+// observeRate applies what the answer to a request stated of the request rate of its backend server. It
 // is dropped if the inbox is full; the next answer states it again. Answers without a limit, of servers
 // for which none is known, take no part in the loop.
-func (d *Dispatcher) ObserveRate(server masticview.Server, request string, sentAt time.Time, r masticcall.StatedRate) {
+func (d *Dispatcher) observeRate(server masticview.Server, request string, sentAt time.Time, r masticcall.StatedRate) {
 	switch {
 	case r.Kind == masticcall.RateUnstated:
 		return
--- a/masticengine/answer.go
+++ b/masticengine/answer.go
@@ -56,7 +56,7 @@
 func (x *exchange) refusedFailure() *Failure {
 	x.trace.stop()
 	e := masticerror.New(masticerror.KindBackendRefused, "the backend server answered %d", x.answer.StatusCode)
-	return &Failure{Err: e.WithSent(), Sent: true, Incarnation: x.running.incarnation}
+	return &Failure{Err: e.WithSent(), Sent: true, Incarnation: x.running.incarnation, Paused: x.statement.Paused()}
 }
 
 func rejectedFailure(a Answer) *Failure {
--- a/masticengine/client.go
+++ b/masticengine/client.go
@@ -69,14 +69,14 @@
 
 // Client sends calls to backend servers. It is safe for concurrent use.
 type Client struct {
-	limits    Limits
-	pooled    *http.Transport
-	singleUse *http.Transport
-	onEnded   ServerEndedFunc
-	rates     masticcall.RateObserver
-	log       logrus.FieldLogger
-	detector  *masticdetector.Detector
-	counters  Counters
+	limits     Limits
+	pooled     *http.Transport
+	singleUse  *http.Transport
+	onEnded    ServerEndedFunc
+	statements masticcall.StatementObserver
+	log        logrus.FieldLogger
+	detector   *masticdetector.Detector
+	counters   Counters
 
 	mu      sync.Mutex
 	servers map[string]*serverState
--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -24,6 +24,8 @@
 	// singleUse reports that the call has a connection of its own.
 	singleUse bool
 	answer    *http.Response
+	// statement is what the answer states about the server.
+	statement masticcall.Statement
 }
 
 // begin sends the call and returns after it has received the answer's header and verified that
@@ -70,7 +72,7 @@
 	if x.isEngine() {
 		x.client.recordIncarnation(x.running, x.answer.Header.Get(HeaderIncarnation))
 	}
-	x.observeRate(sentAt)
+	x.statement = x.observeStatement(sentAt)
 	x.running.attempt.Answered()
 	return nil
 }
@@ -80,7 +82,9 @@
 	if x.call.Query != "" {
 		url += "?" + x.call.Query
 	}
-	ctx := httptrace.WithClientTrace(x.ctx, x.trace.hooks())
+	hooks := x.trace.hooks()
+	hooks.Got1xxResponse = x.observeInformational
+	ctx := httptrace.WithClientTrace(x.ctx, hooks)
 	q, err := http.NewRequestWithContext(ctx, x.call.Method, url, bytes.NewReader(x.call.Body))
 	if err != nil {
 		return nil, err
--- a/masticengine/failure.go
+++ b/masticengine/failure.go
@@ -27,6 +27,8 @@
 	ServerEnded bool
 	// Incarnation is the server's incarnation at the time of the call, if known.
 	Incarnation string
+	// Paused reports that the server turned the call away and wants no further ones for a time.
+	Paused bool
 	// Rejected is the server's answer to a request that it rejected as invalid. No other server
 	// is tried after it.
 	Rejected *Answer
--- a/masticengine/incarnation.go
+++ b/masticengine/incarnation.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"syscall"
+	"time"
 
 	"masticladder/masticcall"
 	"masticladder/masticdetector"
@@ -134,11 +135,13 @@
 	if err != nil {
 		return "", err
 	}
+	sentAt := time.Now()
 	a, err := c.singleUse.RoundTrip(q)
 	if err != nil {
 		return "", err
 	}
 	_ = a.Body.Close()
+	c.observeStatement(server, "", sentAt, a.StatusCode, a.Header)
 	return a.Header.Get(HeaderIncarnation), nil
 }
 
@@ -165,10 +168,12 @@
 	if server.Kind == masticview.ServerEngine {
 		return c.probe(ctx, server)
 	}
+	sentAt := time.Now()
 	a, err := c.singleUse.RoundTrip(pingRequest(server).WithContext(ctx))
 	if err != nil {
 		return "", err
 	}
+	c.observeStatement(server, "", sentAt, a.StatusCode, a.Header)
 	return "", a.Body.Close()
 }
 
--- a/masticgate/relay.go
+++ b/masticgate/relay.go
@@ -42,7 +42,7 @@
 	}
 	if f != nil {
 		m.sent = m.sent || f.Sent
-		r.Failure, r.ServerEnded, r.ServerIncarnation = string(f.Err.Kind()), f.ServerEnded, f.Incarnation
+		r.Failure, r.ServerEnded, r.Paused, r.ServerIncarnation = string(f.Err.Kind()), f.ServerEnded, f.Paused, f.Incarnation
 	}
 	a.Done(m.inbound.gate.now(), r)
 	m.countRecomputed(f)
--- a/masticloader/loader.go
+++ b/masticloader/loader.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
+	"masticladder/masticengine"
 	"masticladder/masticerror"
 	"masticladder/mastichttp"
 	"masticladder/masticplace"
@@ -86,6 +88,9 @@
 	if err != nil {
 		return nil, masticerror.Wrap(err, masticerror.KindBackendFailed, "%s %s", method, url)
 	}
+	if s, _ := masticengine.ParseStatement(a.StatusCode, a.Header, time.Now()); s.Leaving {
+		return nil, masticplace.ErrServerLeaving
+	}
 	if a.StatusCode != http.StatusOK {
 		return nil, masticerror.New(masticerror.KindBackendRefused, "%s %s: status %d", method, url, a.StatusCode)
 	}
--- a/masticplace/orders.go
+++ b/masticplace/orders.go
@@ -1,6 +1,7 @@
 package masticplace
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -8,6 +9,9 @@
 	"masticladder/masticproto"
 )
 
+// ErrServerLeaving is the error of an order whose backend server stated that it is leaving.
+var ErrServerLeaving = errors.New("the backend server states that it is leaving")
+
 // ToProto returns the order as a command of the replicated log.
 func (o Order) ToProto(done bool) *masticproto.LoadOrder {
 	return &masticproto.LoadOrder{
--- a/masticprobe/prober.go
+++ b/masticprobe/prober.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"masticladder/masticcall"
+	"masticladder/masticengine"
 	"masticladder/mastichttp"
 	"masticladder/masticroute"
 	"masticladder/masticview"
@@ -27,6 +29,7 @@
 // Sink receives the results of probes: Probe is called for each one, Report for each load
 // report.
 type Sink interface {
+	masticcall.StatementObserver
 	Report(r masticroute.LoadReport)
 	Probe(server, incarnation string, alive bool)
 }
@@ -142,10 +145,14 @@
 	if err != nil {
 		return r, err
 	}
+	sentAt := time.Now()
 	a, err := p.client.Do(q)
 	if err != nil {
 		return r, err
 	}
 	defer a.Body.Close()
+	// What cannot be parsed states nothing; the client that sends requests logs it.
+	statement, _ := masticengine.ParseStatement(a.StatusCode, a.Header, time.Now())
+	p.sink.ObserveStatement(s, "", sentAt, statement)
 	return r, json.NewDecoder(io.LimitReader(a.Body, maxReportBytes)).Decode(&r)
 }
--- a/masticrelay/call.go
+++ b/masticrelay/call.go
@@ -101,9 +101,9 @@
 	Replaced(status int) bool
 	// Valid reports whether the response is valid in this protocol.
 	Valid(status int, h http.Header) bool
-	// StatedRate returns what the response states of the rate of requests that its server takes. The
-	// error is that of a statement that cannot be parsed.
-	StatedRate(status int, h http.Header) (masticcall.StatedRate, error)
+	// Statement returns what the response, received at now, states about its server. The error is that
+	// of a part that cannot be parsed, which then states nothing.
+	Statement(status int, h http.Header, now time.Time) (masticcall.Statement, error)
 	// LivenessCheck returns the path and header of a request that server answers while it lives.
 	// healthPath is that of its pool.
 	LivenessCheck(server masticview.Server, healthPath string) (path string, h http.Header)
--- a/masticrelay/liveness.go
+++ b/masticrelay/liveness.go
@@ -41,7 +41,7 @@
 		return masticdetector.SignNone
 	}
 	defer answer.Close()
-	c.observeRate(server, "", sentAt, answer)
+	c.observeStatement(server, "", sentAt, answer)
 	body, err := io.ReadAll(io.LimitReader(answer, maxLivenessBytes))
 	switch {
 	case err != nil:
--- a/masticrelay/metrics.go
+++ b/masticrelay/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"masticladder/masticcall"
 	"masticladder/masticerror"
 	"masticladder/masticview"
 )
@@ -29,6 +30,9 @@
 	firstAttempts, endedServers metrics.Counter
 	// limitedAnswers counts answers in which a backend server stated the rate of requests that it takes.
 	limitedAnswers metrics.Counter
+	// leavingAnswers counts answers in which a backend server stated that it is leaving, pausedAnswers
+	// those in which it asked for no requests for a time.
+	leavingAnswers, pausedAnswers metrics.Counter
 	// quotaWait is the time in milliseconds that requests waited for their workspace's quota.
 	quotaWait metrics.Histogram
 	kinds     map[string]kindMetrics
@@ -54,6 +58,8 @@
 		firstAttempts:  metrics.GetOrRegisterCounter("attempts.first", r),
 		endedServers:   metrics.GetOrRegisterCounter("attempts.serverEnded", r),
 		limitedAnswers: metrics.GetOrRegisterCounter("attempts.limitStated", r),
+		leavingAnswers: metrics.GetOrRegisterCounter("attempts.leavingStated", r),
+		pausedAnswers:  metrics.GetOrRegisterCounter("attempts.pauseStated", r),
 		quotaWait:      histogram(r, "quota.waitMillis"),
 	}
 }
@@ -73,6 +79,19 @@
 	return kindPlain
 }
 
+// recordStatement counts what an answer stated about its backend server.
+func (m *requestMetrics) recordStatement(s masticcall.Statement) {
+	if s.Rate.Kind == masticcall.RateLimited {
+		m.limitedAnswers.Inc(1)
+	}
+	if s.Leaving {
+		m.leavingAnswers.Inc(1)
+	}
+	if s.Paused() {
+		m.pausedAnswers.Inc(1)
+	}
+}
+
 // recordOutcome counts the outcome of a request and records its latencies.
 func (m *requestMetrics) recordOutcome(r *requestState, err *masticerror.Error, now time.Time) {
 	outcome := "answered"
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -32,10 +32,10 @@
 	suspects masticcall.SuspectReporter
 	holds    masticcall.Holds
 	client   *masticbackend.Client
-	// rates is nil if request rates of backend servers are not observed.
-	rates    masticcall.RateObserver
-	backends BackendProtocol
-	callers  CallerProtocol
+	// statements is nil if what backend servers state about themselves is not observed.
+	statements masticcall.StatementObserver
+	backends   BackendProtocol
+	callers    CallerProtocol
 	// bodies bounds the bodies of all calls together.
 	bodies  *masticbody.Budget
 	log     logrus.FieldLogger
@@ -75,8 +75,10 @@
 	return func(c *Relay) { c.suspects, c.holds = s, h }
 }
 
-// WithRateObserver sets the receiver of the request rates that backend servers state.
-func WithRateObserver(o masticcall.RateObserver) Option { return func(c *Relay) { c.rates = o } }
+// WithStatementObserver sets the receiver of what backend servers state about themselves.
+func WithStatementObserver(o masticcall.StatementObserver) Option {
+	return func(c *Relay) { c.statements = o }
+}
 
 // WithClient sets the client for requests to backend servers.
 func WithClient(b *masticbackend.Client) Option { return func(c *Relay) { c.client = b } }
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -224,10 +224,10 @@
 
 // canRun reports whether s may get the request now.
 func (r *Router) canRun(now time.Time, s *server, q *Query) bool {
-	return r.isEligible(now, s, q) && r.limits.Available(now, s.info.Name)
+	return r.isEligible(now, s, q) && s.notice.Allows(now) && r.limits.Available(now, s.info.Name)
 }
 
-// isEligible is canRun without regard to the request rate that s states.
+// isEligible is canRun without regard to what s states about itself.
 func (r *Router) isEligible(now time.Time, s *server, q *Query) bool {
 	if !s.usable(now) || slices.Contains(q.Avoid, s.info.Name) {
 		return false
--- a/masticroute/limit.go
+++ b/masticroute/limit.go
@@ -36,10 +36,10 @@
 	r.limits.SetHosts(hosts)
 }
 
-// LimitedEngines reports whether the rates that engines state are the only reason why none is usable for
-// q, and if so after what time the request should come back.
-func (r *Router) LimitedEngines(now time.Time, q *Query) (time.Duration, bool) {
-	var names []string
+// WithheldEngines reports whether what engines state about themselves is the only reason why none is
+// usable for q, and if so after what time the request should come back.
+func (r *Router) WithheldEngines(now time.Time, q *Query) (time.Duration, bool) {
+	var w withheld
 	for i := range r.pools[q.Model] {
 		p := &r.pools[q.Model][i]
 		if p.pastDeadline(now, q) {
@@ -47,22 +47,22 @@
 		}
 		for _, slot := range p.slots {
 			if s := r.servers[slot]; r.isEligible(now, s, q) {
-				names = append(names, s.info.Name)
+				w.add(now, s)
 			}
 		}
 	}
-	return r.comeBack(now, q.Model, names)
+	return r.comeBackDelay(now, q.Model, &w)
 }
 
-// LimitedService is LimitedEngines for the named servers of a plain service.
-func (r *Router) LimitedService(now time.Time, service string, names, avoid []string) (time.Duration, bool) {
-	var usable []string
+// WithheldService is WithheldEngines for the named servers of a plain service.
+func (r *Router) WithheldService(now time.Time, service string, names, avoid []string) (time.Duration, bool) {
+	var w withheld
 	for _, name := range names {
 		if slot, ok := r.slots[name]; ok && r.servers[slot].usable(now) && !slices.Contains(avoid, name) {
-			usable = append(usable, name)
+			w.add(now, r.servers[slot])
 		}
 	}
-	return r.comeBack(now, service, usable)
+	return r.comeBackDelay(now, service, &w)
 }
 
 // comeBack returns the time after which a refused request should come back: requests of one pool come
@@ -87,8 +87,13 @@
 	at = at.Add(min(seconds(1/rate), maxComeBackDelay))
 	delay := at.Sub(now)
 	if delay > maxComeBackDelay {
-		return maxComeBackDelay/2 + time.Duration(r.random.Int64N(int64(maxComeBackDelay/2))), true
+		return r.lateComeBackDelay(), true
 	}
 	r.comeBackAt[pool] = at
 	return delay, true
 }
+
+// lateComeBackDelay returns the delay of a request that no server takes within maxComeBackDelay.
+func (r *Router) lateComeBackDelay() time.Duration {
+	return maxComeBackDelay/2 + time.Duration(r.random.Int64N(int64(maxComeBackDelay/2)))
+}
--- /dev/null
+++ b/masticroute/notice.go
@@ -0,0 +1,113 @@
+package masticroute
+
+import "time"
+
+// Notice is what an incarnation of a backend server has stated about the requests that it takes from this
+// host. Each statement only narrows it, so that it does not depend on the order in which answers arrive.
+type Notice struct {
+	// Leaving reports that the server is being taken out of service.
+	Leaving bool
+	// PausedUntil is the time until which the server wants no requests, zero if it never asked for that.
+	PausedUntil time.Time
+}
+
+// WithLeaving returns n for a server that is leaving.
+func (n Notice) WithLeaving() Notice {
+	n.Leaving = true
+	return n
+}
+
+// WithPause returns n for a server that wants no requests until the given time either.
+func (n Notice) WithPause(until time.Time) Notice {
+	if until.After(n.PausedUntil) {
+		n.PausedUntil = until
+	}
+	return n
+}
+
+// Allows reports whether the server takes requests at now.
+func (n Notice) Allows(now time.Time) bool { return !n.Leaving && !now.Before(n.PausedUntil) }
+
+// ObserveNotice applies what an answer of an incarnation of a backend server stated, and reports whether
+// that changed what is known of it.
+func (r *Router) ObserveNotice(name, incarnation string, leaving bool, pausedUntil time.Time) (Notice, bool) {
+	slot, ok := r.slots[name]
+	if !ok || r.servers[slot].info.Incarnation != incarnation {
+		return Notice{}, false
+	}
+	s := r.servers[slot]
+	next := s.notice.WithPause(pausedUntil)
+	if leaving {
+		next = next.WithLeaving()
+	}
+	changed := next != s.notice
+	s.notice = next
+	return next, changed
+}
+
+// noServerDelay is the time after which a request comes back if all backend servers are leaving: their
+// successors take about a second to be listed. The delay is spread over twice that.
+const noServerDelay = time.Second
+
+// NoServerDelay returns the time after which a request should come back for which there is no server.
+func (r *Router) NoServerDelay() time.Duration {
+	return noServerDelay/2 + time.Duration(r.random.Int64N(int64(noServerDelay)))
+}
+
+// withheld collects the servers that could run a request, to find out whether what they state is the only
+// reason why none may.
+type withheld struct {
+	// servers counts them; leaving ones never take requests again.
+	servers int
+	// resumesAt is the earliest end of a pause, zero if there is none.
+	resumesAt time.Time
+	// limited are the names of the servers that only state a rate.
+	limited []string
+}
+
+// add adds a healthy server.
+func (w *withheld) add(now time.Time, s *server) {
+	w.servers++
+	switch {
+	case s.notice.Leaving:
+	case now.Before(s.notice.PausedUntil):
+		if w.resumesAt.IsZero() || s.notice.PausedUntil.Before(w.resumesAt) {
+			w.resumesAt = s.notice.PausedUntil
+		}
+	default:
+		w.limited = append(w.limited, s.info.Name)
+	}
+}
+
+// maxPauseSpread bounds the time over which the requests return that came while all servers of a pool
+// wanted none.
+const maxPauseSpread = time.Second
+
+// comeBackDelay returns the time after which a request of the pool should come back, the earliest at which
+// a server may take it. It reports false if a server takes requests, or if there are none.
+func (r *Router) comeBackDelay(now time.Time, pool string, w *withheld) (time.Duration, bool) {
+	if w.servers == 0 {
+		return 0, false
+	}
+	if len(w.limited) > 0 {
+		delay, limited := r.comeBack(now, pool, w.limited)
+		if !limited || w.resumesAt.IsZero() {
+			return delay, limited
+		}
+		return min(delay, r.pauseDelay(now, w.resumesAt)), true
+	}
+	if w.resumesAt.IsZero() {
+		return r.NoServerDelay(), true
+	}
+	return r.pauseDelay(now, w.resumesAt), true
+}
+
+// pauseDelay returns the time to the end of a pause, with a part that spreads the requests that return
+// then. It is bounded, because other servers may be added meanwhile.
+func (r *Router) pauseDelay(now, resumesAt time.Time) time.Duration {
+	left := resumesAt.Sub(now)
+	if left > maxComeBackDelay {
+		return r.lateComeBackDelay()
+	}
+	return left + time.Duration(r.random.Int64N(int64(min(left, maxPauseSpread)/2+1)))
+}
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -152,6 +152,9 @@
 			s.peerFailures, s.health = peerFailures{}, mastichealth.Server{}
 		}
 	}
+	if before.Incarnation != i.Incarnation {
+		s.notice = Notice{}
+	}
 	s.info, s.listed = i, true
 	if memoryTokens := r.memoryTokens[i.Service]; memoryTokens > 0 && memoryTokens != s.memoryTokens {
 		s.memoryTokens = memoryTokens
--- a/masticroute/server.go
+++ b/masticroute/server.go
@@ -27,6 +27,7 @@
 	load         load
 	health       mastichealth.Server
 	peerFailures peerFailures
+	notice       Notice
 	// active reports that the view allows new work on the backend server.
 	active bool
 	// listed reports that the view has the backend server.
--- a/masticroute/service.go
+++ b/masticroute/service.go
@@ -18,7 +18,7 @@
 	for i := range names {
 		name := names[(from+i)%len(names)]
 		slot, ok := r.slots[name]
-		if !ok || !r.servers[slot].usable(now) || slices.Contains(avoid, name) || !r.limits.Available(now, name) {
+		if !ok || !r.servers[slot].usable(now) || slices.Contains(avoid, name) || !r.servers[slot].notice.Allows(now) || !r.limits.Available(now, name) {
 			continue
 		}
 		if best < 0 || r.servers[slot].calls(now) < r.servers[best].calls(now) {
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -73,6 +73,9 @@
 	// Partial reports that the request was stopped before its own end, so that its counts mean
 	// nothing.
 	Partial bool
+	// Paused reports that the backend server turned the request away and stated until when it wants no
+	// further ones.
+	Paused bool
 	// ServerEnded reports that the connection broke as if the backend server had terminated.
 	ServerEnded  bool
 	Incarnation  string
@@ -107,6 +110,7 @@
 	case e.ServerEnded:
 		s.health.RecordConnectionFailure(now)
 		r.recordTerminated(s)
+	case e.Paused:
 	case e.Failed:
 		if s.updateFailureRate(1) || !r.shared {
 			s.health.RecordFailedAnswer(now)
--- a/masticschedule/scan.go
+++ b/masticschedule/scan.go
@@ -20,8 +20,8 @@
 	s.queue.Scan(scanLimit, func(i item) bool { return s.tryStart(now, i.Value) })
 }
 
-// tryStart starts w if the best backend server for it has capacity, and refuses it if all are at the
-// rates that they state. It reports whether w has an outcome.
+// tryStart starts w if the best backend server for it has capacity, and refuses it if what
+// they state allows none. It reports whether w has an outcome.
 func (s *Scheduler) tryStart(now time.Time, w *waiting) bool {
 	w.query.Suspect = s.suspects[w.request.Digest]
 	w.query.Discount = max(0, 1-s.usage.ShareRatio(now, w.request.Workspace))
@@ -29,7 +29,7 @@
 	s.announced.setQueryVersions(now, w)
 	d, ok := s.router.Decide(now, &w.query)
 	w.noUsableServer = !ok
-	if err := s.limitError(now, w); err != nil {
+	if err := s.withheldError(now, w); err != nil {
 		s.fail(w.ticket, err)
 		return true
 	}
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -119,7 +119,7 @@
 	s.announced.setQueryVersions(now, w)
 	d, ok := s.router.Decide(now, &w.query)
 	w.noUsableServer = !ok
-	if err := s.limitError(now, w); err != nil {
+	if err := s.withheldError(now, w); err != nil {
 		s.fail(t, err)
 		return
 	}
@@ -210,6 +210,7 @@
 	return masticroute.End{
 		Failed:      isServerFailure(masticerror.Kind(r.Failure)),
 		Partial:     r.Failure != "",
+		Paused:      r.Paused,
 		ServerEnded: r.ServerEnded,
 		Incarnation: r.ServerIncarnation, CachedTokens: r.CachedTokens, CachedUnknown: r.CachedUnknown,
 	}
@@ -249,6 +250,16 @@
 	return s.router.Limits().Statement(server), changed
 }
 
+// ObserveNotice applies what an answer of an incarnation of a backend server stated of the requests that
+// it takes from this host. It reports whether that changed what is known of it.
+func (s *Scheduler) ObserveNotice(now time.Time, server, incarnation string, leaving bool, pausedUntil time.Time) (masticroute.Notice, bool) {
+	n, changed := s.router.ObserveNotice(server, incarnation, leaving, pausedUntil)
+	if changed {
+		s.scan(now)
+	}
+	return n, changed
+}
+
 // ApplyLimitReport applies another host's report on request rates, and returns the statements that
 // changed.
 func (s *Scheduler) ApplyLimitReport(now time.Time, r masticlimit.Report) []masticlimit.Statement {
--- a/masticstate/result.go
+++ b/masticstate/result.go
@@ -61,6 +61,9 @@
 	Err                error
 }
 
+// LeavingResult is the result of a ServerLeaving. Applied is false if it changed nothing.
+type LeavingResult struct{ Applied bool }
+
 // HoldResult is the result of a SuspectHold. Held is also true, with no hold recorded, for a
 // request that is not a suspect. Err has kind quarantined for a quarantined request.
 type HoldResult struct {
@@ -105,3 +108,4 @@
 func (EndResult) isResult()      {}
 func (TickResult) isResult()     {}
 func (LoadResult) isResult()     {}
+func (LeavingResult) isResult()  {}
--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -112,6 +112,8 @@
 		return s.putDocument(k.Document)
 	case *masticproto.Command_Weights:
 		return s.nameWeights(k.Weights)
+	case *masticproto.Command_Leaving:
+		return LeavingResult{Applied: s.applyServerLeaving(k.Leaving)}
 	case *masticproto.Command_Tick:
 		s.usage.Close(s.now)
 		s.suspects.Expire(s.now)
--- a/masticview/server.go
+++ b/masticview/server.go
@@ -46,6 +46,9 @@
 	Incarnation string `json:"incarnation,omitempty"`
 	// Slots is the number of requests that the server runs concurrently; zero if unknown.
 	Slots int64 `json:"slots,omitempty"`
+	// StatedLeaving reports that the incarnation stated in an answer that it is leaving. It holds whatever
+	// a list of servers says.
+	StatedLeaving bool `json:"statedLeaving,omitempty"`
 }
 
 // WithState returns a copy in the given state.
@@ -54,6 +57,12 @@
 	return s
 }
 
+// WithStatedLeaving returns a copy that has stated that it is leaving.
+func (s Server) WithStatedLeaving() Server {
+	s.State, s.StatedLeaving = ServerLeaving, true
+	return s
+}
+
 // Serves reports whether the server has model loaded.
 func (s Server) Serves(model string) bool { return slices.Contains(s.Models, model) }
 
