Bound the memory that callers' bodies take, not the bytes that are counted

Operators saw: endless chunked bodies took an entry host of 144 MB to 115 and 120 MB, with a bound of 0.15 of its memory for bodies.

Cause: a body grew in one buffer by doubling. Buffer and copy, their unused halves and what the collector had not freed yet held up to five times what the budget had counted; sending copied it once more.

Change: a body is a list of blocks.

--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"masticladder/masticbody"
 	"masticladder/masticerror"
 )
 
@@ -34,7 +36,7 @@
 	Host string
 	// Header has no hop-by-hop fields.
 	Header   http.Header
-	Body     []byte
+	Body     masticbody.Body
 	Deadline time.Time
 }
 
@@ -137,20 +139,21 @@
 }
 
 // write sends q and returns the number of bytes that may have been sent.
-func (n *connection) write(q Request) (int, error) {
+func (n *connection) write(q Request) (int64, error) {
 	b := buffers.Get().(*bytes.Buffer)
 	defer buffers.Put(b)
 	b.Reset()
 	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", q.Method, q.URI, q.Host)
-	if len(q.Body) > 0 || q.Method != http.MethodGet && q.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
+	length := q.Body.Len()
+	if length > 0 || q.Method != http.MethodGet && q.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n")
 	}
 	if err := q.Header.Write(b); err != nil {
 		return 0, err
 	}
 	b.WriteString("\r\n")
-	b.Write(q.Body)
-	return n.tcp.Write(b.Bytes())
+	out := append(net.Buffers{b.Bytes()}, q.Body...)
+	return out.WriteTo(n.tcp)
 }
 
 // readHead reads the status line and header of the answer to q. It skips informational answers
--- a/masticbody/budget.go
+++ b/masticbody/budget.go
@@ -40,6 +40,8 @@
 	reader   io.Reader
 	budget   *Budget
 	reserved int64
+	// pooled are the blocks to reuse.
+	pooled []*[blockBytes]byte
 }
 
 // Read reads from the underlying reader. It returns ErrBudget if the budget is exhausted.
@@ -56,4 +58,8 @@
 func (r *Reader) Release() {
 	r.budget.used.Add(-r.reserved)
 	r.reserved = 0
+	for _, b := range r.pooled {
+		blocks.Put(b)
+	}
+	r.pooled = nil
 }
--- a/masticdaemon/nodesettings.go
+++ b/masticdaemon/nodesettings.go
@@ -74,9 +74,7 @@
 	// memoryLimitFraction is the fraction of MemoryLimitBytes that is the runtime's soft memory limit,
 	// above which it collects more aggressively.
 	memoryLimitFraction = 0.8
-	// bodyMemoryFraction is the fraction of MemoryLimitBytes that request bodies may have together. A
-	// body that is being read takes up to twice its size, and the collector leaves some of that for a
-	// while.
+	// bodyMemoryFraction is the fraction of MemoryLimitBytes that request bodies may have together.
 	bodyMemoryFraction = 0.15
 	// callerDescriptorFraction is the fraction of the descriptors available to callers'
 	// connections. Backend servers, other hosts and files need the rest. Further connections wait
--- a/masticrelay/call.go
+++ b/masticrelay/call.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"time"
 
+	"masticladder/masticbody"
 	"masticladder/masticcall"
 	"masticladder/masticdocument"
 	"masticladder/masticerror"
@@ -30,7 +31,7 @@
 	// Header has the fields to forward. Hop-by-hop fields, the key, and the fields that this
 	// system itself sets for backend servers are left out.
 	Header http.Header
-	Body   []byte
+	Body   masticbody.Body
 	// Key is the digest of the caller's key; HasKey reports whether the request had one.
 	Key    masticview.Digest
 	HasKey bool
@@ -66,7 +67,7 @@
 		// Writing to a hash does not fail.
 		_, _ = io.WriteString(h, part+"\x00")
 	}
-	_, _ = h.Write(c.Body)
+	_, _ = c.Body.WriteTo(h)
 	return masticview.Digest(h.Sum(nil))
 }
 
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"masticladder/masticbackend"
+	"masticladder/masticbody"
 	"masticladder/masticcall"
 	"masticladder/masticdocument"
 	"masticladder/masticerror"
@@ -295,7 +296,7 @@
 	now := time.Now()
 	b.relay.Serve(r.Context(), w, &Call{
 		ID: "q1", Method: r.Method, URI: r.RequestURI, Host: "host.example", Path: r.URL.Path, Header: http.Header{"Kept": {"yes"}},
-		Body: body, Key: masticview.DigestOf([]byte(r.Header.Get("Key"))), HasKey: true, Received: now, Deadline: now.Add(5 * time.Second),
+		Body: masticbody.Of(body), Key: masticview.DigestOf([]byte(r.Header.Get("Key"))), HasKey: true, Received: now, Deadline: now.Add(5 * time.Second),
 		LastEventID: r.Header.Get("Last-Event-Id"),
 	})
 }
--- a/masticrelay/suspect_test.go
+++ b/masticrelay/suspect_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"masticladder/masticbody"
 	"masticladder/masticcall"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
@@ -77,7 +78,7 @@
 	c := qt.New(t)
 	s := newRawServer(c)
 	b := newFixture(c, once, s)
-	call := &Call{Method: http.MethodPost, Host: "host.example", URI: "/a/x?y=1", Body: []byte("the body")}
+	call := &Call{Method: http.MethodPost, Host: "host.example", URI: "/a/x?y=1", Body: masticbody.Of([]byte("the body"))}
 	content := contentOf(call, "mill")
 	view, err := testView(c, once).Apply(&masticproto.ViewChange{Quarantines: []*masticproto.Quarantine{
 		{Digest: content[:], UntilUnixMs: time.Now().Add(time.Minute).UnixMilli()},
