Use old weights for two seconds after a restart

Cause: weights 2 were named at 3.03 s, all lost power, and the hosts were back at 4.48 s with a view that has version 2. Versions in a host's first view had no window ("they may have been announced long before"), and every engine still had version 1 until the first load was done at 5.77 s.

Ruled out: engines in cooldown (their first answers come at once from those that had loaded); a lost version (the order to load goes out 23 ms after the new leader's election); refusal by quota.

Change: versions in the first view get a window of 2 s. A request that begins in it is sent no later than 2.7 s after the start, and a version that was named long ago is on nearly all engines, which are preferred. Times are not taken from the log: its clock is the time of day of a leader, and that jumps.

--- a/masticschedule/weights.go
+++ b/masticschedule/weights.go
@@ -12,6 +12,10 @@
 // started up to 0.7 s later than predicted. That leaves 5.3 s, of which 0.1 s is margin.
 const oldWeightsWindow = 5200 * time.Millisecond
 
+// firstViewWindow is the same for the versions in the first view of a host: they may have been announced
+// long before, or just before all hosts restarted, when no engine has loaded them yet.
+const firstViewWindow = 2 * time.Second
+
 // announcedVersions holds the announced weights versions of each model in ascending order.
 // Deadlines are by this host's clock, since the clocks of hosts differ.
 type announcedVersions struct {
@@ -20,10 +24,9 @@
 	hasView bool
 }
 
-// update adds the new versions in v. Versions in the first view get no window, since they may
-// have been announced long before.
+// update adds the new versions in v.
 func (a *announcedVersions) update(now time.Time, v masticview.View) {
-	deadline := now
+	deadline := now.Add(firstViewWindow)
 	if a.hasView {
 		deadline = now.Add(oldWeightsWindow)
 	}
