Let coordinators of shards assign engines on large sites

Cause: each entry host reported its work to each other one: 84,000 pairs at 291 hosts, a third of the smallest host's processor time, 50 MB, 790 files. The reports came later than prompts were placed, so hosts sent their prompts to the same engines while others were idle, and read shared prefixes twice.

Change: masticshard divides the engines of a pool into shards of 24 or more; a prompt's shared prefix names its shard; one strong host a shard assigns all prompts to its engines and so knows their load and caches without reports. Hosts ask it (masticassign) and fall back to the next coordinator, the next shard, and their own knowledge. No load reports are sent then. Sites of less than 40 entry hosts are as before.

--- a/masticcall/request.go
+++ b/masticcall/request.go
@@ -32,6 +32,8 @@
 	// Avoid lists backend servers that must not be assigned: an earlier attempt failed on them,
 	// or they run another suspect.
 	Avoid []string
+	// Shard is the number of the shard whose engines may be assigned, zero for any engine.
+	Shard int
 	// Attempt is the number of the attempt, starting at zero.
 	Attempt int
 }
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -16,6 +16,7 @@
 
 	"masticladder/masticadmin"
 	"masticladder/masticagent"
+	"masticladder/masticassign"
 	"masticladder/masticbackend"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
@@ -38,6 +39,7 @@
 	control      *controlSupervisor
 	agent        *masticagent.Agent
 	dispatcher   *masticdispatch.Dispatcher
+	coordinators *masticassign.Client
 	client       *masticbackend.Client
 	relay        *masticrelay.Relay
 	gossip       *masticgossip.Exchange
@@ -216,6 +218,7 @@
 	err := g.Run()
 	if n.relay != nil {
 		n.relay.Close()
+		n.coordinators.Close()
 	}
 	if errors.Is(err, errEnded) {
 		return nil
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"masticladder/masticagent"
+	"masticladder/masticassign"
 	"masticladder/masticbackend"
 	"masticladder/masticbody"
 	"masticladder/masticcontrol"
@@ -137,8 +138,9 @@
 	if err != nil {
 		return err
 	}
+	n.coordinators = masticassign.NewClient(n.wire, n.registry)
 	n.dispatcher = masticdispatch.New(masticdispatch.WithLog(n.log.WithField("host", n.settings.Peer)), masticdispatch.WithSharedLoad(), masticdispatch.WithHost(n.settings.Peer),
-		masticdispatch.WithLeavingReporter(n.agent.Leaving()))
+		masticdispatch.WithLeavingReporter(n.agent.Leaving()), masticdispatch.WithCoordinators(n.coordinators))
 	n.client = masticbackend.New(masticbackend.WithSource(bound.Addr()), masticbackend.WithIdentify(n.protocols.Identify))
 	var lease []masticrelay.Option
 	if n.settings.FailClosed {
@@ -157,6 +159,7 @@
 		masticrelay.WithMetrics(n.registry),
 		masticrelay.WithRetryBudget(newRetryBudget(n.settings, n.fleetFraction)),
 	)...)
-	n.gossip, err = masticgossip.New(n.settings.Peer, n.wire, n.agent.View, n.dispatcher, n.log, masticgossip.WithListen(n.settings.Peer))
+	n.gossip, err = masticgossip.New(n.settings.Peer, n.wire, n.agent.View, n.dispatcher, n.log, masticgossip.WithListen(n.settings.Peer),
+		masticgossip.WithCalls(masticassign.NewServer(n.dispatcher)))
 	return err
 }
--- a/masticdispatch/assignment.go
+++ b/masticdispatch/assignment.go
@@ -19,10 +19,14 @@
 	outcome    masticschedule.Outcome
 	workspace  string
 	class      masticview.Class
+	// coordinator is the peer address of the host that assigned the engine, empty for this host; shardID is
+	// its name of the assignment.
+	coordinator string
+	shardID     uint64
 }
 
 func (d *Dispatcher) assignment(o masticschedule.Outcome, workspace string, c masticview.Class) *assignment {
-	return &assignment{d, o, workspace, c}
+	return &assignment{dispatcher: d, outcome: o, workspace: workspace, class: c}
 }
 
 func (a *assignment) Server() masticview.Server { return a.outcome.Server }
@@ -49,9 +53,20 @@
 // FirstToken records when the first token arrived.
 func (a *assignment) FirstToken(now time.Time) {
 	a.dispatcher.send(&firstToken{a.outcome.Ticket, now})
+	a.report(masticcall.ShardUpdate{})
 }
 
 // Done records how the attempt ended.
 func (a *assignment) Done(now time.Time, r masticcall.Result) {
 	a.dispatcher.send(&done{a.outcome.Ticket, now, r})
+	a.report(masticcall.ShardUpdate{Done: true, Result: r})
+}
+
+// report passes an update on to the coordinator that assigned the engine.
+func (a *assignment) report(u masticcall.ShardUpdate) {
+	if a.coordinator == "" {
+		return
+	}
+	u.Host, u.ID = a.dispatcher.host, a.shardID
+	a.dispatcher.sharding.coordinators.Update(a.coordinator, u)
 }
--- a/masticdispatch/command.go
+++ b/masticdispatch/command.go
@@ -47,6 +47,8 @@
 	switch s := c.submitted.(type) {
 	case *submit:
 		ticket = s.ticket
+	case *adopt:
+		ticket = s.ticket
 	case *submitService:
 		ticket = s.ticket
 	}
@@ -79,6 +81,7 @@
 func (c *setView) apply(d *Dispatcher, now time.Time) {
 	d.scheduler.SetView(now, c.view)
 	d.forgetLeaving(c.view)
+	d.sharding.setShards(d.scheduler.Shards())
 }
 
 type setSuspects struct{ digests []masticview.Digest }
--- a/masticdispatch/dispatcher.go
+++ b/masticdispatch/dispatcher.go
@@ -50,6 +50,8 @@
 	// receives them, and may be nil.
 	leavingServers sync.Map
 	leaving        LeavingReporter
+	host           string
+	sharding       sharding
 }
 
 // Option configures New.
@@ -67,9 +69,13 @@
 	return func(d *Dispatcher) { d.routerOptions = append(d.routerOptions, masticroute.WithSharedLoad()) }
 }
 
-// WithHost sets the name of this host, under which it shares the request rates of backend servers.
+// WithHost sets the name of this host, under which it shares the request rates of backend servers and
+// coordinates shards.
 func WithHost(name string) Option {
-	return func(d *Dispatcher) { d.routerOptions = append(d.routerOptions, masticroute.WithHost(name)) }
+	return func(d *Dispatcher) {
+		d.host = name
+		d.routerOptions = append(d.routerOptions, masticroute.WithHost(name))
+	}
 }
 
 // New returns a Dispatcher. It serves requests once Run is called.
@@ -83,6 +89,7 @@
 		seed:      uint64(time.Now().UnixNano()),
 		drops:     newDrops(),
 		reportDue: make(chan struct{}, 1),
+		sharding:  sharding{cooldowns: map[string]time.Time{}, assigned: map[assignmentKey]assignedRequest{}},
 	}
 	for _, o := range options {
 		o(d)
@@ -95,6 +102,9 @@
 // was not run.
 func (d *Dispatcher) Acquire(ctx context.Context, r masticcall.Request) (masticcall.Assignment, error) {
 	prompt := masticprompt.Cut(r.Levels)
+	if a := d.acquireFromShards(ctx, r, prompt); a != nil {
+		return a, nil
+	}
 	r.Levels = nil
 	reply := make(chan masticschedule.Outcome, 1)
 	o, err := d.sendAndWait(ctx, &submit{request: r, prompt: prompt, reply: reply}, reply)
--- a/masticgossip/exchange.go
+++ b/masticgossip/exchange.go
@@ -41,6 +41,8 @@
 	TakeLimitReports() map[string]masticlimit.Report
 	// ApplyLimitReport processes another host's report on request rates.
 	ApplyLimitReport(r masticlimit.Report)
+	// Sharded reports whether coordinators assign engines, so that load reports are not needed.
+	Sharded() bool
 }
 
 // Exchange sends the reports of this host and receives those of its peers.
@@ -54,9 +56,19 @@
 	log        logrus.FieldLogger
 	server     *masticwire.Server
 	clients    map[string]*masticwire.Client
+	calls      Calls
 	stopped    chan struct{}
 }
 
+// Calls handles further messages that arrive at the address of the exchange.
+type Calls interface {
+	Answer(ctx context.Context, q *masticproto.PeerRequest) (*masticproto.PeerAnswer, error)
+	Receive(q *masticproto.PeerRequest)
+}
+
+// WithCalls sets the handler of further messages.
+func WithCalls(c Calls) Option { return func(e *Exchange) { e.calls = c } }
+
 // Option configures New.
 type Option func(*Exchange)
 
@@ -111,7 +123,7 @@
 		}
 		sentAt = time.Now()
 		peers := e.peers()
-		if !e.limitsOnly {
+		if !e.limitsOnly && !e.dispatcher.Sharded() {
 			report, ok := e.dispatcher.TakeOwnReport(e.host)
 			if !ok {
 				return nil
@@ -195,11 +207,14 @@
 	}
 }
 
-// receiver handles the messages of other hosts. Only one-way reports are supported.
+// receiver handles the messages of other hosts.
 type receiver struct{ exchange *Exchange }
 
-// Answer rejects all calls.
-func (r *receiver) Answer(context.Context, *masticproto.PeerRequest) (*masticproto.PeerAnswer, error) {
+// Answer passes calls to the handler of WithCalls.
+func (r *receiver) Answer(ctx context.Context, q *masticproto.PeerRequest) (*masticproto.PeerAnswer, error) {
+	if r.exchange.calls != nil {
+		return r.exchange.calls.Answer(ctx, q)
+	}
 	return nil, masticerror.New(masticerror.KindBadRequest, "this host answers no calls")
 }
 
@@ -211,8 +226,12 @@
 // Receive passes reports to the dispatcher and ignores other messages.
 func (r *receiver) Receive(q *masticproto.PeerRequest) { r.exchange.Receive(q) }
 
-// Receive passes a report of another host to the dispatcher. It ignores other messages.
+// Receive passes a report of another host to the dispatcher, and other messages to the handler of
+// WithCalls.
 func (e *Exchange) Receive(q *masticproto.PeerRequest) {
+	if e.calls != nil {
+		e.calls.Receive(q)
+	}
 	if l := q.GetLoad(); l != nil {
 		e.dispatcher.ApplyPeerReport(decodeReport(l))
 	}
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -63,6 +63,8 @@
 	// PromptTokens is the length of the prompt where a better value than the estimate is known.
 	PromptTokens int64
 	Avoid        []string
+	// Shard is the number of the shard whose engines may run the request, zero for any engine.
+	Shard int
 	// Suspect reports that the request may crash the backend server that runs it.
 	Suspect bool
 	// Waited is how long the request has been in the queue.
--- a/masticroute/home.go
+++ b/masticroute/home.go
@@ -17,6 +17,20 @@
 	return -1
 }
 
+// PrefixHash returns a hash of the part of a prompt that other requests may share, or else of all of it.
+// It leaves out the version of the weights.
+func PrefixHash(workspace, model string, prompt masticprompt.Prompt) uint64 {
+	pieces := prompt.Pieces(masticprompt.Seed{Workspace: workspace, Model: model})
+	if len(pieces) == 0 {
+		return 0
+	}
+	end := prefixEnd(pieces)
+	if end < 0 {
+		end = len(pieces) - 1
+	}
+	return pieces[end].ID.Hash()
+}
+
 // homes returns the engines where all hosts look for the prompt's longest shared prefix: all its
 // levels but the last.
 func (p *pool) homes(pieces []masticprompt.Piece) []masticcache.Slot {
--- a/masticroute/limit.go
+++ b/masticroute/limit.go
@@ -24,11 +24,11 @@
 	return r.servers[slot].info.Incarnation, true
 }
 
-// setLimitView passes the servers and hosts of v on to the limits.
-func (r *Router) setLimitView(v masticview.View) {
+// setLimitHosts passes the hosts of the view on to the limits.
+func (r *Router) setLimitHosts(all []masticview.Host) {
 	r.limits.RemoveUnlisted()
 	var hosts []masticlimit.Host
-	for _, h := range v.Hosts() {
+	for _, h := range all {
 		if h.Address != "" && (h.State == masticview.HostLive || h.State == masticview.HostLeaving) {
 			hosts = append(hosts, masticlimit.Host{Name: h.Name, Weight: h.Weight, Leaving: h.State == masticview.HostLeaving})
 		}
--- a/masticroute/peer.go
+++ b/masticroute/peer.go
@@ -129,7 +129,7 @@
 // store of slot was to save them. A prompt of at least minFetchTokens is also added to the next report to other hosts, which may share it.
 func (r *Router) touch(now time.Time, slot masticcache.Slot, epoch masticcache.Epoch, pieces []masticprompt.Piece) {
 	r.cacheIndex.Touch(now, slot, epoch, pieces)
-	if !r.shared || len(r.unsentTouches) >= maxTouches {
+	if !r.shared || r.shards != nil || len(r.unsentTouches) >= maxTouches {
 		return
 	}
 	var tokens int64
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -13,6 +13,7 @@
 	"masticladder/masticlimit"
 	"masticladder/masticprompt"
 	"masticladder/masticproto"
+	"masticladder/masticshard"
 	"masticladder/masticview"
 )
 
@@ -31,6 +32,8 @@
 	lookup     masticcache.Lookup
 	// engines is the number of active engines.
 	engines int
+	// shards is the division of the engines on large sites.
+	shards *masticshard.Map
 	// shared reports that hosts report their work to each other; see decideShared.
 	shared bool
 	// stores are the stores of cached prompts, transferSpeeds the speeds at which engines fetch
@@ -66,6 +69,8 @@
 	version string
 	ring    ring
 	slots   []masticcache.Slot
+	// shards are the slots by shard, from that with number 1 on.
+	shards [][]masticcache.Slot
 	// reserve are the slots reserved for the quick class.
 	reserve []masticcache.Slot
 }
@@ -113,7 +118,8 @@
 	r.loadDocument(v)
 	seen := make([]bool, len(r.servers))
 	changed := false
-	for _, i := range v.Servers() {
+	servers, hosts := v.Servers(), v.Hosts()
+	for _, i := range servers {
 		slot, ok := r.slots[i.Name]
 		if ok {
 			seen[slot] = true
@@ -129,12 +135,20 @@
 		s.active = s.active && ok
 		s.listed = s.listed && ok
 	}
+	if r.shared {
+		if m := masticshard.New(hosts, servers, r.shards); m != r.shards {
+			r.shards, changed = m, true
+		}
+	}
 	if changed {
 		r.pools = r.newPools()
 	}
-	r.setLimitView(v)
+	r.setLimitHosts(hosts)
 }
 
+// Shards returns the division of the engines, nil if they are not divided.
+func (r *Router) Shards() *masticshard.Map { return r.shards }
+
 // setServer adds or updates one backend server and reports whether the pools must be rebuilt.
 func (r *Router) setServer(i masticview.Server) bool {
 	slot, ok := r.slots[i.Name]
@@ -191,6 +205,7 @@
 			}
 			slices.Sort(p.slots)
 			p.reserve = newReserve(m, p)
+			p.shards = r.newShards(m, p.slots)
 			out[m] = append(out[m], p)
 		}
 		slices.SortFunc(out[m], func(a, b pool) int {
@@ -200,6 +215,18 @@
 	return out
 }
 
+// newShards returns the slots of a pool by shard.
+func (r *Router) newShards(model string, slots []masticcache.Slot) [][]masticcache.Slot {
+	out := make([][]masticcache.Slot, r.shards.Shards(model))
+	for _, slot := range slots {
+		if len(out) > 0 {
+			n := masticshard.Of(r.servers[slot].info.Name, len(out))
+			out[n-1] = append(out[n-1], slot)
+		}
+	}
+	return out
+}
+
 func getOrCreate[K, J comparable, T any](m map[K]map[J]T, k K) map[J]T {
 	c, ok := m[k]
 	if !ok {
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -53,6 +53,17 @@
 // ReasonScan marks candidates of a pool whose engines are all evaluated, in decideShared.
 const ReasonScan Reason = "scan"
 
+// ReasonShard marks candidates of a shard that this host coordinates; all its engines are evaluated.
+const ReasonShard Reason = "shard"
+
+// shard returns the slots of the numbered shard.
+func (p *pool) shard(number int) []masticcache.Slot {
+	if number > len(p.shards) {
+		return nil
+	}
+	return p.shards[number-1]
+}
+
 // decideShared evaluates candidates by the work of all hosts, which report it to each other. A
 // prompt that is cached elsewhere is fetched, so requests go to the engine with the least work.
 func (r *Router) decideShared(now time.Time, q *Query) (Decision, bool) {
@@ -140,7 +151,7 @@
 	e := &poolEvaluation{router: r, now: now, pool: p, query: q, tokens: tokens, home: -1}
 	e.pieces = q.Prompt.Pieces(masticprompt.Seed{Workspace: q.Workspace, Model: q.Model, WeightsVersion: p.version})
 	r.lookup = r.cacheIndex.Lookup(r.lookup, e.pieces)
-	if first := r.homeOf(q, p); first >= 0 {
+	if first := r.homeOf(q, p); first >= 0 && q.Shard == 0 {
 		e.home = first
 	}
 	if q.Class == masticview.ClassQuick {
@@ -204,6 +215,12 @@
 // forEachCandidate calls use with the engines to evaluate; an engine may be passed more than
 // once.
 func (e *poolEvaluation) forEachCandidate(use func(masticcache.Slot, Reason)) {
+	if e.query.Shard > 0 {
+		for _, slot := range e.pool.shard(e.query.Shard) {
+			use(slot, ReasonShard)
+		}
+		return
+	}
 	if len(e.pool.slots) <= maxScanServers {
 		for _, slot := range e.pool.slots {
 			use(slot, ReasonScan)
@@ -229,7 +246,7 @@
 // forEachOther calls use with all engines of a pool of which forEachCandidate passes a part: while most
 // state a limit, that part may have none that is usable.
 func (e *poolEvaluation) forEachOther(use func(masticcache.Slot, Reason)) {
-	if len(e.pool.slots) <= maxScanServers {
+	if len(e.pool.slots) <= maxScanServers || e.query.Shard > 0 {
 		return
 	}
 	for _, slot := range e.pool.slots {
--- a/masticschedule/admission.go
+++ b/masticschedule/admission.go
@@ -64,6 +64,10 @@
 	if !w.noUsableServer {
 		return nil
 	}
+	if w.request.Shard > 0 {
+		// Another shard may have a server.
+		return noServerError(w.request.Model)
+	}
 	delay, withheld := s.router.WithheldEngines(now, &w.query)
 	if !withheld {
 		return nil
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -13,6 +13,7 @@
 	"masticladder/masticprompt"
 	"masticladder/masticretry"
 	"masticladder/masticroute"
+	"masticladder/masticshard"
 	"masticladder/masticview"
 )
 
@@ -110,7 +111,7 @@
 	}
 	w := &waiting{ticket: t, request: r, queuedAt: now, query: masticroute.Query{
 		Model: r.Model, Workspace: r.Workspace, Class: r.Class, Prompt: p,
-		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Suspect: s.suspects[r.Digest],
+		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Suspect: s.suspects[r.Digest], Shard: r.Shard,
 	}}
 	if !s.router.Eligible(&w.query) {
 		s.fail(t, noServerError(r.Model))
@@ -135,6 +136,26 @@
 	s.scan(now)
 }
 
+// Adopt starts a request on the engine that the coordinator of its shard assigned, unless this host may not
+// use it.
+func (s *Scheduler) Adopt(now time.Time, t Ticket, r masticcall.Request, p masticprompt.Prompt, a masticcall.ShardAssignment) {
+	w := &waiting{ticket: t, request: r, queuedAt: now, query: masticroute.Query{
+		Model: r.Model, Workspace: r.Workspace, Class: r.Class, Prompt: p,
+		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Suspect: s.suspects[r.Digest],
+	}}
+	d, ok := s.router.Adopt(now, &w.query, a)
+	if !ok {
+		s.fail(t, noServerError(r.Model))
+		return
+	}
+	s.start(now, w, &d)
+	o := &s.outcomes[len(s.outcomes)-1]
+	o.Server.WeightsVersion = a.WeightsVersion
+}
+
+// Shards returns the division of the engines, nil if they are not divided.
+func (s *Scheduler) Shards() *masticshard.Map { return s.router.Shards() }
+
 func (s *Scheduler) push(w *waiting, tokens int64) {
 	r := w.request
 	s.queue.Push(masticfair.Item[*waiting]{
