Check pauses and stated rates at the host that sends a request

A pause, which concerns one host, kept an engine from all hosts of the shard, and a stated rate cost two tokens a request, one at each host, so that half of it would have been used.

A leaving engine is assigned to nobody.

--- a/masticcall/request.go
+++ b/masticcall/request.go
@@ -34,6 +34,9 @@
 	Avoid []string
 	// Shard is the number of the shard whose engines may be assigned, zero for any engine.
 	Shard int
+	// OtherHost reports that another host sends the request: what servers state about the requests of this
+	// host does not apply to it.
+	OtherHost bool
 	// Attempt is the number of the attempt, starting at zero.
 	Attempt int
 }
--- a/masticdispatch/shard.go
+++ b/masticdispatch/shard.go
@@ -193,6 +193,7 @@
 // AssignFromShard assigns an engine of a shard that this host coordinates to a request of another host. The
 // answer names no server if the shard cannot take the request now.
 func (d *Dispatcher) AssignFromShard(ctx context.Context, q masticcall.ShardRequest) masticcall.ShardAssignment {
+	q.Request.OtherHost = true
 	o, err := d.submitToShard(ctx, q.Request, masticprompt.Cut(q.Request.Levels))
 	if err != nil || o.Err != nil {
 		return masticcall.ShardAssignment{}
--- a/masticdispatch/shard_test.go
+++ b/masticdispatch/shard_test.go
@@ -179,6 +179,19 @@
 	waitUntil(c, func() bool { return n.dispatchers["host0"].running() == 3 })
 }
 
+// TestPauseOfCoordinatorBindsOtherHosts: a pause concerns the host that was told, and a leaving server all.
+func TestPauseOfCoordinatorBindsOtherHosts(t *testing.T) {
+	c := qt.New(t)
+	n := newShardNet(c, 1, 2)
+	d := n.dispatchers["host0"]
+	d.ObserveStatement(masticview.Server{Name: "engine0"}, "", time.Now(), masticcall.Statement{PausedUntil: time.Now().Add(time.Hour)})
+	d.ObserveStatement(masticview.Server{Name: "engine1"}, "", time.Now(), masticcall.Statement{Leaving: true})
+	waitUntil(c, func() bool { return d.isLeaving(masticview.Server{Name: "engine1"}) })
+	for i := range 3 {
+		c.Assert(n.acquire(c, "host1", i).Server().Name, qt.Equals, "engine0")
+	}
+}
+
 // TestAssignmentOfLostHostEnds checks that an assignment whose end is never reported does not count for
 // ever.
 func TestAssignmentOfLostHostEnds(t *testing.T) {
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -65,6 +65,8 @@
 	Avoid        []string
 	// Shard is the number of the shard whose engines may run the request, zero for any engine.
 	Shard int
+	// OtherHost reports that another host sends the request, which checks pauses and stated rates itself.
+	OtherHost bool
 	// Suspect reports that the request may crash the backend server that runs it.
 	Suspect bool
 	// Waited is how long the request has been in the queue.
@@ -226,6 +228,9 @@
 
 // canRun reports whether s may get the request now.
 func (r *Router) canRun(now time.Time, s *server, q *Query) bool {
+	if q.OtherHost {
+		return r.isEligible(now, s, q) && !s.notice.Leaving
+	}
 	return r.isEligible(now, s, q) && s.notice.Allows(now) && r.limits.Available(now, s.info.Name)
 }
 
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -22,7 +22,9 @@
 	}
 	s := r.servers[w.Slot]
 	s.load.add(now, &w)
-	r.limits.Spend(s.info.Name)
+	if !q.OtherHost {
+		r.limits.Spend(s.info.Name)
+	}
 	if w.Suspect {
 		s.suspects++
 	}
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -111,7 +111,7 @@
 	}
 	w := &waiting{ticket: t, request: r, queuedAt: now, query: masticroute.Query{
 		Model: r.Model, Workspace: r.Workspace, Class: r.Class, Prompt: p,
-		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Suspect: s.suspects[r.Digest], Shard: r.Shard,
+		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Suspect: s.suspects[r.Digest], Shard: r.Shard, OtherHost: r.OtherHost,
 	}}
 	if !s.router.Eligible(&w.query) {
 		s.fail(t, noServerError(r.Model))
