--- a/masticdispatch/shard.go
+++ b/masticdispatch/shard.go
@@ -40,7 +40,9 @@
 
 	mutex  sync.Mutex
 	shards *masticshard.Map
-	nextID uint64
+	// lastID is the ID of the last question to a coordinator. It starts at random, so that a restarted host
+	// does not use those of its former process.
+	lastID uint64
 	// cooldowns are the times, by peer address, until which coordinators are not asked.
 	cooldowns map[string]time.Time
 	// assigned are the requests of other hosts that run on engines of this host's shards.
@@ -104,8 +106,8 @@
 func (s *sharding) newID() uint64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.nextID++
-	return s.nextID
+	s.lastID++
+	return s.lastID
 }
 
 // acquireFromShards has coordinators assign an engine. It returns nil if none does; the request is then
@@ -217,12 +219,16 @@
 func (s *sharding) addAssigned(now time.Time, q masticcall.ShardRequest, t masticschedule.Ticket) []masticschedule.Ticket {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.assigned[assignmentKey{q.Host, q.ID}] = assignedRequest{t, q.Request.Deadline.Add(assignedGrace)}
+	var expired []masticschedule.Ticket
+	key := assignmentKey{q.Host, q.ID}
+	if former, ok := s.assigned[key]; ok {
+		expired = append(expired, former.ticket)
+	}
+	s.assigned[key] = assignedRequest{t, q.Request.Deadline.Add(assignedGrace)}
 	if now.Before(s.sweepAt) {
-		return nil
+		return expired
 	}
 	s.sweepAt = now.Add(assignedGrace)
-	var expired []masticschedule.Ticket
 	for k, a := range s.assigned {
 		if now.After(a.deadline) {
 			expired = append(expired, a.ticket)
--- a/masticdispatch/shard_test.go
+++ b/masticdispatch/shard_test.go
@@ -209,4 +209,5 @@
 	_, ok = s.ticketOf(masticcall.ShardUpdate{Host: "h", ID: 2, Done: true})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(s.assigned, qt.HasLen, 1)
+	c.Assert(s.addAssigned(now.Add(3*time.Second), q(3, now.Add(time.Minute)), 4), qt.DeepEquals, []masticschedule.Ticket{3})
 }
