End quarantines by the host's own clock

Ruled out: leases, grants and deadlines of requests, which count by masticclock or the runtime's monotonic clock.

Change: the agent keeps the replicated view beside the one that the host uses, and sets the end of each quarantine to what was left by the replicated state's time, from the arrival on. Whole views state that time too.

--- a/masticagent/views.go
+++ b/masticagent/views.go
@@ -15,9 +15,11 @@
 // views holds this host's copy of the view. Only loop writes it; any goroutine may read the
 // newest.
 type views struct {
-	agent          *Agent
-	updates        *masticring.Ring[*masticproto.ViewUpdate]
-	newest         atomic.Pointer[masticview.View]
+	agent   *Agent
+	updates *masticring.Ring[*masticproto.ViewUpdate]
+	newest  atomic.Pointer[masticview.View]
+	// local is what newest is made from. Only loop uses it.
+	local          localView
 	leaseExpiresAt atomic.Pointer[time.Time]
 	// lastAnswerAt is when the leader last answered a renewal.
 	lastAnswerAt atomic.Pointer[time.Time]
@@ -63,15 +65,17 @@
 		v.agent.suspects.replace(s)
 	}
 	old := v.view()
-	next, err := applyUpdate(old, u)
+	local, err := v.local.withUpdate(time.Now(), u)
 	if err != nil {
 		v.agent.log.WithError(err).Warn("view update does not follow this host's revision; restarting the view stream")
 		v.agent.watcher.restart()
 		return
 	}
+	next := local.view()
 	if next.Revision() <= old.Revision() {
 		return
 	}
+	v.local = local
 	v.newest.Store(&next)
 	if !v.agent.lazyAcknowledgement {
 		v.agent.renewer.renewNow()
--- a/masticcontrol/watch.go
+++ b/masticcontrol/watch.go
@@ -88,13 +88,22 @@
 	return l.fullViewUpdate()
 }
 
+// maxFullViewAge bounds the age of the time that a full view states.
+const maxFullViewAge = time.Second
+
 // fullViewUpdate returns the full current view. It is built once per revision: after a power loss
 // all hosts request it at once, and building it for each of 85 hosts takes the leader a tenth of
 // a second.
 func (l *loop) fullViewUpdate() *masticproto.ViewUpdate {
-	view := l.state.View()
-	if l.fullView == nil || l.fullViewRevision != view.Revision() {
-		l.fullView, l.fullViewRevision = &masticproto.ViewUpdate{Whole: view.Snapshot()}, view.Revision()
+	view, at := l.state.View(), l.state.Now().UnixMilli()
+	switch {
+	case l.fullView == nil || l.fullViewRevision != view.Revision():
+		whole := view.Snapshot()
+		whole.AtUnixMs = at
+		l.fullView, l.fullViewRevision = &masticproto.ViewUpdate{Whole: whole}, view.Revision()
+	case at-l.fullView.GetWhole().GetAtUnixMs() > maxFullViewAge.Milliseconds():
+		whole := l.fullView.GetWhole()
+		l.fullView = &masticproto.ViewUpdate{Whole: &masticproto.ViewSnapshot{Revision: whole.GetRevision(), Items: whole.GetItems(), AtUnixMs: at}}
 	}
 	return l.fullView
 }
