--- a/masticengine/statement.go
+++ b/masticengine/statement.go
@@ -55,17 +55,11 @@
 // ParseStatement returns what an answer, received at now, states about its server. The error is that of a
 // part that cannot be parsed, which then states nothing.
 func ParseStatement(status int, h http.Header, now time.Time) (masticcall.Statement, error) {
-	s := masticcall.Statement{Leaving: h.Get(HeaderServerLeaving) == leavingValue}
 	rate, rateErr := statedRate(status, h)
-	s.Rate = rate
-	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
-		return s, rateErr
-	}
-	delay, err := mastichttp.RetryAfter(h)
-	if delay > 0 {
-		s.PausedUntil = now.Add(delay)
-	}
-	return s, errors.Join(rateErr, err)
+	pausedUntil, err := mastichttp.PausedUntil(status, h, now)
+	return masticcall.Statement{
+		Rate: rate, Leaving: h.Get(HeaderServerLeaving) == leavingValue, PausedUntil: pausedUntil,
+	}, errors.Join(rateErr, err)
 }
 
 // statedRate returns the rate that an answer states. A success without one shows that the server states
--- a/mastichttp/retryafter.go
+++ b/mastichttp/retryafter.go
@@ -12,6 +12,19 @@
 // MaxRetryAfter is the longest delay that RetryAfter returns. It keeps sums of times from overflowing.
 const MaxRetryAfter = 10 * 365 * 24 * time.Hour
 
+// PausedUntil returns the time until which the server of an answer, received at now, wants no requests. It
+// is zero unless the server turned the request away, with status 503 or 429, and stated a delay.
+func PausedUntil(status int, h http.Header, now time.Time) (time.Time, error) {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return time.Time{}, nil
+	}
+	delay, err := RetryAfter(h)
+	if delay == 0 {
+		return time.Time{}, err
+	}
+	return now.Add(delay), err
+}
+
 // RetryAfter returns the delay that the Retry-After field of an answer states, zero if it has none. The
 // value is a decimal number of seconds, which may have a fraction, or a date. A date is taken relative to
 // the Date field of the same answer, so that only the server's clock matters.
