Test of leaving servers: count from the first statement in any answer

Trace: the test demanded a request after the statement, but the host's own report to the engine, each 125 ms, can be told before the next request; then there is none, as there should be. The test now waits for a request before the statement, and counts late requests from the first answer of any kind that stated it, which is earlier than before.

--- a/notice_test.go
+++ b/notice_test.go
@@ -18,10 +18,11 @@
 	next http.Handler
 
 	mutex sync.Mutex
-	// leaving and pause are what it states; arrivals are the requests since then.
+	// leaving and pause are what it states from state on; toldAt is when it first did so, in any answer.
 	leaving  bool
 	pause    string
 	stated   bool
+	toldAt   time.Time
 	arrivals []time.Time
 }
 
@@ -36,16 +37,20 @@
 func (b *statingBackend) answer(w http.ResponseWriter, r *http.Request) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if !b.stated {
+	isRequest := r.Method == http.MethodPost
+	if isRequest {
+		b.arrivals = append(b.arrivals, time.Now())
+	}
+	if !b.stated || !b.leaving && !isRequest {
 		return false
 	}
-	if r.Method == http.MethodPost {
-		b.arrivals = append(b.arrivals, time.Now())
+	if b.toldAt.IsZero() {
+		b.toldAt = time.Now()
 	}
 	if b.leaving {
 		w.Header().Set(masticengine.HeaderServerLeaving, "1")
 	}
-	if b.pause == "" || r.Method != http.MethodPost {
+	if b.pause == "" {
 		return false
 	}
 	w.Header().Set(masticengine.HeaderRequestID, r.Header.Get(masticengine.HeaderRequestID))
@@ -60,18 +65,25 @@
 	b.stated = true
 }
 
-// late counts the requests that arrived later than the given time after the first.
-func (b *statingBackend) late(after time.Duration) (first, late int) {
+// count returns the number of requests.
+func (b *statingBackend) count() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.arrivals)
+}
+
+// late counts the requests that arrived later than the given time after the first statement. It reports
+// false if the backend has stated nothing.
+func (b *statingBackend) late(after time.Duration) (int, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	late := 0
 	for _, at := range b.arrivals {
-		if at.Sub(b.arrivals[0]) > after {
+		if !b.toldAt.IsZero() && at.Sub(b.toldAt) > after {
 			late++
-		} else {
-			first++
 		}
 	}
-	return first, late
+	return late, !b.toldAt.IsZero()
 }
 
 // TestEngineThatLeavesOrPausesGetsRequests: engines and plain services behind the gate got as many requests
@@ -99,16 +111,23 @@
 			}
 			publishUntilAccepted(t, p, "first", b.change)
 			waitServing(t, p[0])
+			send := func() {
+				p[0].chat(testKey, fmt.Sprint("question ", time.Now().UnixNano()))
+				p[0].order(fmt.Sprint("order ", time.Now().UnixNano()))
+			}
+			waitFor(t, "requests at both servers", func() bool {
+				send()
+				return engine.count() > 0 && orders.count() > 0
+			})
 			engine.state()
 			orders.state()
 			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-				p[0].chat(testKey, fmt.Sprint("question ", time.Now().UnixNano()))
-				p[0].order(fmt.Sprint("order ", time.Now().UnixNano()))
+				send()
 			}
 			for name, s := range map[string]*statingBackend{"engine": engine, "service": orders} {
-				first, late := s.late(notice)
-				t.Logf("%s: %d requests at first, %d later", name, first, late)
-				qt.Check(t, first > 0, qt.IsTrue, qt.Commentf("%s got no request", name))
+				late, stated := s.late(notice)
+				t.Logf("%s: %d requests, %d late", name, s.count(), late)
+				qt.Check(t, stated, qt.IsTrue, qt.Commentf("%s", name))
 				qt.Check(t, late, qt.Equals, 0, qt.Commentf("%s", name))
 			}
 		})
