Refuse requests that may outlast a planned stop

Cause: after address answers had run out, a stopping host went on taking whatever came over connections that callers had kept, whatever its deadline; routes of 15 s are longer than the 7.1 s that a stop leaves. The log line "refusing new requests" was untrue on these machines: the gate of the drain did nothing.

Change: from the end of the address answers on, a request whose deadline is after the host's end is refused at once, as not run, and its connection closes; shorter ones are served as before.

TestLongRequestIsCutByPlannedStop failed before.

--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -154,7 +154,7 @@
 		operator: n.agent.Operator(), views: n.agent, log: n.log, onRetire: n.Drain,
 		firstAnnounceAt: time.Now().Add(firstAnnounceDelay), stopped: make(chan struct{}),
 	}
-	n.drainer = newDrainer(&nodeGate{n}, n.announcer, n.log, n.settings.AddressListTTL, 0, n.settings.GracePeriod-shutdownMargin)
+	n.drainer = newDrainer(&nodeGate{node: n}, n.announcer, n.log, n.settings.AddressListTTL, 0, n.settings.GracePeriod-shutdownMargin)
 	return nil
 }
 
@@ -227,16 +227,22 @@
 }
 
 // nodeGate is the drainable of a Node.
-type nodeGate struct{ node *Node }
+type nodeGate struct {
+	node   *Node
+	endsAt time.Time
+}
 
 // Running returns the number of running requests.
 func (g *nodeGate) Running() int { return int(g.node.relay.Running()) }
 
-// Leave does nothing: the relay is draining already.
-func (g *nodeGate) Leave() {}
+// Leave records when the drain ends. The relay is draining already.
+func (g *nodeGate) Leave() {
+	g.endsAt = time.Now().Add(g.node.settings.GracePeriod - shutdownMargin)
+}
 
-// Drain does nothing: the server accepts no connections once Wait shuts it down.
-func (g *nodeGate) Drain() {}
+// Drain makes the relay refuse what it might not complete. The server accepts no connections once Wait shuts
+// it down, but callers that keep one still use it.
+func (g *nodeGate) Drain() { g.node.relay.RefuseBeyond(g.endsAt) }
 
 // Wait stops accepting connections and waits for the running requests.
 func (g *nodeGate) Wait(ctx context.Context) error { return g.node.callerServer.server.Shutdown(ctx) }
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -54,6 +54,8 @@
 
 	running  atomic.Int64
 	draining atomic.Bool
+	// endsAt is when the host ends, nil while requests may take their whole time.
+	endsAt atomic.Pointer[time.Time]
 }
 
 // Option sets one property of a Relay.
@@ -189,6 +191,18 @@
 // the connection closes. Idle connections stay open: a request may be under way on each.
 func (c *Relay) Drain() { c.draining.Store(true) }
 
+// RefuseBeyond makes the relay refuse requests whose deadline is after endsAt, when the host ends: they might
+// be cut. It is called once callers have had time to find other hosts.
+func (c *Relay) RefuseBeyond(endsAt time.Time) { c.endsAt.Store(&endsAt) }
+
+// endError returns the refusal of a request with the given deadline that this host might not complete.
+func (c *Relay) endError(deadline time.Time) *masticerror.Error {
+	if end := c.endsAt.Load(); end != nil && deadline.After(*end) {
+		return unavailable(c, masticerror.KindDraining, "this host ends before the request's deadline")
+	}
+	return nil
+}
+
 // announceClose adds to the header of a response that its connection closes, if the host is draining.
 func (c *Relay) announceClose(h http.Header) {
 	if c.draining.Load() {
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -135,6 +135,9 @@
 		return errUnknownKey()
 	}
 	r.deadline = deadlineOf(route, r.call)
+	if err := c.endError(r.deadline); err != nil {
+		return err
+	}
 	r.content = contentOf(r.call, r.workspace.Name)
 	r.pool, _ = t.index.Pool(c.pickPool(route.Targets))
 	r.service = t.services[r.pool.Name]
--- a/masticrelay/serve_test.go
+++ b/masticrelay/serve_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -75,3 +76,19 @@
 		})
 	}
 }
+
+// TestLongRequestIsCutByPlannedStop: a host that was being stopped took requests of kept connections that
+// could outlast it, and cut them in the middle of their answers.
+func TestLongRequestIsCutByPlannedStop(t *testing.T) {
+	c := qt.New(t)
+	server := newRawServer(c, okAnswer, okAnswer)
+	b := newFixture(c, once, server)
+	b.relay.Drain()
+	b.relay.RefuseBeyond(time.Now().Add(time.Second))
+	status, _, _ := b.send(c)
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(server.received(), qt.HasLen, 0)
+	b.relay.RefuseBeyond(time.Now().Add(time.Minute))
+	status, _, _ = b.send(c)
+	c.Assert(status, qt.Equals, http.StatusOK)
+}
