Close connections that shards no longer need

Found by reading: a host kept its connection to every host that had ever coordinated a shard, and, on a site that grew beyond 40 entry hosts, those over which it had sent load reports before. Those of reports are closed at once, those of coordinators after a minute without use.

--- a/masticassign/assign.go
+++ b/masticassign/assign.go
@@ -23,13 +23,22 @@
 	asked, unanswered, busy metrics.Counter
 
 	mutex   sync.Mutex
-	clients map[string]*masticwire.Client
+	clients map[string]*usedClient
 }
 
+// usedClient is a connection to a coordinator.
+type usedClient struct {
+	*masticwire.Client
+	usedAt time.Time
+}
+
+// unusedTimeout is the time after which the connection to a host that is no coordinator any more is closed.
+const unusedTimeout = time.Minute
+
 // NewClient returns a client without connections, with its counters in r.
 func NewClient(w *masticwire.Wire, r metrics.Registry) *Client {
 	return &Client{
-		wire: w, clients: map[string]*masticwire.Client{},
+		wire: w, clients: map[string]*usedClient{},
 		asked:      metrics.GetOrRegisterCounter("shards.asked", r),
 		unanswered: metrics.GetOrRegisterCounter("shards.unanswered", r),
 		busy:       metrics.GetOrRegisterCounter("shards.busy", r),
@@ -79,18 +88,28 @@
 	})
 }
 
-func (c *Client) client(peer string) (*masticwire.Client, error) {
+// client returns the connection to a peer. Whenever there is a new one, those are closed that have not been
+// used for unusedTimeout.
+func (c *Client) client(peer string) (*usedClient, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	now := time.Now()
 	if x, ok := c.clients[peer]; ok {
+		x.usedAt = now
 		return x, nil
 	}
+	for p, x := range c.clients {
+		if now.Sub(x.usedAt) > unusedTimeout {
+			x.Close()
+			delete(c.clients, p)
+		}
+	}
 	x, err := c.wire.Client(peer)
 	if err != nil {
 		return nil, err
 	}
-	c.clients[peer] = x
-	return x, nil
+	c.clients[peer] = &usedClient{x, now}
+	return c.clients[peer], nil
 }
 
 // Close closes all connections.
--- a/masticgossip/exchange.go
+++ b/masticgossip/exchange.go
@@ -57,7 +57,9 @@
 	server     *masticwire.Server
 	clients    map[string]*masticwire.Client
 	calls      Calls
-	stopped    chan struct{}
+	// sentEmpty reports that the last load report was empty.
+	sentEmpty bool
+	stopped   chan struct{}
 }
 
 // Calls handles further messages that arrive at the address of the exchange.
@@ -109,7 +111,7 @@
 	timer := time.NewTimer(baseReportInterval)
 	defer timer.Stop()
 	defer e.close()
-	sentEmpty, sentAt := false, time.Now()
+	sentAt := time.Now()
 	for {
 		select {
 		case <-e.stopped:
@@ -123,22 +125,34 @@
 		}
 		sentAt = time.Now()
 		peers := e.peers()
-		if !e.limitsOnly && !e.dispatcher.Sharded() {
-			report, ok := e.dispatcher.TakeOwnReport(e.host)
-			if !ok {
-				return nil
-			}
-			empty := len(report.Servers) == 0 && len(report.Touches) == 0
-			if !empty || !sentEmpty {
-				e.send(peers, report)
-			}
-			sentEmpty = empty
+		if !e.report(peers) {
+			return nil
 		}
-		e.sendLimits()
 		timer.Reset(baseReportInterval * time.Duration(1+len(peers)/hostsPerBaseInterval))
 	}
 }
 
+// report sends the reports that are due. It returns false after the dispatcher has stopped. Hosts whose work
+// is assigned by coordinators send no load reports, and keep no connections for them.
+func (e *Exchange) report(peers []string) bool {
+	sharded := e.dispatcher.Sharded()
+	if !e.limitsOnly && !sharded {
+		report, ok := e.dispatcher.TakeOwnReport(e.host)
+		if !ok {
+			return false
+		}
+		empty := len(report.Servers) == 0 && len(report.Touches) == 0
+		if !empty || !e.sentEmpty {
+			e.send(peers, report)
+		}
+		e.sentEmpty = empty
+	}
+	if !e.sendLimits() && sharded {
+		e.close()
+	}
+	return true
+}
+
 // Stop makes Run return; its argument is ignored. It must be called only once.
 func (e *Exchange) Stop(error) { close(e.stopped) }
 
@@ -163,11 +177,11 @@
 	}
 }
 
-// sendLimits sends the reports on request rates.
-func (e *Exchange) sendLimits() {
+// sendLimits sends the reports on request rates, and reports whether there are any.
+func (e *Exchange) sendLimits() bool {
 	reports := e.dispatcher.TakeLimitReports()
 	if len(reports) == 0 {
-		return
+		return false
 	}
 	for _, h := range e.view().Hosts() {
 		if r, ok := reports[h.Name]; ok && h.Peer != "" {
@@ -177,6 +191,7 @@
 			})
 		}
 	}
+	return true
 }
 
 func (e *Exchange) sendTo(address string, q *masticproto.PeerRequest) {
@@ -201,10 +216,12 @@
 	return c, nil
 }
 
+// close closes the connections to other hosts. They are opened again when they are needed.
 func (e *Exchange) close() {
 	for _, c := range e.clients {
 		c.Close()
 	}
+	clear(e.clients)
 }
 
 // receiver handles the messages of other hosts.
