Bound the memory of bodies on the gate too, and of callers that send nothing

Found by reading: the gate still read bodies into a buffer that grew by copying, and on the relay a caller that stated 32 KiB held as much of the budget before it had sent a byte, so that some 650 of them would have had every body refused on a host of 144 MB. The first block has 4 KiB at most now, and the gate reads blocks and counts the one copy that it needs. That copy is never a reused block: net/http may still read a body after its answer.

TestCallersThatSendNothingFillTheBudget fails without the change; TestBodyTakesSeveralTimesItsSize covers both ways to read.

--- a/masticbody/body.go
+++ b/masticbody/body.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// blockBytes is the size of the blocks of a body, firstBlockBytes that of the first block of a body
-	// whose length is not stated, minBlockBytes that of the smallest.
+	// blockBytes is the size of the blocks of a body, firstBlockBytes the largest size of the first one, which
+	// a caller holds before it has sent anything. minBlockBytes is the least that a block counts.
 	blockBytes      = 32 << 10
 	firstBlockBytes = 4 << 10
 	minBlockBytes   = 512
@@ -81,6 +81,29 @@
 	return body, nil
 }
 
+// ReadAll is ReadBody for callers that need one contiguous slice, which is not reused after Release. The copy
+// counts against the budget too while it is made.
+func (r *Reader) ReadAll(length, limit int64) ([]byte, error) {
+	body, err := r.ReadBody(length, limit)
+	if err != nil || len(body) == 0 {
+		return nil, err
+	}
+	if len(body) == 1 && len(r.pooled) == 0 {
+		return body[0], nil
+	}
+	size := body.Len()
+	if !r.budget.reserve(size) {
+		return nil, ErrBudget
+	}
+	whole := make([]byte, 0, size)
+	for _, p := range body {
+		whole = append(whole, p...)
+	}
+	r.Release()
+	r.reserved = size
+	return whole, nil
+}
+
 // fill reads until p is full or the underlying reader returns an error, which it returns unchanged: the end
 // of a body must not be confused with its truncation.
 func (r *Reader) fill(p []byte) (int, error) {
@@ -98,16 +121,13 @@
 // newBlock returns the next block of a body of which total bytes have been read.
 func (r *Reader) newBlock(length, total int64) ([]byte, error) {
 	size := int64(blockBytes)
-	switch {
-	case length >= 0:
-		size = min(size, length-total)
-	case total == 0:
+	if total == 0 {
 		size = firstBlockBytes
 	}
-	reserved := max(size, minBlockBytes)
-	if size == blockBytes {
-		reserved = blockBytes
+	if length >= 0 {
+		size = min(size, length-total)
 	}
+	reserved := max(size, minBlockBytes)
 	if !r.budget.reserve(reserved) {
 		return nil, ErrBudget
 	}
--- a/masticbody/body_test.go
+++ b/masticbody/body_test.go
@@ -52,6 +52,28 @@
 	}
 }
 
+// TestReadAll checks that a contiguous body is complete, is not one of the reused blocks, and is counted.
+func TestReadAll(t *testing.T) {
+	for _, size := range []int{0, 4, firstBlockBytes, blockBytes + firstBlockBytes, 10 * blockBytes} {
+		for _, length := range []int64{int64(size), -1} {
+			c := qt.New(t)
+			content := strings.Repeat("x", size)
+			b := NewBudget(4 << 20)
+			r := b.Reader(strings.NewReader(content))
+			whole, err := r.ReadAll(length, 0)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(whole), qt.Equals, content)
+			c.Assert(b.Used() >= int64(size), qt.IsTrue)
+			r.Release()
+			c.Assert(b.Used(), qt.Equals, int64(0))
+			other := b.Reader(strings.NewReader(strings.Repeat("y", size)))
+			_, err = other.ReadBody(length, 0)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(whole), qt.Equals, content)
+		}
+	}
+}
+
 // TestTruncatedBodyIsNotComplete checks that a chunked body which ends early is no complete one.
 func TestTruncatedBodyIsNotComplete(t *testing.T) {
 	c := qt.New(t)
@@ -60,6 +82,17 @@
 	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
 }
 
+// TestCallersThatSendNothingFillTheBudget: a caller held as much as its body was going to have, up to 32 KiB,
+// before it had sent any of it.
+func TestCallersThatSendNothingFillTheBudget(t *testing.T) {
+	c := qt.New(t)
+	b := NewBudget(1 << 20)
+	r := b.Reader(iotest.ErrReader(io.ErrUnexpectedEOF))
+	_, err := r.ReadBody(1<<20, 0)
+	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
+	c.Assert(b.Used(), qt.Equals, int64(firstBlockBytes))
+}
+
 // TestBodyTakesSeveralTimesItsSize: a body that was being read took up to five times the bytes that were
 // counted, in copies made while its buffer grew.
 func TestBodyTakesSeveralTimesItsSize(t *testing.T) {
@@ -75,4 +108,16 @@
 		}
 	})
 	c.Assert(float64(result.AllocedBytesPerOp()) <= 1.1*float64(len(content)), qt.IsTrue, qt.Commentf("%d bytes", result.AllocedBytesPerOp()))
+	result = testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			budget := NewBudget(9 << 20)
+			r := budget.Reader(strings.NewReader(content))
+			if _, err := r.ReadAll(-1, 0); err != nil {
+				b.Fatal(err)
+			}
+			r.Release()
+		}
+	})
+	c.Assert(float64(result.AllocedBytesPerOp()) <= 2.1*float64(len(content)), qt.IsTrue, qt.Commentf("%d bytes", result.AllocedBytesPerOp()))
 }
--- a/masticgate/inbound.go
+++ b/masticgate/inbound.go
@@ -4,7 +4,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -82,7 +81,7 @@
 		return nil, q.tooLarge()
 	}
 	q.body = q.gate.bodyBudget.Reader(http.MaxBytesReader(q.writer, q.request.Body, limit))
-	body, err := io.ReadAll(q.body)
+	body, err := q.body.ReadAll(q.request.ContentLength, 0)
 	var over *http.MaxBytesError
 	switch {
 	case errors.As(err, &over):
