Bound the assignments that a coordinator records for other hosts

Found by reading: requests of other hosts were recorded without a bound on their number, with any number of servers to avoid, and expired ones were looked for only after the next assignment. At most 65,536 are recorded; TestAssignmentOfLostHostEnds fills them and sees them expire.

--- a/masticassign/codec.go
+++ b/masticassign/codec.go
@@ -26,6 +26,7 @@
 // Bounds of what another host may ask for.
 const (
 	maxLevels = 64
+	maxAvoid  = 1 << 12
 	maxTokens = 1 << 32
 	maxTime   = time.Hour
 )
@@ -33,7 +34,7 @@
 // decodeRequest converts a request. It reports false if no host sends such a one.
 func decodeRequest(now time.Time, p *masticproto.AssignRequest) (masticcall.ShardRequest, bool) {
 	digest, err := masticview.DigestFromBytes(p.GetDigest())
-	if err != nil || p.GetShard() == 0 || p.GetShard() > 1<<16 || len(p.GetLevels()) > maxLevels || !isCount(p.GetPromptTokens()) || !isCount(p.GetOutputTokens()) {
+	if err != nil || p.GetShard() == 0 || p.GetShard() > 1<<16 || len(p.GetLevels()) > maxLevels || len(p.GetAvoid()) > maxAvoid || !isCount(p.GetPromptTokens()) || !isCount(p.GetOutputTokens()) {
 		return masticcall.ShardRequest{}, false
 	}
 	r := masticcall.Request{
--- a/masticassign/codec_test.go
+++ b/masticassign/codec_test.go
@@ -52,7 +52,8 @@
 		"tokens of a level": func(p *masticproto.AssignRequest) {
 			p.Levels = []*masticproto.PromptLevel{{Tokens: math.MaxInt64}}
 		},
-		"many levels": func(p *masticproto.AssignRequest) { p.Levels = make([]*masticproto.PromptLevel, 1000) },
+		"many servers to avoid": func(p *masticproto.AssignRequest) { p.Avoid = make([]string, maxAvoid+1) },
+		"many levels":           func(p *masticproto.AssignRequest) { p.Levels = make([]*masticproto.PromptLevel, 1000) },
 	} {
 		p := valid()
 		change(p)
--- a/masticdispatch/shard.go
+++ b/masticdispatch/shard.go
@@ -195,15 +195,18 @@
 // AssignFromShard assigns an engine of a shard that this host coordinates to a request of another host. The
 // answer names no server if the shard cannot take the request now.
 func (d *Dispatcher) AssignFromShard(ctx context.Context, q masticcall.ShardRequest) masticcall.ShardAssignment {
+	expired, full := d.sharding.expire(time.Now())
+	d.cancelAll(expired)
+	if full {
+		return masticcall.ShardAssignment{}
+	}
 	q.Request.OtherHost = true
 	o, err := d.submitToShard(ctx, q.Request, masticprompt.Cut(q.Request.Levels))
 	if err != nil || o.Err != nil {
 		return masticcall.ShardAssignment{}
 	}
 	d.logDecision(q.Request, &o)
-	for _, t := range d.sharding.addAssigned(time.Now(), q, o.Ticket) {
-		d.send(&done{t, time.Now(), masticcall.Result{Failure: string(masticerror.KindCancelled)}})
-	}
+	d.cancelAll(d.sharding.addAssigned(q, o.Ticket))
 	c := &o.Decision
 	return masticcall.ShardAssignment{
 		Server: o.Server.Name, Incarnation: o.Server.Incarnation, WeightsVersion: o.Server.WeightsVersion,
@@ -215,27 +218,44 @@
 // not reported the end.
 const assignedGrace = time.Second
 
-// addAssigned records an assignment and returns the tickets of those whose end was never reported.
-func (s *sharding) addAssigned(now time.Time, q masticcall.ShardRequest, t masticschedule.Ticket) []masticschedule.Ticket {
+// maxAssigned bounds the requests of other hosts that are recorded at once.
+const maxAssigned = 1 << 16
+
+// cancelAll ends requests whose hosts have not reported their end.
+func (d *Dispatcher) cancelAll(tickets []masticschedule.Ticket) {
+	for _, t := range tickets {
+		d.send(&done{t, time.Now(), masticcall.Result{Failure: string(masticerror.KindCancelled)}})
+	}
+}
+
+// expire removes the assignments whose end was never reported and returns their tickets. It also reports
+// whether no more can be recorded.
+func (s *sharding) expire(now time.Time) (expired []masticschedule.Ticket, full bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	var expired []masticschedule.Ticket
-	key := assignmentKey{q.Host, q.ID}
-	if former, ok := s.assigned[key]; ok {
-		expired = append(expired, former.ticket)
+	if !now.Before(s.sweepAt) {
+		s.sweepAt = now.Add(assignedGrace)
+		for k, a := range s.assigned {
+			if now.After(a.deadline) {
+				expired = append(expired, a.ticket)
+				delete(s.assigned, k)
+			}
+		}
 	}
+	return expired, len(s.assigned) >= maxAssigned
+}
+
+// addAssigned records an assignment. It returns the ticket of one that it replaces, if any.
+func (s *sharding) addAssigned(q masticcall.ShardRequest, t masticschedule.Ticket) []masticschedule.Ticket {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	key := assignmentKey{q.Host, q.ID}
+	former, replaced := s.assigned[key]
 	s.assigned[key] = assignedRequest{t, q.Request.Deadline.Add(assignedGrace)}
-	if now.Before(s.sweepAt) {
-		return expired
-	}
-	s.sweepAt = now.Add(assignedGrace)
-	for k, a := range s.assigned {
-		if now.After(a.deadline) {
-			expired = append(expired, a.ticket)
-			delete(s.assigned, k)
-		}
+	if replaced {
+		return []masticschedule.Ticket{former.ticket}
 	}
-	return expired
+	return nil
 }
 
 // UpdateShard applies another host's report on a request that was assigned to it.
--- a/masticdispatch/shard_test.go
+++ b/masticdispatch/shard_test.go
@@ -201,13 +201,23 @@
 	q := func(id uint64, deadline time.Time) masticcall.ShardRequest {
 		return masticcall.ShardRequest{Host: "h", ID: id, Request: masticcall.Request{Deadline: deadline}}
 	}
-	c.Assert(s.addAssigned(now, q(1, now.Add(time.Second)), 1), qt.HasLen, 0)
-	c.Assert(s.addAssigned(now, q(2, now.Add(time.Minute)), 2), qt.HasLen, 0)
-	c.Assert(s.addAssigned(now.Add(3*time.Second), q(3, now.Add(time.Minute)), 3), qt.DeepEquals, []masticschedule.Ticket{1})
+	c.Assert(s.addAssigned(q(1, now.Add(time.Second)), 1), qt.HasLen, 0)
+	c.Assert(s.addAssigned(q(2, now.Add(time.Minute)), 2), qt.HasLen, 0)
+	expired, full := s.expire(now.Add(3 * time.Second))
+	c.Assert(expired, qt.DeepEquals, []masticschedule.Ticket{1})
+	c.Assert(full, qt.IsFalse)
 	_, ok := s.ticketOf(masticcall.ShardUpdate{Host: "h", ID: 1, Done: true})
 	c.Assert(ok, qt.IsFalse)
-	_, ok = s.ticketOf(masticcall.ShardUpdate{Host: "h", ID: 2, Done: true})
+	c.Assert(s.addAssigned(q(2, now.Add(time.Minute)), 3), qt.DeepEquals, []masticschedule.Ticket{2})
+	ticket, ok := s.ticketOf(masticcall.ShardUpdate{Host: "h", ID: 2, Done: true})
 	c.Assert(ok, qt.IsTrue)
-	c.Assert(s.assigned, qt.HasLen, 1)
-	c.Assert(s.addAssigned(now.Add(3*time.Second), q(3, now.Add(time.Minute)), 4), qt.DeepEquals, []masticschedule.Ticket{3})
+	c.Assert(ticket, qt.Equals, masticschedule.Ticket(3))
+	c.Assert(s.assigned, qt.HasLen, 0)
+	for id := range uint64(maxAssigned) {
+		s.addAssigned(q(id, now.Add(time.Minute)), 4)
+	}
+	_, full = s.expire(now)
+	c.Assert(full, qt.IsTrue)
+	_, full = s.expire(now.Add(2 * time.Minute))
+	c.Assert(full, qt.IsFalse)
 }
