--- a/masticagent/localview.go
+++ b/masticagent/localview.go
@@ -10,7 +10,7 @@
 // localView is the view as this host uses it: quarantines end by this host's monotonic clock. The times in
 // the replicated view are those of a leader, and the time of day of hosts differs and may jump.
 type localView struct {
-	// replicated is the view without this change, to which deltas apply.
+	// replicated is the view as the control group has it, to which deltas apply.
 	replicated masticview.View
 	// ends are the ends of the quarantines in replicated, by both clocks.
 	ends map[masticview.Digest]quarantineEnd
--- a/masticagent/reporter.go
+++ b/masticagent/reporter.go
@@ -103,8 +103,7 @@
 	}
 }
 
-// send sends unacknowledged reports. Failed ones are sent again at the next
-// interval.
+// send sends unacknowledged reports. Failed ones are sent again at the next interval.
 func (r *reporter) send(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.agent.reportInterval)
 	defer cancel()
--- a/masticschedule/weights.go
+++ b/masticschedule/weights.go
@@ -12,8 +12,8 @@
 // started up to 0.7 s later than predicted. That leaves 5.3 s, of which 0.1 s is margin.
 const oldWeightsWindow = 5200 * time.Millisecond
 
-// firstViewWindow is the same for the versions in the first view of a host: they may have been announced
-// long before, or just before all hosts restarted, when no engine has loaded them yet.
+// firstViewWindow is how long requests may still start on older weights than those in a host's first view.
+// They may have been announced long before, or just before all hosts restarted, so that no engine has them.
 const firstViewWindow = 2 * time.Second
 
 // announcedVersions holds the announced weights versions of each model in ascending order.
