--- a/masticcontrol/listing.go
+++ b/masticcontrol/listing.go
@@ -98,7 +98,7 @@
 			change.Servers = append(change.Servers, next.ToProto())
 			d.loop.log.WithField("server", next.Name).WithField("service", next.Service).WithField("url", next.URL).
 				WithField("state", next.State).WithField("weights", next.WeightsVersion).
-				WithField("incarnation", next.Incarnation).WithField("known", known).Info("backend server listed")
+				WithField("incarnation", next.Incarnation).WithField("software", next.Software).WithField("known", known).Info("backend server listed")
 		}
 	}
 	for _, s := range view.Servers() {
@@ -143,5 +143,5 @@
 	models := slices.Equal(a.Models, b.Models)
 	a.Models, b.Models = nil, nil
 	return models && a.Name == b.Name && a.Kind == b.Kind && a.URL == b.URL && a.Zone == b.Zone && a.Service == b.Service &&
-		a.WeightsVersion == b.WeightsVersion && a.Incarnation == b.Incarnation && a.State == b.State && a.Slots == b.Slots && a.StatedLeaving == b.StatedLeaving
+		a.WeightsVersion == b.WeightsVersion && a.Incarnation == b.Incarnation && a.State == b.State && a.Slots == b.Slots && a.StatedLeaving == b.StatedLeaving && a.Software == b.Software
 }
--- a/masticrelay/call.go
+++ b/masticrelay/call.go
@@ -45,6 +45,8 @@
 	Levels []masticcall.Level
 	// LastEventID is the identifier of the last event that the caller received of a broken stream.
 	LastEventID string
+	// Resumes is the ID of the caller's request that brought the first event of that stream.
+	Resumes string
 }
 
 // tokens returns the number of tokens that the request takes from its workspace's quota.
--- a/masticrelay/log.go
+++ b/masticrelay/log.go
@@ -26,6 +26,7 @@
 	if r.events.count > 0 {
 		fields["events"] = r.events.count
 	}
+	r.addStream(fields)
 	log := r.relay.log.WithFields(fields)
 	if err == nil {
 		log.Info("request answered")
@@ -41,10 +42,24 @@
 	r.relay.log.WithFields(logrus.Fields{
 		"request": r.call.ID, "content": r.content.Digest.Short(), "parts": r.content.ShortParts(), "server": server.Name, "incarnation": server.Incarnation,
 		"sends": r.attempts, "sent": f.Sent, "ended": f.ServerEnded, "verdict": verdict.String(), "ranMillis": ran.Milliseconds(),
-		"reason": string(f.Err.Kind()), "cause": f.Err.Error(),
+		"reason": string(f.Err.Kind()), "cause": f.Err.Error(), "software": server.Software, "events": r.events.count,
 	}).Warn("attempt failed")
 }
 
+// addStream adds the software version of the last server, and of a stream that the caller takes up the
+// request that began it and the last event that it holds. Values of callers are cut.
+func (r *requestState) addStream(fields logrus.Fields) {
+	fields["software"] = r.software
+	if r.call.LastEventID != "" || r.call.Resumes != "" {
+		fields["resumes"], fields["lastEvent"] = cut(r.call.Resumes), cut(r.call.LastEventID)
+	}
+}
+
+// maxLoggedBytes bounds a value of a caller in a line.
+const maxLoggedBytes = 64
+
+func cut(s string) string { return s[:min(len(s), maxLoggedBytes)] }
+
 // logRetry logs whether the request is sent once more, and what is left of the pool's retry budget
 // on this host.
 func (r *requestState) logRetry(denial retryDenial) {
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -66,7 +66,9 @@
 	headerWritten bool
 	events        eventSplitter
 	server        string
-	status        int
+	// software is the software version of server.
+	software string
+	status   int
 	// firstByteAt is when the header of the response was relayed.
 	firstByteAt time.Time
 }
@@ -246,7 +248,7 @@
 func (r *requestState) attempt(ctx context.Context, a masticcall.Assignment) *masticbackend.Failure {
 	server := a.Server()
 	watched, sentAt := r.relay.detector.Begin(server, server.Incarnation, r.content), time.Now()
-	r.server = server.Name
+	r.server, r.software = server.Name, server.Software
 	r.attempts++
 	f := r.exchange(ctx, a, watched)
 	result := masticcall.Result{CachedUnknown: true, ServerIncarnation: server.Incarnation}
--- a/masticview/codec.go
+++ b/masticview/codec.go
@@ -80,7 +80,7 @@
 		Name: s.Name, Kind: string(s.Kind), Url: s.URL, Owner: s.Owner, Zone: s.Zone, Models: s.Models,
 		WeightsVersion: s.WeightsVersion, ChecksFencing: s.ChecksFencing, State: string(s.State),
 		Service: s.Service, Incarnation: s.Incarnation, Slots: s.Slots,
-		StatedLeaving: s.StatedLeaving,
+		StatedLeaving: s.StatedLeaving, Software: s.Software,
 	}
 }
 
@@ -90,7 +90,7 @@
 		Name: p.GetName(), Kind: ServerKind(p.GetKind()), URL: p.GetUrl(), Owner: p.GetOwner(), Zone: p.GetZone(), Models: p.GetModels(),
 		WeightsVersion: p.GetWeightsVersion(), ChecksFencing: p.GetChecksFencing(), State: ServerState(p.GetState()),
 		Service: p.GetService(), Incarnation: p.GetIncarnation(), Slots: p.GetSlots(),
-		StatedLeaving: p.GetStatedLeaving(),
+		StatedLeaving: p.GetStatedLeaving(), Software: p.GetSoftware(),
 	}
 }
 
--- a/masticview/server.go
+++ b/masticview/server.go
@@ -49,6 +49,9 @@
 	// StatedLeaving reports that the incarnation stated in an answer that it is leaving. It holds whatever
 	// a list of servers says.
 	StatedLeaving bool `json:"statedLeaving,omitempty"`
+	// Software is the version of the server's software; empty if unknown. A stream can go on only at a server
+	// of the version that began it.
+	Software string `json:"software,omitempty"`
 }
 
 // WithState returns a copy in the given state.
