Continue streams only at the software version that began them

Callers got streams whose first part came from one software version of a backend server and the rest from another, in one answer and over their own attempts; with all entry hosts killed at once too.

- masticcall.Software in the request says which servers can continue it. masticroute asks it in isEligible, the one place that all sends to engines pass: first and further attempts, queued requests, suspects, and requests that coordinators assign; plain services get a filtered list. masticrelay binds a request with its first event, masticgate too, where callers can't take streams up.
- Each service has a base version in the view: streams of it need no record, so a stream without one was begun by it.
It changes only when the base has had no server for as long as callers may take streams up.
- Streams of other versions are recorded by the control group (masticorigin) while the engine works on the first event, which is passed on once the record is committed.
Hosts send batches; records of streams that end whole are dropped.
- A caller's attempt asks with the same batches, through the log, so that no lag of a host matters; a host that reaches no leader refuses it, and begins new streams at the base version.
- Split routes choose the pool by the identifier of the request that began the stream.

--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -55,6 +55,7 @@
 	suspects                     *suspects
 	ledger                       *ledger
 	commandRetrier               *commandRetrier
+	origins                      *origins
 	running                      sync.WaitGroup
 	context                      context.Context
 	cancel                       context.CancelFunc
@@ -104,6 +105,7 @@
 	a.suspects = newSuspects(a)
 	a.ledger = newLedger(a)
 	a.commandRetrier = newCommandRetrier(a)
+	a.origins = newOrigins(a)
 	a.context, a.cancel = context.WithCancel(context.Background())
 	return nil
 }
@@ -140,7 +142,7 @@
 
 // Run runs the agent until Stop. It then returns unspent quota and reports the last usage.
 func (a *Agent) Run() error {
-	a.running.Add(7)
+	a.running.Add(8)
 	go a.views.loop()
 	go a.limiter.loop()
 	go a.limiter.run(a.context)
@@ -148,6 +150,7 @@
 	go a.watcher.run(a.context)
 	go a.reporter.run(a.context)
 	go a.commandRetrier.run(a.context)
+	go a.origins.run(a.context)
 	<-a.context.Done()
 	a.finish()
 	a.views.updates.Close()
--- /dev/null
+++ b/masticagent/origins.go
@@ -0,0 +1,318 @@
+package masticagent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"masticladder/masticcall"
+	"masticladder/masticclock"
+	"masticladder/masticerror"
+	"masticladder/masticproto"
+)
+
+const (
+	// originBatch bounds the streams of one command, maxOrigins those of this host that are recorded or asked
+	// for at once.
+	originBatch = 512
+	maxOrigins  = 8192
+	// originAttemptTimeout bounds one attempt to reach the leader with a batch, originTimeout all of them.
+	originAttemptTimeout = 300 * time.Millisecond
+	originTimeout        = time.Second
+	// originRenewInterval is the time after which the record of a running stream is written again: the control
+	// group drops records with the second tick after they were written.
+	originRenewInterval = 20 * time.Second
+	// originIdleInterval bounds the time until ended streams are reported.
+	originIdleInterval = time.Second
+	// originBatchesPerSecond bounds the batches of all hosts together, except for spacelessHosts.
+	originBatchesPerSecond = 4000
+	spacelessHosts         = 20
+)
+
+// origins implements masticcall.Origins. One goroutine sends what has collected while the batch before was on
+// its way.
+type origins struct {
+	agent *Agent
+	wake  chan struct{}
+
+	mutex sync.Mutex
+	// records are the streams that this host serves and that the control group has recorded or is to.
+	records map[masticcall.StreamKey]*originRecord
+	// unsent are the keys of records to write, ended those to drop, asked the open questions.
+	unsent []masticcall.StreamKey
+	ended  []masticcall.StreamKey
+	asked  []*originQuestion
+	// failing reports that the last batch got no answer.
+	failing  bool
+	sequence uint64
+}
+
+// originRecord implements masticcall.Recording.
+type originRecord struct {
+	software string
+	// done is closed when the record was acknowledged or refused, with err.
+	done chan struct{}
+	err  error
+	// acknowledged reports that the control group has it; queued that it is in unsent or on its way.
+	acknowledged, queued bool
+	renewAt              time.Time
+}
+
+type originQuestion struct {
+	key     masticcall.StreamKey
+	service string
+	answer  chan masticcall.StreamOrigin
+	ctx     context.Context
+}
+
+func newOrigins(a *Agent) *origins {
+	return &origins{agent: a, wake: make(chan struct{}, 1), records: map[masticcall.StreamKey]*originRecord{}}
+}
+
+// Origins returns the records of which software version began a stream.
+func (a *Agent) Origins() masticcall.Origins { return a.origins }
+
+// Available reports whether the leader answers.
+func (o *origins) Available() bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return !o.failing && len(o.records) < maxOrigins && o.agent.views.controlReachable()
+}
+
+// Record queues a record.
+func (o *origins) Record(k masticcall.StreamKey, software string) masticcall.Recording {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if r, ok := o.records[k]; ok && r.software == software {
+		return r
+	}
+	r := &originRecord{software: software, done: make(chan struct{}), queued: true}
+	if len(o.records) >= maxOrigins {
+		r.err = masticerror.New(masticerror.KindOverloaded, "this host has as many streams to record as it may")
+		close(r.done)
+		return r
+	}
+	o.records[k] = r
+	o.unsent = append(o.unsent, k)
+	o.signal()
+	return r
+}
+
+// Wait waits until the record is acknowledged.
+func (r *originRecord) Wait(ctx context.Context) error {
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// End stops renewing a record.
+func (o *origins) End(k masticcall.StreamKey, forget bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	delete(o.records, k)
+	if forget && len(o.ended) < maxOrigins {
+		// Without a report the record is dropped with the second tick.
+		o.ended = append(o.ended, k)
+	}
+}
+
+// Find answers from this host's own records or asks the control group.
+func (o *origins) Find(ctx context.Context, k masticcall.StreamKey, service string) (masticcall.StreamOrigin, error) {
+	q := &originQuestion{key: k, service: service, answer: make(chan masticcall.StreamOrigin, 1), ctx: ctx}
+	if software, ok := o.ask(q); ok {
+		return masticcall.StreamOrigin{Software: software, Recorded: true, ByItself: true}, nil
+	}
+	select {
+	case a := <-q.answer:
+		return a, nil
+	case <-ctx.Done():
+		return masticcall.StreamOrigin{}, masticerror.New(masticerror.KindNoQuorum, "the control group did not say in time which version began the stream")
+	}
+}
+
+// ask queues a question, unless this host has an acknowledged record itself.
+func (o *origins) ask(q *originQuestion) (string, bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if r, ok := o.records[q.key]; ok && r.acknowledged {
+		return r.software, true
+	}
+	if len(o.asked) < maxOrigins {
+		o.asked = append(o.asked, q)
+		o.signal()
+	}
+	return "", false
+}
+
+// signal wakes the sender.
+func (o *origins) signal() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (o *origins) run(ctx context.Context) {
+	defer o.agent.running.Done()
+	ticker := time.NewTicker(originIdleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			o.renew(masticclock.Now())
+		case <-o.wake:
+			sleep(ctx, o.spacing())
+		case <-ctx.Done():
+			return
+		}
+		for {
+			b := o.take()
+			if b == nil || ctx.Err() != nil {
+				break
+			}
+			if !o.send(ctx, b) {
+				sleep(ctx, o.agent.retryDelay)
+			}
+		}
+	}
+}
+
+// spacing returns how long a host collects streams, so that the batches of all hosts together are bounded.
+func (o *origins) spacing() time.Duration {
+	hosts := o.agent.View().HostCount()
+	if hosts <= spacelessHosts {
+		return 0
+	}
+	return time.Duration(hosts) * time.Second / originBatchesPerSecond
+}
+
+// renew queues the records of running streams that are due.
+func (o *origins) renew(now time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for k, r := range o.records {
+		if r.acknowledged && !r.queued && !now.Before(r.renewAt) {
+			r.queued = true
+			o.unsent = append(o.unsent, k)
+		}
+	}
+}
+
+// originBatchState is a batch on its way, with the records and questions that it holds.
+type originBatchState struct {
+	command *masticproto.StreamOrigins
+	records map[masticcall.StreamKey]*originRecord
+	ended   []masticcall.StreamKey
+	asked   []*originQuestion
+}
+
+// take removes the next batch from what is queued, nil if nothing is.
+func (o *origins) take() *originBatchState {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	b := &originBatchState{records: map[masticcall.StreamKey]*originRecord{}}
+	n := min(len(o.unsent), originBatch)
+	for _, k := range o.unsent[:n] {
+		if r, ok := o.records[k]; ok {
+			b.records[k] = r
+		}
+	}
+	o.unsent = append([]masticcall.StreamKey(nil), o.unsent[n:]...)
+	n = min(len(o.ended), originBatch)
+	b.ended, o.ended = o.ended[:n:n], o.ended[n:]
+	n = min(len(o.asked), originBatch)
+	for _, q := range o.asked[:n] {
+		if q.ctx.Err() == nil {
+			b.asked = append(b.asked, q)
+		}
+	}
+	o.asked = append([]*originQuestion(nil), o.asked[n:]...)
+	if len(b.records)+len(b.ended)+len(b.asked) == 0 {
+		return nil
+	}
+	o.sequence++
+	b.command = &masticproto.StreamOrigins{Host: o.agent.host, Incarnation: o.agent.incarnation, Sequence: o.sequence}
+	bySoftware := map[string]*masticproto.BegunStreams{}
+	for k, r := range b.records {
+		x, ok := bySoftware[r.software]
+		if !ok {
+			x = &masticproto.BegunStreams{Software: r.software}
+			bySoftware[r.software] = x
+			b.command.Begun = append(b.command.Begun, x)
+		}
+		x.Keys = append(x.Keys, k[:]...)
+	}
+	for _, k := range b.ended {
+		b.command.Ended = append(b.command.Ended, k[:]...)
+	}
+	for _, q := range b.asked {
+		b.command.Asked = append(b.command.Asked, &masticproto.AskedStream{Key: q.key[:], Service: q.service})
+	}
+	return b
+}
+
+// send sends a batch and reports whether it was answered. Otherwise all that it holds is queued again.
+func (o *origins) send(ctx context.Context, b *originBatchState) bool {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	answer, err := o.agent.commit(ctx, &masticproto.Command{Kind: &masticproto.Command_Origins{Origins: b.command}}, originAttemptTimeout)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if failing := err != nil; failing != o.failing {
+		o.failing = failing
+		o.agent.log.WithField("lost", failing).WithField("cause", err).WithField("begun", len(b.records)).WithField("asked", len(b.asked)).
+			Warn("records of streams at the control group")
+	}
+	if err != nil {
+		o.requeue(b)
+		return false
+	}
+	o.acknowledge(masticclock.Now(), b, answer)
+	return true
+}
+
+// requeue queues again what is still of use. The mutex is held.
+func (o *origins) requeue(b *originBatchState) {
+	for k, r := range b.records {
+		if o.records[k] == r {
+			o.unsent = append(o.unsent, k)
+		}
+	}
+	if len(o.ended)+len(b.ended) <= maxOrigins {
+		o.ended = append(o.ended, b.ended...)
+	}
+	o.asked = append(o.asked, b.asked...)
+}
+
+// acknowledge applies the answer to a batch. The mutex is held.
+func (o *origins) acknowledge(now time.Time, b *originBatchState, answer *masticproto.CommandAnswer) {
+	refused := answer.GetUnrecorded()
+	const size = len(masticcall.StreamKey{})
+	for ; len(refused) >= size; refused = refused[size:] {
+		k := masticcall.StreamKey(refused[:size])
+		if r, ok := b.records[k]; ok && !r.acknowledged {
+			r.err = masticerror.New(masticerror.KindOverloaded, "the control group has as many streams recorded as it may")
+			close(r.done)
+			delete(b.records, k)
+			if o.records[k] == r {
+				delete(o.records, k)
+			}
+		}
+	}
+	for _, r := range b.records {
+		r.queued, r.renewAt = false, now.Add(originRenewInterval)
+		if !r.acknowledged {
+			r.acknowledged = true
+			close(r.done)
+		}
+	}
+	for i, q := range b.asked {
+		if i < len(answer.GetOrigins()) {
+			x := answer.GetOrigins()[i]
+			q.answer <- masticcall.StreamOrigin{Software: x.GetSoftware(), Recorded: x.GetRecorded()}
+		}
+	}
+}
--- a/masticassign/codec.go
+++ b/masticassign/codec.go
@@ -15,7 +15,7 @@
 		Host: q.Host, Id: q.ID, Shard: uint32(r.Shard), Request: r.ID, Workspace: r.Workspace, Weight: r.Weight, Model: r.Model,
 		Class: string(r.Class), Weights: r.Weights, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Digest: r.Digest[:],
 		FirstTokenMs: r.FirstTokenDeadline.Sub(now).Milliseconds(), DeadlineMs: r.Deadline.Sub(now).Milliseconds(),
-		Avoid: r.Avoid, Attempt: int64(r.Attempt),
+		Avoid: r.Avoid, Attempt: int64(r.Attempt), Software: r.Software.Version, SoftwareRequired: r.Software.Required,
 	}
 	for _, l := range r.Levels {
 		p.Levels = append(p.Levels, &masticproto.PromptLevel{Role: l.Role, Text: l.Text, Tokens: l.Tokens})
@@ -42,6 +42,7 @@
 		Weights: p.GetWeights(), PromptTokens: p.GetPromptTokens(), OutputTokens: p.GetOutputTokens(), Digest: digest,
 		FirstTokenDeadline: timeLeft(now, p.GetFirstTokenMs()), Deadline: timeLeft(now, p.GetDeadlineMs()),
 		Avoid: p.GetAvoid(), Shard: int(p.GetShard()), Attempt: int(p.GetAttempt()),
+		Software: masticcall.Software{Version: p.GetSoftware(), Required: p.GetSoftwareRequired()},
 	}
 	for _, l := range p.GetLevels() {
 		if !isCount(l.GetTokens()) {
--- a/masticbackend/client.go
+++ b/masticbackend/client.go
@@ -161,6 +161,7 @@
 // acquire returns an idle connection to address if there is one, else a new one.
 func (c *Client) acquire(ctx context.Context, address string) (*connection, error) {
 	if n := c.getIdle(address); n != nil {
+		n.reused = true
 		return n, nil
 	}
 	return c.dial(ctx, address)
--- a/masticbackend/connection.go
+++ b/masticbackend/connection.go
@@ -26,6 +26,8 @@
 	head         *headReader
 	reader       *bufio.Reader
 	idleDeadline time.Time
+	// reused reports that the server has answered on the connection before.
+	reused bool
 }
 
 func newConnection(address string, tcp *net.TCPConn) *connection {
--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -61,6 +61,10 @@
 	closed     sync.Once
 }
 
+// OnNewConnection reports whether the server has not answered on the connection before: it may be another
+// process than the one that answered earlier requests.
+func (a *Answer) OnNewConnection() bool { return !a.conn.reused }
+
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // Do sends q and returns its answer after reading the status line and header. The error is a
--- /dev/null
+++ b/masticcall/origin.go
@@ -0,0 +1,66 @@
+package masticcall
+
+import (
+	"context"
+	"crypto/sha256"
+	"io"
+)
+
+// Software restricts which backend servers may run a request by the version of their software. The zero value
+// allows all.
+type Software struct {
+	Version  string
+	Required bool
+}
+
+// OnlySoftware allows servers with the given version only.
+func OnlySoftware(version string) Software { return Software{Version: version, Required: true} }
+
+// Allows reports whether a server with the given version may run the request.
+func (s Software) Allows(version string) bool { return !s.Required || s.Version == version }
+
+// StreamKey identifies a stream over all hosts and all attempts of its caller.
+type StreamKey [16]byte
+
+// StreamKeyOf returns the key of the stream whose first event the request with the given ID brought. The
+// workspace is part of it, so that no caller can name a stream of another one.
+func StreamKeyOf(workspace, service, request string) StreamKey {
+	h := sha256.New()
+	for _, part := range []string{workspace, service, request} {
+		// Writing to a hash does not fail.
+		_, _ = io.WriteString(h, part+"\x00")
+	}
+	return StreamKey(h.Sum(nil)[:len(StreamKey{})])
+}
+
+// StreamOrigin is the software version that began a stream.
+type StreamOrigin struct {
+	Software string
+	// Recorded reports that the version was recorded for this stream. Otherwise it is the base version of the
+	// service.
+	Recorded bool
+	// ByItself reports that this host knew it without asking the control group.
+	ByItself bool
+}
+
+// Origins share between hosts which software version began a stream. The control group keeps the records,
+// since all hosts that serve callers may end at the same moment.
+type Origins interface {
+	// Available reports whether streams can be recorded now.
+	Available() bool
+	// Record records that a stream is begun by a version. The stream's first event may be passed on once
+	// Wait of the result has returned nil. A record replaces an earlier one of the same stream, and is renewed
+	// until End.
+	Record(k StreamKey, software string) Recording
+	// End states that the host no longer serves the stream. With forget, no caller can take it up any more.
+	End(k StreamKey, forget bool)
+	// Find returns the version that began a stream of a service. The error has kind noQuorum if that cannot be
+	// told now.
+	Find(ctx context.Context, k StreamKey, service string) (StreamOrigin, error)
+}
+
+// Recording is a record that may not be acknowledged yet.
+type Recording interface {
+	// Wait waits until the record is acknowledged. The error has kind noQuorum or overloaded, or is that of ctx.
+	Wait(ctx context.Context) error
+}
--- a/masticcall/request.go
+++ b/masticcall/request.go
@@ -32,6 +32,8 @@
 	// Avoid lists backend servers that must not be assigned: an earlier attempt failed on them,
 	// or they run another suspect.
 	Avoid []string
+	// Software restricts the backend servers to those that can continue the request's stream.
+	Software Software
 	// Shard is the number of the shard whose engines may be assigned, zero for any engine.
 	Shard int
 	// OtherHost reports that another host sends the request: what servers state about the requests of this
--- a/masticcontrol/commandresult.go
+++ b/masticcontrol/commandresult.go
@@ -65,6 +65,8 @@
 		return &masticproto.CommandAnswer{Done: r.Held, Busy: r.PartBusy}, r.Err
 	case masticstate.LeavingResult:
 		return &masticproto.CommandAnswer{Done: r.Applied}, nil
+	case masticstate.OriginsResult:
+		return originsAnswer(r), nil
 	case masticstate.LoadResult:
 		return &masticproto.CommandAnswer{Done: r.Applied}, nil
 	case masticstate.DocumentResult:
@@ -78,6 +80,17 @@
 	}
 }
 
+func originsAnswer(r masticstate.OriginsResult) *masticproto.CommandAnswer {
+	a := &masticproto.CommandAnswer{Done: true}
+	for _, k := range r.Unrecorded {
+		a.Unrecorded = append(a.Unrecorded, k[:]...)
+	}
+	for _, o := range r.Origins {
+		a.Origins = append(a.Origins, &masticproto.StreamOrigin{Software: o.Software, Recorded: o.Recorded})
+	}
+	return a
+}
+
 func reserveAnswer(r masticstate.ReserveResult) *masticproto.CommandAnswer {
 	a := r.Reservation.Answer
 	return &masticproto.CommandAnswer{
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -41,6 +41,7 @@
 	orders               context.Context
 	cancelOrders         context.CancelFunc
 	nextUnreachableCheck time.Time
+	baseSoftware         baseSoftware
 }
 
 // updateLeadership starts or ends leadership after the core has advanced. The leader is kept for
@@ -87,6 +88,7 @@
 	d := &leaderState{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval)}
 	d.orders, d.cancelOrders = context.WithCancel(l.background)
 	d.renewals = newRenewals(now)
+	d.baseSoftware.goneSince = map[string]time.Time{}
 	d.lastAnswers = lastAnswers{}
 	d.workspaces, d.seenRevision = map[string]bool{}, view.Revision()
 	for _, name := range l.workspaceNames() {
@@ -181,6 +183,7 @@
 	d.changeMembers(now)
 	d.proposeLostHosts(now)
 	d.updateUnreachable(now)
+	d.proposeBaseSoftware(now)
 	if d.placement != nil {
 		d.placement.propose(now)
 	}
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -150,6 +150,7 @@
 		masticrelay.WithLimiter(n.agent.Limiter()),
 		masticrelay.WithDispatcher(n.dispatcher),
 		masticrelay.WithSuspects(n.agent.Suspects(), n.agent.Holds()),
+		masticrelay.WithOrigins(n.agent.Origins()),
 		masticrelay.WithClient(n.client),
 		masticrelay.WithStatementObserver(n.dispatcher),
 		masticrelay.WithBodyBudget(masticbody.NewBudget(bodyBytes(n.settings))),
--- a/masticgate/relay.go
+++ b/masticgate/relay.go
@@ -120,6 +120,7 @@
 		if first {
 			a.FirstToken(m.inbound.gate.now())
 		}
+		m.request.Software = masticcall.OnlySoftware(a.Server().Software)
 		if e := m.relayEvent(e); e != nil {
 			return "", &masticengine.Failure{Err: e, Sent: true, Incarnation: s.Incarnation()}
 		}
--- a/masticrelay/log.go
+++ b/masticrelay/log.go
@@ -1,6 +1,7 @@
 package masticrelay
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -50,11 +51,34 @@
 // request that began it and the last event that it holds. Values of callers are cut.
 func (r *requestState) addStream(fields logrus.Fields) {
 	fields["software"] = r.software
+	if r.origin.recorded {
+		fields["recorded"], fields["recordMillis"] = true, r.origin.wait.Milliseconds()
+	}
 	if r.call.LastEventID != "" || r.call.Resumes != "" {
 		fields["resumes"], fields["lastEvent"] = cut(r.call.Resumes), cut(r.call.LastEventID)
 	}
 }
 
+// logOrigin logs which version began the stream that the caller takes up, and who said so: this host's own
+// record, a record of the control group, or the base version of the service.
+func (r *requestState) logOrigin(found masticcall.StreamOrigin, began time.Time, err error) {
+	source := "base"
+	switch {
+	case err != nil:
+		source = "nobody"
+	case found.ByItself:
+		source = "own"
+	case found.Recorded:
+		source = "record"
+	}
+	t := r.relay.table.Load()
+	r.relay.log.WithFields(logrus.Fields{
+		"request": r.call.ID, "resumes": cut(r.call.Resumes), "lastEvent": cut(r.call.LastEventID), "pool": r.pool.Name, "stream": fmt.Sprintf("%x", r.origin.key[:6]),
+		"software": found.Software, "source": source, "askedMillis": time.Since(began).Milliseconds(), "revision": t.view.Revision(),
+		"servers": t.software[r.pool.Name].servers[found.Software], "cause": err,
+	}).Info("origin of a stream")
+}
+
 // maxLoggedBytes bounds a value of a caller in a line.
 const maxLoggedBytes = 64
 
--- a/masticrelay/metrics.go
+++ b/masticrelay/metrics.go
@@ -33,6 +33,11 @@
 	// leavingAnswers counts answers in which a backend server stated that it is leaving, pausedAnswers
 	// those in which it asked for no requests for a time.
 	leavingAnswers, pausedAnswers metrics.Counter
+	// streamsRecorded counts streams whose software version was recorded before their first event,
+	// recordsFailed those for which that failed, takeUpsRefused take-ups without a known version or a server of
+	// it. recordWait is how long first events waited for it, in milliseconds.
+	streamsRecorded, recordsFailed, takeUpsRefused metrics.Counter
+	recordWait                                     metrics.Histogram
 	// quotaWait is the time in milliseconds that requests waited for their workspace's quota.
 	quotaWait metrics.Histogram
 	kinds     map[string]kindMetrics
@@ -61,6 +66,11 @@
 		leavingAnswers: metrics.GetOrRegisterCounter("attempts.leavingStated", r),
 		pausedAnswers:  metrics.GetOrRegisterCounter("attempts.pauseStated", r),
 		quotaWait:      histogram(r, "quota.waitMillis"),
+
+		streamsRecorded: metrics.GetOrRegisterCounter("streams.recorded", r),
+		recordsFailed:   metrics.GetOrRegisterCounter("streams.recordFailed", r),
+		takeUpsRefused:  metrics.GetOrRegisterCounter("streams.takeUpRefused", r),
+		recordWait:      histogram(r, "streams.recordMillis"),
 	}
 }
 
--- /dev/null
+++ b/masticrelay/origin.go
@@ -0,0 +1,238 @@
+package masticrelay
+
+import (
+	"context"
+	"time"
+
+	"masticladder/masticbackend"
+	"masticladder/masticcall"
+	"masticladder/masticdetector"
+	"masticladder/masticerror"
+	"masticladder/masticview"
+)
+
+const (
+	// recordTimeout bounds the wait for the record of a stream whose first event has arrived. An election of a
+	// leader takes less.
+	recordTimeout = time.Second
+	// serverCheckTimeout bounds the check of which incarnation of a server has answered.
+	serverCheckTimeout = 300 * time.Millisecond
+	// findTimeout bounds the question which version began a stream that a caller takes up.
+	findTimeout = 700 * time.Millisecond
+	// unknownRetryAfter is when a caller is to come back whose question had no answer.
+	unknownRetryAfter = 300 * time.Millisecond
+)
+
+// serviceSoftware is the software versions of a service under one view.
+type serviceSoftware struct {
+	// base is the version whose streams need no record.
+	base string
+	// servers is the number of servers of each version, also of those that are leaving.
+	servers map[string]int
+}
+
+// serviceSoftwareOf returns the software versions of all services of a view.
+func serviceSoftwareOf(v masticview.View) map[string]serviceSoftware {
+	out := map[string]serviceSoftware{}
+	for service, servers := range v.SoftwareVersions() {
+		base, _ := v.BaseSoftware(service)
+		out[service] = serviceSoftware{base: base, servers: servers}
+	}
+	return out
+}
+
+// single returns the only version of the service, and false if there are several.
+func (s serviceSoftware) single() (string, bool) {
+	for version := range s.servers {
+		return version, len(s.servers) == 1
+	}
+	return "", false
+}
+
+// mixed reports whether a server may have another version than the view says that it has, or than the base:
+// several serve, or the base has none.
+func (s serviceSoftware) mixed() bool {
+	version, only := s.single()
+	return len(s.servers) > 0 && (!only || version != s.base)
+}
+
+// streamOrigin is what a request knows of the software version that began its stream. A stream goes on only at
+// servers of that version.
+type streamOrigin struct {
+	// bound allows the servers that can continue the stream; it allows all until the first event.
+	bound masticcall.Software
+	// key names the stream to all hosts, of a take-up that of the request which began it.
+	key masticcall.StreamKey
+	// recording is the record of the running attempt, nil if it needs none or the stream is bound.
+	recording masticcall.Recording
+	// recorded reports that some attempt had a record, so that the next one needs one too.
+	recorded bool
+	// wait is how long the first event waited for the record.
+	wait time.Duration
+}
+
+// keepsOrigin reports whether callers may take up the request's stream.
+func (r *requestState) keepsOrigin() bool { return r.route.Resumable && r.relay.origins != nil }
+
+// takesUp reports whether the request takes up a stream that broke.
+func (r *requestState) takesUp() bool { return r.call.LastEventID != "" || r.call.Resumes != "" }
+
+// findOrigin binds a request that takes up a stream to the version that began it, or returns why that cannot be
+// told.
+func (r *requestState) findOrigin(ctx context.Context, t *routingTable) *masticerror.Error {
+	if !r.keepsOrigin() {
+		return nil
+	}
+	if !r.takesUp() {
+		r.origin.key = masticcall.StreamKeyOf(r.workspace.Name, r.pool.Name, r.call.ID)
+		return nil
+	}
+	r.origin.key = masticcall.StreamKeyOf(r.workspace.Name, r.pool.Name, r.call.Resumes)
+	software := t.software[r.pool.Name]
+	if r.call.Resumes == "" {
+		version, only := software.single()
+		if !only || version != software.base {
+			return r.refuseTakeUp(masticerror.New(masticerror.KindBadRequest, "the request does not name the one that began its stream, and several software versions serve"))
+		}
+		r.origin.bound = masticcall.OnlySoftware(version)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	began := time.Now()
+	found, err := r.relay.origins.Find(ctx, r.origin.key, r.pool.Name)
+	if err != nil {
+		r.logOrigin(found, began, err)
+		e := masticerror.From(err)
+		return r.refuseTakeUp(e.WithRetryAfter(unknownRetryAfter + r.relay.retryAfter()))
+	}
+	r.origin.bound, r.origin.recorded = masticcall.OnlySoftware(found.Software), found.Recorded
+	r.logOrigin(found, began, nil)
+	if r.relay.table.Load().software[r.pool.Name].servers[found.Software] == 0 {
+		return r.refuseTakeUp(masticerror.New(masticerror.KindNoServer, "no backend server has software %q, which began the stream", found.Software))
+	}
+	if found.Recorded {
+		// The record is renewed from here, whatever becomes of the host that wrote it.
+		r.relay.origins.Record(r.origin.key, found.Software)
+	}
+	return nil
+}
+
+// refuseTakeUp counts the refusal of a take-up.
+func (r *requestState) refuseTakeUp(e *masticerror.Error) *masticerror.Error {
+	r.relay.metrics.takeUpsRefused.Inc(1)
+	return e
+}
+
+// allowedSoftware returns which servers may get the next attempt. A request without an event may go anywhere
+// while its version can be recorded, else to the base version. If that has no server and only one other
+// version is left, the request goes there: no stream can be joined from it and the base version.
+func (r *requestState) allowedSoftware() masticcall.Software {
+	if !r.keepsOrigin() || r.origin.bound.Required || r.relay.origins.Available() {
+		return r.origin.bound
+	}
+	software := r.relay.table.Load().software[r.pool.Name]
+	if version, only := software.single(); only {
+		return masticcall.OnlySoftware(version)
+	}
+	return masticcall.OnlySoftware(software.base)
+}
+
+// recordOrigin begins to record that the stream is begun by server, if that is needed: while the control group
+// writes it, the server works on the first event.
+func (r *requestState) recordOrigin(server masticview.Server) {
+	r.origin.recording = nil
+	if !r.keepsOrigin() || r.origin.bound.Required {
+		return
+	}
+	base, known := r.relay.table.Load().view.BaseSoftware(server.Service)
+	if !r.origin.recorded && known && base == server.Software {
+		return
+	}
+	r.origin.recorded = true
+	r.origin.recording = r.relay.origins.Record(r.origin.key, server.Software)
+}
+
+// confirmOrigin checks, before the first event of an attempt is passed on, that the server has the version that
+// the view states, and waits until the version of a stream that begins is recorded.
+func (r *requestState) confirmOrigin(ctx context.Context, server masticview.Server, answer *masticbackend.Answer) *masticbackend.Failure {
+	if f := r.confirmServer(ctx, server, answer); f != nil {
+		return f
+	}
+	return r.confirmRecord(ctx)
+}
+
+// confirmServer checks that no other incarnation of the server, which may have another version, gave the answer:
+// it may have returned under its name before a list shows it. The connection belongs to the process that answers
+// the check, since it would have broken otherwise.
+func (r *requestState) confirmServer(ctx context.Context, server masticview.Server, answer *masticbackend.Answer) *masticbackend.Failure {
+	if !r.keepsOrigin() || !r.pool.Engine || !answer.OnNewConnection() || !r.relay.table.Load().software[r.pool.Name].mixed() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
+	defer cancel()
+	if (&livenessChecker{relay: r.relay}).Check(ctx, server, "") != masticdetector.SignReplaced {
+		return nil
+	}
+	return &masticbackend.Failure{
+		Err: masticerror.New(masticerror.KindBackendFailed, "another incarnation of %s has answered", server.Name), Sent: true, ServerEnded: true, Answered: true,
+	}
+}
+
+// confirmRecord waits until the version of the stream that begins is recorded.
+func (r *requestState) confirmRecord(ctx context.Context) *masticbackend.Failure {
+	recording := r.origin.recording
+	if recording == nil {
+		return nil
+	}
+	r.origin.recording = nil
+	if version, only := r.relay.table.Load().software[r.pool.Name].single(); only && version == r.software && !r.relay.origins.Available() {
+		// The record follows once control is back.
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	began := time.Now()
+	err := recording.Wait(ctx)
+	r.origin.wait = time.Since(began)
+	r.relay.metrics.recordWait.Update(r.origin.wait.Milliseconds())
+	if err == nil {
+		r.relay.metrics.streamsRecorded.Inc(1)
+		return nil
+	}
+	r.relay.metrics.recordsFailed.Inc(1)
+	return &masticbackend.Failure{
+		Err: masticerror.Wrap(err, masticerror.KindNoQuorum, "the version of the stream was not recorded"), Sent: true, Answered: true,
+	}
+}
+
+// bindOrigin binds the stream to the version that brings its first event.
+func (r *requestState) bindOrigin() {
+	if r.keepsOrigin() && !r.origin.bound.Required {
+		r.origin.bound = masticcall.OnlySoftware(r.software)
+	}
+}
+
+// endOrigin ends the record of the stream. It is forgotten if the caller has no reason to take the stream up:
+// it got all of it, or no event.
+func (r *requestState) endOrigin(err *masticerror.Error) {
+	if !r.origin.recorded {
+		return
+	}
+	r.relay.origins.End(r.origin.key, err == nil || !r.takesUp() && !r.headerWritten)
+}
+
+// withSoftware returns service with the servers that s allows.
+func withSoftware(t *routingTable, service masticview.Service, s masticcall.Software) masticview.Service {
+	if !s.Required {
+		return service
+	}
+	var names []string
+	for _, name := range service.Servers {
+		if x, ok := t.view.Server(name); ok && s.Allows(x.Software) {
+			names = append(names, name)
+		}
+	}
+	service.Servers = names
+	return service
+}
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -34,8 +34,10 @@
 	client   *masticbackend.Client
 	// statements is nil if what backend servers state about themselves is not observed.
 	statements masticcall.StatementObserver
-	backends   BackendProtocol
-	callers    CallerProtocol
+	// origins is nil if streams may go on at any software version.
+	origins  masticcall.Origins
+	backends BackendProtocol
+	callers  CallerProtocol
 	// bodies bounds the bodies of all calls together.
 	bodies  *masticbody.Budget
 	log     logrus.FieldLogger
@@ -82,6 +84,10 @@
 	return func(c *Relay) { c.statements = o }
 }
 
+// WithOrigins sets the records of which software version began a stream. Without it, streams that may be
+// resumed go on at any version.
+func WithOrigins(o masticcall.Origins) Option { return func(c *Relay) { c.origins = o } }
+
 // WithClient sets the client for requests to backend servers.
 func WithClient(b *masticbackend.Client) Option { return func(c *Relay) { c.client = b } }
 
@@ -142,11 +148,13 @@
 	index *masticdocument.Index
 	// services maps each pool to its plain service, with the names of its active servers.
 	services map[string]masticview.Service
+	// software maps each service to the software versions of its servers.
+	software map[string]serviceSoftware
 }
 
 // SetView makes the relay serve from v.
 func (c *Relay) SetView(v masticview.View) {
-	t := &routingTable{view: v, services: map[string]masticview.Service{}}
+	t := &routingTable{view: v, services: map[string]masticview.Service{}, software: serviceSoftwareOf(v)}
 	old := c.table.Load()
 	switch {
 	case v.Document() == nil:
@@ -241,26 +249,6 @@
 	return d
 }
 
-// pickPool returns the pool of a random target, with probability proportional to its weight.
-func (c *Relay) pickPool(targets []masticdocument.Target) string {
-	if len(targets) == 1 {
-		return targets[0].Pool
-	}
-	var sum int64
-	for _, t := range targets {
-		sum += t.Weight
-	}
-	c.mutex.Lock()
-	n := c.random.Int64N(sum)
-	c.mutex.Unlock()
-	for _, t := range targets {
-		if n -= t.Weight; n < 0 {
-			return t.Pool
-		}
-	}
-	return targets[len(targets)-1].Pool
-}
-
 // recordFirstAttempt adds a first attempt to the retry budget, which is kept by pool.
 func (c *Relay) recordFirstAttempt(pool string) {
 	c.mutex.Lock()
--- a/masticrelay/response.go
+++ b/masticrelay/response.go
@@ -24,7 +24,7 @@
 // relayResponse relays the response to the caller. It returns a failure, without relaying, for: a response
 // that states that the request has not run, an invalid response, a server error after which
 // another server may be tried, and a response that does not resume the broken stream.
-func (r *requestState) relayResponse(a masticcall.Assignment, answer *masticbackend.Answer) *masticbackend.Failure {
+func (r *requestState) relayResponse(ctx context.Context, a masticcall.Assignment, answer *masticbackend.Answer) *masticbackend.Failure {
 	c := r.relay
 	if c.backends.NotRun(answer.Status, answer.Header) {
 		drainBody(answer)
@@ -46,7 +46,7 @@
 	}
 	r.status = answer.Status
 	if isStream(answer.Header) && answer.Status == http.StatusOK {
-		return r.relayStream(a, answer)
+		return r.relayStream(ctx, a, answer)
 	}
 	return r.relayBody(a, answer)
 }
@@ -137,7 +137,7 @@
 }
 
 // relayStream relays complete events as they arrive.
-func (r *requestState) relayStream(a masticcall.Assignment, answer *masticbackend.Answer) *masticbackend.Failure {
+func (r *requestState) relayStream(ctx context.Context, a masticcall.Assignment, answer *masticbackend.Answer) *masticbackend.Failure {
 	buffer := relayBuffers.Get().(*[relayBufferBytes]byte)
 	defer relayBuffers.Put(buffer)
 	r.events.discardPartial()
@@ -148,6 +148,9 @@
 			if first {
 				first = false
 				a.FirstToken(time.Now())
+				if f := r.confirmOrigin(ctx, a.Server(), answer); f != nil {
+					return f
+				}
 			}
 			if f := r.relayEvents(answer, buffer[:n]); f != nil {
 				return f
@@ -176,6 +179,7 @@
 	if len(whole) == 0 {
 		return nil
 	}
+	r.bindOrigin()
 	if !r.headerWritten {
 		r.writeHeader(answer)
 	}
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -68,6 +68,7 @@
 	server        string
 	// software is the software version of server.
 	software string
+	origin   streamOrigin
 	status   int
 	// firstByteAt is when the header of the response was relayed.
 	firstByteAt time.Time
@@ -80,6 +81,7 @@
 	defer c.running.Add(-1)
 	r := &requestState{relay: c, writer: w, call: call}
 	err := r.serve(ctx)
+	r.endOrigin(err)
 	r.logOutcome(err)
 	c.metrics.recordOutcome(r, err, time.Now())
 	switch {
@@ -141,11 +143,14 @@
 	if err := c.endError(r.deadline); err != nil {
 		return err
 	}
-	r.pool, _ = t.index.Pool(c.pickPool(route.Targets))
+	r.pool, _ = t.index.Pool(pickPool(route.Targets, r.call.streamID()))
 	r.content = r.contentOf()
 	r.service = t.services[r.pool.Name]
 	r.service.Name = r.pool.Name
-	return r.quarantineError(t)
+	if err := r.quarantineError(t); err != nil {
+		return err
+	}
+	return r.findOrigin(ctx, t)
 }
 
 // contentOf returns the content of the request. Only engines work on the parts of a prompt.
@@ -221,8 +226,9 @@
 // assign has the dispatcher assign a backend server other than the unavailable ones.
 func (r *requestState) assign(ctx context.Context, unavailable []string) (masticcall.Assignment, error) {
 	avoid := append(r.avoid[:len(r.avoid):len(r.avoid)], unavailable...)
+	software := r.allowedSoftware()
 	if !r.pool.Engine {
-		return r.relay.dispatcher.AcquireService(ctx, r.service, avoid)
+		return r.relay.dispatcher.AcquireService(ctx, withSoftware(r.relay.table.Load(), r.service, software), avoid)
 	}
 	firstTokenDeadline := r.call.Received.Add(r.route.TargetLatency)
 	return r.relay.dispatcher.Acquire(ctx, masticcall.Request{
@@ -240,6 +246,7 @@
 		Deadline:           r.deadline,
 		ServerWaitDeadline: r.call.Received.Add(r.route.TargetLatency / usableTimeoutDivisor),
 		Avoid:              avoid,
+		Software:           software,
 		Attempt:            0,
 	})
 }
@@ -250,6 +257,7 @@
 	watched, sentAt := r.relay.detector.Begin(server, server.Incarnation, r.content), time.Now()
 	r.server, r.software = server.Name, server.Software
 	r.attempts++
+	r.recordOrigin(server)
 	f := r.exchange(ctx, a, watched)
 	result := masticcall.Result{CachedUnknown: true, ServerIncarnation: server.Incarnation}
 	if f != nil {
@@ -306,7 +314,7 @@
 	defer answer.Close()
 	statement := c.observeStatement(server, r.call.ID, now, answer)
 	c.answered(watched, answer)
-	f := r.relayResponse(a, answer)
+	f := r.relayResponse(ctx, a, answer)
 	if f != nil {
 		f.Paused = statement.Paused()
 	}
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticladder/masticcache"
+	"masticladder/masticcall"
 	"masticladder/masticprompt"
 	"masticladder/masticview"
 )
@@ -63,6 +64,8 @@
 	// PromptTokens is the length of the prompt where a better value than the estimate is known.
 	PromptTokens int64
 	Avoid        []string
+	// Software restricts the backend servers by the version of their software.
+	Software masticcall.Software
 	// Shard is the number of the shard whose engines may run the request, zero for any engine.
 	Shard int
 	// OtherHost reports that another host sends the request, which checks pauses and stated rates itself.
@@ -236,7 +239,7 @@
 
 // isEligible is canRun without regard to what s states about itself.
 func (r *Router) isEligible(now time.Time, s *server, q *Query) bool {
-	if !s.usable(now) || slices.Contains(q.Avoid, s.info.Name) {
+	if !s.usable(now) || slices.Contains(q.Avoid, s.info.Name) || !q.Software.Allows(s.info.Software) {
 		return false
 	}
 	return !q.Suspect || s.suspects == 0
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -240,12 +240,12 @@
 // Serves reports whether an active backend server serves model.
 func (r *Router) Serves(model string) bool { return len(r.pools[model]) > 0 }
 
-// Eligible reports whether an active engine that serves q.Model is not in q.Avoid. It does not
-// check q's other conditions, such as its versions, nor whether the engine is usable now.
+// Eligible reports whether an active engine that serves q.Model is not in q.Avoid and has software that q
+// allows. It does not check q's other conditions, such as its versions, nor whether the engine is usable now.
 func (r *Router) Eligible(q *Query) bool {
 	for _, p := range r.pools[q.Model] {
 		for _, slot := range p.slots {
-			if !slices.Contains(q.Avoid, r.servers[slot].info.Name) {
+			if s := r.servers[slot].info; !slices.Contains(q.Avoid, s.Name) && q.Software.Allows(s.Software) {
 				return true
 			}
 		}
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -111,7 +111,7 @@
 	}
 	w := &waiting{ticket: t, request: r, queuedAt: now, query: masticroute.Query{
 		Model: r.Model, Workspace: r.Workspace, Class: r.Class, Prompt: p,
-		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Suspect: s.suspects[r.Digest], Shard: r.Shard, OtherHost: r.OtherHost,
+		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Software: r.Software, Suspect: s.suspects[r.Digest], Shard: r.Shard, OtherHost: r.OtherHost,
 	}}
 	if !s.router.Eligible(&w.query) {
 		s.fail(t, noServerError(r.Model))
@@ -141,7 +141,7 @@
 func (s *Scheduler) Adopt(now time.Time, t Ticket, r masticcall.Request, p masticprompt.Prompt, a masticcall.ShardAssignment) {
 	w := &waiting{ticket: t, request: r, queuedAt: now, query: masticroute.Query{
 		Model: r.Model, Workspace: r.Workspace, Class: r.Class, Prompt: p,
-		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Suspect: s.suspects[r.Digest],
+		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Software: r.Software, Suspect: s.suspects[r.Digest],
 	}}
 	d, ok := s.router.Adopt(now, &w.query, a)
 	if !ok {
--- a/masticstate/result.go
+++ b/masticstate/result.go
@@ -73,6 +73,13 @@
 	Err      error
 }
 
+// OriginsResult is the result of StreamOrigins. Unrecorded are the begun streams that could not be recorded,
+// Origins answers the questions in their order.
+type OriginsResult struct {
+	Unrecorded []masticcall.StreamKey
+	Origins    []masticcall.StreamOrigin
+}
+
 // EndResult is the result of a SuspectEnd.
 type EndResult struct{}
 
@@ -107,6 +114,7 @@
 func (UsageResult) isResult()    {}
 func (SuspectResult) isResult()  {}
 func (HoldResult) isResult()     {}
+func (OriginsResult) isResult()  {}
 func (EndResult) isResult()      {}
 func (TickResult) isResult()     {}
 func (LoadResult) isResult()     {}
--- a/masticstate/snapshot.go
+++ b/masticstate/snapshot.go
@@ -9,6 +9,7 @@
 
 	"masticladder/masticerror"
 	"masticladder/masticledger"
+	"masticladder/masticorigin"
 	"masticladder/masticplace"
 	"masticladder/masticproto"
 	"masticladder/masticsuspect"
@@ -42,6 +43,7 @@
 		Suspects:             s.suspects.Snapshot(),
 		Loads:                s.loads.Records(),
 		DocumentContent:      s.documentContent,
+		Origins:              s.origins.Snapshot(),
 	}
 	for _, n := range slices.Sorted(maps.Keys(s.quota.usedTokens)) {
 		p.QuotaLevels = append(p.QuotaLevels, &masticproto.QuotaLevel{Workspace: n, UsedTokens: s.quota.usedTokens[n]})
@@ -92,6 +94,7 @@
 	next.usage = masticusage.Restore(p.GetUsage())
 	next.loads = masticplace.NewOrders(p.GetLoads())
 	next.documentContent = p.GetDocumentContent()
+	next.origins = masticorigin.Restore(p.GetOrigins())
 	*s = *next
 	return nil
 }
--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -12,6 +12,7 @@
 
 	"masticladder/masticerror"
 	"masticladder/masticledger"
+	"masticladder/masticorigin"
 	"masticladder/masticplace"
 	"masticladder/masticproto"
 	"masticladder/masticsuspect"
@@ -39,6 +40,7 @@
 	usage     *masticusage.Totals
 	suspects  *masticsuspect.Tracker
 	loads     *masticplace.Orders
+	origins   *masticorigin.Records
 	// quarantined are the requests that the last command quarantined, quarantineErr is why it could not.
 	quarantined   []masticview.Digest
 	quarantineErr error
@@ -65,6 +67,7 @@
 		usage:     masticusage.NewTotals(),
 		suspects:  masticsuspect.New(),
 		loads:     masticplace.NewOrders(nil),
+		origins:   masticorigin.New(),
 	}
 }
 
@@ -116,7 +119,10 @@
 		return s.nameWeights(k.Weights)
 	case *masticproto.Command_Leaving:
 		return LeavingResult{Applied: s.applyServerLeaving(k.Leaving)}
+	case *masticproto.Command_Origins:
+		return s.applyOrigins(k.Origins)
 	case *masticproto.Command_Tick:
+		s.origins.Rotate()
 		s.usage.Close(s.now)
 		s.suspects.Expire(s.now)
 		return TickResult{}
--- a/masticview/check.go
+++ b/masticview/check.go
@@ -38,7 +38,7 @@
 func itemCount(c *masticproto.ViewChange) int {
 	n := len(c.GetWorkspaces()) + len(c.GetProfiles()) + len(c.GetKeys()) + len(c.GetHosts())
 	n += len(c.GetServers()) + len(c.GetServices()) + len(c.GetQuarantines()) + len(c.GetEndedQuarantines())
-	n += len(c.GetWeights()) + len(c.GetRemovedServers())
+	n += len(c.GetWeights()) + len(c.GetRemovedServers()) + len(c.GetBaseSoftware())
 	if c.GetDocument() != nil {
 		n++
 	}
@@ -92,6 +92,9 @@
 	if err := checkHosts(v, next, c.GetHosts()); err != nil {
 		return err
 	}
+	if err := checkBaseSoftware(v, next, c.GetBaseSoftware()); err != nil {
+		return err
+	}
 	return checkQuarantines(next, c.GetQuarantines(), at)
 }
 
--- a/masticview/draft.go
+++ b/masticview/draft.go
@@ -19,6 +19,8 @@
 	quarantines tableEdit[Digest, Quarantine]
 	weights     tableEdit[string, Weights]
 	document    *masticproto.Document
+
+	baseSoftware tableEdit[string, string]
 }
 
 func newDraft(v View) *draft {
@@ -34,6 +36,8 @@
 		quarantines: newTableEdit(v.quarantines),
 		weights:     newTableEdit(v.weights),
 		document:    v.document,
+
+		baseSoftware: newTableEdit(v.baseSoftware),
 	}
 }
 
@@ -58,6 +62,7 @@
 	for _, p := range c.GetServices() {
 		d.services.put(p.GetName(), ServiceFromProto(p))
 	}
+	d.putBaseSoftware(c)
 	if err := d.putKeys(c.GetKeys()); err != nil {
 		return err
 	}
@@ -128,5 +133,7 @@
 		quarantines: d.quarantines.table,
 		weights:     d.weights.table,
 		document:    d.document,
+
+		baseSoftware: d.baseSoftware.table,
 	}
 }
--- a/masticview/snapshot.go
+++ b/masticview/snapshot.go
@@ -16,6 +16,8 @@
 			Quarantines: encode(v.Quarantines(), Quarantine.ToProto),
 			Weights:     encode(v.AllWeights(), Weights.ToProto),
 			Document:    v.document,
+
+			BaseSoftware: v.baseSoftwareToProto(),
 		},
 	}
 }
--- a/masticview/view.go
+++ b/masticview/view.go
@@ -22,6 +22,8 @@
 	quarantines table[Digest, Quarantine]
 	weights     table[string, Weights]
 	document    *masticproto.Document
+	// baseSoftware is by service.
+	baseSoftware table[string, string]
 }
 
 // Revision returns the view's revision; it is zero for the zero View.
