--- a/masticgate/fake_test.go
+++ b/masticgate/fake_test.go
@@ -196,7 +196,7 @@
 	defer f.mu.Unlock()
 	f.acquired = append(f.acquired, r)
 	for _, s := range f.views.View().Servers() {
-		if s.Serves(r.Model) && !slices.Contains(r.Avoid, s.Name) {
+		if s.Serves(r.Model) && !slices.Contains(r.Avoid, s.Name) && r.Software.Allows(s.Software) {
 			return &fakeAssignment{dispatcher: f, server: s}, nil
 		}
 	}
--- /dev/null
+++ b/masticorigin/records_test.go
@@ -0,0 +1,99 @@
+package masticorigin
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"masticladder/masticcall"
+	"masticladder/masticproto"
+)
+
+func keyOf(n int) masticcall.StreamKey {
+	return masticcall.StreamKeyOf("mill", "engines", fmt.Sprint("request ", n))
+}
+
+func encode(all ...masticcall.StreamKey) []byte {
+	var out []byte
+	for _, k := range all {
+		out = append(out, k[:]...)
+	}
+	return out
+}
+
+func begun(host string, sequence uint64, software string, all ...masticcall.StreamKey) *masticproto.StreamOrigins {
+	return &masticproto.StreamOrigins{
+		Host: host, Incarnation: "i", Sequence: sequence, Begun: []*masticproto.BegunStreams{{Software: software, Keys: encode(all...)}},
+	}
+}
+
+func ended(host string, sequence uint64, all ...masticcall.StreamKey) *masticproto.StreamOrigins {
+	return &masticproto.StreamOrigins{Host: host, Incarnation: "i", Sequence: sequence, Ended: encode(all...)}
+}
+
+func TestRecordLastsUntilItsStreamEnds(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	c.Assert(r.Apply(begun("h", 1, "v2", keyOf(1), keyOf(2))), qt.HasLen, 0)
+	software, ok := r.Find(keyOf(1))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(software, qt.Equals, "v2")
+	r.Apply(ended("h", 2, keyOf(1)))
+	_, ok = r.Find(keyOf(1))
+	c.Assert(ok, qt.IsFalse)
+	r.Rotate()
+	_, ok = r.Find(keyOf(2))
+	c.Assert(ok, qt.IsTrue)
+	r.Apply(begun("h", 3, "v2", keyOf(2)))
+	r.Rotate()
+	_, ok = r.Find(keyOf(2))
+	c.Assert(ok, qt.IsTrue, qt.Commentf("a renewed record"))
+	r.Rotate()
+	c.Assert(r.Len(), qt.Equals, 0)
+}
+
+// TestFullRecordsRefuseNewStreams checks that made-up streams push no other record out.
+func TestFullRecordsRefuseNewStreams(t *testing.T) {
+	c := qt.New(t)
+	r := New(WithMaxRecords(2))
+	c.Assert(r.Apply(begun("h", 1, "v2", keyOf(1), keyOf(2))), qt.HasLen, 0)
+	c.Assert(r.Apply(begun("h", 2, "v2", keyOf(3), keyOf(1))), qt.DeepEquals, []masticcall.StreamKey{keyOf(3)})
+	c.Assert(r.Len(), qt.Equals, 2)
+	_, ok := r.Find(keyOf(2))
+	c.Assert(ok, qt.IsTrue)
+}
+
+// TestOvertakenBatchChangesNothing: a batch that was sent again arrives after a newer one of its host.
+func TestOvertakenBatchChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.Apply(begun("h", 2, "v1", keyOf(1)))
+	c.Assert(r.Apply(begun("h", 1, "v2", keyOf(1))), qt.DeepEquals, []masticcall.StreamKey{keyOf(1)})
+	r.Apply(ended("h", 1, keyOf(1)))
+	software, _ := r.Find(keyOf(1))
+	c.Assert(software, qt.Equals, "v1")
+	c.Assert(r.Apply(begun("h", 2, "v1", keyOf(1))), qt.HasLen, 0, qt.Commentf("the answer to a batch that is sent again is the same"))
+	c.Assert(r.Apply(begun("other", 1, "v2", keyOf(2))), qt.HasLen, 0)
+}
+
+func TestSnapshotKeepsRecords(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.Apply(begun("h", 5, "v2", keyOf(1), keyOf(2)))
+	r.Rotate()
+	r.Apply(begun("g", 6, "v3", keyOf(3)))
+	next := Restore(r.Snapshot())
+	c.Assert(proto.Equal(next.Snapshot(), r.Snapshot()), qt.IsTrue)
+	c.Assert(next.Len(), qt.Equals, 3)
+	c.Assert(next.Apply(begun("h", 5, "v9", keyOf(4))), qt.HasLen, 1)
+	c.Assert(Restore(nil).Len(), qt.Equals, 0)
+}
+
+func TestMalformedKeysAreLeftOut(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.Apply(&masticproto.StreamOrigins{Host: "h", Sequence: 1, Begun: []*masticproto.BegunStreams{{Software: "v", Keys: []byte("short")}}, Ended: []byte{1}})
+	c.Assert(r.Len(), qt.Equals, 0)
+}
