Send four batches of stream records at once

Hosts now have four batches under way; a key is in one of them at a time, and each names the oldest one that counts, so that a batch which was given up and arrives late changes nothing.

--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -142,7 +142,7 @@
 
 // Run runs the agent until Stop. It then returns unspent quota and reports the last usage.
 func (a *Agent) Run() error {
-	a.running.Add(8)
+	a.running.Add(7 + originSenders)
 	go a.views.loop()
 	go a.limiter.loop()
 	go a.limiter.run(a.context)
@@ -150,7 +150,9 @@
 	go a.watcher.run(a.context)
 	go a.reporter.run(a.context)
 	go a.commandRetrier.run(a.context)
-	go a.origins.run(a.context)
+	for range originSenders {
+		go a.origins.run(a.context)
+	}
 	<-a.context.Done()
 	a.finish()
 	a.views.updates.Close()
--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,13 +26,15 @@
 	originRenewInterval = 20 * time.Second
 	// originIdleInterval bounds the time until ended streams are reported.
 	originIdleInterval = time.Second
+	// originSenders is the number of batches that are under way at once: a record that had to wait for the
+	// commit before it would come after most first events.
+	originSenders = 4
 	// originBatchesPerSecond bounds the batches of all hosts together, except for spacelessHosts.
 	originBatchesPerSecond = 4000
 	spacelessHosts         = 20
 )
 
-// origins implements masticcall.Origins. One goroutine sends what has collected while the batch before was on
-// its way.
+// origins implements masticcall.Origins.
 type origins struct {
 	agent *Agent
 	wake  chan struct{}
@@ -45,6 +49,9 @@
 	// failing reports that the last batch got no answer.
 	failing  bool
 	sequence uint64
+	// underWay are the sequences of the batches under way, busy the keys in them: a key is in one at a time.
+	underWay map[uint64]bool
+	busy     map[masticcall.StreamKey]bool
 }
 
 // originRecord implements masticcall.Recording.
@@ -66,7 +73,10 @@
 }
 
 func newOrigins(a *Agent) *origins {
-	return &origins{agent: a, wake: make(chan struct{}, 1), records: map[masticcall.StreamKey]*originRecord{}}
+	return &origins{
+		agent: a, wake: make(chan struct{}, 1), records: map[masticcall.StreamKey]*originRecord{},
+		underWay: map[uint64]bool{}, busy: map[masticcall.StreamKey]bool{},
+	}
 }
 
 // Origins returns the records of which software version began a stream.
@@ -155,6 +165,7 @@
 	}
 }
 
+// run sends batches, beside other goroutines that run it.
 func (o *origins) run(ctx context.Context) {
 	defer o.agent.running.Done()
 	ticker := time.NewTicker(originIdleInterval)
@@ -168,9 +179,9 @@
 		case <-ctx.Done():
 			return
 		}
-		for {
+		for ctx.Err() == nil {
 			b := o.take()
-			if b == nil || ctx.Err() != nil {
+			if b == nil {
 				break
 			}
 			if !o.send(ctx, b) {
@@ -186,7 +197,7 @@
 	if hosts <= spacelessHosts {
 		return 0
 	}
-	return time.Duration(hosts) * time.Second / originBatchesPerSecond
+	return originSenders * time.Duration(hosts) * time.Second / originBatchesPerSecond
 }
 
 // renew queues the records of running streams that are due.
@@ -209,21 +220,20 @@
 	asked   []*originQuestion
 }
 
-// take removes the next batch from what is queued, nil if nothing is.
+// take removes the next batch from what is queued, nil if nothing is that may be sent now.
 func (o *origins) take() *originBatchState {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	b := &originBatchState{records: map[masticcall.StreamKey]*originRecord{}}
-	n := min(len(o.unsent), originBatch)
-	for _, k := range o.unsent[:n] {
+	var due []masticcall.StreamKey
+	due, o.unsent = o.idle(o.unsent)
+	for _, k := range due {
 		if r, ok := o.records[k]; ok {
 			b.records[k] = r
 		}
 	}
-	o.unsent = append([]masticcall.StreamKey(nil), o.unsent[n:]...)
-	n = min(len(o.ended), originBatch)
-	b.ended, o.ended = o.ended[:n:n], o.ended[n:]
-	n = min(len(o.asked), originBatch)
+	b.ended, o.ended = o.idle(o.ended)
+	n := min(len(o.asked), originBatch)
 	for _, q := range o.asked[:n] {
 		if q.ctx.Err() == nil {
 			b.asked = append(b.asked, q)
@@ -234,24 +244,52 @@
 		return nil
 	}
 	o.sequence++
-	b.command = &masticproto.StreamOrigins{Host: o.agent.host, Incarnation: o.agent.incarnation, Sequence: o.sequence}
+	o.underWay[o.sequence] = true
+	for k := range b.records {
+		o.busy[k] = true
+	}
+	for _, k := range b.ended {
+		o.busy[k] = true
+	}
+	b.command = b.encode()
+	b.command.Host, b.command.Incarnation, b.command.Sequence = o.agent.host, o.agent.incarnation, o.sequence
+	b.command.Oldest = slices.Min(slices.Collect(maps.Keys(o.underWay)))
+	return b
+}
+
+// idle splits keys into those of the next batch and the rest, which are too many or in a batch under way. The
+// mutex is held.
+func (o *origins) idle(keys []masticcall.StreamKey) (due, rest []masticcall.StreamKey) {
+	for _, k := range keys {
+		if o.busy[k] || len(due) >= originBatch {
+			rest = append(rest, k)
+			continue
+		}
+		due = append(due, k)
+	}
+	return due, rest
+}
+
+// encode returns the command of the batch without its sequence.
+func (b *originBatchState) encode() *masticproto.StreamOrigins {
+	out := &masticproto.StreamOrigins{}
 	bySoftware := map[string]*masticproto.BegunStreams{}
 	for k, r := range b.records {
 		x, ok := bySoftware[r.software]
 		if !ok {
 			x = &masticproto.BegunStreams{Software: r.software}
 			bySoftware[r.software] = x
-			b.command.Begun = append(b.command.Begun, x)
+			out.Begun = append(out.Begun, x)
 		}
 		x.Keys = append(x.Keys, k[:]...)
 	}
 	for _, k := range b.ended {
-		b.command.Ended = append(b.command.Ended, k[:]...)
+		out.Ended = append(out.Ended, k[:]...)
 	}
 	for _, q := range b.asked {
-		b.command.Asked = append(b.command.Asked, &masticproto.AskedStream{Key: q.key[:], Service: q.service})
+		out.Asked = append(out.Asked, &masticproto.AskedStream{Key: q.key[:], Service: q.service})
 	}
-	return b
+	return out
 }
 
 // send sends a batch and reports whether it was answered. Otherwise all that it holds is queued again.
@@ -261,6 +299,7 @@
 	answer, err := o.agent.commit(ctx, &masticproto.Command{Kind: &masticproto.Command_Origins{Origins: b.command}}, originAttemptTimeout)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	o.release(b)
 	if failing := err != nil; failing != o.failing {
 		o.failing = failing
 		o.agent.log.WithField("lost", failing).WithField("cause", err).WithField("begun", len(b.records)).WithField("asked", len(b.asked)).
@@ -274,6 +313,20 @@
 	return true
 }
 
+// release allows the keys of a batch in others. The mutex is held.
+func (o *origins) release(b *originBatchState) {
+	delete(o.underWay, b.command.GetSequence())
+	for k := range b.records {
+		delete(o.busy, k)
+	}
+	for _, k := range b.ended {
+		delete(o.busy, k)
+	}
+	if len(o.unsent)+len(o.ended) > 0 {
+		o.signal()
+	}
+}
+
 // requeue queues again what is still of use. The mutex is held.
 func (o *origins) requeue(b *originBatchState) {
 	for k, r := range b.records {
--- a/masticorigin/records.go
+++ b/masticorigin/records.go
@@ -18,10 +18,10 @@
 	maxRecords                      int
 }
 
-// sender is the last batch of a host.
+// sender is the oldest batch of a host that still counts.
 type sender struct {
 	incarnation string
-	sequence    uint64
+	oldest      uint64
 }
 
 // Option sets one property of Records.
@@ -43,9 +43,10 @@
 }
 
 // Apply applies a batch of a host and returns the keys of the begun streams that are not recorded: the records
-// are full, or a newer batch was applied before.
+// are full, or the host no longer waits for the batch. Batches of a host may arrive in any order; no two that it
+// waits for at the same time have a key in common.
 func (r *Records) Apply(b *masticproto.StreamOrigins) []masticcall.StreamKey {
-	if r.isNew(b) {
+	if r.counts(b) {
 		for _, x := range b.GetBegun() {
 			for k := range keys(x.GetKeys()) {
 				r.put(k, x.GetSoftware())
@@ -67,16 +68,20 @@
 	return unrecorded
 }
 
-// isNew reports whether no newer batch of the same incarnation was applied, and stores the sequence.
-func (r *Records) isNew(b *masticproto.StreamOrigins) bool {
+// counts reports whether the host still waits for the batch, and stores which ones it does not.
+func (r *Records) counts(b *masticproto.StreamOrigins) bool {
 	last, ok := r.currentSenders[b.GetHost()]
 	if !ok {
 		last = r.previousSenders[b.GetHost()]
 	}
-	if last.incarnation == b.GetIncarnation() && b.GetSequence() <= last.sequence {
+	if last.incarnation != b.GetIncarnation() {
+		last = sender{incarnation: b.GetIncarnation()}
+	}
+	if b.GetSequence() < last.oldest {
 		return false
 	}
-	r.currentSenders[b.GetHost()] = sender{b.GetIncarnation(), b.GetSequence()}
+	last.oldest = max(last.oldest, b.GetOldest())
+	r.currentSenders[b.GetHost()] = last
 	return true
 }
 
--- a/masticorigin/snapshot.go
+++ b/masticorigin/snapshot.go
@@ -57,13 +57,13 @@
 	var out []*masticproto.OriginSender
 	for _, host := range slices.Sorted(maps.Keys(senders)) {
 		s := senders[host]
-		out = append(out, &masticproto.OriginSender{Host: host, Incarnation: s.incarnation, Sequence: s.sequence})
+		out = append(out, &masticproto.OriginSender{Host: host, Incarnation: s.incarnation, Oldest: s.oldest})
 	}
 	return out
 }
 
 func decodeSenders(into map[string]sender, all []*masticproto.OriginSender) {
 	for _, s := range all {
-		into[s.GetHost()] = sender{s.GetIncarnation(), s.GetSequence()}
+		into[s.GetHost()] = sender{s.GetIncarnation(), s.GetOldest()}
 	}
 }
