Keep the record of a stream until its caller can have noticed a lost end

A host drops the record of a stream that it has sent whole; a caller that lost the end of it with its connection takes the stream up, nobody has a record, and the base version goes on.

Records are dropped 5 s after the end of the answer, and only by the host that wrote them last, since the caller may have taken the stream up elsewhere (TestEndOfFormerHostKeepsRecord).

--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -18,6 +18,8 @@
 	// for at once.
 	originBatch = 512
 	maxOrigins  = 8192
+	// maxEndedOrigins bounds the records of this host that are to be dropped.
+	maxEndedOrigins = 8192
 	// originAttemptTimeout bounds one attempt to reach the leader with a batch, originTimeout all of them.
 	originAttemptTimeout = 300 * time.Millisecond
 	originTimeout        = time.Second
@@ -26,6 +28,9 @@
 	originRenewInterval = 20 * time.Second
 	// originIdleInterval bounds the time until ended streams are reported.
 	originIdleInterval = time.Second
+	// originEndDelay is the time from when an answer was sent as a whole until its record is dropped: the caller
+	// may have lost the end of it, and takes the stream up once it has noticed.
+	originEndDelay = 5 * time.Second
 	// originSenders is the number of batches that are under way at once: a record that had to wait for the
 	// commit before it would come after most first events.
 	originSenders = 4
@@ -44,7 +49,7 @@
 	records map[masticcall.StreamKey]*originRecord
 	// unsent are the keys of records to write, ended those to drop, asked the open questions.
 	unsent []masticcall.StreamKey
-	ended  []masticcall.StreamKey
+	ended  []endedOrigin
 	asked  []*originQuestion
 	// failing reports that the last batch got no answer.
 	failing  bool
@@ -65,6 +70,12 @@
 	renewAt              time.Time
 }
 
+// endedOrigin is a record to drop at a time.
+type endedOrigin struct {
+	key masticcall.StreamKey
+	at  time.Time
+}
+
 type originQuestion struct {
 	key     masticcall.StreamKey
 	service string
@@ -123,9 +134,9 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	delete(o.records, k)
-	if forget && len(o.ended) < maxOrigins {
+	if forget && len(o.ended) < maxEndedOrigins {
 		// Without a report the record is dropped with the second tick.
-		o.ended = append(o.ended, k)
+		o.ended = append(o.ended, endedOrigin{k, masticclock.Now().Add(originEndDelay)})
 	}
 }
 
@@ -232,7 +243,7 @@
 			b.records[k] = r
 		}
 	}
-	b.ended, o.ended = o.idle(o.ended)
+	b.ended = o.takeEnded(masticclock.Now())
 	n := min(len(o.asked), originBatch)
 	for _, q := range o.asked[:n] {
 		if q.ctx.Err() == nil {
@@ -257,6 +268,21 @@
 	return b
 }
 
+// takeEnded removes the keys of records whose time to be dropped has come. Those of streams that this host
+// serves again are left out. The mutex is held.
+func (o *origins) takeEnded(now time.Time) []masticcall.StreamKey {
+	n := 0
+	var due []masticcall.StreamKey
+	for ; n < len(o.ended) && n < originBatch && !now.Before(o.ended[n].at); n++ {
+		k := o.ended[n].key
+		if _, served := o.records[k]; !served && !o.busy[k] {
+			due = append(due, k)
+		}
+	}
+	o.ended = o.ended[n:]
+	return due
+}
+
 // idle splits keys into those of the next batch and the rest, which are too many or in a batch under way. The
 // mutex is held.
 func (o *origins) idle(keys []masticcall.StreamKey) (due, rest []masticcall.StreamKey) {
@@ -322,7 +348,7 @@
 	for _, k := range b.ended {
 		delete(o.busy, k)
 	}
-	if len(o.unsent)+len(o.ended) > 0 {
+	if len(o.unsent) > 0 {
 		o.signal()
 	}
 }
@@ -334,9 +360,6 @@
 			o.unsent = append(o.unsent, k)
 		}
 	}
-	if len(o.ended)+len(b.ended) <= maxOrigins {
-		o.ended = append(o.ended, b.ended...)
-	}
 	o.asked = append(o.asked, b.asked...)
 }
 
--- a/masticorigin/records.go
+++ b/masticorigin/records.go
@@ -7,17 +7,20 @@
 	"masticladder/masticproto"
 )
 
-// DefaultMaxRecords bounds the records. A record takes about 60 bytes.
-const DefaultMaxRecords = 1 << 17
+// DefaultMaxRecords bounds the records.
+const DefaultMaxRecords = 1 << 18
 
 // Records holds the versions of streams. A record is dropped when its stream has ended, or with the second
 // Rotate after it was last written. It is not safe for concurrent use.
 type Records struct {
-	current, previous               map[masticcall.StreamKey]string
+	current, previous               map[masticcall.StreamKey]record
 	currentSenders, previousSenders map[string]sender
 	maxRecords                      int
 }
 
+// record is the version of a stream and the host that wrote it last.
+type record struct{ software, host string }
+
 // sender is the oldest batch of a host that still counts.
 type sender struct {
 	incarnation string
@@ -33,7 +36,7 @@
 // New returns empty Records.
 func New(options ...Option) *Records {
 	r := &Records{
-		current: map[masticcall.StreamKey]string{}, previous: map[masticcall.StreamKey]string{},
+		current: map[masticcall.StreamKey]record{}, previous: map[masticcall.StreamKey]record{},
 		currentSenders: map[string]sender{}, previousSenders: map[string]sender{}, maxRecords: DefaultMaxRecords,
 	}
 	for _, o := range options {
@@ -49,12 +52,11 @@
 	if r.counts(b) {
 		for _, x := range b.GetBegun() {
 			for k := range keys(x.GetKeys()) {
-				r.put(k, x.GetSoftware())
+				r.put(k, record{x.GetSoftware(), b.GetHost()})
 			}
 		}
 		for k := range keys(b.GetEnded()) {
-			delete(r.current, k)
-			delete(r.previous, k)
+			r.end(k, b.GetHost())
 		}
 	}
 	var unrecorded []masticcall.StreamKey
@@ -86,22 +88,34 @@
 }
 
 // put writes a record. No record of another stream is dropped for it.
-func (r *Records) put(k masticcall.StreamKey, software string) {
-	_, known := r.Find(k)
-	if !known && r.Len() >= r.maxRecords {
+func (r *Records) put(k masticcall.StreamKey, x record) {
+	if _, known := r.Find(k); !known && r.Len() >= r.maxRecords {
 		return
 	}
 	delete(r.previous, k)
-	r.current[k] = software
+	r.current[k] = x
+}
+
+// end drops a record, unless another host has written it since: its caller has taken the stream up there.
+func (r *Records) end(k masticcall.StreamKey, host string) {
+	if x, ok := r.get(k); ok && x.host == host {
+		delete(r.current, k)
+		delete(r.previous, k)
+	}
 }
 
 // Find returns the recorded version of a stream.
 func (r *Records) Find(k masticcall.StreamKey) (string, bool) {
-	if software, ok := r.current[k]; ok {
-		return software, true
+	x, ok := r.get(k)
+	return x.software, ok
+}
+
+func (r *Records) get(k masticcall.StreamKey) (record, bool) {
+	if x, ok := r.current[k]; ok {
+		return x, true
 	}
-	software, ok := r.previous[k]
-	return software, ok
+	x, ok := r.previous[k]
+	return x, ok
 }
 
 // Len returns the number of records.
@@ -109,7 +123,7 @@
 
 // Rotate drops the records that were not written since the last Rotate but one.
 func (r *Records) Rotate() {
-	r.previous, r.current = r.current, map[masticcall.StreamKey]string{}
+	r.previous, r.current = r.current, map[masticcall.StreamKey]record{}
 	r.previousSenders, r.currentSenders = r.currentSenders, map[string]sender{}
 }
 
--- a/masticorigin/records_test.go
+++ b/masticorigin/records_test.go
@@ -111,3 +111,16 @@
 	r.Apply(&masticproto.StreamOrigins{Host: "h", Sequence: 1, Begun: []*masticproto.BegunStreams{{Software: "v", Keys: []byte("short")}}, Ended: []byte{1}})
 	c.Assert(r.Len(), qt.Equals, 0)
 }
+
+// TestEndOfFormerHostKeepsRecord: a caller took a stream up at another host before the first one reported its end.
+func TestEndOfFormerHostKeepsRecord(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.Apply(begun("a", 1, "v2", keyOf(1)))
+	r.Apply(begun("b", 1, "v2", keyOf(1)))
+	r.Apply(ended("a", 2, keyOf(1)))
+	_, ok := r.Find(keyOf(1))
+	c.Assert(ok, qt.IsTrue)
+	r.Apply(ended("b", 2, keyOf(1)))
+	c.Assert(r.Len(), qt.Equals, 0)
+}
--- a/masticorigin/snapshot.go
+++ b/masticorigin/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"maps"
 	"slices"
 
@@ -27,28 +28,29 @@
 	return r
 }
 
-func encodeRecords(records map[masticcall.StreamKey]string) []*masticproto.BegunStreams {
-	bySoftware := map[string][]masticcall.StreamKey{}
-	for k, software := range records {
-		bySoftware[software] = append(bySoftware[software], k)
+func encodeRecords(records map[masticcall.StreamKey]record) []*masticproto.BegunStreams {
+	groups := map[record][]masticcall.StreamKey{}
+	for k, x := range records {
+		groups[x] = append(groups[x], k)
 	}
+	inOrder := func(a, b record) int { return cmp.Or(cmp.Compare(a.software, b.software), cmp.Compare(a.host, b.host)) }
 	var out []*masticproto.BegunStreams
-	for _, software := range slices.Sorted(maps.Keys(bySoftware)) {
-		all := bySoftware[software]
+	for _, x := range slices.SortedFunc(maps.Keys(groups), inOrder) {
+		all := groups[x]
 		slices.SortFunc(all, func(a, b masticcall.StreamKey) int { return bytes.Compare(a[:], b[:]) })
-		x := &masticproto.BegunStreams{Software: software}
+		p := &masticproto.BegunStreams{Software: x.software, Host: x.host}
 		for _, k := range all {
-			x.Keys = append(x.Keys, k[:]...)
+			p.Keys = append(p.Keys, k[:]...)
 		}
-		out = append(out, x)
+		out = append(out, p)
 	}
 	return out
 }
 
-func decodeRecords(into map[masticcall.StreamKey]string, all []*masticproto.BegunStreams) {
+func decodeRecords(into map[masticcall.StreamKey]record, all []*masticproto.BegunStreams) {
 	for _, x := range all {
 		for k := range keys(x.GetKeys()) {
-			into[k] = x.GetSoftware()
+			into[k] = record{x.GetSoftware(), x.GetHost()}
 		}
 	}
 }
