Bound the batches of stream records on large sites

Each host sent batches as streams came. Above 20 hosts, all hosts together now send 250 batches a second at most, each an equal share; a stream beyond that begins at the base version, without a record. Ended streams ride with other batches, or alone each 20 ms for each host.

--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -26,17 +26,22 @@
 	// originRenewInterval is the time after which the record of a running stream is written again: the control
 	// group drops records with the second tick after they were written.
 	originRenewInterval = 20 * time.Second
-	// originIdleInterval bounds the time until ended streams are reported.
+	// originIdleInterval is the time between two reports of ended streams that no other batch carried, on large
+	// sites originIdlePerHost for each host.
 	originIdleInterval = time.Second
+	originIdlePerHost  = 20 * time.Millisecond
 	// originEndDelay is the time from when an answer was sent as a whole until its record is dropped: the caller
 	// may have lost the end of it, and takes the stream up once it has noticed.
 	originEndDelay = 5 * time.Second
 	// originSenders is the number of batches that are under way at once: a record that had to wait for the
 	// commit before it would come after most first events.
 	originSenders = 4
-	// originBatchesPerSecond bounds the batches of all hosts together, except for spacelessHosts.
-	originBatchesPerSecond = 4000
-	spacelessHosts         = 20
+	// originBatchesPerSecond is what the leader takes of all hosts together, on sites with more than
+	// fewHosts. A batch costs it some 0.3 ms.
+	originBatchesPerSecond = 250
+	fewHosts               = 20
+	// maxOriginTokens is the number of batches that a host may send at once after a pause.
+	maxOriginTokens = 4
 )
 
 // origins implements masticcall.Origins.
@@ -54,6 +59,11 @@
 	// failing reports that the last batch got no answer.
 	failing  bool
 	sequence uint64
+	// tokens is the number of batches that this host may send at tokensAt, on large sites.
+	tokens   float64
+	tokensAt time.Time
+	// idleAt is when ended streams are reported next.
+	idleAt time.Time
 	// underWay are the sequences of the batches under way, busy the keys in them: a key is in one at a time.
 	underWay map[uint64]bool
 	busy     map[masticcall.StreamKey]bool
@@ -93,11 +103,23 @@
 // Origins returns the records of which software version began a stream.
 func (a *Agent) Origins() masticcall.Origins { return a.origins }
 
-// Available reports whether the leader answers.
+// Available reports whether the leader answers and takes another batch of this host. On a large site it takes
+// a share of the streams only; the others have to begin at the base version.
 func (o *origins) Available() bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return !o.failing && len(o.records) < maxOrigins && o.agent.views.controlReachable()
+	o.refill(masticclock.Now(), o.agent.View().HostCount())
+	return !o.failing && o.tokens >= 1 && len(o.records) < maxOrigins && o.agent.views.controlReachable()
+}
+
+// refill adds the tokens since the last call. The mutex is held.
+func (o *origins) refill(now time.Time, hosts int) {
+	earned := now.Sub(o.tokensAt).Seconds() * originBatchesPerSecond / float64(max(1, hosts))
+	o.tokensAt = now
+	o.tokens = min(maxOriginTokens, o.tokens+earned)
+	if hosts <= fewHosts {
+		o.tokens = maxOriginTokens
+	}
 }
 
 // Record queues a record.
@@ -186,12 +208,11 @@
 		case <-ticker.C:
 			o.renew(masticclock.Now())
 		case <-o.wake:
-			sleep(ctx, o.spacing())
 		case <-ctx.Done():
 			return
 		}
 		for ctx.Err() == nil {
-			b := o.take()
+			b := o.take(masticclock.Now())
 			if b == nil {
 				break
 			}
@@ -202,15 +223,6 @@
 	}
 }
 
-// spacing returns how long a host collects streams, so that the batches of all hosts together are bounded.
-func (o *origins) spacing() time.Duration {
-	hosts := o.agent.View().HostCount()
-	if hosts <= spacelessHosts {
-		return 0
-	}
-	return originSenders * time.Duration(hosts) * time.Second / originBatchesPerSecond
-}
-
 // renew queues the records of running streams that are due.
 func (o *origins) renew(now time.Time) {
 	o.mutex.Lock()
@@ -232,7 +244,7 @@
 }
 
 // take removes the next batch from what is queued, nil if nothing is that may be sent now.
-func (o *origins) take() *originBatchState {
+func (o *origins) take(now time.Time) *originBatchState {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	b := &originBatchState{records: map[masticcall.StreamKey]*originRecord{}}
@@ -243,7 +255,6 @@
 			b.records[k] = r
 		}
 	}
-	b.ended = o.takeEnded(masticclock.Now())
 	n := min(len(o.asked), originBatch)
 	for _, q := range o.asked[:n] {
 		if q.ctx.Err() == nil {
@@ -251,9 +262,16 @@
 		}
 	}
 	o.asked = append([]*originQuestion(nil), o.asked[n:]...)
+	if len(b.records)+len(b.asked) > 0 || !now.Before(o.idleAt) {
+		b.ended = o.takeEnded(now)
+		o.idleAt = now.Add(max(originIdleInterval, time.Duration(o.agent.View().HostCount())*originIdlePerHost))
+	}
 	if len(b.records)+len(b.ended)+len(b.asked) == 0 {
 		return nil
 	}
+	if len(b.records) > 0 {
+		o.tokens = max(-maxOriginTokens, o.tokens-1)
+	}
 	o.sequence++
 	o.underWay[o.sequence] = true
 	for k := range b.records {
--- /dev/null
+++ b/masticagent/origins_test.go
@@ -0,0 +1,83 @@
+package masticagent
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticcall"
+)
+
+// TestBatchesOfStreamsAreShared checks that all hosts of a large site together send the leader no more batches
+// than it takes, and that a few hosts are not bounded.
+func TestBatchesOfStreamsAreShared(t *testing.T) {
+	for _, x := range []struct{ hosts, perSecond int }{{85, originBatchesPerSecond}, {291, originBatchesPerSecond}, {450, originBatchesPerSecond}} {
+		c := qt.New(t)
+		now := time.Unix(1000, 0)
+		o := &origins{tokensAt: now}
+		sent := 0
+		const steps = 10_000
+		for range steps {
+			now = now.Add(time.Millisecond)
+			o.refill(now, x.hosts)
+			if o.tokens >= 1 {
+				o.tokens--
+				sent++
+			}
+		}
+		c.Assert(sent*x.hosts <= x.perSecond*steps/1000+x.hosts, qt.IsTrue, qt.Commentf("%d hosts: %d batches each", x.hosts, sent))
+		c.Assert(sent > 0, qt.IsTrue)
+	}
+	few := &origins{tokens: -1}
+	few.refill(time.Unix(1000, 0), fewHosts)
+	qt.Assert(t, few.tokens >= 1, qt.IsTrue)
+}
+
+// TestKeyIsInOneBatchAtATime checks that a record which is replaced while its batch is under way follows in a
+// later one, and that batches name the oldest one under way.
+func TestKeyIsInOneBatchAtATime(t *testing.T) {
+	c := qt.New(t)
+	a, err := New(WithHost("h"), WithControlPeers("127.0.0.1:1"))
+	c.Assert(err, qt.IsNil)
+	o, now := a.origins, time.Unix(1000, 0)
+	one, two := masticcall.StreamKeyOf("mill", "engines", "1"), masticcall.StreamKeyOf("mill", "engines", "2")
+	o.Record(one, "v2")
+	first := o.take(now)
+	o.Record(one, "v1")
+	o.Record(two, "v2")
+	second := o.take(now)
+	c.Assert(second.records, qt.HasLen, 1)
+	c.Assert(second.records[two], qt.IsNotNil)
+	c.Assert(second.command.GetOldest(), qt.Equals, first.command.GetSequence())
+	o.release(first)
+	o.acknowledge(now, first, nil)
+	third := o.take(now)
+	c.Assert(third.records[one].software, qt.Equals, "v1")
+	c.Assert(third.command.GetOldest(), qt.Equals, second.command.GetSequence())
+	o.release(second)
+	o.acknowledge(now, second, nil)
+	_, known := o.ask(&originQuestion{key: two, service: "engines"})
+	c.Assert(known, qt.IsTrue)
+	_, known = o.ask(&originQuestion{key: one, service: "engines"})
+	c.Assert(known, qt.IsFalse, qt.Commentf("not acknowledged yet"))
+}
+
+// TestEndedStreamIsDroppedLater checks that the record of an answer that was sent whole is kept for a time, and
+// for longer if the stream is served again meanwhile.
+func TestEndedStreamIsDroppedLater(t *testing.T) {
+	c := qt.New(t)
+	a, err := New(WithHost("h"), WithControlPeers("127.0.0.1:1"))
+	c.Assert(err, qt.IsNil)
+	o := a.origins
+	one, two := masticcall.StreamKeyOf("mill", "engines", "1"), masticcall.StreamKeyOf("mill", "engines", "2")
+	now := time.Now()
+	for _, k := range []masticcall.StreamKey{one, two} {
+		o.Record(k, "v2")
+		o.End(k, true)
+	}
+	c.Assert(o.take(now), qt.IsNil)
+	o.Record(two, "v2")
+	b := o.take(now.Add(originEndDelay + 2*time.Second))
+	c.Assert(b.ended, qt.DeepEquals, []masticcall.StreamKey{one})
+}
--- a/masticorigin/records.go
+++ b/masticorigin/records.go
@@ -8,7 +8,7 @@
 )
 
 // DefaultMaxRecords bounds the records.
-const DefaultMaxRecords = 1 << 18
+const DefaultMaxRecords = 150_000
 
 // Records holds the versions of streams. A record is dropped when its stream has ended, or with the second
 // Rotate after it was last written. It is not safe for concurrent use.
