Begin streams at all versions again once control is back

By reading: after a batch of records without an answer a host began new streams at the base version until a batch had an answer, and such streams need no record, so that none was sent: it noticed control again only when a caller took a stream up. The cooldown after a failure is a deadline now (TestRecordsAreAvailableAgainAfterFailure).

--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -23,6 +23,8 @@
 	// originAttemptTimeout bounds one attempt to reach the leader with a batch, originTimeout all of them.
 	originAttemptTimeout = 300 * time.Millisecond
 	originTimeout        = time.Second
+	// originCooldown is the time after a batch without an answer in which no new streams need records.
+	originCooldown = 500 * time.Millisecond
 	// originRenewInterval is the time after which the record of a running stream is written again: the control
 	// group drops records with the second tick after they were written.
 	originRenewInterval = 20 * time.Second
@@ -56,9 +58,9 @@
 	unsent []masticcall.StreamKey
 	ended  []endedOrigin
 	asked  []*originQuestion
-	// failing reports that the last batch got no answer.
-	failing  bool
-	sequence uint64
+	// failedUntil is the end of the cooldown after a batch without an answer, zero after one with an answer.
+	failedUntil time.Time
+	sequence    uint64
 	// tokens is the number of batches that this host may send at tokensAt, on large sites.
 	tokens   float64
 	tokensAt time.Time
@@ -106,10 +108,15 @@
 // Available reports whether the leader answers and takes another batch of this host. On a large site it takes
 // a share of the streams only; the others have to begin at the base version.
 func (o *origins) Available() bool {
+	return o.agent.views.controlReachable() && o.takesStream(masticclock.Now())
+}
+
+// takesStream reports whether a stream can be recorded now if the leader is in reach.
+func (o *origins) takesStream(now time.Time) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.refill(masticclock.Now(), o.agent.View().HostCount())
-	return !o.failing && o.tokens >= 1 && len(o.records) < maxOrigins && o.agent.views.controlReachable()
+	o.refill(now, o.agent.View().HostCount())
+	return !now.Before(o.failedUntil) && o.tokens >= 1 && len(o.records) < maxOrigins
 }
 
 // refill adds the tokens since the last call. The mutex is held.
@@ -344,16 +351,18 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.release(b)
-	if failing := err != nil; failing != o.failing {
-		o.failing = failing
-		o.agent.log.WithField("lost", failing).WithField("cause", err).WithField("begun", len(b.records)).WithField("asked", len(b.asked)).
+	now := masticclock.Now()
+	if lost := err != nil; lost != !o.failedUntil.IsZero() {
+		o.agent.log.WithField("lost", lost).WithField("cause", err).WithField("begun", len(b.records)).WithField("asked", len(b.asked)).
 			Warn("records of streams at the control group")
 	}
+	o.failedUntil = time.Time{}
 	if err != nil {
+		o.failedUntil = now.Add(originCooldown)
 		o.requeue(b)
 		return false
 	}
-	o.acknowledge(masticclock.Now(), b, answer)
+	o.acknowledge(now, b, answer)
 	return true
 }
 
--- a/masticagent/origins_test.go
+++ b/masticagent/origins_test.go
@@ -81,3 +81,16 @@
 	b := o.take(now.Add(originEndDelay + 2*time.Second))
 	c.Assert(b.ended, qt.DeepEquals, []masticcall.StreamKey{one})
 }
+
+// TestRecordsAreAvailableAgainAfterFailure: a host that had no streams to record after control was back did not
+// notice it, and began streams at the base version only.
+func TestRecordsAreAvailableAgainAfterFailure(t *testing.T) {
+	c := qt.New(t)
+	a, err := New(WithHost("h"), WithControlPeers("127.0.0.1:1"))
+	c.Assert(err, qt.IsNil)
+	now := time.Unix(1000, 0)
+	c.Assert(a.origins.takesStream(now), qt.IsTrue)
+	a.origins.failedUntil = now.Add(originCooldown)
+	c.Assert(a.origins.takesStream(now), qt.IsFalse)
+	c.Assert(a.origins.takesStream(now.Add(originCooldown)), qt.IsTrue)
+}
--- a/masticrelay/origin.go
+++ b/masticrelay/origin.go
@@ -19,6 +19,9 @@
 	serverCheckTimeout = 300 * time.Millisecond
 	// findTimeout bounds the question which version began a stream that a caller takes up.
 	findTimeout = 700 * time.Millisecond
+	// noVersionRetryAfter is when a caller is to come back whose version has no server: one that has ended
+	// returns within some seconds.
+	noVersionRetryAfter = time.Second
 	// unknownRetryAfter is when a caller is to come back whose question had no answer.
 	unknownRetryAfter = 300 * time.Millisecond
 )
@@ -109,7 +112,8 @@
 	r.origin.bound, r.origin.recorded = masticcall.OnlySoftware(found.Software), found.Recorded
 	r.logOrigin(found, began, nil)
 	if r.relay.table.Load().software[r.pool.Name].servers[found.Software] == 0 {
-		return r.refuseTakeUp(masticerror.New(masticerror.KindNoServer, "no backend server has software %q, which began the stream", found.Software))
+		return r.refuseTakeUp(masticerror.New(masticerror.KindNoServer, "no backend server has software %q, which began the stream", found.Software).
+			WithRetryAfter(noVersionRetryAfter + r.relay.retryAfter()))
 	}
 	if found.Recorded {
 		// The record is renewed from here, whatever becomes of the host that wrote it.
