--- a/masticrelay/origin.go
+++ b/masticrelay/origin.go
@@ -175,11 +175,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
 	defer cancel()
-	if (&livenessChecker{relay: r.relay}).Check(ctx, server, "") != masticdetector.SignReplaced {
+	sign := (&livenessChecker{relay: r.relay}).Check(ctx, server, "")
+	if sign == masticdetector.SignAnswered {
 		return nil
 	}
 	return &masticbackend.Failure{
-		Err: masticerror.New(masticerror.KindBackendFailed, "another incarnation of %s has answered", server.Name), Sent: true, ServerEnded: true, Answered: true,
+		Err:  masticerror.New(masticerror.KindBackendFailed, "%s does not show that it is the listed incarnation", server.Name),
+		Sent: true, ServerEnded: sign == masticdetector.SignReplaced, Answered: true,
 	}
 }
 
