--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -242,19 +242,11 @@
 	}
 }
 
-// originBatchState is a batch on its way, with the records and questions that it holds.
-type originBatchState struct {
-	command *masticproto.StreamOrigins
-	records map[masticcall.StreamKey]*originRecord
-	ended   []masticcall.StreamKey
-	asked   []*originQuestion
-}
-
 // take removes the next batch from what is queued, nil if nothing is that may be sent now.
-func (o *origins) take(now time.Time) *originBatchState {
+func (o *origins) take(now time.Time) *pendingOriginBatch {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	b := &originBatchState{records: map[masticcall.StreamKey]*originRecord{}}
+	b := &pendingOriginBatch{records: map[masticcall.StreamKey]*originRecord{}}
 	var due []masticcall.StreamKey
 	due, o.unsent = o.idle(o.unsent)
 	for _, k := range due {
@@ -321,30 +313,8 @@
 	return due, rest
 }
 
-// encode returns the command of the batch without its sequence.
-func (b *originBatchState) encode() *masticproto.StreamOrigins {
-	out := &masticproto.StreamOrigins{}
-	bySoftware := map[string]*masticproto.BegunStreams{}
-	for k, r := range b.records {
-		x, ok := bySoftware[r.software]
-		if !ok {
-			x = &masticproto.BegunStreams{Software: r.software}
-			bySoftware[r.software] = x
-			out.Begun = append(out.Begun, x)
-		}
-		x.Keys = append(x.Keys, k[:]...)
-	}
-	for _, k := range b.ended {
-		out.Ended = append(out.Ended, k[:]...)
-	}
-	for _, q := range b.asked {
-		out.Asked = append(out.Asked, &masticproto.AskedStream{Key: q.key[:], Service: q.service})
-	}
-	return out
-}
-
 // send sends a batch and reports whether it was answered. Otherwise all that it holds is queued again.
-func (o *origins) send(ctx context.Context, b *originBatchState) bool {
+func (o *origins) send(ctx context.Context, b *pendingOriginBatch) bool {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	answer, err := o.agent.commit(ctx, &masticproto.Command{Kind: &masticproto.Command_Origins{Origins: b.command}}, originAttemptTimeout)
@@ -367,7 +337,7 @@
 }
 
 // release allows the keys of a batch in others. The mutex is held.
-func (o *origins) release(b *originBatchState) {
+func (o *origins) release(b *pendingOriginBatch) {
 	delete(o.underWay, b.command.GetSequence())
 	for k := range b.records {
 		delete(o.busy, k)
@@ -381,7 +351,7 @@
 }
 
 // requeue queues again what is still of use. The mutex is held.
-func (o *origins) requeue(b *originBatchState) {
+func (o *origins) requeue(b *pendingOriginBatch) {
 	for k, r := range b.records {
 		if o.records[k] == r {
 			o.unsent = append(o.unsent, k)
@@ -391,7 +361,7 @@
 }
 
 // acknowledge applies the answer to a batch. The mutex is held.
-func (o *origins) acknowledge(now time.Time, b *originBatchState, answer *masticproto.CommandAnswer) {
+func (o *origins) acknowledge(now time.Time, b *pendingOriginBatch, answer *masticproto.CommandAnswer) {
 	refused := answer.GetUnrecorded()
 	const size = len(masticcall.StreamKey{})
 	for ; len(refused) >= size; refused = refused[size:] {
