--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -23,7 +23,7 @@
 	// originAttemptTimeout bounds one attempt to reach the leader with a batch, originTimeout all of them.
 	originAttemptTimeout = 300 * time.Millisecond
 	originTimeout        = time.Second
-	// originCooldown is the time after a batch without an answer in which no new streams need records.
+	// originCooldown is the time after a batch without an answer in which new streams begin at the base version.
 	originCooldown = 500 * time.Millisecond
 	// originRenewInterval is the time after which the record of a running stream is written again: the control
 	// group drops records with the second tick after they were written.
@@ -39,7 +39,7 @@
 	// commit before it would come after most first events.
 	originSenders = 4
 	// originBatchesPerSecond is what the leader takes of all hosts together, on sites with more than
-	// fewHosts. A batch costs it some 0.3 ms.
+	// fewHosts; docs/CAPACITY.md has what a batch costs.
 	originBatchesPerSecond = 250
 	fewHosts               = 20
 	// maxOriginTokens is the number of batches that a host may send at once after a pause.
