Log what a control host did in a term of leadership that ended

The line has how late the loop's batches came, how long they took, how long calls waited and how many of each kind there were, which tells an overloaded leader from late answers of the others.

--- a/masticcontrol/batch.go
+++ b/masticcontrol/batch.go
@@ -24,6 +24,7 @@
 	l := b.loop
 	b.fill()
 	now := masticclock.Now()
+	began := now
 	l.core.Tick(now)
 	for _, m := range b.messages {
 		l.peers.recordAddress(m)
@@ -52,6 +53,9 @@
 	}
 	l.pushChanges(now)
 	now = masticclock.Now()
+	if l.leader != nil {
+		l.leader.workload.countBatch(began, now, l.deadline, len(b.messages))
+	}
 	l.updateLeadership(now)
 	if l.leader != nil {
 		l.leader.answerPublishes(now)
@@ -103,6 +107,7 @@
 		c.fail(l.notLeader())
 		return
 	}
+	l.leader.workload.countCall(now, c)
 	switch k := c.request.GetKind().(type) {
 	case *masticproto.PeerRequest_Renew:
 		l.leader.renew(now, c, k.Renew)
--- a/masticcontrol/call.go
+++ b/masticcontrol/call.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
 )
@@ -12,6 +14,8 @@
 	context context.Context
 	request *masticproto.PeerRequest
 	answers chan callResult
+	// receivedAt is when the call was queued for the loop.
+	receivedAt time.Time
 }
 
 type callResult struct {
@@ -20,7 +24,7 @@
 }
 
 func newCall(ctx context.Context, q *masticproto.PeerRequest) *call {
-	return &call{context: ctx, request: q, answers: make(chan callResult, 1)}
+	return &call{context: ctx, request: q, answers: make(chan callResult, 1), receivedAt: masticclock.Now()}
 }
 
 func (c *call) answer(a *masticproto.PeerAnswer) { c.answers <- callResult{answer: a} }
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -42,6 +42,7 @@
 	cancelOrders         context.CancelFunc
 	nextUnreachableCheck time.Time
 	baseSoftware         baseSoftware
+	workload             workload
 }
 
 // updateLeadership starts or ends leadership after the core has advanced. The leader is kept for
@@ -59,7 +60,7 @@
 		l.leader.updateOrders()
 	}
 	if l.leader != nil && (!l.status.Leading || l.status.Term != l.leader.term) {
-		l.log.WithField("term", l.leader.term).Warn("leadership ended")
+		l.log.WithField("term", l.leader.term).WithFields(l.leader.workload.fields(now)).Warn("leadership ended")
 		l.endLeadership()
 	}
 	if l.leader == nil && l.status.LeaseHeld {
@@ -85,7 +86,7 @@
 	for _, h := range view.Hosts() {
 		hosts = append(hosts, h.Name)
 	}
-	d := &leaderState{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval)}
+	d := &leaderState{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval), workload: workload{since: now}}
 	d.orders, d.cancelOrders = context.WithCancel(l.background)
 	d.renewals = newRenewals(now)
 	d.baseSoftware.goneSince = map[string]time.Time{}
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -53,8 +53,8 @@
 	// nextPush is the earliest time of the next push to the watchers.
 	nextPush   time.Time
 	listReader *listReader
-	// batchTime is the time of the current batch.
-	batchTime time.Time
+	// batchTime is the time of the current batch, deadline the time at which the next one is due.
+	batchTime, deadline time.Time
 	// joined reports that this host is a voter and knows the leader.
 	joined atomic.Bool
 
@@ -132,7 +132,8 @@
 			l.log.WithError(err).Error("the store failed; control stops")
 			return err
 		}
-		timer.Reset(masticclock.Until(l.nextDeadline()))
+		l.deadline = l.nextDeadline()
+		timer.Reset(masticclock.Until(l.deadline))
 	}
 }
 
