--- a/masticcontrol/counters.go
+++ b/masticcontrol/counters.go
@@ -13,6 +13,9 @@
 	// Demands and Grants count those handled by the quota's owner. GrantedTokens is the sum of
 	// granted tokens.
 	Demands, Grants, GrantedTokens atomic.Int64
+	// Renewals counts the renewals of hosts that this host answered as leader, RenewalCalls the calls that
+	// brought them.
+	Renewals, RenewalCalls atomic.Int64
 	// Orders counts the load orders passed to Loader.Load once it has returned, also if the loader
 	// sent nothing. FailedOrders counts those that failed.
 	Orders, FailedOrders atomic.Int64
@@ -55,6 +58,12 @@
 	}
 }
 
+// recordRenewals records a call with renewals of hosts.
+func (c *Counters) recordRenewals(hosts int) {
+	c.RenewalCalls.Add(1)
+	c.Renewals.Add(int64(hosts))
+}
+
 func (c *Counters) recordOrder(err error) {
 	c.Orders.Add(1)
 	if err != nil {
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -21,6 +21,7 @@
 // renew grants a view lease to a host of the view. The answer includes the view changes and
 // suspects that the host lacks.
 func (d *leaderState) renew(now time.Time, c *call, r *masticproto.RenewRequest) {
+	d.loop.counters.recordRenewals(1)
 	answer := &masticproto.RenewAnswer{Id: r.GetId(), Term: d.term, Revision: d.loop.state.View().Revision()}
 	if _, known := d.loop.state.View().Host(r.GetHost()); known {
 		g := d.grantor.Renew(now, d.loop.status.LeaseUntil, masticlease.Renewal{
