Pass lease renewals on to the leader in batches on large sites

Cause: each host renews its lease at the leader, each 0.45 s and in a call of its own, 650 a second, on 0.24 of a core; heartbeats wait behind them. Class: work at one host that grows with the number of hosts. Ruled out: callers that come back (terms end also before any traffic), faults (term 7 ended 1.2 s after the start of traffic, without one).

From 40 entry hosts on, and while a host has no view yet, any control host takes renewals and passes on what has gathered in 40 ms, in one call at a time: with nine control hosts 200 calls a second at most, whatever the number of hosts. Leases still count from before the host sent its renewal, and the leader alone grants them. View changes that a host lacks come from the control host that passed its renewal on.

--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -42,7 +42,9 @@
 	// lazyAcknowledgement defers the acknowledgement of a view to the next regular renewal.
 	lazyAcknowledgement bool
 
-	leader  *leaderClient
+	leader *leaderClient
+	// members is for renewals on large sites.
+	members *leaderClient
 	views   *views
 	renewer *renewer
 	watcher *watcher
@@ -97,6 +99,7 @@
 		return err
 	}
 	a.leader = leader
+	a.members = newMemberClient(leader, a.host)
 	a.views = newViews(a)
 	a.renewer = newRenewer(a)
 	a.watcher = newWatcher(a)
@@ -158,6 +161,7 @@
 	a.views.updates.Close()
 	a.limiter.events.Close()
 	a.commandRetrier.queue.Close()
+	a.members.close()
 	a.leader.close()
 	a.running.Wait()
 	return nil
--- a/masticagent/document.go
+++ b/masticagent/document.go
@@ -38,7 +38,10 @@
 }
 
 // SetControlPeers replaces the configured peer addresses of the control hosts.
-func (a *Agent) SetControlPeers(peers []string) { a.leader.setSeeds(peers) }
+func (a *Agent) SetControlPeers(peers []string) {
+	a.leader.setSeeds(peers)
+	a.members.setSeeds(peers)
+}
 
 // ControlReachable reports whether the control group has answered a renewal of this host within
 // reachableTimeout.
--- a/masticagent/leaderclient.go
+++ b/masticagent/leaderclient.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
@@ -19,6 +21,8 @@
 type leaderClient struct {
 	wire       *masticwire.Wire
 	retryDelay time.Duration
+	// connections provides the connections, if they are those of another client.
+	connections *leaderClient
 
 	mutex     sync.Mutex
 	clients   map[string]*masticwire.Client
@@ -56,6 +60,25 @@
 	return l, nil
 }
 
+// newMemberClient returns a client for requests that any member of the control group takes. It uses the
+// connections of l and begins at a member that depends on the host, so that hosts spread over the members.
+func newMemberClient(l *leaderClient, host string) *leaderClient {
+	return &leaderClient{
+		wire: l.wire, retryDelay: l.retryDelay, connections: l, attemptContexts: map[string]attemptContext{},
+		addresses: l.addresses, seeds: l.seeds, nextAddress: int(xxhash.Sum64String(host) >> 1),
+	}
+}
+
+// moveOn makes the next request go to another member than the one at address.
+func (l *leaderClient) moveOn(address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.leader == address {
+		l.leader = ""
+		l.nextAddress++
+	}
+}
+
 // call sends q to the leader and retries until it answers or ctx ends. If ctx ends first, the
 // error has kind outcomeUnknown if an attempt may have arrived, else noQuorum.
 func (l *leaderClient) call(ctx context.Context, q *masticproto.PeerRequest, attemptTimeout time.Duration) (leaderAnswer, error) {
@@ -177,7 +200,7 @@
 		return
 	}
 	var answered *masticwire.AnswerError
-	if errors.As(err, &answered) && answered.LeaderAddress != "" && answered.LeaderAddress != address {
+	if l.connections == nil && errors.As(err, &answered) && answered.LeaderAddress != "" && answered.LeaderAddress != address {
 		l.leader = answered.LeaderAddress
 		return
 	}
@@ -186,6 +209,9 @@
 }
 
 func (l *leaderClient) client(address string) (*masticwire.Client, error) {
+	if l.connections != nil {
+		return l.connections.client(address)
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if c, ok := l.clients[address]; ok {
--- a/masticagent/renewer.go
+++ b/masticagent/renewer.go
@@ -62,19 +62,31 @@
 func (r *renewer) renew(ctx context.Context) error {
 	r.holder.SetRevision(r.agent.View().Revision())
 	renewal := r.holder.Renewal(masticclock.Now())
-	a, err := r.agent.leader.callOnce(ctx, &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Renew{Renew: &masticproto.RenewRequest{
+	relay := r.agent.views.relaysRenewals()
+	client := r.agent.leader
+	if relay {
+		client = r.agent.members
+	}
+	a, err := client.callOnce(ctx, &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Renew{Renew: &masticproto.RenewRequest{
 		Id:          renewal.ID,
 		Host:        renewal.Host,
 		Incarnation: renewal.Incarnation,
 		Revision:    renewal.Acknowledged,
 		Suspects:    r.agent.suspects.fingerprint(),
+		Relay:       relay,
 	}}}, r.agent.renewTimeout)
 	if err != nil {
 		return err
 	}
-	r.agent.watcher.prefer(a.address)
+	if !relay {
+		r.agent.watcher.prefer(a.address)
+	}
 	r.agent.views.recordAnswer(masticclock.Now())
 	r.agent.leader.setMembers(a.answer.GetRenew().GetControl())
+	r.agent.members.setMembers(a.answer.GetRenew().GetControl())
+	if relay && a.answer.GetRenew().GetRelayable() {
+		r.agent.members.moveOn(a.address)
+	}
 	r.applyAnswer(a.answer.GetRenew())
 	return nil
 }
--- a/masticagent/views.go
+++ b/masticagent/views.go
@@ -43,6 +43,27 @@
 // setLease sets when the lease expires. Only the renewer calls it.
 func (v *views) setLease(expiresAt time.Time) { v.leaseExpiresAt.Store(&expiresAt) }
 
+// relayMinHosts is the number of entry hosts from which renewals go through any member of the control group,
+// which passes those of several hosts on to the leader in one call. With few hosts the leader answers them
+// sooner itself.
+const relayMinHosts = 40
+
+// relaysRenewals reports whether renewals go through any member. A host without a view does not know how many
+// there are.
+func (v *views) relaysRenewals() bool {
+	view := v.view()
+	if view.Revision() == 0 {
+		return true
+	}
+	entries := 0
+	for _, h := range view.Hosts() {
+		if h.Address != "" && h.State != masticview.HostRetired {
+			entries++
+		}
+	}
+	return entries >= relayMinHosts
+}
+
 // reachableTimeout is the time without an answer after which the leader counts as unreachable.
 const reachableTimeout = 1500 * time.Millisecond
 
--- a/masticcontrol/batch.go
+++ b/masticcontrol/batch.go
@@ -18,6 +18,7 @@
 	encoded     []encodedSnapshot
 	servers     []masticview.Server
 	failedLoads []loadOrder
+	relayed     []relayedRenewals
 }
 
 func (b *batch) run() error {
@@ -37,6 +38,9 @@
 	for _, w := range b.watches {
 		l.addWatcher(w)
 	}
+	for _, r := range b.relayed {
+		l.answerRelayed(r)
+	}
 	if l.leader != nil && l.status.LeaseHeld {
 		for _, o := range b.failedLoads {
 			if l.leader.placement != nil {
@@ -104,13 +108,15 @@
 // handleAsLeader answers the calls that only a leader within its lease may answer.
 func (l *loop) handleAsLeader(now time.Time, c *call) {
 	if l.leader == nil || !l.status.LeaseHeld {
-		c.fail(l.notLeader())
+		l.passOn(c)
 		return
 	}
 	l.leader.workload.countCall(now, c)
 	switch k := c.request.GetKind().(type) {
 	case *masticproto.PeerRequest_Renew:
 		l.leader.renew(now, c, k.Renew)
+	case *masticproto.PeerRequest_RenewBatch:
+		l.leader.renewBatch(now, c, k.RenewBatch)
 	case *masticproto.PeerRequest_Command:
 		l.leader.command(now, c, k.Command)
 	case *masticproto.PeerRequest_Quota:
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -22,6 +22,24 @@
 // suspects that the host lacks.
 func (d *leaderState) renew(now time.Time, c *call, r *masticproto.RenewRequest) {
 	d.loop.counters.recordRenewals(1)
+	answer := d.renewLease(now, r)
+	answer.Relayable = len(d.loop.status.Peers) > 0
+	d.loop.addUpdates(answer, r)
+	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Renew{Renew: answer}})
+}
+
+// renewBatch grants view leases to several hosts.
+func (d *leaderState) renewBatch(now time.Time, c *call, b *masticproto.RenewBatch) {
+	d.loop.counters.recordRenewals(len(b.GetRenewals()))
+	answer := &masticproto.RenewBatchAnswer{}
+	for _, r := range b.GetRenewals() {
+		answer.Answers = append(answer.Answers, d.renewLease(now, r))
+	}
+	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_RenewBatch{RenewBatch: answer}})
+}
+
+// renewLease grants a view lease to a host of the view.
+func (d *leaderState) renewLease(now time.Time, r *masticproto.RenewRequest) *masticproto.RenewAnswer {
 	answer := &masticproto.RenewAnswer{Id: r.GetId(), Term: d.term, Revision: d.loop.state.View().Revision()}
 	if _, known := d.loop.state.View().Host(r.GetHost()); known {
 		g := d.grantor.Renew(now, d.loop.status.LeaseUntil, masticlease.Renewal{
@@ -34,16 +52,21 @@
 		d.renewals.lostCheckFrom[r.GetHost()] = now
 		d.renewals.lastRenewed[r.GetHost()] = now
 	}
-	if r.GetRevision() < answer.GetRevision() {
-		answer.Update = d.loop.updateFrom(r.GetRevision())
+	return answer
+}
+
+// addUpdates adds to the answer to r what the host lacks and this control host has: view changes, suspects
+// and the members.
+func (l *loop) addUpdates(answer *masticproto.RenewAnswer, r *masticproto.RenewRequest) {
+	if r.GetRevision() < l.state.View().Revision() {
+		answer.Update = l.updateFrom(r.GetRevision())
 	}
-	if r.GetSuspects() != d.loop.state.Suspects().Fingerprint() {
-		answer.Suspects = d.loop.suspectSet()
+	if r.GetSuspects() != l.state.Suspects().Fingerprint() {
+		answer.Suspects = l.suspectSet()
 	}
-	for _, m := range d.loop.status.Members {
+	for _, m := range l.status.Members {
 		answer.Control = append(answer.Control, m.GetAddress())
 	}
-	c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Renew{Renew: answer}})
 }
 
 // suspectSet returns the current suspects.
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -53,6 +53,7 @@
 	// nextPush is the earliest time of the next push to the watchers.
 	nextPush   time.Time
 	listReader *listReader
+	relay      *renewalRelay
 	// batchTime is the time of the current batch, deadline the time at which the next one is due.
 	batchTime, deadline time.Time
 	// joined reports that this host is a voter and knows the leader.
@@ -94,6 +95,7 @@
 	}
 	l.background, l.cancelBackground = context.WithCancel(context.Background())
 	l.listReader = newListReader(l, s.lister, s.listInterval)
+	l.relay = newRenewalRelay(l)
 	return l, nil
 }
 
@@ -119,6 +121,8 @@
 			first.watches = append(first.watches, w)
 		case o := <-l.failedLoads.Out():
 			first.failedLoads = append(first.failedLoads, o)
+		case r := <-l.relay.answered.Out():
+			first.relayed = append(first.relayed, r)
 		case servers := <-l.listReader.lists.Out():
 			first.servers = servers
 		case e := <-l.compactor.done.Out():
@@ -140,6 +144,7 @@
 // storeRole makes this host's role visible to other goroutines.
 func (l *loop) storeRole() {
 	l.listReader.leading.Store(l.status.LeaseHeld)
+	l.relay.setLeader(l.status)
 	own := memberOf(l.status.Members, l.id)
 	l.counters.recordRole(l.status.Term, l.status.LeaseHeld)
 	l.joined.Store(own.GetVoter() && l.status.Leader != "")
@@ -150,6 +155,8 @@
 		l.backgroundTasks.Add(1)
 		go l.listReader.run()
 	}
+	l.backgroundTasks.Add(1)
+	go l.relay.run()
 	for range l.loadSenders {
 		l.backgroundTasks.Add(1)
 		s := &loadSender{loop: l, orders: l.orders}
@@ -209,6 +216,7 @@
 	for w := range l.watchers {
 		w.updates.Close()
 	}
+	l.relay.close()
 	l.backgroundTasks.Wait()
 	l.compactor.stop()
 	l.peers.close()
--- a/masticcontrol/workload.go
+++ b/masticcontrol/workload.go
@@ -22,7 +22,7 @@
 func (w *workload) countCall(now time.Time, c *call) {
 	w.longestWait = max(w.longestWait, now.Sub(c.receivedAt))
 	switch c.request.GetKind().(type) {
-	case *masticproto.PeerRequest_Renew:
+	case *masticproto.PeerRequest_Renew, *masticproto.PeerRequest_RenewBatch:
 		w.renewals++
 	case *masticproto.PeerRequest_Quota:
 		w.demands++
