Look for publishes that are in force once a batch, not once a publish

While all hosts of a large site register, each waits for its publish. A publish that is repeated takes its place by its revision.

--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -1,6 +1,8 @@
 package masticcontrol
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"masticladder/masticclock"
@@ -86,14 +88,23 @@
 	if ends, bounded := c.context.Deadline(); bounded && ends.Add(-answerSlack).Before(deadline) {
 		deadline = ends.Add(-answerSlack)
 	}
-	d.pendingPublishes = append(d.pendingPublishes, pendingPublish{call: c, answer: answer, deadline: deadline})
+	i, _ := slices.BinarySearchFunc(d.pendingPublishes, answer.GetRevision(), comparePublish)
+	d.pendingPublishes = slices.Insert(d.pendingPublishes, i, pendingPublish{call: c, answer: answer, deadline: deadline})
 }
 
-// answerPublishes answers the publishes that are in force at now or past their deadline.
+func comparePublish(p pendingPublish, revision uint64) int {
+	return cmp.Compare(p.answer.GetRevision(), revision)
+}
+
+// answerPublishes answers the publishes that are in force at now or past their deadline. Pending publishes are in
+// the order of their revisions, so that none is in force after the first that is not.
 func (d *leaderState) answerPublishes(now time.Time) {
-	waiting := d.pendingPublishes[:0]
+	waiting, inForce := d.pendingPublishes[:0], true
 	for _, p := range d.pendingPublishes {
-		p.answer.InForce, _ = d.grantor.InForce(now, p.answer.GetRevision())
+		if inForce {
+			inForce, _ = d.grantor.InForce(now, p.answer.GetRevision())
+		}
+		p.answer.InForce = inForce
 		if !p.answer.GetInForce() && now.Before(p.deadline) {
 			waiting = append(waiting, p)
 			continue
@@ -116,13 +127,15 @@
 	if d.placement != nil && d.placement.nextPlanTime(d.loop.state.View().Revision()).Before(next) {
 		next = d.placement.nextPlanTime(d.loop.state.View().Revision())
 	}
-	now := masticclock.Now()
+	if len(d.pendingPublishes) == 0 {
+		return next
+	}
+	if _, by := d.grantor.InForce(masticclock.Now(), d.pendingPublishes[0].answer.GetRevision()); by.Before(next) {
+		next = by
+	}
 	for _, p := range d.pendingPublishes {
-		_, by := d.grantor.InForce(now, p.answer.GetRevision())
-		for _, t := range []time.Time{by, p.deadline} {
-			if t.Before(next) {
-				next = t
-			}
+		if p.deadline.Before(next) {
+			next = p.deadline
 		}
 	}
 	return next
