Hold the quotas of larger sites at a few entry hosts

Cause: without the owner of the quota each host admitted from its part of the rate and burst, a 291st. A review is 17,020 tokens; such a part never holds one. Class: a bound divided among N hosts until a part is smaller than one unit of work. And each long request was a demand at the leader, 1,160 a second right after the start of traffic, which is why it did not answer.

From 9 entry hosts on, up to eight of them (rendezvous hashing) keep the quotas: each workspace's rate and burst are divided into three fixed parts, at three keepers, whatever the number of hosts. A request is charged at one of them, at several if it is larger than a part, and waits if the tokens will be there in time. Fixed parts keep the sum within the bound whichever keepers a host reaches, so that nothing depends on who is the leader or on the control group. A keeper that takes over from another begins empty. Small requests still try the standing share first.

The replay TestHostsShareHoldsNoLongRequest has 9 to 450 hosts and requests of 383 to 51,060 tokens: what is admitted is within 0.9 of what one bucket for all hosts admits, and in no window more than rate and burst.

--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -52,15 +52,17 @@
 	// outageShares admit requests while the quota owner is unreachable, standingShares in addition
 	// to its grants; nil for none.
 	outageShares, standingShares *shares
-	admissions                   Admissions
-	reporter                     *reporter
-	suspects                     *suspects
-	ledger                       *ledger
-	commandRetrier               *commandRetrier
-	origins                      *origins
-	running                      sync.WaitGroup
-	context                      context.Context
-	cancel                       context.CancelFunc
+	// keepers admit requests instead of the owner while quotas are divided among keepers; may be nil.
+	keepers        masticcall.DividedLimiter
+	admissions     Admissions
+	reporter       *reporter
+	suspects       *suspects
+	ledger         *ledger
+	commandRetrier *commandRetrier
+	origins        *origins
+	running        sync.WaitGroup
+	context        context.Context
+	cancel         context.CancelFunc
 }
 
 // New returns an Agent. Run starts it.
--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -76,11 +76,14 @@
 	return a, err
 }
 
-// acquire tries in turn what may admit a request: this host's outage share if the control hosts are
+// acquire tries in turn what may admit a request: the keepers of quotas if there are some; else this host's outage share if the control hosts are
 // unreachable or the quota owner is unresponsive, the standing share for a small request, a grant
 // of the owner, and a share again if ctx ends before the grant is decided, also when the caller
 // cancels. A request that the holder refuses, also because its waitUntil has passed, gets no share.
 func (l *limiter) acquire(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
+	if k := l.agent.keepers; k != nil && k.Divided() {
+		return l.acquireFromKeepers(ctx, workspace, tokens)
+	}
 	if s := l.agent.outageShares; s != nil && (!l.agent.ControlReachable() || l.ownerUnresponsive(masticclock.Now())) {
 		return s.admit(masticclock.Now(), workspace, tokens)
 	}
@@ -109,6 +112,21 @@
 	}
 }
 
+// acquireFromKeepers admits a small request from the standing share if that has the tokens, else charges it at the
+// keepers.
+func (l *limiter) acquireFromKeepers(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
+	if s := l.agent.standingShares; s != nil && tokens <= smallRequestTokens {
+		if a, err := s.admit(masticclock.Now(), workspace, tokens); err == nil {
+			return a, nil
+		}
+	}
+	a, err := l.agent.keepers.Admit(ctx, workspace, tokens)
+	if err == nil {
+		l.agent.admissions.Kept.Add(1)
+	}
+	return a, err
+}
+
 // fallbackShares returns the shares to use when ctx ended before a grant arrived, or nil.
 func (l *limiter) fallbackShares(now time.Time) *shares {
 	if l.agent.outageShares != nil && l.ownerUnresponsive(now) {
--- a/masticagent/option.go
+++ b/masticagent/option.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"masticladder/masticcall"
 	"masticladder/masticview"
 	"masticladder/masticwire"
 )
@@ -75,6 +76,10 @@
 	return func(a *Agent) { a.standingShares = newShares(share, &a.admissions.Standing) }
 }
 
+// WithKeepers makes the host admit requests by charges at the keepers of quotas while there are some. The owner of
+// the quota is then not asked.
+func WithKeepers(l masticcall.DividedLimiter) Option { return func(a *Agent) { a.keepers = l } }
+
 // WithLazyAcknowledgement defers the acknowledgement of a view to the next regular renewal of
 // the lease, and spreads the hosts' view streams over all control hosts. If a stream's control host
 // is partitioned, the next renewal delivers the missing updates. It is for fleets whose publishes
--- a/masticagent/share.go
+++ b/masticagent/share.go
@@ -13,8 +13,8 @@
 // use.
 type Admissions struct {
 	// Granted were admitted from the owner's grants, Standing from the standing share in addition
-	// to them, Shared from the outage share while the owner was unreachable.
-	Granted, Standing, Shared, Refused atomic.Int64
+	// to them, Shared from the outage share while the owner was unreachable, Kept by keepers of quotas.
+	Granted, Standing, Shared, Kept, Refused atomic.Int64
 }
 
 // Share is the part of a workspace's rate and burst that one host may use on its own.
--- a/masticassign/assign.go
+++ b/masticassign/assign.go
@@ -1,5 +1,5 @@
-// Package masticassign carries the assignment of engines between the hosts that serve callers and the hosts
-// that coordinate shards.
+// Package masticassign carries the assignment of engines, and charges to quotas, between the hosts that serve
+// callers and the hosts that coordinate shards or keep quotas.
 package masticassign
 
 import (
@@ -128,13 +128,31 @@
 }
 
 // Server passes the messages of other hosts to this host's Coordinator.
-type Server struct{ coordinator Coordinator }
+type Server struct {
+	coordinator Coordinator
+	keeper      Keeper
+}
+
+// ServerOption configures NewServer.
+type ServerOption func(*Server)
+
+// WithKeeper makes the server take charges.
+func WithKeeper(k Keeper) ServerOption { return func(s *Server) { s.keeper = k } }
 
 // NewServer returns a server for c.
-func NewServer(c Coordinator) *Server { return &Server{coordinator: c} }
+func NewServer(c Coordinator, options ...ServerOption) *Server {
+	s := &Server{coordinator: c}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
 
-// Answer answers an assignment request.
+// Answer answers an assignment request or a charge.
 func (s *Server) Answer(ctx context.Context, q *masticproto.PeerRequest) (*masticproto.PeerAnswer, error) {
+	if c := q.GetCharge(); c != nil {
+		return s.charge(c)
+	}
 	p := q.GetAssign()
 	if p == nil {
 		return nil, masticerror.New(masticerror.KindBadRequest, "this host answers no such call")
@@ -146,9 +164,12 @@
 	return &masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Assign{Assign: encodeAssignment(s.coordinator.AssignFromShard(ctx, r))}}, nil
 }
 
-// Receive applies an update and ignores other messages.
+// Receive applies an update or a refund and ignores other messages.
 func (s *Server) Receive(q *masticproto.PeerRequest) {
 	if u := q.GetAssignUpdate(); u != nil {
 		s.coordinator.UpdateShard(decodeUpdate(u))
 	}
+	if r := q.GetChargeRefund(); r != nil && s.keeper != nil && isCount(r.GetTokens()) {
+		s.keeper.Refund(r.GetWorkspace(), r.GetTokens())
+	}
 }
--- /dev/null
+++ b/masticbucket/fleet_test.go
@@ -0,0 +1,269 @@
+package masticbucket
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"masticladder/masticcall"
+	"masticladder/masticerror"
+	"masticladder/masticview"
+)
+
+// fleet is the entry hosts of a site. Charges take a millisecond; those at silent hosts get no answer.
+type fleet struct {
+	limit    Limit
+	hosts    []masticview.Host
+	limiters map[string]*Limiter
+	keepers  map[string]*Keeper
+
+	// one is set for a reference fleet, in which one bucket holds the whole limit.
+	one *oneBucket
+
+	mutex    sync.Mutex
+	silent   map[string]bool
+	charges  int
+	admitted []use
+}
+
+// oneBucket admits from a single bucket, without messages.
+type oneBucket struct {
+	mutex  sync.Mutex
+	limit  Limit
+	bucket bucket
+}
+
+func (o *oneBucket) admit(ctx context.Context, tokens int64) error {
+	deadline, _ := ctx.Deadline()
+	o.mutex.Lock()
+	delay, taken := o.bucket.charge(time.Now(), o.limit, float64(tokens), time.Until(deadline))
+	o.mutex.Unlock()
+	if !taken {
+		return masticerror.New(masticerror.KindRateLimited, "over the rate").WithRetryAfter(delay)
+	}
+	time.Sleep(delay)
+	return nil
+}
+
+// admit admits a request through a host.
+func (f *fleet) admit(ctx context.Context, host string, tokens int64) error {
+	if f.one != nil {
+		return f.one.admit(ctx, tokens)
+	}
+	_, err := f.limiters[host].Admit(ctx, "w", tokens)
+	return err
+}
+
+func newFleet(hosts int, limit Limit) *fleet {
+	f := &fleet{limit: limit, limiters: map[string]*Limiter{}, keepers: map[string]*Keeper{}, silent: map[string]bool{}}
+	for i := range hosts {
+		name := fmt.Sprintf("10.0.%d.%d:7500", i/250, i%250)
+		f.hosts = append(f.hosts, masticview.Host{Name: name, Address: name, Peer: name, Zone: "z", Weight: int64(1 + 2*(i%3)), State: masticview.HostLive})
+	}
+	for _, h := range f.hosts {
+		f.startHost(h.Name)
+	}
+	return f
+}
+
+// startHost starts the process of a host, which remembers nothing.
+func (f *fleet) startHost(name string) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	k := NewKeeper(name, limitOf(f.limit))
+	f.keepers[name] = k
+	f.limiters[name] = NewLimiter(name, k, f, log)
+	f.divide(name, f.hosts)
+}
+
+func (f *fleet) divide(name string, hosts []masticview.Host) {
+	d := NewDivision(hosts)
+	f.limiters[name].division.Store(d)
+	f.keepers[name].SetDivision(time.Now(), d)
+}
+
+// Charge implements masticcall.Keepers.
+func (f *fleet) Charge(ctx context.Context, peer string, c masticcall.Charge) (masticcall.ChargeAnswer, error) {
+	f.mutex.Lock()
+	f.charges++
+	silent := f.silent[peer]
+	f.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+		return masticcall.ChargeAnswer{}, ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	return f.keepers[peer].Charge(time.Now(), c), nil
+}
+
+// Refund implements masticcall.Keepers.
+func (f *fleet) Refund(peer, workspace string, tokens int64) {
+	f.keepers[peer].Refund(workspace, tokens)
+}
+
+// caller sends one request through a host, waits 250 ms for quota at most, and comes back twice when it is told to.
+type caller struct {
+	fleet  *fleet
+	host   string
+	tokens int64
+	done   *sync.WaitGroup
+}
+
+func (a *caller) run() {
+	defer a.done.Done()
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
+		err := a.fleet.admit(ctx, a.host, a.tokens)
+		cancel()
+		if err == nil {
+			a.fleet.mutex.Lock()
+			a.fleet.admitted = append(a.fleet.admitted, use{time.Now(), float64(a.tokens)})
+			a.fleet.mutex.Unlock()
+			return
+		}
+		var e *masticerror.Error
+		if !errors.As(err, &e) || e.RetryAfter() <= 0 || e.RetryAfter() > 3*time.Second {
+			return
+		}
+		time.Sleep(e.RetryAfter())
+	}
+}
+
+// play has callers ask for the given part of the rate, each at a random host, and returns the part of what they asked
+// for that was admitted.
+func (f *fleet) play(random *rand.Rand, spell time.Duration, load float64, tokens int64) float64 {
+	var done sync.WaitGroup
+	f.mutex.Lock()
+	before := len(f.admitted)
+	f.mutex.Unlock()
+	asked := 0
+	mean := float64(tokens) / (load * f.limit.RateTokensPerSecond)
+	for end := time.Now().Add(spell); time.Now().Before(end); asked++ {
+		done.Add(1)
+		a := &caller{fleet: f, host: f.hosts[random.IntN(len(f.hosts))].Name, tokens: tokens, done: &done}
+		go a.run()
+		time.Sleep(time.Duration(random.ExpFloat64() * mean * float64(time.Second)))
+	}
+	done.Wait()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return float64(len(f.admitted)-before) / float64(max(1, asked))
+}
+
+// assertWithinLimit checks every window that begins and ends with an admission.
+func (f *fleet) assertWithinLimit(c *qt.C, extra float64) {
+	sum, least := 0.0, 0.0
+	for _, u := range f.admitted {
+		regained := f.limit.RateTokensPerSecond * u.at.Sub(f.admitted[0].at).Seconds()
+		// least is the smallest sum before a window less what was regained until its begin.
+		least = min(least, sum-regained)
+		sum += u.tokens
+		c.Assert(sum-regained-least <= f.limit.BurstTokens+extra+1, qt.IsTrue, qt.Commentf("%v tokens beyond the rate, the burst is %v", sum-regained-least, f.limit.BurstTokens))
+	}
+}
+
+// The limit of the workspace in the tests of fleets: 100,000 tokens a second and a burst of a second, with half of the
+// slack of known installations.
+var fleetLimit = Limit{RateTokensPerSecond: 100_000, BurstTokens: 195_000}
+
+// Requests of the smallest, the mean and the largest size.
+const (
+	smallTokens = 383
+	meanTokens  = 17_020
+	largeTokens = 51_060
+)
+
+// TestHostsShareHoldsNoLongRequest replays the quota of one workspace on sites of several sizes, without the leader: right after all
+// hosts have started, in calm, with one keeper silent, and with half as much again as the rate. Requests of any size are admitted nearly
+// as by one bucket that all hosts ask, less the part of the silent keeper, and never more than rate and burst allow.
+func TestHostsShareHoldsNoLongRequest(t *testing.T) {
+	for _, hosts := range []int{9, 57, 85, 291, 450} {
+		for _, tokens := range []int64{smallTokens, meanTokens, largeTokens} {
+			t.Run(fmt.Sprintf("%d hosts, %d tokens", hosts, tokens), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { replayQuota(qt.New(t), hosts, tokens) })
+			})
+		}
+	}
+}
+
+// minOfOneBucket is the least that must be admitted of what one bucket admits.
+const minOfOneBucket = 0.9
+
+func replayQuota(c *qt.C, hosts int, tokens int64) {
+	f, reference := newFleet(hosts, fleetLimit), newFleet(hosts, fleetLimit)
+	reference.one = &oneBucket{limit: fleetLimit, bucket: bucket{level: initialLevel * fleetLimit.BurstTokens, at: time.Now()}}
+	silent := NewDivision(f.hosts).Keepers("w")[0].Name
+	for i, x := range []struct {
+		name         string
+		spell        time.Duration
+		load         float64
+		keeperSilent bool
+	}{
+		{"after the start", 2 * time.Second, 0.7, false},
+		{"calm", 20 * time.Second, 0.7, false},
+		{"one keeper silent", 20 * time.Second, 0.5, true},
+		{"over the rate", 20 * time.Second, 1.5, false},
+	} {
+		f.silent[silent] = x.keeperSilent
+		seed := uint64(hosts*10 + i)
+		reference.one.limit = fleetLimit
+		if x.keeperSilent {
+			reference.one.limit = Limit{fleetLimit.RateTokensPerSecond * (parts - 1) / parts, fleetLimit.BurstTokens * (parts - 1) / parts}
+		}
+		got := f.play(rand.New(rand.NewPCG(seed, 1)), x.spell, x.load, tokens)
+		want := reference.play(rand.New(rand.NewPCG(seed, 1)), x.spell, x.load, tokens)
+		c.Logf("%s: %.2f of what was asked for, by one bucket %.2f", x.name, got, want)
+		c.Check(got >= minOfOneBucket*want, qt.IsTrue)
+	}
+	c.Logf("%.2f charges a request", float64(f.charges)/float64(max(1, len(f.admitted))))
+	f.assertWithinLimit(c, 0)
+	reference.assertWithinLimit(c, 0)
+}
+
+// TestRestartsAndChangesOfKeepersExceedQuota restarts hosts and removes keepers under load. Each restart of a keeper may add
+// its initial level, each change what the former keeper still gives out to hosts with the older view.
+func TestRestartsAndChangesOfKeepersExceedQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		random := rand.New(rand.NewPCG(2, 2))
+		f := newFleet(57, fleetLimit)
+		for range 4 {
+			f.play(random, 2*time.Second, 1.5, meanTokens)
+		}
+		f.admitted = nil
+		part := fleetLimit.BurstTokens / parts
+		for _, h := range f.hosts {
+			f.startHost(h.Name)
+		}
+		f.play(random, 2*time.Second, 1.5, meanTokens)
+		f.assertWithinLimit(c, 0)
+		gone := NewDivision(f.hosts).Keepers("w")[0]
+		var rest []masticview.Host
+		for _, h := range f.hosts {
+			if h.Name != gone.Name {
+				rest = append(rest, h)
+			}
+		}
+		// Half of the hosts learn a second later.
+		for i, h := range f.hosts {
+			if i%2 == 0 {
+				f.divide(h.Name, rest)
+			}
+		}
+		f.play(random, time.Second, 1.5, meanTokens)
+		for _, h := range f.hosts {
+			f.divide(h.Name, rest)
+		}
+		f.play(random, 2*time.Second, 1.5, meanTokens)
+		f.assertWithinLimit(c, part+fleetLimit.RateTokensPerSecond/parts)
+	})
+}
--- /dev/null
+++ b/masticcall/charge.go
@@ -0,0 +1,39 @@
+package masticcall
+
+import (
+	"context"
+	"time"
+)
+
+// Charge asks the keeper of a workspace's quota for tokens.
+type Charge struct {
+	Workspace string
+	Tokens    int64
+	// Wait is how long the request can wait for the tokens.
+	Wait time.Duration
+}
+
+// ChargeAnswer answers a Charge.
+type ChargeAnswer struct {
+	// Kept reports that the host keeps a part of the workspace's quota.
+	Kept bool
+	// Admitted reports that the tokens were taken. The request may run after Delay. Otherwise they will be
+	// there after Delay if no other request takes them.
+	Admitted bool
+	Delay    time.Duration
+}
+
+// Keepers reaches the keepers of quotas on other hosts.
+type Keepers interface {
+	// Charge charges tokens at the host with the given peer address. After an error they may have been taken.
+	Charge(ctx context.Context, peer string, c Charge) (ChargeAnswer, error)
+	// Refund returns tokens that were charged there and not used. It may be lost.
+	Refund(peer, workspace string, tokens int64)
+}
+
+// DividedLimiter is a Limiter that applies only while quotas are divided among keepers.
+type DividedLimiter interface {
+	Limiter
+	// Divided reports whether keepers hold the quotas.
+	Divided() bool
+}
--- a/masticdaemon/metrics.go
+++ b/masticdaemon/metrics.go
@@ -38,6 +38,7 @@
 		"quota.admittedByGrant":    n.agent.Admissions().Granted.Load,
 		"quota.admittedByStanding": n.agent.Admissions().Standing.Load,
 		"quota.admittedByShare":    n.agent.Admissions().Shared.Load,
+		"quota.admittedByKeepers":  n.agent.Admissions().Kept.Load,
 		"quota.refused":            n.agent.Admissions().Refused.Load,
 	}
 	if n.control != nil {
@@ -50,6 +51,7 @@
 	}
 	if n.relay != nil {
 		values["requests.running"] = n.relay.Running
+		values["keeper.charges"], values["keeper.refused"] = n.keeper.Charged.Load, n.keeper.Refused.Load
 		if err := n.dispatcher.Drops().Register(n.registry); err != nil {
 			n.log.WithError(err).Warn("registering the metrics of the dispatcher failed; some are missing")
 		}
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -18,6 +18,7 @@
 	"masticladder/masticagent"
 	"masticladder/masticassign"
 	"masticladder/masticbackend"
+	"masticladder/masticbucket"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
 	"masticladder/masticgossip"
@@ -40,6 +41,9 @@
 	agent        *masticagent.Agent
 	dispatcher   *masticdispatch.Dispatcher
 	coordinators *masticassign.Client
+	// keeper and quotas are the quotas that this host keeps, and its charges at all keepers.
+	keeper       *masticbucket.Keeper
+	quotas       *masticbucket.Limiter
 	client       *masticbackend.Client
 	relay        *masticrelay.Relay
 	gossip       *masticgossip.Exchange
@@ -80,6 +84,9 @@
 		}
 	}
 	n.liveWeight.Store(live)
+	if n.quotas != nil {
+		n.quotas.SetView(v)
+	}
 	if n.relay != nil {
 		n.dispatcher.SetView(v)
 		n.relay.SetView(v)
@@ -113,6 +120,15 @@
 	}
 }
 
+// quota returns the rate and burst of a workspace that all keepers of quotas together may admit.
+func (n *Node) quota(workspace string) masticbucket.Limit {
+	rate, burst := n.relay.Rate(workspace)
+	return masticbucket.Limit{
+		RateTokensPerSecond: float64(rate),
+		BurstTokens:         float64(burst) + ownerSlackFraction*float64(n.settings.QuotaSlack),
+	}
+}
+
 // standingShare returns the rate and burst that this host may admit for a workspace in addition to
 // the quota owner's grants.
 func (n *Node) standingShare(workspace string) masticagent.Share {
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -8,6 +8,7 @@
 	"masticladder/masticassign"
 	"masticladder/masticbackend"
 	"masticladder/masticbody"
+	"masticladder/masticbucket"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
 	"masticladder/masticgossip"
@@ -94,7 +95,14 @@
 
 func (n *Node) openAgent() error {
 	s := n.settings
-	agent, err := masticagent.New(
+	var keepers []masticagent.Option
+	if s.CallerAddress != "" {
+		n.coordinators = masticassign.NewClient(n.wire, n.registry)
+		n.keeper = masticbucket.NewKeeper(s.Peer, n.quota)
+		n.quotas = masticbucket.NewLimiter(s.Peer, n.keeper, n.coordinators, n.log.WithField("host", s.Peer))
+		keepers = append(keepers, masticagent.WithKeepers(n.quotas))
+	}
+	agent, err := masticagent.New(append(keepers,
 		masticagent.WithHost(s.Peer),
 		masticagent.WithControlPeers(s.Seeds...),
 		masticagent.WithWire(n.wire),
@@ -106,7 +114,7 @@
 		masticagent.WithLazyAcknowledgement(),
 		masticagent.WithQuarantineAfter(quarantineAfter),
 		masticagent.WithOnSuspects(n.onSuspects),
-	)
+	)...)
 	n.agent = agent
 	return err
 }
@@ -138,7 +146,6 @@
 	if err != nil {
 		return err
 	}
-	n.coordinators = masticassign.NewClient(n.wire, n.registry)
 	n.dispatcher = masticdispatch.New(masticdispatch.WithLog(n.log.WithField("host", n.settings.Peer)), masticdispatch.WithSharedLoad(), masticdispatch.WithHost(n.settings.Peer),
 		masticdispatch.WithLeavingReporter(n.agent.Leaving()), masticdispatch.WithCoordinators(n.coordinators))
 	n.client = masticbackend.New(masticbackend.WithSource(bound.Addr()), masticbackend.WithIdentify(n.protocols.Identify))
@@ -161,6 +168,6 @@
 		masticrelay.WithRetryBudget(newRetryBudget(n.settings, n.fleetFraction)),
 	)...)
 	n.gossip, err = masticgossip.New(n.settings.Peer, n.wire, n.agent.View, n.dispatcher, n.log, masticgossip.WithListen(n.settings.Peer),
-		masticgossip.WithCalls(masticassign.NewServer(n.dispatcher)))
+		masticgossip.WithCalls(masticassign.NewServer(n.dispatcher, masticassign.WithKeeper(n.keeper))))
 	return err
 }
