Apply a long log in parts between heartbeats

Cause: a leader applied all 921 committed entries of its log in one batch, without a heartbeat. A Ready has at most 32 committed entries now, and a batch leaves the others to the next one after 25 ms. TestWholeLogIsAppliedAtOnce fails without the bound.

--- a/masticcontrol/commit.go
+++ b/masticcontrol/commit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
 	"masticladder/masticquorum"
@@ -14,8 +15,13 @@
 	term uint64
 }
 
-// advance processes the consensus core's outputs until none are left.
+// applyBudget is the time after which a batch leaves further committed entries to the next one. After a restart a control
+// host applies its whole log; if it did so at once, its heartbeats would come too late for it to lead.
+const applyBudget = 25 * time.Millisecond
+
+// advance processes the consensus core's outputs until none are left, or until applyBudget is spent on committed entries.
 func (l *loop) advance(now time.Time) error {
+	l.unfinished = false
 	for {
 		r, some := l.core.Ready()
 		if !some {
@@ -25,6 +31,10 @@
 			return err
 		}
 		l.core.Advance(r)
+		if r.More && masticclock.Now().Sub(now) > applyBudget {
+			l.unfinished = true
+			return nil
+		}
 	}
 }
 
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -59,6 +59,9 @@
 	// joined reports that this host is a voter and knows the leader.
 	joined atomic.Bool
 
+	// unfinished reports that committed entries are left to the next batch.
+	unfinished bool
+
 	// background is cancelled when the loop ends. backgroundTasks counts the list reader and the
 	// senders of load orders.
 	background       context.Context
@@ -185,6 +188,9 @@
 }
 
 func (l *loop) nextDeadline() time.Time {
+	if l.unfinished {
+		return masticclock.Now()
+	}
 	deadline := l.core.NextDeadline()
 	if l.viewChanged && l.nextPush.Before(deadline) {
 		deadline = l.nextPush
--- a/masticquorum/contract.go
+++ b/masticquorum/contract.go
@@ -35,6 +35,8 @@
 	// entry at its index has a term other than the one Propose returned, or if Snapshot
 	// covers its index.
 	Committed []*masticproto.Entry
+	// More reports that further committed entries follow with the next Ready.
+	More bool
 }
 
 // Status is a copy of a Core's externally visible state.
--- a/masticquorum/core_test.go
+++ b/masticquorum/core_test.go
@@ -124,3 +124,32 @@
 		c.Assert(n.repairedWithThreeVoters(), qt.IsTrue)
 	}
 }
+
+// TestWholeLogIsAppliedAtOnce: a host that applied a log of a thousand entries after a restart sent no heartbeats meanwhile, and
+// lost its leadership.
+func TestWholeLogIsAppliedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, 3, 0)
+	n.run(500 * time.Millisecond)
+	const entries = 10 * maxCommittedEntries
+	for range entries {
+		n.propose("a")
+	}
+	n.run(time.Second)
+	leader := n.leader()
+	n.restart(leader)
+	n.run(time.Second)
+	core := leader.core
+	core.delivered, core.applied = 0, 0
+	for applied := 0; ; {
+		r, _ := core.Ready()
+		c.Assert(len(r.Committed) <= maxCommittedEntries, qt.IsTrue)
+		applied += len(r.Committed)
+		core.Advance(r)
+		if !r.More {
+			c.Assert(applied > entries, qt.IsTrue)
+			return
+		}
+		c.Assert(r.Committed, qt.HasLen, maxCommittedEntries)
+	}
+}
--- a/masticquorum/ready.go
+++ b/masticquorum/ready.go
@@ -5,6 +5,10 @@
 	"masticladder/masticproto"
 )
 
+// maxCommittedEntries bounds the committed entries of one Ready, so that the owner can handle messages and send
+// heartbeats while it applies a long log.
+const maxCommittedEntries = 32
+
 // Ready returns the pending work and whether there is any. If there is, the owner calls Advance
 // once with the same value before it calls Ready again.
 func (c *Core) Ready() (Ready, bool) {
@@ -15,8 +19,9 @@
 		Entries:   c.log.between(c.log.stable, c.log.lastIndex()),
 		Snapshot:  c.pendingSnapshot,
 		Messages:  c.messages[:len(c.messages):len(c.messages)],
-		Committed: c.log.between(c.delivered, c.commit),
+		Committed: c.log.between(c.delivered, min(c.commit, c.delivered+maxCommittedEntries)),
 	}
+	r.More = c.commit > c.delivered+maxCommittedEntries
 	if c.hardStateChanged() {
 		r.HardState = c.currentHardState()
 	}
