One odd entry of the list costs no other

What callers saw: requests went to servers that had left the list 4 to 9 s before, because the list was no longer followed. Measured from outside: an entry nested 12,000 deep, or a field of 1.4 MB, made its whole page unreadable; an address with an IPv6 zone, a name of 5,000 bytes or a name that is listed twice had each change of the view refused whole.

Class: one item of a collection that others write takes the whole with it. Servers that the view would refuse are left out before the change is proposed. Of entries with one name the one that the view has is kept. If a page cannot be read, the servers of the pages before it are still added and changed, and none is removed. What is skipped is counted (list.skipped) and logged when the count changes; list.ageMillis and the line "list of backend servers" tell since when a list is stale, as before.

--- a/masticcontrol/batch.go
+++ b/masticcontrol/batch.go
@@ -6,7 +6,6 @@
 	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
-	"masticladder/masticview"
 )
 
 // batch is the input of one iteration of the loop: all of it shares one sync.
@@ -16,7 +15,7 @@
 	calls       []*call
 	watches     []*watch
 	encoded     []encodedSnapshot
-	servers     []masticview.Server
+	listing     *Listing
 	failedLoads []loadOrder
 	relayed     []relayedRenewals
 }
@@ -48,8 +47,8 @@
 			}
 		}
 		l.leader.proposeDue(now)
-		if b.servers != nil {
-			l.leader.proposeListed(b.servers)
+		if b.listing != nil {
+			l.leader.proposeListed(*b.listing)
 		}
 	}
 	if err := l.advance(now); err != nil {
--- a/masticcontrol/counters.go
+++ b/masticcontrol/counters.go
@@ -21,7 +21,9 @@
 	Orders, FailedOrders atomic.Int64
 	// ListFailures counts the failed reads of the list of backend servers.
 	ListFailures atomic.Int64
-	listReadAt   atomic.Pointer[time.Time]
+	// ListSkipped is the number of entries that the last reading of the list skipped.
+	ListSkipped atomic.Int64
+	listReadAt  atomic.Pointer[time.Time]
 }
 
 // ListAge returns the time since this host last read the list of backend servers, or minus one
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -33,6 +33,8 @@
 	placement *placement
 	// listIndex is the log index of the last change proposed from the list of backend servers.
 	listIndex uint64
+	// skippedEntries is the number of entries of the list that were skipped at its last reading.
+	skippedEntries int
 	// lastAnswers holds the time of each member's last answer.
 	lastAnswers lastAnswers
 	// unreachableFraction is the fraction of unreachable hosts, by weight, at the last check.
--- a/masticcontrol/listing.go
+++ b/masticcontrol/listing.go
@@ -22,10 +22,18 @@
 	maxPendingLists = 4
 )
 
-// Lister reads the platform's list of backend servers. Entries that cannot be parsed are left
-// out; an error means that the list could not be read at all.
+// Lister reads the platform's list of backend servers. An error means that servers may be missing in the listing.
 type Lister interface {
-	List(ctx context.Context) ([]masticview.Server, error)
+	List(ctx context.Context) (Listing, error)
+}
+
+// Listing is what was read of the list of backend servers.
+type Listing struct {
+	Servers []masticview.Server
+	// Skipped is the number of entries that could not be used.
+	Skipped int
+	// partial reports that servers may be missing.
+	partial bool
 }
 
 // listReader reads the list while this host leads. Only the leader reads, so that all hosts
@@ -35,7 +43,7 @@
 	lister   Lister
 	interval time.Duration
 	leading  atomic.Bool
-	lists    *masticring.Ring[[]masticview.Server]
+	lists    *masticring.Ring[Listing]
 	failing  bool
 }
 
@@ -44,7 +52,7 @@
 		loop:     l,
 		lister:   lister,
 		interval: interval,
-		lists:    masticring.New[[]masticview.Server]("lists of backend servers", maxPendingLists),
+		lists:    masticring.New[Listing]("lists of backend servers", maxPendingLists),
 	}
 }
 
@@ -69,26 +77,42 @@
 func (r *listReader) read() {
 	ctx, cancel := context.WithTimeout(r.loop.background, listTimeout)
 	defer cancel()
-	servers, err := r.lister.List(ctx)
+	listing, err := r.lister.List(ctx)
 	r.loop.counters.recordList(masticclock.Now(), err)
 	if (err != nil) != r.failing {
 		r.failing = err != nil
 		r.loop.log.WithField("lost", r.failing).WithField("cause", err).Warn("list of backend servers")
 	}
-	if err != nil {
-		return
-	}
-	if err := r.lists.Offer(servers); err != nil {
+	listing.partial = err != nil
+	if err := r.lists.Offer(listing); err != nil {
 		r.loop.log.WithError(err).Warn("list of backend servers dropped; the next read delivers it again")
 	}
 }
 
 // proposeListed proposes the differences between the list and the view.
-func (d *leaderState) proposeListed(servers []masticview.Server) {
+func (d *leaderState) proposeListed(listing Listing) {
 	if d.loop.status.Applied < d.listIndex {
 		return
 	}
+	change := d.listChange(listing)
+	if len(change.Servers)+len(change.RemovedServers) == 0 {
+		return
+	}
+	index, _, err := d.loop.propose(d.loop.batchTime, &masticproto.Command{Kind: &masticproto.Command_Publish{Publish: &masticproto.Publish{
+		RequestId: uuid.Must(uuid.NewV7()).String(),
+		Change:    change,
+	}}})
+	if err != nil {
+		d.loop.log.WithError(err).Warn("list of backend servers not proposed; the next read delivers it again")
+		return
+	}
+	d.listIndex = index
+}
+
+// listChange returns the differences between the list and the view. A partial listing removes no server.
+func (d *leaderState) listChange(listing Listing) *masticproto.ViewChange {
 	view := d.loop.state.View()
+	servers := d.usableServers(view, listing)
 	change := &masticproto.ViewChange{}
 	names := make(map[string]bool, len(servers))
 	for _, s := range servers {
@@ -102,23 +126,12 @@
 		}
 	}
 	for _, s := range view.Servers() {
-		if !names[s.Name] {
+		if !names[s.Name] && !listing.partial {
 			change.RemovedServers = append(change.RemovedServers, s.Name)
 			d.loop.log.WithField("server", s.Name).WithField("service", s.Service).Info("backend server no longer listed")
 		}
 	}
-	if len(change.Servers)+len(change.RemovedServers) == 0 {
-		return
-	}
-	index, _, err := d.loop.propose(d.loop.batchTime, &masticproto.Command{Kind: &masticproto.Command_Publish{Publish: &masticproto.Publish{
-		RequestId: uuid.Must(uuid.NewV7()).String(),
-		Change:    change,
-	}}})
-	if err != nil {
-		d.loop.log.WithError(err).Warn("list of backend servers not proposed; the next read delivers it again")
-		return
-	}
-	d.listIndex = index
+	return change
 }
 
 // reconcile returns the view's next entry for the listed server s. The list lags behind, so the
--- a/masticcontrol/listing_test.go
+++ b/masticcontrol/listing_test.go
@@ -1,13 +1,18 @@
 package masticcontrol
 
 import (
+	"io"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
 	"masticladder/masticplace"
+	"masticladder/masticproto"
+	"masticladder/masticstate"
 	"masticladder/masticview"
 )
 
@@ -111,3 +116,68 @@
 		}
 	})
 }
+
+// TestOddServerStopsTheList: a listed server that the view does not accept had each change of the view refused, so that the list
+// was no longer followed.
+func TestOddServerStopsTheList(t *testing.T) {
+	sound := func(name, address string) masticview.Server {
+		return masticview.Server{Name: name, Kind: masticview.ServerEngine, URL: "http://" + address, Zone: "z", Service: "pool", Models: []string{"m"}, State: masticview.ServerActive}
+	}
+	odd := sound("odd", "10.0.0.9:80")
+	with := func(change func(s *masticview.Server)) masticview.Server {
+		s := odd
+		change(&s)
+		return s
+	}
+	long := strings.Repeat("x", 5000)
+	for name, x := range map[string]masticview.Server{
+		"address with a zone":  with(func(s *masticview.Server) { s.URL = "http://[fe80::1%lo]:80" }),
+		"long name":            with(func(s *masticview.Server) { s.Name = long }),
+		"no name":              with(func(s *masticview.Server) { s.Name = "" }),
+		"long zone":            with(func(s *masticview.Server) { s.Zone = long }),
+		"long service":         with(func(s *masticview.Server) { s.Service = long }),
+		"long model":           with(func(s *masticview.Server) { s.Models = []string{long} }),
+		"many models":          with(func(s *masticview.Server) { s.Models = make([]string, 1000) }),
+		"name of a sound one":  with(func(s *masticview.Server) { s.Name = "a" }),
+		"kind of another":      with(func(s *masticview.Server) { s.Name, s.Kind = "a", masticview.ServerService }),
+		"name of a new server": with(func(s *masticview.Server) { s.Name = "b" }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			l := &loop{settings: settings{log: log, counters: &Counters{}}, state: masticstate.New()}
+			known := sound("a", "10.0.0.1:80")
+			publishTo(l, "known", &masticproto.ViewChange{Servers: []*masticproto.Server{known.ToProto()}})
+			d := &leaderState{loop: l}
+			// The odd one comes first and last.
+			for _, servers := range [][]masticview.Server{{x, known, sound("b", "10.0.0.2:80")}, {known, sound("b", "10.0.0.2:80"), x}} {
+				usable := d.usableServers(l.state.View(), Listing{Servers: servers})
+				change := &masticproto.ViewChange{}
+				for _, s := range usable {
+					change.Servers = append(change.Servers, s.ToProto())
+				}
+				next, err := l.state.View().Apply(change, time.UnixMilli(1))
+				c.Assert(err, qt.IsNil)
+				a, _ := next.Server("a")
+				c.Assert(a.URL, qt.Equals, known.URL)
+				_, found := next.Server("b")
+				c.Assert(found, qt.IsTrue)
+				c.Assert(l.counters.ListSkipped.Load(), qt.Equals, int64(1))
+			}
+		})
+	}
+}
+
+// TestPartialListRemovesServers checks that servers that may be on a page that was not read stay.
+func TestPartialListRemovesServers(t *testing.T) {
+	c := qt.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := &loop{settings: settings{log: log, counters: &Counters{}}, state: masticstate.New()}
+	server := masticview.Server{Name: "a", Kind: masticview.ServerService, URL: "http://10.0.0.1:80", Service: "desk", State: masticview.ServerActive}
+	publishTo(l, "known", &masticproto.ViewChange{Servers: []*masticproto.Server{server.ToProto()}})
+	d := &leaderState{loop: l}
+	c.Assert(d.listChange(Listing{partial: true}).GetRemovedServers(), qt.HasLen, 0)
+	c.Assert(d.listChange(Listing{}).GetRemovedServers(), qt.DeepEquals, []string{"a"})
+}
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -126,8 +126,8 @@
 			first.failedLoads = append(first.failedLoads, o)
 		case r := <-l.relay.answered.Out():
 			first.relayed = append(first.relayed, r)
-		case servers := <-l.listReader.lists.Out():
-			first.servers = servers
+		case listing := <-l.listReader.lists.Out():
+			first.listing = &listing
 		case e := <-l.compactor.done.Out():
 			first.encoded = append(first.encoded, e)
 		case <-timer.C:
--- a/masticdaemon/metrics.go
+++ b/masticdaemon/metrics.go
@@ -48,6 +48,7 @@
 		values["quota.demands"], values["quota.grants"], values["quota.grantedTokens"] = c.Demands.Load, c.Grants.Load, c.GrantedTokens.Load
 		values["orders.sent"], values["orders.failed"] = c.Orders.Load, c.FailedOrders.Load
 		values["list.ageMillis"], values["list.failures"] = n.listAgeMillis, c.ListFailures.Load
+		values["list.skipped"] = c.ListSkipped.Load
 	}
 	if n.relay != nil {
 		values["requests.running"] = n.relay.Running
--- /dev/null
+++ b/masticjson/array_test.go
@@ -0,0 +1,68 @@
+package masticjson
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func readArray(text string, maxBytes int) ([]string, Object, int, error) {
+	a := NewArrayReader(strings.NewReader(text), "list", maxBytes)
+	var elements []string
+	o, err := a.Read(func(raw json.RawMessage) { elements = append(elements, string(raw)) })
+	return elements, o, a.Skipped, err
+}
+
+// TestArrayReaderSkipsWhatIsTooLarge checks that elements of any depth and size cost no other element.
+func TestArrayReaderSkipsWhatIsTooLarge(t *testing.T) {
+	c := qt.New(t)
+	deep := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+	long := `{"a":"` + strings.Repeat("x", 2<<20) + `"}`
+	elements, o, skipped, err := readArray(`{ "list" : [1, `+deep+` ,{"a":"]}\\\"["}, `+long+`,null ], "next":"p", "other":{"list":[7]}}`, 1000)
+	c.Assert(err, qt.IsNil)
+	c.Assert(elements, qt.DeepEquals, []string{"1", `{"a":"]}\\\"["}`, "null"})
+	c.Assert(skipped, qt.Equals, 2)
+	c.Assert(string(o["next"]), qt.Equals, `"p"`)
+	for _, broken := range []string{``, `7`, `[`, `{`, `{"list":[1,`, `{"list":[{"a":`, `{"list":[]`, `{"list" 1}`, `{x}`, `{"a":"\q"}`} {
+		_, _, _, err := readArray(broken, 1000)
+		if broken != `{"a":"\q"}` {
+			c.Assert(err, qt.IsNotNil, qt.Commentf("%s", broken))
+		}
+	}
+	elements, _, _, err = readArray(`{"list":{"a":[1]},"next":null}`, 1000)
+	c.Assert(err, qt.IsNil)
+	c.Assert(elements, qt.HasLen, 0)
+}
+
+// TestArrayReaderFindsElements compares the elements of random arrays with those that encoding/json finds.
+func TestArrayReaderFindsElements(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []json.RawMessage
+		for range rapid.IntRange(0, 5).Draw(t, "n") {
+			list = append(list, json.RawMessage(drawValue(t, 3)))
+		}
+		text, err := json.Marshal(map[string]any{"a": "x", "list": list, "z": []int{1}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		elements, o, skipped, err := readArray(string(text), 1<<20)
+		if err != nil || skipped != 0 || string(o["z"]) != "[1]" {
+			t.Fatal(err, skipped, o)
+		}
+		var want struct{ List []json.RawMessage }
+		if err := json.Unmarshal(text, &want); err != nil {
+			t.Fatal(err)
+		}
+		if len(want.List) != len(elements) {
+			t.Fatalf("%d elements, want %d", len(elements), len(want.List))
+		}
+		for i, e := range elements {
+			if e != string(want.List[i]) {
+				t.Fatalf("%s, want %s", e, want.List[i])
+			}
+		}
+	})
+}
