Believe no answer that may be a copy of a refusal

Cause: an answer without an identifier was taken for the answer to any request. It is believed now only if nothing else was received on its connection before. Found on the way: a request that came back to the connection on which it had been refused, within one answer, believed a second copy of that refusal, which has its own identifier. A connection remembers the last 16 requests that it carried and carries none of them again.

--- a/masticbackend/client.go
+++ b/masticbackend/client.go
@@ -11,6 +11,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -56,7 +57,8 @@
 }
 
 // WithIdentify sets the function that reads the request's identifier from an answer's header.
-// An answer with an empty identifier matches any request.
+// An answer with an empty identifier is taken for the answer to a request only if nothing else was received on its
+// connection before.
 func WithIdentify(f func(header map[string][]string) string) Option {
 	return func(c *Client) { c.identify = f }
 }
@@ -93,10 +95,11 @@
 	return failed
 }
 
-// getIdle returns a usable idle connection to address, or nil. It closes unusable ones.
-func (c *Client) getIdle(address string) *connection {
+// getIdle returns a usable idle connection to address that has not carried a request with the identifier, or nil:
+// on one that has, a second copy of the earlier answer could not be told from the answer. It closes unusable ones.
+func (c *Client) getIdle(address, id string) *connection {
 	for {
-		n := c.popIdle(address)
+		n := c.popIdle(address, id)
 		if n == nil {
 			return nil
 		}
@@ -107,17 +110,17 @@
 	}
 }
 
-func (c *Client) popIdle(address string) *connection {
+func (c *Client) popIdle(address, id string) *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	list := c.idleConns[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if n := list[i]; !n.hasCarried(id) {
+			c.idleConns[address] = slices.Delete(list, i, i+1)
+			return n
+		}
 	}
-	n := list[len(list)-1]
-	list[len(list)-1] = nil
-	c.idleConns[address] = list[:len(list)-1]
-	return n
+	return nil
 }
 
 // putIdle adds n to the pool, or closes n if the pool has maxIdlePerServer connections to its
@@ -158,17 +161,17 @@
 // its address.
 func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// acquire returns an idle connection to address if there is one, else a new one.
-func (c *Client) acquire(ctx context.Context, address string) (*connection, error) {
-	if n := c.getIdle(address); n != nil {
+// acquire returns an idle connection for a request if there is one, else a new one.
+func (c *Client) acquire(ctx context.Context, address, id string) (*connection, error) {
+	if n := c.getIdle(address, id); n != nil {
 		n.reused = true
 		return n, nil
 	}
-	return c.dial(ctx, address)
+	return c.dial(ctx, address, id)
 }
 
 // dial returns a new connection to address.
-func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
+func (c *Client) dial(ctx context.Context, address, _ string) (*connection, error) {
 	conn, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/masticbackend/connection.go
+++ b/masticbackend/connection.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -28,6 +30,27 @@
 	idleDeadline time.Time
 	// reused reports that the server has answered on the connection before.
 	reused bool
+	// carried are hashes of the identifiers of the last requests on the connection, the next one at carriedCount
+	// modulo its length. A server may repeat its answer to any of them.
+	carried      [carriedRequests]uint64
+	carriedCount int
+}
+
+// carriedRequests is the number of requests that a connection remembers.
+const carriedRequests = 16
+
+// record records that the connection carries the request with an identifier.
+func (n *connection) record(id string) {
+	if id == "" {
+		return
+	}
+	n.carried[n.carriedCount%carriedRequests] = xxhash.Sum64String(id)
+	n.carriedCount++
+}
+
+// hasCarried reports whether the connection has carried a request with the identifier.
+func (n *connection) hasCarried(id string) bool {
+	return slices.Contains(n.carried[:min(n.carriedCount, carriedRequests)], xxhash.Sum64String(id))
 }
 
 func newConnection(address string, tcp *net.TCPConn) *connection {
--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -23,7 +23,10 @@
 // maxSkippedBytes is the maximum body size of a skipped answer.
 const maxSkippedBytes = 64 << 10
 
-var errWrongRequest = errors.New("the answer belongs to another request")
+var (
+	errWrongRequest = errors.New("the answer belongs to another request")
+	errUnidentified = errors.New("the answer does not state its request on a connection with earlier answers")
+)
 
 // Request is one request to a backend server.
 type Request struct {
@@ -79,8 +82,8 @@
 	return c.doOn(ctx, q, c.dial)
 }
 
-// connect returns a connection to an address.
-type connect func(ctx context.Context, address string) (*connection, error)
+// connect returns a connection to an address for the request with an identifier.
+type connect func(ctx context.Context, address, id string) (*connection, error)
 
 func (c *Client) doOn(ctx context.Context, q Request, connect connect) (*Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
@@ -99,13 +102,14 @@
 }
 
 func (c *Client) do(ctx context.Context, q Request, connect connect) (*Answer, error) {
-	n, err := connect(ctx, q.Address)
+	n, err := connect(ctx, q.Address, q.ID)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, contextFailure(ctx, false)
 		}
 		return nil, notSentFailure(err, "connect to %s", q.Address)
 	}
+	n.record(q.ID)
 	a := &Answer{client: c, conn: n, context: ctx}
 	a.detachContext = context.AfterFunc(ctx, n.close)
 	written, err := n.write(q)
@@ -181,6 +185,10 @@
 			continue
 		}
 		id := a.client.identify(r.Header)
+		if id == "" && q.ID != "" && (a.conn.reused || skipped > 0) {
+			// It may be a copy of an answer to any earlier request, also of a refusal.
+			return errUnidentified
+		}
 		if id != "" && id != q.ID {
 			skipped++
 			if skipped > maxSkippedAnswers || r.ContentLength < 0 || r.ContentLength > maxSkippedBytes {
