Go on with a stream only with the events that follow

Reported for a system like ours: a stream had begun and broke off, the next worker answered with an error, and callers found it in their stream or a stream that looked complete. An error's text or head does not get into a stream here (500, chunked, 400, 503, 502, text/html from outside; an error after a second break: a test, which passed at once). Of the forms not tried so far these did break the promise:

- a 200 event stream without events ended a broken stream as if it were whole;
- a stream whose events begin again at 1 was joined to what the caller had, in one answer and for callers that resume;
- one that begins after the next event left a gap;
- an event that comes twice was relayed twice.

Cause: events were counted by their ends and their numbers not looked at. Events must have increasing numbers now; the first one of an attempt that goes on must follow the last one by one, if the stream's events did so before. An attempt that goes on without an event does not end the stream: its caller may resume. Numbers that are no numbers are not checked.

TestRelayAndRetryByRoute has the cases; four of them, and TestCallerThatResumesGetsStreamFromItsStart, failed before.

--- a/masticrelay/events.go
+++ b/masticrelay/events.go
@@ -1,6 +1,9 @@
 package masticrelay
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+)
 
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 256 << 10
@@ -13,11 +16,18 @@
 	lastID string
 	// count is the number of complete events.
 	count int
+	order eventOrder
 }
 
+// Reasons not to relay an event.
+var (
+	errEventTooLarge = errors.New("an event is over the size limit")
+	errEventOrder    = errors.New("an event does not follow the one before it")
+)
+
 // add appends p to the buffer and returns the complete events in the buffer. The result is
-// valid until the next call. It reports false if an event exceeds maxEventBytes.
-func (e *eventSplitter) add(p []byte) ([]byte, bool) {
+// valid until the next call. With an error, it ends before the event that must not be relayed.
+func (e *eventSplitter) add(p []byte) ([]byte, error) {
 	e.buffer = append(e.buffer, p...)
 	end := 0
 	for {
@@ -25,10 +35,15 @@
 		if i < 0 {
 			break
 		}
-		e.record(e.buffer[end : end+i])
+		if !e.record(e.buffer[end : end+i]) {
+			return e.buffer[:end], errEventOrder
+		}
 		end += i
 	}
-	return e.buffer[:end], len(e.buffer)-end <= maxEventBytes
+	if len(e.buffer)-end > maxEventBytes {
+		return e.buffer[:end], errEventTooLarge
+	}
+	return e.buffer[:end], nil
 }
 
 // discard removes the first n bytes of the buffer, which were relayed.
@@ -36,8 +51,12 @@
 	e.buffer = e.buffer[:copy(e.buffer, e.buffer[n:])]
 }
 
-// discardPartial removes a partial event: a resumed stream begins with a complete event.
-func (e *eventSplitter) discardPartial() { e.buffer = e.buffer[:0] }
+// resume prepares for the events of another attempt, which follow the event with the given identifier. It removes a
+// partial event, since an attempt begins with a complete one.
+func (e *eventSplitter) resume(lastID string) {
+	e.buffer = e.buffer[:0]
+	e.order.resume(lastID)
+}
 
 // empty reports whether no partial event is buffered.
 func (e *eventSplitter) empty() bool { return len(e.buffer) == 0 }
@@ -60,13 +79,20 @@
 	return -1
 }
 
-// record counts a complete event and stores its identifier.
-func (e *eventSplitter) record(event []byte) {
-	e.count++
+// record counts a complete event and stores its identifier. It reports false if the event does not follow the one before
+// it.
+func (e *eventSplitter) record(event []byte) bool {
 	for line := range bytes.Lines(event) {
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if ok {
-			e.lastID = string(bytes.TrimSpace(value))
+		if !ok {
+			continue
+		}
+		id := string(bytes.TrimSpace(value))
+		if !e.order.accept(id) {
+			return false
 		}
+		e.lastID = id
 	}
+	e.count++
+	return true
 }
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -400,6 +400,40 @@
 			200, event(1) + event(2), true,
 			[2]int{1, 1},
 		},
+		{
+			"an empty stream does not end a broken one", resumable,
+			[]string{streamHead + chunk(event(1)+event(2)) + "CUT"},
+			[]string{streamHead + "0\r\n\r\n"},
+			200, event(1) + event(2), false,
+			[2]int{1, 1},
+		},
+		{
+			"a stream that begins again does not go on with a broken one", resumable,
+			[]string{streamHead + chunk(event(1)+event(2)) + "CUT"},
+			[]string{streamHead + chunk(event(1)+event(2)+event(3)) + "0\r\n\r\n"},
+			200, event(1) + event(2), false,
+			[2]int{1, 1},
+		},
+		{
+			"a stream with missing events does not go on with a broken one", resumable,
+			[]string{streamHead + chunk(event(1)+event(2)+event(3)) + "CUT"},
+			[]string{streamHead + chunk(event(5)) + "0\r\n\r\n"},
+			200, event(1) + event(2) + event(3), false,
+			[2]int{1, 1},
+		},
+		{
+			"an event that comes twice is not relayed", stream,
+			[]string{streamHead + chunk(event(1)+event(2)+event(2)+event(3)) + "0\r\n\r\n"},
+			nil, 200, event(1) + event(2), false,
+			[2]int{1, 0},
+		},
+		{
+			"an error does not go on with a broken stream", resumable,
+			[]string{streamHead + chunk(event(1)) + "CUT"},
+			[]string{"HTTP/1.1 500 Failed\r\nId: ID\r\nContent-Type: text/event-stream\r\nContent-Length: 6\r\n\r\nfailed"},
+			200, event(1), false,
+			[2]int{1, 1},
+		},
 		{
 			"a stream that ends within an event is not complete", stream,
 			[]string{streamHead + chunk(event(1)+"id: 2\nda") + "0\r\n\r\n"},
@@ -443,6 +477,34 @@
 	c.Assert(s.received()[0].Header.Get("Last-Event-Id"), qt.Equals, "7")
 }
 
+// TestErrorAfterSecondBreakIsRelayed: the third server of a stream answers with an error, which the caller must not find in its stream.
+func TestErrorAfterSecondBreakIsRelayed(t *testing.T) {
+	c := qt.New(t)
+	a := newRawServer(c, streamHead+chunk(event(1))+"CUT")
+	b := newRawServer(c, streamHead+chunk(event(2))+"CUT")
+	d := newRawServer(c, failure)
+	route := masticdocument.Route{Repeat: masticdocument.RetryStream, Resumable: true, Attempts: 3}
+	status, body, whole := newFixture(c, route, a, b, d).send(c)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(body, qt.Equals, event(1)+event(2))
+	c.Assert(whole, qt.IsFalse)
+	c.Assert(d.received(), qt.HasLen, 1)
+}
+
+// TestCallerThatResumesGetsStreamFromItsStart: a server that ignored the caller's last event sent its events from the first one on, which
+// the caller joined to those that it had.
+func TestCallerThatResumesGetsStreamFromItsStart(t *testing.T) {
+	c := qt.New(t)
+	whole := streamHead + chunk(event(1)+event(2)+event(3)) + "0\r\n\r\n"
+	first, second := newRawServer(c, whole), newRawServer(c, streamHead+chunk(event(3))+"0\r\n\r\n")
+	_, body, complete := newFixture(c, resumable, first, second).send(c, "Last-Event-Id", "2")
+	c.Assert(body, qt.Equals, event(3))
+	c.Assert(complete, qt.IsTrue)
+	status, body, _ := newFixture(c, resumable, newRawServer(c, whole)).send(c, "Last-Event-Id", "2")
+	c.Assert(status, qt.Not(qt.Equals), http.StatusOK)
+	c.Assert(body, qt.Equals, "")
+}
+
 // TestResumeStartsAfterLastCompleteEvent checks that a partial event at the end of a broken
 // stream does not count as received.
 func TestResumeStartsAfterLastCompleteEvent(t *testing.T) {
--- a/masticrelay/response.go
+++ b/masticrelay/response.go
@@ -140,8 +140,8 @@
 func (r *requestState) relayStream(ctx context.Context, a masticcall.Assignment, answer *masticbackend.Answer) *masticbackend.Failure {
 	buffer := relayBuffers.Get().(*[relayBufferBytes]byte)
 	defer relayBuffers.Put(buffer)
-	r.events.discardPartial()
-	first := true
+	r.events.resume(r.lastEventID())
+	first, resumed, before := true, r.headerWritten, r.events.count
 	for {
 		n, err := answer.Read(buffer[:])
 		if n > 0 {
@@ -157,6 +157,9 @@
 			}
 		}
 		switch {
+		case err == io.EOF && resumed && r.events.count == before:
+			// It cannot be told from the answer of a server that did not resume the stream.
+			return answeredFailure("%s did not resume the stream: no event", r.server)
 		case err == io.EOF && r.events.empty():
 			if !r.headerWritten {
 				r.writeHeader(answer)
@@ -172,13 +175,24 @@
 
 // relayEvents relays the events that p completes.
 func (r *requestState) relayEvents(answer *masticbackend.Answer, p []byte) *masticbackend.Failure {
-	whole, fits := r.events.add(p)
-	if !fits {
-		return backendFailure("an event of %s is over %d bytes", r.server, maxEventBytes)
+	whole, err := r.events.add(p)
+	if len(whole) > 0 {
+		if f := r.writeEvents(answer, whole); f != nil {
+			return f
+		}
 	}
-	if len(whole) == 0 {
+	switch err {
+	case nil:
 		return nil
+	case errEventOrder:
+		return answeredFailure("an event of %s does not follow event %s", r.server, r.lastEventID())
+	default:
+		return backendFailure("an event of %s is over %d bytes", r.server, maxEventBytes)
 	}
+}
+
+// writeEvents writes complete events to the caller.
+func (r *requestState) writeEvents(answer *masticbackend.Answer, whole []byte) *masticbackend.Failure {
 	r.bindOrigin()
 	if !r.headerWritten {
 		r.writeHeader(answer)
