Tell a request that no share holds when the owner may answer

On sites with up to eight entry hosts, a host admits from its share of a workspace's rate while the owner of the quota is silent. A request larger than the burst of that share was told to come back after the time in which the share regains its tokens, though it never holds them. It is told to come back after a second now, when the owner may answer. The test fails without it.

--- a/masticagent/share.go
+++ b/masticagent/share.go
@@ -68,14 +68,21 @@
 	b.tokens = min(share.BurstTokens, b.tokens+share.RateTokensPerSecond*now.Sub(b.at).Seconds())
 	b.at = now
 	if b.tokens < float64(tokens) {
-		return nil, s.refusal(workspace, share, float64(tokens)-b.tokens)
+		return nil, s.refusal(workspace, share, float64(tokens), float64(tokens)-b.tokens)
 	}
 	b.tokens -= float64(tokens)
 	s.admitted.Add(1)
 	return &shareAdmission{shares: s, workspace: workspace, tokens: tokens}, nil
 }
 
-func (s *shares) refusal(workspace string, share Share, missing float64) error {
+// ownerRetryAfter is the Retry-After of a request that no share of this host ever holds: the owner may answer again.
+const ownerRetryAfter = time.Second
+
+func (s *shares) refusal(workspace string, share Share, tokens, missing float64) error {
+	if tokens > share.BurstTokens {
+		e := masticerror.New(masticerror.KindRateLimited, "the request is larger than this host's share of the rate of workspace %q", workspace)
+		return e.WithRetryAfter(ownerRetryAfter)
+	}
 	e := masticerror.New(masticerror.KindRateLimited, "workspace %q is over this host's share of its rate", workspace)
 	if share.RateTokensPerSecond <= 0 {
 		return e
--- a/masticagent/share_test.go
+++ b/masticagent/share_test.go
@@ -59,6 +59,15 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
+// TestRetryAfterOfRequestThatNoShareHolds: a request that is larger than the burst of a host's share was told to come back when the share
+// would hold it, which it never does.
+func TestRetryAfterOfRequestThatNoShareHolds(t *testing.T) {
+	c := qt.New(t)
+	s := newShares(func(string) Share { return Share{RateTokensPerSecond: 1, BurstTokens: 500} }, &atomic.Int64{})
+	_, err := s.admit(time.UnixMilli(1_000_000), "w", 501)
+	c.Assert(masticerror.From(err).RetryAfter(), qt.Equals, ownerRetryAfter)
+}
+
 // TestStandingShareAdmitsSmallRequestsWithoutGrant checks that a small request is admitted from
 // the standing share without the owner, and that a large one and one beyond the share request a
 // grant. On large sites every small request caused a grant request, which overloaded the owner.
