Count lost hosts among those that decide who admits

Where a site with few more entry hosts than the bound lost some, the quotas would have moved from the keepers to the leader, which begins with a full burst. Hosts that are retired do not count.

--- a/masticbucket/division.go
+++ b/masticbucket/division.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// minHosts is the number of entry hosts from which keepers hold the quotas. With fewer, a host's share
-	// of a rate holds whole requests while the owner of the quota is silent.
+	// minHosts is the number of entry hosts, live or not, from which keepers hold the quotas. With fewer, a
+	// host's share of a rate holds whole requests while the owner of the quota is silent.
 	minHosts = 9
 	// maxKeepers is the number of hosts that keep buckets. Each host has a connection to each of them.
 	maxKeepers = 8
@@ -26,14 +26,25 @@
 type Division struct{ keepers []Host }
 
 // NewDivision returns the division under a view with the given hosts, nil if there are too few. Keepers are
-// chosen by rendezvous hashing of those with at least half of the largest weight.
+// chosen by rendezvous hashing of the live ones with at least half of their largest weight.
 func NewDivision(hosts []masticview.Host) *Division {
-	entries, most := entryHosts(hosts)
-	if len(entries) < minHosts {
+	entries, most := 0, int64(0)
+	var live []masticview.Host
+	for _, h := range hosts {
+		if h.Address == "" || h.Peer == "" || h.State == masticview.HostRetired {
+			continue
+		}
+		entries++
+		if h.State == masticview.HostLive {
+			live = append(live, h)
+			most = max(most, h.Weight)
+		}
+	}
+	if entries < minHosts || len(live) == 0 {
 		return nil
 	}
 	var candidates []Host
-	for _, h := range entries {
+	for _, h := range live {
 		if 2*h.Weight >= most {
 			candidates = append(candidates, Host{h.Name, h.Peer})
 		}
@@ -41,17 +52,6 @@
 	return &Division{keepers: ranked("", candidates, maxKeepers)}
 }
 
-// entryHosts returns the live hosts that serve callers, and their largest weight.
-func entryHosts(hosts []masticview.Host) (entries []masticview.Host, most int64) {
-	for _, h := range hosts {
-		if h.Address != "" && h.Peer != "" && h.State == masticview.HostLive {
-			entries = append(entries, h)
-			most = max(most, h.Weight)
-		}
-	}
-	return entries, most
-}
-
 // Keepers returns the hosts that keep the buckets of a workspace.
 func (d *Division) Keepers(workspace string) []Host {
 	if d == nil {
