Send no views of the past while a restarted host applies its log

Control hosts that apply their logs in parts, or have not heard from a leader yet, sent the views that they went through; those have no later servers, routes and keys. Hosts got the document up to three times.

A control host sends a view, and adds one to a renewal's answer, only once it has applied what is committed. One that hears from no leader does so after 3 s, so that hosts without control are served on.

--- a/masticcontrol/batch.go
+++ b/masticcontrol/batch.go
@@ -54,12 +54,12 @@
 	if err := l.advance(now); err != nil {
 		return err
 	}
-	l.pushChanges(now)
 	now = masticclock.Now()
 	if l.leader != nil {
 		l.leader.workload.countBatch(began, now, l.deadline, len(b.messages))
 	}
 	l.updateLeadership(now)
+	l.pushChanges(now)
 	if l.leader != nil {
 		l.leader.answerPublishes(now)
 	}
@@ -98,6 +98,10 @@
 	}
 	switch k := c.request.GetKind().(type) {
 	case *masticproto.PeerRequest_View:
+		if l.replays(masticclock.Now()) {
+			c.fail(l.notLeader())
+			return
+		}
 		c.answer(&masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_View{View: l.updateFrom(k.View.GetRevision())}})
 	default:
 		l.handleAsLeader(now, c)
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -60,7 +60,7 @@
 // addUpdates adds to the answer to r what the host lacks and this control host has: view changes, suspects
 // and the members.
 func (l *loop) addUpdates(answer *masticproto.RenewAnswer, r *masticproto.RenewRequest) {
-	if r.GetRevision() < l.state.View().Revision() {
+	if !l.replays(masticclock.Now()) && r.GetRevision() < l.state.View().Revision() {
 		answer.Update = l.updateFrom(r.GetRevision())
 	}
 	if r.GetSuspects() != l.state.Suspects().Fingerprint() {
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -59,6 +59,9 @@
 	// joined reports that this host is a voter and knows the leader.
 	joined atomic.Bool
 
+	// startedAt is when the loop was created. heardLeader reports that a leader was known since, or that maxReplay has passed.
+	startedAt   time.Time
+	heardLeader bool
 	// unfinished reports that committed entries are left to the next batch.
 	unfinished bool
 
@@ -79,6 +82,7 @@
 		return nil, err
 	}
 	l := &loop{
+		startedAt:       masticclock.Now(),
 		settings:        s,
 		core:            core,
 		store:           store,
@@ -192,7 +196,7 @@
 		return masticclock.Now()
 	}
 	deadline := l.core.NextDeadline()
-	if l.viewChanged && l.nextPush.Before(deadline) {
+	if l.viewChanged && l.nextPush.Before(deadline) && !l.replays(masticclock.Now()) {
 		deadline = l.nextPush
 	}
 	if l.leader == nil {
--- a/masticcontrol/service.go
+++ b/masticcontrol/service.go
@@ -10,6 +10,10 @@
 // maxPendingUpdates bounds the view updates that wait for one slow host.
 const maxPendingUpdates = 64
 
+func newUpdates() *updateRing {
+	return masticring.New[*masticproto.PeerAnswer]("view updates", maxPendingUpdates)
+}
+
 type updateRing = masticring.Ring[*masticproto.PeerAnswer]
 
 // service passes the requests of other hosts to the loop.
@@ -39,7 +43,7 @@
 func (s *service) Stream(ctx context.Context, q *masticproto.PeerRequest, send func(*masticproto.PeerAnswer) error) error {
 	w := &watch{
 		call:    newCall(ctx, q),
-		updates: masticring.New[*masticproto.PeerAnswer]("view updates", maxPendingUpdates),
+		updates: newUpdates(),
 	}
 	if err := s.loop.watches.Offer(w); err != nil {
 		return err
--- a/masticcontrol/watch.go
+++ b/masticcontrol/watch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"masticladder/masticclock"
 	"masticladder/masticproto"
 )
 
@@ -12,11 +13,24 @@
 	l.watchers[w] = struct{}{}
 	revision := w.call.request.GetWatch().GetRevision()
 	w.call.answer(nil)
-	if revision < l.state.View().Revision() {
+	switch {
+	case l.replays(masticclock.Now()):
+		l.viewChanged, l.pushedRevision = true, min(l.pushedRevision, revision)
+	case revision < l.state.View().Revision():
 		l.push(w, l.updateFrom(revision))
 	}
 }
 
+// maxReplay is the time after its start at which a control host that has heard from no leader serves the view that it has.
+const maxReplay = 3 * time.Second
+
+// replays reports whether this host's view is one of the past, because it has not applied the entries of its log since it
+// started, or not all that are committed.
+func (l *loop) replays(now time.Time) bool {
+	l.heardLeader = l.heardLeader || l.status.Leader != "" || !now.Before(l.startedAt.Add(maxReplay))
+	return l.unfinished || l.status.Applied < l.status.Commit || !l.heardLeader && l.status.Applied < l.status.LastIndex
+}
+
 // markViewChanged records that the view has changed since revision. The watchers are sent changes
 // once per batch, because a change of weights makes tens of revisions in one batch.
 func (l *loop) markViewChanged(revision uint64) {
@@ -25,9 +39,10 @@
 	}
 }
 
-// pushChanges sends the watchers what has changed since the last push.
+// pushChanges sends the watchers what has changed since the last push. Views of the past, which a restarted host goes
+// through while it applies its log, are not sent: they may lack routes, keys and servers.
 func (l *loop) pushChanges(now time.Time) {
-	if l.viewChanged && !now.Before(l.nextPush) {
+	if l.viewChanged && !l.replays(now) && !now.Before(l.nextPush) {
 		l.viewChanged = false
 		l.nextPush = now.Add(l.pushInterval)
 		l.pushSince(l.pushedRevision)
