--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -76,10 +76,10 @@
 	return a, err
 }
 
-// acquire tries in turn what may admit a request: the keepers of quotas if there are some; else this host's outage share if the control hosts are
-// unreachable or the quota owner is unresponsive, the standing share for a small request, a grant
-// of the owner, and a share again if ctx ends before the grant is decided, also when the caller
-// cancels. A request that the holder refuses, also because its waitUntil has passed, gets no share.
+// acquire tries in turn what may admit a request: the keepers of quotas if there are some; else this host's
+// outage share if the control hosts are unreachable or the quota owner is unresponsive, the standing share for a
+// small request, a grant of the owner, and a share again if ctx ends before the grant is decided, also when the
+// caller cancels. A request that the holder refuses, also because its waitUntil has passed, gets no share.
 func (l *limiter) acquire(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
 	if k := l.agent.keepers; k != nil && k.Divided() {
 		return l.acquireFromKeepers(ctx, workspace, tokens)
