Take the place of keepers whose processes have ended

Cause: with its keepers gone nobody admits what the standing share does not hold, and a keeper that gave no answer was not asked for a second. New with the keepers.

A refused connection proves that a keeper's process has ended, so that its part is given out by nobody. Such a bucket begins with the tokens of 0.1 s. A keeper that has ended is asked again with the next request. Hosts that do not answer in time prove nothing and are not replaced.

--- a/masticassign/charge.go
+++ b/masticassign/charge.go
@@ -16,7 +16,7 @@
 		return masticcall.ChargeAnswer{}, err
 	}
 	a, err := client.Call(ctx, &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Charge{Charge: &masticproto.ChargeRequest{
-		Workspace: q.Workspace, Tokens: q.Tokens, WaitUs: q.Wait.Microseconds(),
+		Workspace: q.Workspace, Tokens: q.Tokens, WaitUs: q.Wait.Microseconds(), SubstituteOf: uint32(q.SubstituteOf),
 	}}})
 	if err != nil {
 		return masticcall.ChargeAnswer{}, err
@@ -47,12 +47,17 @@
 	Refund(workspace string, tokens int64)
 }
 
+// maxSubstituteOf bounds the parts of which a substitute may be asked for one.
+const maxSubstituteOf = 1 << 10
+
 // charge answers a charge.
 func (s *Server) charge(p *masticproto.ChargeRequest) (*masticproto.PeerAnswer, error) {
-	if s.keeper == nil || p.GetTokens() < 0 || p.GetTokens() > maxTokens {
+	if s.keeper == nil || !isCount(p.GetTokens()) || p.GetSubstituteOf() > maxSubstituteOf {
 		return nil, masticerror.New(masticerror.KindBadRequest, "the charge is malformed, or this host keeps no quotas")
 	}
-	a := s.keeper.Charge(time.Now(), masticcall.Charge{Workspace: p.GetWorkspace(), Tokens: p.GetTokens(), Wait: timeOf(p.GetWaitUs())})
+	a := s.keeper.Charge(time.Now(), masticcall.Charge{
+		Workspace: p.GetWorkspace(), Tokens: p.GetTokens(), Wait: timeOf(p.GetWaitUs()), SubstituteOf: int(p.GetSubstituteOf()),
+	})
 	return &masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Charge{Charge: &masticproto.ChargeAnswer{
 		Kept: a.Kept, Admitted: a.Admitted, DelayUs: (a.Delay + time.Microsecond - 1).Microseconds(),
 	}}}, nil
--- a/masticbucket/division.go
+++ b/masticbucket/division.go
@@ -60,6 +60,15 @@
 	return ranked(workspace, d.keepers, parts)
 }
 
+// substitutes returns the hosts that take the place of the keepers of a workspace when these have ended, the first one
+// first.
+func (d *Division) substitutes(workspace string) []Host {
+	if d == nil {
+		return nil
+	}
+	return ranked(workspace, d.keepers, len(d.keepers))[min(parts, len(d.keepers)):]
+}
+
 // keeps reports whether the host keeps a bucket of the workspace, and how many hosts do.
 func (d *Division) keeps(host, workspace string) (bool, int) {
 	keepers := d.Keepers(workspace)
--- a/masticbucket/fleet_test.go
+++ b/masticbucket/fleet_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,8 +31,10 @@
 	// one is set for a reference fleet, in which one bucket holds the whole limit.
 	one *oneBucket
 
-	mutex    sync.Mutex
-	silent   map[string]bool
+	mutex  sync.Mutex
+	silent map[string]bool
+	// ended are the hosts whose process has ended.
+	ended    map[string]bool
 	charges  int
 	admitted []use
 }
@@ -64,7 +68,7 @@
 }
 
 func newFleet(hosts int, limit Limit) *fleet {
-	f := &fleet{limit: limit, limiters: map[string]*Limiter{}, keepers: map[string]*Keeper{}, silent: map[string]bool{}}
+	f := &fleet{limit: limit, limiters: map[string]*Limiter{}, keepers: map[string]*Keeper{}, silent: map[string]bool{}, ended: map[string]bool{}}
 	for i := range hosts {
 		name := fmt.Sprintf("10.0.%d.%d:7500", i/250, i%250)
 		f.hosts = append(f.hosts, masticview.Host{Name: name, Address: name, Peer: name, Zone: "z", Weight: int64(1 + 2*(i%3)), State: masticview.HostLive})
@@ -95,8 +99,11 @@
 func (f *fleet) Charge(ctx context.Context, peer string, c masticcall.Charge) (masticcall.ChargeAnswer, error) {
 	f.mutex.Lock()
 	f.charges++
-	silent := f.silent[peer]
+	silent, ended := f.silent[peer], f.ended[peer]
 	f.mutex.Unlock()
+	if ended {
+		return masticcall.ChargeAnswer{}, masticerror.Wrap(syscall.ECONNREFUSED, masticerror.KindNoQuorum, "connect to %s", peer)
+	}
 	if silent {
 		<-ctx.Done()
 		return masticcall.ChargeAnswer{}, ctx.Err()
@@ -267,3 +274,53 @@
 		f.assertWithinLimit(c, part+fleetLimit.RateTokensPerSecond/parts)
 	})
 }
+
+// TestRequestsAreRefusedWhileAllKeepersAreDown replays a kill of all entry hosts but one or six, which then get all requests: as their
+// keepers were gone they refused all for a second, also of callers that took streams up again.
+func TestRequestsAreRefusedWhileAllKeepersAreDown(t *testing.T) {
+	for _, x := range []struct {
+		name      string
+		survivors int
+		tokens    int64
+	}{
+		{"one host survives, small requests", 1, smallTokens},
+		{"six hosts survive, small requests", 6, smallTokens},
+		{"six hosts survive, long requests", 6, meanTokens},
+		{"the other keepers survive, long requests", -1, meanTokens},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				random := rand.New(rand.NewPCG(3, 3))
+				f := newFleet(57, fleetLimit)
+				f.play(random, 2*time.Second, 0.7, x.tokens)
+				d := NewDivision(f.hosts)
+				var alive []masticview.Host
+				for i, h := range f.hosts {
+					keeps, _ := d.keeps(h.Name, "w")
+					isKeeper := slices.ContainsFunc(d.keepers, func(k Host) bool { return k.Name == h.Name })
+					if !keeps && (x.survivors < 0 || !isKeeper && len(alive) < x.survivors) {
+						alive = append(alive, f.hosts[i])
+						continue
+					}
+					f.ended[h.Name] = true
+				}
+				all := f.hosts
+				f.hosts = alive
+				// A tenth of the rate: a part of it for each of a few hosts, or a third at one substitute.
+				got := f.play(random, 600*time.Millisecond, 0.1, x.tokens)
+				c.Check(got >= 0.9, qt.IsTrue, qt.Commentf("%.2f of what was asked for", got))
+				f.hosts = all
+				for _, h := range all {
+					if f.ended[h.Name] {
+						f.startHost(h.Name)
+					}
+				}
+				clear(f.ended)
+				got = f.play(random, 2*time.Second, 0.7, x.tokens)
+				c.Check(got >= 0.9, qt.IsTrue, qt.Commentf("%.2f of what was asked for, once they are back", got))
+				f.assertWithinLimit(c, 0)
+			})
+		})
+	}
+}
--- a/masticbucket/keeper.go
+++ b/masticbucket/keeper.go
@@ -12,6 +12,10 @@
 // because a former process may just have given out tokens, and above 0 so that requests are admitted at once.
 const initialLevel = 0.5
 
+// substituteStart is the time whose tokens a substitute's bucket begins with. It is short because the keepers may have
+// given out their bursts just before they ended.
+const substituteStart = 100 * time.Millisecond
+
 // Keeper holds the buckets that this host keeps. It is safe for concurrent use.
 type Keeper struct {
 	host string
@@ -24,13 +28,15 @@
 	mutex    sync.Mutex
 	division *Division
 	buckets  map[string]*bucket
+	// substitutes are the buckets in place of keepers that have ended.
+	substitutes map[string]*bucket
 	// dividedAt is when the division last changed, zero if it is the first one.
 	dividedAt time.Time
 }
 
 // NewKeeper returns the keeper of the named host, without a division.
 func NewKeeper(host string, limit func(workspace string) Limit) *Keeper {
-	return &Keeper{host: host, limit: limit, buckets: map[string]*bucket{}}
+	return &Keeper{host: host, limit: limit, buckets: map[string]*bucket{}, substitutes: map[string]*bucket{}}
 }
 
 // SetDivision replaces the division from now on. Buckets that this host does not keep any more are dropped. One
@@ -42,6 +48,7 @@
 		k.dividedAt = now
 	}
 	k.division = d
+	clear(k.substitutes)
 	for workspace := range k.buckets {
 		if keeps, _ := d.keeps(k.host, workspace); !keeps {
 			delete(k.buckets, workspace)
@@ -54,15 +61,20 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	keeps, n := k.division.keeps(k.host, c.Workspace)
-	if !keeps {
-		return masticcall.ChargeAnswer{}
+	if c.SubstituteOf > 0 {
+		keeps, n = true, c.SubstituteOf
 	}
 	total := k.limit(c.Workspace)
-	if total.RateTokensPerSecond <= 0 {
+	if !keeps || total.RateTokensPerSecond <= 0 {
 		return masticcall.ChargeAnswer{}
 	}
 	l := total.divided(n)
-	delay, taken := k.bucket(now, c.Workspace, l).charge(now, l, float64(c.Tokens), c.Wait)
+	bucketOf := k.bucket
+	if c.SubstituteOf > 0 {
+		bucketOf = k.substitute
+	}
+	b := bucketOf(now, c.Workspace, l)
+	delay, taken := b.charge(now, l, float64(c.Tokens), c.Wait)
 	k.Charged.Add(1)
 	if !taken {
 		k.Refused.Add(1)
@@ -82,6 +94,15 @@
 	return b
 }
 
+func (k *Keeper) substitute(now time.Time, workspace string, l Limit) *bucket {
+	b, ok := k.substitutes[workspace]
+	if !ok {
+		b = &bucket{level: l.RateTokensPerSecond * substituteStart.Seconds(), at: now}
+		k.substitutes[workspace] = b
+	}
+	return b
+}
+
 // Refund returns tokens that were charged and not used.
 func (k *Keeper) Refund(workspace string, tokens int64) {
 	k.mutex.Lock()
--- a/masticbucket/limiter.go
+++ b/masticbucket/limiter.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -75,6 +77,9 @@
 	if deadline, bounded := ctx.Deadline(); bounded && a.missing > 0 {
 		waiting = a.charge(ctx, waiting, time.Until(deadline))
 	}
+	if a.missing > 0 && a.ended == len(keepers) {
+		waiting = a.chargeSubstitutes(ctx)
+	}
 	if a.missing > 0 {
 		a.refund()
 		return nil, a.refusal(waiting)
@@ -100,6 +105,10 @@
 	piece   int64
 	missing int
 	charged []Host
+	// ended counts the keepers whose process has ended: their hosts refuse connections.
+	ended int
+	// substituteOf is that of the charges.
+	substituteOf int
 	// delay is the time until all charged tokens are there.
 	delay time.Duration
 	// delays are those that keepers stated with their refusals.
@@ -133,13 +142,31 @@
 	return refused
 }
 
+// chargeSubstitutes charges at the hosts that take the place of the keepers, and at this host itself if all keepers of
+// all workspaces have ended. Hosts that all find them ended find the same substitute. It returns those that refused.
+func (a *attempt) chargeSubstitutes(ctx context.Context) []Host {
+	d := a.limiter.division.Load()
+	wait := time.Duration(0)
+	if deadline, bounded := ctx.Deadline(); bounded {
+		wait = time.Until(deadline)
+	}
+	substitutes := d.substitutes(a.workspace)
+	a.ended, a.substituteOf = 0, parts
+	refused := a.charge(ctx, substitutes, wait)
+	if a.missing > 0 && a.ended == len(substitutes) {
+		a.substituteOf = maxKeepers
+		refused = append(refused, a.charge(ctx, []Host{{Name: a.limiter.host}}, wait)...)
+	}
+	return refused
+}
+
 // chargeAt charges a piece at one keeper. It reports false if the keeper gave no answer, or keeps no bucket.
 func (a *attempt) chargeAt(ctx context.Context, h Host, wait time.Duration) (masticcall.ChargeAnswer, bool) {
 	l, now := a.limiter, time.Now()
 	if delay, known := l.memory.refusal(now, h, a.workspace, a.piece); known && delay > wait {
 		return masticcall.ChargeAnswer{Delay: delay}, true
 	}
-	c := masticcall.Charge{Workspace: a.workspace, Tokens: a.piece, Wait: wait}
+	c := masticcall.Charge{Workspace: a.workspace, Tokens: a.piece, Wait: wait, SubstituteOf: a.substituteOf}
 	if h.Name == l.host {
 		answer := l.keeper.Charge(now, c)
 		return answer, answer.Kept
@@ -151,18 +178,30 @@
 	defer cancel()
 	answer, err := l.keepers.Charge(asked, h.Peer, c)
 	if err != nil {
-		if ctx.Err() == nil {
-			l.memory.recordSilence(time.Now(), h)
-		}
-		l.log.WithError(err).WithField("keeper", h.Name).WithField("workspace", a.workspace).Warn("keeper of a quota gave no answer")
+		a.recordFailure(ctx, h, err)
 		return answer, false
 	}
-	if answer.Kept && !answer.Admitted {
+	if answer.Kept && !answer.Admitted && a.substituteOf == 0 {
 		l.memory.recordRefusal(time.Now(), h, a.workspace, a.piece, answer.Delay)
 	}
 	return answer, answer.Kept
 }
 
+// recordFailure records that a keeper gave no answer. One that has ended is asked again, since that costs little and it
+// may be back soon.
+func (a *attempt) recordFailure(ctx context.Context, h Host, err error) {
+	l, ended := a.limiter, errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case ended:
+		a.ended++
+	case ctx.Err() == nil:
+		l.memory.recordSilence(time.Now(), h)
+	}
+	if !ended || l.memory.isNews(time.Now(), h) {
+		l.log.WithError(err).WithField("keeper", h.Name).WithField("workspace", a.workspace).WithField("ended", ended).Warn("keeper of a quota gave no answer")
+	}
+}
+
 // refund returns what was charged.
 func (a *attempt) refund() {
 	for _, h := range a.charged {
--- a/masticbucket/memory.go
+++ b/masticbucket/memory.go
@@ -18,6 +18,8 @@
 	// silentUntil are the times until which keepers are not asked.
 	silentUntil map[string]time.Time
 	refusals    map[refusalKey]refusal
+	// loggedUntil are the times until which the end of a keeper is not logged again.
+	loggedUntil map[string]time.Time
 }
 
 type refusalKey struct{ keeper, workspace string }
@@ -29,7 +31,7 @@
 }
 
 func newMemory() *memory {
-	return &memory{silentUntil: map[string]time.Time{}, refusals: map[refusalKey]refusal{}}
+	return &memory{silentUntil: map[string]time.Time{}, refusals: map[refusalKey]refusal{}, loggedUntil: map[string]time.Time{}}
 }
 
 func (m *memory) clear() {
@@ -37,6 +39,18 @@
 	defer m.mutex.Unlock()
 	clear(m.silentUntil)
 	clear(m.refusals)
+	clear(m.loggedUntil)
+}
+
+// isNews reports whether the end of a keeper is to be logged.
+func (m *memory) isNews(now time.Time, h Host) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if now.Before(m.loggedUntil[h.Name]) {
+		return false
+	}
+	m.loggedUntil[h.Name] = now.Add(silenceCooldown)
+	return true
 }
 
 func (m *memory) recordSilence(now time.Time, h Host) {
--- a/masticcall/charge.go
+++ b/masticcall/charge.go
@@ -11,6 +11,9 @@
 	Tokens    int64
 	// Wait is how long the request can wait for the tokens.
 	Wait time.Duration
+	// SubstituteOf is set if the processes of all keepers of the workspace have ended. The host then takes the place
+	// of one, with one of so many equal parts of the quota.
+	SubstituteOf int
 }
 
 // ChargeAnswer answers a Charge.
--- a/masticwire/client.go
+++ b/masticwire/client.go
@@ -88,7 +88,7 @@
 	}
 	c.closeSession()
 	if now.Before(c.nextDial) {
-		return nil, masticerror.New(masticerror.KindNoQuorum, "connect to %s again in %v after %v", c.address, c.nextDial.Sub(now), c.lastError)
+		return nil, masticerror.Wrap(c.lastError, masticerror.KindNoQuorum, "connect to %s again in %v", c.address, c.nextDial.Sub(now))
 	}
 	return nil, nil
 }
