Open a verdict only after all its reports

Traced: an attempt that failed while the report of a server's end was under way opened the verdict for all that waited, so that their next attempts, and their callers' ones, could come before the report. The verdict is open once no report is under way.

TestVerdictOvertakesReport fails without it.

--- a/masticdetector/detector_test.go
+++ b/masticdetector/detector_test.go
@@ -301,3 +301,36 @@
 		c.Assert(reports, qt.Equals, "ended 1")
 	})
 }
+
+// failing is an attempt that fails at a time of its own.
+type failing struct {
+	detector *Detector
+	server   *fakeServer
+	request  int
+	after    time.Duration
+	reports  chan string
+}
+
+func (f *failing) run() {
+	a := begin(f.detector, f.request)
+	time.Sleep(f.after)
+	a.Failed(context.Background())
+	_, reports := f.server.counts()
+	f.reports <- reports
+}
+
+// TestVerdictOvertakesReport: an attempt that failed while the report of a server's end was under way opened the verdict for all that waited, so
+// that what they did next came before the report.
+func TestVerdictOvertakesReport(t *testing.T) {
+	inBubble(t, func(c *qt.C, d *Detector, s *fakeServer) {
+		s.show(SignRefused)
+		s.reportDelay = 50 * time.Millisecond
+		reports := make(chan string, 2)
+		for i, after := range []time.Duration{time.Millisecond, 20 * time.Millisecond} {
+			go (&failing{d, s, i + 1, after, reports}).run()
+		}
+		for range 2 {
+			c.Assert(<-reports, qt.Contains, "ended")
+		}
+	})
+}
--- a/masticdetector/watch.go
+++ b/masticdetector/watch.go
@@ -14,8 +14,10 @@
 	// running reports that run is running; wake ends its wait for the next check.
 	running bool
 	wake    chan struct{}
-	// decided is closed while there is a verdict.
+	// decided is closed while there is a verdict whose reports are delivered.
 	decided chan struct{}
+	// undelivered counts the signs whose reports are under way.
+	undelivered int
 	// unlistedChecked reports that the server was checked when the list did not name it any more.
 	unlistedChecked bool
 }
@@ -25,9 +27,10 @@
 }
 
 // observe applies a sign that was seen at now and tells of seenAt. A proof of the end concerns all
-// requests that run on the server. The detector's mutex is held.
+// requests that run on the server. The detector's mutex is held. The caller delivers the reports afterwards.
 func (w *watch) observe(now, seenAt time.Time, sign Sign) []masticcall.ServerReport {
 	d, e := w.detector, w.episode
+	w.undelivered++
 	if sign.proof() && e.verdict != masticcall.VerdictEnded && !e.expired(now) {
 		for a := range d.attempts[e.server.Name] {
 			if q, ok := d.blamable(now, a); ok && a.incarnation == e.incarnation {
@@ -45,6 +48,7 @@
 	d.report(reports)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	w.undelivered--
 	w.updateDecided()
 }
 
@@ -59,7 +63,7 @@
 	switch unknown := w.episode.verdict == masticcall.VerdictUnknown; {
 	case unknown && isClosed:
 		w.decided = make(chan struct{})
-	case !unknown && !isClosed:
+	case !unknown && !isClosed && w.undelivered == 0:
 		close(w.decided)
 	}
 }
