--- a/masticbucket/limiter.go
+++ b/masticbucket/limiter.go
@@ -65,6 +65,9 @@
 // equal pieces at several. It waits for tokens that are there before ctx ends.
 func (l *Limiter) Admit(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
 	keepers := l.division.Load().Keepers(workspace)
+	if len(keepers) == 0 {
+		return nil, errFewKeepers(workspace)
+	}
 	limit := l.keeper.limit(workspace)
 	pieces := piecesOf(tokens, limit, len(keepers))
 	if pieces == 0 {
@@ -217,12 +220,16 @@
 	l.keepers.Refund(h.Peer, workspace, tokens)
 }
 
+func errFewKeepers(workspace string) error {
+	e := masticerror.New(masticerror.KindRateLimited, "too few keepers of the quota of workspace %q answered", workspace)
+	return e.WithRetryAfter(unansweredRetryAfter)
+}
+
 // refusal returns the error for a request that was not admitted, with the time at which enough keepers have the
 // tokens.
 func (a *attempt) refusal(waiting []Host) error {
 	if len(waiting) < a.missing {
-		e := masticerror.New(masticerror.KindRateLimited, "too few keepers of the quota of workspace %q answered", a.workspace)
-		return e.WithRetryAfter(unansweredRetryAfter)
+		return errFewKeepers(a.workspace)
 	}
 	e := masticerror.New(masticerror.KindRateLimited, "workspace %q is over its rate", a.workspace)
 	return e.WithRetryAfter(a.delays[waiting[a.missing-1].Name])
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticladder/masticclock"
+	"masticladder/masticerror"
 	"masticladder/masticlease"
 	"masticladder/masticproto"
 )
@@ -32,6 +33,10 @@
 
 // renewBatch grants view leases to several hosts.
 func (d *leaderState) renewBatch(now time.Time, c *call, b *masticproto.RenewBatch) {
+	if len(b.GetRenewals()) > maxRelayed {
+		c.fail(masticerror.New(masticerror.KindBadRequest, "a batch of over %d renewals", maxRelayed))
+		return
+	}
 	d.loop.counters.recordRenewals(len(b.GetRenewals()))
 	answer := &masticproto.RenewBatchAnswer{}
 	for _, r := range b.GetRenewals() {
--- a/masticjson/array.go
+++ b/masticjson/array.go
@@ -10,6 +10,9 @@
 // errNoObject means that what is read is no object with the expected members.
 var errNoObject = errors.New("not a JSON object")
 
+// maxMembers bounds the members beside the array that are kept.
+const maxMembers = 64
+
 // ArrayReader reads an object that has one long array, element by element. It checks no element, so that one that
 // cannot be decoded does not affect the others, and keeps at most one in memory.
 type ArrayReader struct {
@@ -73,8 +76,11 @@
 		return a.elements(f)
 	}
 	raw, fits, err := a.value()
-	if fits {
+	switch {
+	case fits && len(o) < maxMembers:
 		o[name] = raw
+	case fits:
+		a.Skipped++
 	}
 	return err
 }
--- a/masticjson/array_test.go
+++ b/masticjson/array_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -16,6 +17,15 @@
 	return elements, o, a.Skipped, err
 }
 
+// manyMembers returns n members of an object.
+func manyMembers(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, `"m%d":1,`, i)
+	}
+	return b.String()
+}
+
 // TestArrayReaderSkipsWhatIsTooLarge checks that elements of any depth and size cost no other element.
 func TestArrayReaderSkipsWhatIsTooLarge(t *testing.T) {
 	c := qt.New(t)
@@ -32,6 +42,10 @@
 			c.Assert(err, qt.IsNotNil, qt.Commentf("%s", broken))
 		}
 	}
+	_, o, skipped, err = readArray(`{`+manyMembers(1000)+`"list":[]}`, 1000)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(o) <= maxMembers, qt.IsTrue)
+	c.Assert(skipped > 900, qt.IsTrue)
 	elements, _, _, err = readArray(`{"list":{"a":[1]},"next":null}`, 1000)
 	c.Assert(err, qt.IsNil)
 	c.Assert(elements, qt.HasLen, 0)
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -477,6 +477,16 @@
 	c.Assert(s.received()[0].Header.Get("Last-Event-Id"), qt.Equals, "7")
 }
 
+// TestCallersEventIsCheckedWhereStreamsAreNotResumed: a caller that named an event on a route whose servers know no such thing got none of
+// the stream, and the server counted as faulty.
+func TestCallersEventIsCheckedWhereStreamsAreNotResumed(t *testing.T) {
+	c := qt.New(t)
+	s := newRawServer(c, streamHead+chunk(event(1)+event(2))+"0\r\n\r\n")
+	_, body, whole := newFixture(c, stream, s).send(c, "Last-Event-Id", "7")
+	c.Assert(body, qt.Equals, event(1)+event(2))
+	c.Assert(whole, qt.IsTrue)
+}
+
 // TestErrorAfterSecondBreakIsRelayed: the third server of a stream answers with an error, which the caller must not find in its stream.
 func TestErrorAfterSecondBreakIsRelayed(t *testing.T) {
 	c := qt.New(t)
--- a/masticrelay/response.go
+++ b/masticrelay/response.go
@@ -136,11 +136,20 @@
 	return n, err
 }
 
+// resumedFrom returns the identifier of the event after which the attempt has to go on, empty if it need not: a caller may
+// name an event on a route whose servers do not resume streams.
+func (r *requestState) resumedFrom() string {
+	if r.events.count == 0 && !r.route.Resumable {
+		return ""
+	}
+	return r.lastEventID()
+}
+
 // relayStream relays complete events as they arrive.
 func (r *requestState) relayStream(ctx context.Context, a masticcall.Assignment, answer *masticbackend.Answer) *masticbackend.Failure {
 	buffer := relayBuffers.Get().(*[relayBufferBytes]byte)
 	defer relayBuffers.Put(buffer)
-	r.events.resume(r.lastEventID())
+	r.events.resume(r.resumedFrom())
 	first, resumed, before := true, r.headerWritten, r.events.count
 	for {
 		n, err := answer.Read(buffer[:])
