--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -1,64 +1,111 @@
-"""QUOTA: a tenant's limit is lowered to less than one a second."""
+"""BUDGET: a part of long conversations crashes each engine that begins to write an answer on it."""
 
 import asyncio
 import os
 import random
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
 import lab as stand  # noqa: E402
 
-CONSUMERS = 10
-RATE, BURST = 1000000, 170525
-LOW_RATE, LOW_BURST = 0.5, 20000
-TOKENS = 17020
+ENGINES = 10
+PARTS = 70  # a conversation of 69 turns before the question
+TENANT = stand.tenant("sese880", "wu3fexd9dnn2ctnfzs98", 1700000, 1700000)
+BAD = "bad0bad0"
 
 
-async def consume(lab, results, key, stop):
-    c = stand.Consumer(lab, "jepu9.example", key)
-    header = {"X-Model": "m0", "X-Token-Usage": "%d,24" % (TOKENS - 24), "X-Prefix-Hash": "5c1e07a2:13300,%08x:3696" % random.getrandbits(32)}
+class Engine(stand.Worker):
+    """An engine that ends when it begins to write an answer on the part BAD, and is back 2 s later, as a new one."""
+
+    deadly = False
+
+    async def start(self):
+        await super().start()
+        self.writers = set()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await super().serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    async def run_stream(self, writer, model, header):
+        parts = [p.split(":")[0] for p in header.get("x-prefix-hash", "").split(",")]
+        if BAD in parts[:-1]:
+            self.lab.arrivals.append(self.lab.record.now())
+            self.lab.record("request with the part reaches %s" % self.id)
+            if Engine.deadly:
+                await asyncio.sleep(0.05)
+                await self.crash()
+                raise ConnectionError("crashed")
+        await super().run_stream(writer, model, header)
+
+    async def crash(self):
+        if not self.server:
+            return
+        self.lab.crashes.append(self.lab.record.now())
+        self.lab.record("%s crashes" % self.id)
+        self.server.close()
+        self.server = None
+        for w in list(self.writers):
+            w.transport.abort()
+        self.lab.spawn(self.come_back())
+
+    async def come_back(self):
+        await asyncio.sleep(2.0)
+        self.id = "i-%08x" % random.getrandbits(32)
+        self.born = int(time.time() * 1000)
+        self.server = await asyncio.start_server(self.serve, self.ip, 8080)
+
+
+async def consume(lab, results, bad, interval, stop):
     while not stop.is_set():
-        r = await c.send("POST", "/lepu270/%x" % random.getrandbits(20), header, b"x" * 3720)
+        c = stand.Consumer(lab, "jepu9.example", TENANT["apiKeys"][0])
+        chain = ["%08x:120" % (0x10000 + i) for i in range(PARTS - 2)]
+        if bad:
+            chain.append(BAD + ":120")
+        chain.append("%08x:60" % random.getrandbits(32))
+        header = {"X-Model": "m0", "X-Token-Usage": "%d,9" % (120 * PARTS), "X-Prefix-Hash": ",".join(chain)}
+        r = await c.send("POST", "/lepu270/%x" % random.getrandbits(20), header, os.urandom(200))
+        r["bad"] = bad
         results.append(r)
-        await asyncio.sleep(max(0.3, min(r.get("retry_after", 0), 2.0)))
-    c.close()
+        c.close()
+        await asyncio.sleep(interval * (0.7 + 0.6 * random.random()))
 
 
 async def scenario(lab, trouble):
-    for _ in range(9):
-        lab.add_worker("llm-desk", 64, models={"m0": 1})
+    lab.arrivals, lab.crashes = [], []
+    for _ in range(ENGINES):
+        w = Engine(lab, "llm-desk", lab.addresses.next(), lab.zone(len(lab.workers)), 64, models={"m0": 1})
+        lab.workers.append(w)
     lab.add_worker("order-app", 6)
-    key = "wu3fexd9dnn2ctnfzs98"
     await lab.start(3, 4)
-    await lab.order("PUT", "/v1/config", stand.document(1, [stand.tenant("sese880", key, RATE, BURST)]))
+    await lab.order("PUT", "/v1/config", stand.document(1, [TENANT]))
     await lab.wait_ready()
     await asyncio.sleep(2)
     results, stop = [], asyncio.Event()
-    tasks = [lab.spawn(consume(lab, results, key, stop)) for _ in range(CONSUMERS)]
-    await asyncio.sleep(5)
-    rate, burst = RATE, BURST
-    if trouble:
-        rate, burst = LOW_RATE, LOW_BURST
-        await lab.order("PUT", "/v1/config", stand.document(2, [stand.tenant("sese880", key, rate, burst)]))
-    acknowledged = lab.record.now()
-    await asyncio.sleep(lab.bounds["configApplyMs"] / 1000 + 3 * lab.bounds["quotaWindowS"])
+    tasks = [lab.spawn(consume(lab, results, False, 0.2, stop)) for _ in range(4)]
+    await asyncio.sleep(4)
+    Engine.deadly = trouble
+    tasks += [lab.spawn(consume(lab, results, True, 0.5, stop)) for _ in range(2)]
+    await asyncio.sleep(25)
     stop.set()
     await asyncio.wait(tasks, timeout=10)
-    return judge(lab, results, acknowledged, rate, burst)
-
-
-def judge(lab, results, acknowledged, rate, burst):
-    """Counts the tokens of requests that were sent and arrived in each window, from one window after configApplyMs past the
-    ack of the lower limit."""
-    b = lab.bounds
-    window = b["quotaWindowS"]
-    allowed = (rate * window + burst) * (1 + b["quotaOverage"]) + b["quotaSlack"]
-    begin = acknowledged + b["configApplyMs"] / 1000 + window
-    ran = sorted((r["sent"], lab.runs[r["id"]][0].at) for r in results if r["id"] in lab.runs and r["sent"] >= begin)
-    most = 0
-    for sent, _ in ran:
-        most = max(most, TOKENS * sum(1 for s, at in ran if s >= sent and at <= sent + window))
-    return most > allowed, "tokens in the fullest window of %d s: %d, allowed: %d (rate %s, burst %s)" % (window, most, allowed, rate, burst)
+    return judge(lab, results)
+
+
+def judge(lab, results):
+    """Counts the requests with the part that reach a worker later than contactMs after the fifth crash. All machines are in
+    touch: nothing disturbs them or the core."""
+    late = []
+    if len(lab.crashes) >= 5:
+        late = [t for t in lab.arrivals if t > lab.crashes[4] + lab.bounds["contactMs"] / 1000]
+    bad = [r for r in results if r["bad"]]
+    sound = [r for r in results if not r["bad"]]
+    return len(late) > 3, "parts: %d, crashes: %d, requests with the part sent: %d, reached workers: %d, later than contactMs after the fifth crash: %d; sound sent: %d, served: %d" % (
+        PARTS, len(lab.crashes), len(bad), len(lab.arrivals), len(late), len(sound), sum(r["status"] == 200 and r["complete"] for r in sound))
 
 
 stand.main(os.path.dirname(os.path.abspath(__file__)), scenario)
