Name the requests that the end of a host cuts, with what each waits for

What operators saw: of a request that ended with its host at most a line "cancelled", as if the caller had left, and none at all if the process was faster than the handler.

Both paths now record what each running request waits for (masticdrain). Before connections are closed each is named, its handler gets 200 ms to log its outcome, and the drain's lines count requests by what they wait for. leftMillis is left out where a request has no deadline yet. No logic of requests changes.

Failed before: TestHostEndsBeforeItsCutRequestsAreLogged, TestCutRequestIsExplainedByItsCaller, TestOutcomeBeforeADeadlineStatesItsTime (they need the new types; without the wait and the lines nothing is logged).

--- a/masticdaemon/drain.go
+++ b/masticdaemon/drain.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"masticladder/masticdrain"
 	"masticladder/masticview"
 )
 
@@ -15,7 +16,7 @@
 
 // drainable is the component that a drainer shuts down: the one that accepts callers' requests.
 type drainable interface {
-	Running() int
+	Requests() *masticdrain.Requests
 	// Leave makes responses announce that their connections close, so that callers have left before the
 	// server closes them. The host ends at endsAt: from now on, requests that may not be repeated are
 	// refused if they might not be complete by then.
@@ -81,18 +82,24 @@
 	w := &withdrawal{announcer: d.announcer, log: d.log, done: make(chan struct{})}
 	d.announcer.leaving.Store(true)
 	go w.run(ctx)
-	d.log.WithField("running", d.gate.Running()).WithField("refuseInMillis", d.acceptTime().Milliseconds()).
+	d.running().WithField("refuseInMillis", d.acceptTime().Milliseconds()).
 		WithField("endInMillis", d.drainTimeout.Milliseconds()).Info("drain: started; withdrawing this host from address lists")
 	d.sleepUntil(ctx, began.Add(d.acceptTime()))
 	d.gate.Drain()
-	d.log.WithField("running", d.gate.Running()).Info("drain: refusing new requests")
+	d.running().Info("drain: refusing new requests")
 	err := d.gate.Wait(ctx)
-	d.log.WithField("running", d.gate.Running()).Info("drain: finished")
+	d.running().WithField("millis", time.Since(began).Milliseconds()).Info("drain: finished")
 	cancel()
 	<-w.done
 	return err
 }
 
+// running returns an entry with the number of running requests, also by what they wait for.
+func (d *drainer) running() *logrus.Entry {
+	requests := d.gate.Requests()
+	return d.log.WithField("running", requests.Running()).WithField("waitingFor", requests.Stages())
+}
+
 // acceptTime returns how long all requests are accepted: until callers have address lists without this host, but
 // half of the drain at most, so that the requests accepted last have the other half.
 func (d *drainer) acceptTime() time.Duration {
--- a/masticdaemon/drain_test.go
+++ b/masticdaemon/drain_test.go
@@ -11,14 +11,18 @@
 	"github.com/sirupsen/logrus"
 
 	"masticladder/masticcall"
+	"masticladder/masticdrain"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
 )
 
 // idleGate has no running requests and records when Leave and Drain were called.
-type idleGate struct{ leftAt, endsAt, refusedAt time.Time }
+type idleGate struct {
+	requests                  masticdrain.Requests
+	leftAt, endsAt, refusedAt time.Time
+}
 
-func (g *idleGate) Running() int { return 0 }
+func (g *idleGate) Requests() *masticdrain.Requests { return &g.requests }
 
 func (g *idleGate) Leave(endsAt time.Time) { g.leftAt, g.endsAt = time.Now(), endsAt }
 
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -22,6 +22,7 @@
 	"masticladder/masticbucket"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
+	"masticladder/masticdrain"
 	"masticladder/masticgossip"
 	"masticladder/masticrelay"
 	"masticladder/masticview"
@@ -162,6 +163,7 @@
 		h.listener = netutil.LimitListener(h.listener, max(1, int(callerDescriptorFraction*float64(n.settings.MaxDescriptors))))
 	}
 	limitCallers(h, n.relay.Limits)
+	h.requests, h.log = n.relay.Requests(), n.log
 	n.callerServer = h
 	n.announcer = &announcer{
 		host: masticview.Host{
@@ -251,8 +253,8 @@
 // nodeGate is the drainable of a Node.
 type nodeGate struct{ node *Node }
 
-// Running returns the number of running requests.
-func (g *nodeGate) Running() int { return int(g.node.relay.Running()) }
+// Requests returns the running requests.
+func (g *nodeGate) Requests() *masticdrain.Requests { return g.node.relay.Requests() }
 
 // Leave makes the relay refuse what may not be repeated and might not be complete at endsAt.
 func (g *nodeGate) Leave(endsAt time.Time) { g.node.relay.Leave(endsAt) }
--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -162,6 +162,7 @@
 	if d.callerServer, err = listen(d.settings.Listen, d.gate.NewServer(), config); err != nil {
 		return err
 	}
+	d.callerServer.requests, d.callerServer.log = d.gate.Requests(), d.log
 	d.openAnnouncerAndDrainer()
 	return nil
 }
--- a/masticdaemon/server.go
+++ b/masticdaemon/server.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"masticladder/masticdrain"
 )
 
 // Limits of the operators' server, and the time that each server gets to shut down before it is
@@ -20,6 +23,8 @@
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 64 << 10
 	closeTimeout   = 2 * time.Second
+	// handlerTimeout bounds the wait for handlers whose connections were closed.
+	handlerTimeout = 200 * time.Millisecond
 )
 
 // httpServer serves one address until it is stopped.
@@ -30,6 +35,9 @@
 	stopOnce sync.Once
 	// closeBy is the latest time at which stop closes all connections, nil if only closeTimeout applies.
 	closeBy atomic.Pointer[time.Time]
+	// requests are the running requests, nil for a server whose requests need not be named when stop cuts them.
+	requests *masticdrain.Requests
+	log      logrus.FieldLogger
 }
 
 // listen binds address, so that an invalid or occupied address fails before any component runs. The
@@ -87,6 +95,23 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := s.server.Shutdown(ctx); err != nil {
+		s.cut()
+	}
+}
+
+// cut closes all connections. It names the requests that this cuts, and waits for their handlers, which log their
+// outcomes.
+func (s *httpServer) cut() {
+	if s.requests == nil {
 		_ = s.server.Close()
+		return
+	}
+	s.requests.LogCut(s.log, time.Now())
+	_ = s.server.Close()
+	timer := time.NewTimer(handlerTimeout)
+	defer timer.Stop()
+	select {
+	case <-s.requests.Idle():
+	case <-timer.C:
 	}
 }
--- a/masticdaemon/server_test.go
+++ b/masticdaemon/server_test.go
@@ -13,6 +13,9 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"masticladder/masticdrain"
 )
 
 // blockingHandler answers once release is closed.
@@ -123,3 +126,46 @@
 type serverRunner struct{ server *httpServer }
 
 func (r *serverRunner) run() { _ = r.server.run() }
+
+// recordedHandler counts its requests as running, and logs their outcomes.
+type recordedHandler struct {
+	requests masticdrain.Requests
+	log      *logrus.Logger
+	begun    chan struct{}
+}
+
+func (h *recordedHandler) ServeHTTP(_ http.ResponseWriter, q *http.Request) {
+	running := h.requests.Begin("x1", time.Now())
+	defer running.End()
+	running.Set(running.Progress().WithStage(masticdrain.StageServer))
+	close(h.begun)
+	<-q.Context().Done()
+	h.log.Info("outcome")
+}
+
+// TestHostEndsBeforeItsCutRequestsAreLogged: a host that closed its connections ended at once, without a line for the requests
+// that this cut.
+func TestHostEndsBeforeItsCutRequestsAreLogged(t *testing.T) {
+	c := qt.New(t)
+	log, lines := test.NewNullLogger()
+	h := &recordedHandler{log: log, begun: make(chan struct{})}
+	s, err := listen("127.0.0.1:0", &http.Server{Handler: h}, nil)
+	c.Assert(err, qt.IsNil)
+	s.requests, s.log = &h.requests, log
+	a := &actorRunner{actor: s.run, ended: make(chan error, 1)}
+	go a.run()
+	q := &clientRequest{url: "http://" + s.address(), body: make(chan string, 1)}
+	go q.run()
+	<-h.begun
+	now := time.Now()
+	s.closeBy.Store(&now)
+	s.stop(nil)
+	var messages []string
+	for _, l := range lines.AllEntries() {
+		messages = append(messages, l.Message)
+	}
+	c.Assert(messages, qt.DeepEquals, []string{"request cut by the end of this host", "outcome"})
+	c.Assert(lines.AllEntries()[0].Data["waitsFor"], qt.Equals, string(masticdrain.StageServer))
+	<-q.body
+	c.Assert(<-a.ended, qt.IsNil)
+}
--- a/masticexplain/timeline.go
+++ b/masticexplain/timeline.go
@@ -16,6 +16,7 @@
 // Log messages that state the outcome of a request or its cause.
 const (
 	textAnswered = "request answered"
+	textCut      = "request cut by the end of this host"
 	textEnded    = "request refused or failed"
 	textAttempt  = "attempt failed"
 	textRefused  = "request refused"
@@ -119,11 +120,17 @@
 	return out
 }
 
-// decidingIndex returns the index of the line that states the cause of the outcome: the last
+// isCut reports whether the line says that the end of a host cut the request.
+func (l Line) isCut() bool { return l.Text == textCut }
+
+// decidingIndex returns the index of the line that states the cause of the outcome: that the host ended, the last
 // routing decision of an answered request, the last failed attempt of a request that was sent to
 // a server, and the refusal of one that was never sent. If there is no such line before the line
 // that states the outcome, it returns the index of the latter.
 func decidingIndex(lines []Line) int {
+	if i := slices.IndexFunc(lines, Line.isCut); i >= 0 {
+		return i
+	}
 	last := len(lines) - 1
 	for last > 0 && lines[last].Text != textAnswered && lines[last].Text != textEnded {
 		last--
--- a/masticexplain/timeline_test.go
+++ b/masticexplain/timeline_test.go
@@ -81,3 +81,15 @@
 	_, err = NewReader("none").Timeline()
 	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindNotFound)
 }
+
+// TestCutRequestIsExplainedByItsCaller: the outcome of a request that its host's end cut reads as if the caller had gone.
+func TestCutRequestIsExplainedByItsCaller(t *testing.T) {
+	c := qt.New(t)
+	r := NewReader("a1")
+	c.Assert(r.Read("host", strings.NewReader(`{"time":"2026-01-01T00:00:01Z","msg":"request cut by the end of this host","request":"a1","waitsFor":"server"}
+{"time":"2026-01-01T00:00:01Z","msg":"request refused or failed","request":"a1","reason":"cancelled","sends":0}
+`)), qt.IsNil)
+	timeline, err := r.Timeline()
+	c.Assert(err, qt.IsNil)
+	c.Assert(timeline.DecidingIndex, qt.Equals, 0)
+}
--- a/masticgate/drain.go
+++ b/masticgate/drain.go
@@ -5,42 +5,30 @@
 	"sync"
 	"time"
 
+	"masticladder/masticdrain"
 	"masticladder/masticerror"
 )
 
-// drainState counts the running requests of a host that may be shutting down.
+// drainState holds the running requests of a host that may be shutting down.
 type drainState struct {
+	requests masticdrain.Requests
+
 	mu sync.Mutex
 	// leaving reports that responses announce the end of their connections.
 	leaving bool
 	// endsAt is when the host ends, set once leaving is.
 	endsAt   time.Time
 	draining bool
-	running  int
-	// idle is closed and set to nil when the last running request ends. Wait creates it; if Wait
-	// ends because of its ctx, idle stays set until then.
-	idle chan struct{}
 }
 
-// enter counts a new request. It reports false if the host is draining.
-func (d *drainState) enter() bool {
+// enter counts a new request as running until the result ends. It returns nil if the host is draining.
+func (d *drainState) enter(id string, received time.Time) *masticdrain.Request {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.draining {
-		return false
-	}
-	d.running++
-	return true
-}
-
-func (d *drainState) leave() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.running--
-	if d.running == 0 && d.idle != nil {
-		close(d.idle)
-		d.idle = nil
+		return nil
 	}
+	return d.requests.Begin(id, received)
 }
 
 func (d *drainState) isDraining() bool {
@@ -55,19 +43,6 @@
 	return d.leaving || d.draining
 }
 
-// idleSignal returns nil if no request runs, otherwise a channel that is closed once none runs.
-func (d *drainState) idleSignal() <-chan struct{} {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.running == 0 {
-		return nil
-	}
-	if d.idle == nil {
-		d.idle = make(chan struct{})
-	}
-	return d.idle
-}
-
 // Leave makes responses announce that their connections close. Orders whose deadline is after endsAt, when the host ends, are
 // refused, because they might be cut; all other requests are served as before.
 func (g *Gate) Leave(endsAt time.Time) {
@@ -94,23 +69,17 @@
 }
 
 // Running returns the number of requests that Wait would wait for.
-func (g *Gate) Running() int {
-	g.drain.mu.Lock()
-	defer g.drain.mu.Unlock()
-	return g.drain.running
-}
+func (g *Gate) Running() int { return g.drain.requests.Running() }
+
+// Requests returns the running requests.
+func (g *Gate) Requests() *masticdrain.Requests { return &g.drain.requests }
 
 // Wait waits until no request runs. It returns the error of ctx if ctx ends first.
 func (g *Gate) Wait(ctx context.Context) error {
-	for {
-		idle := g.drain.idleSignal()
-		if idle == nil {
-			return nil
-		}
-		select {
-		case <-idle:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	select {
+	case <-g.drain.requests.Idle():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
--- a/masticgate/gate.go
+++ b/masticgate/gate.go
@@ -90,11 +90,11 @@
 	return g.handler(func(q *inbound) {
 		defer q.finish()
 		q.setBodyDeadline()
-		if !g.drain.enter() {
+		if q.running = g.drain.enter(q.id, q.started); q.running == nil {
 			q.refuse(masticerror.New(masticerror.KindDraining, "this host is shutting down"))
 			return
 		}
-		defer g.drain.leave()
+		defer q.running.End()
 		serve(q)
 	})
 }
--- a/masticgate/hold.go
+++ b/masticgate/hold.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"masticladder/masticcall"
+	"masticladder/masticdrain"
 	"masticladder/masticengine"
 	"masticladder/masticerror"
 	"masticladder/mastichold"
@@ -14,6 +15,7 @@
 // servers gets one on which, over all hosts, no other suspected request runs.
 func (m *modelCall) acquireExclusive(ctx context.Context) (masticcall.Assignment, *masticerror.Error) {
 	g, request := m.inbound.gate, m.request
+	m.inbound.setStage(masticdrain.StageServer)
 	defer m.restoreRequest(request)
 	m.request.Reacquired = false
 	a, held, err := mastichold.Acquire(ctx, mastichold.Request{
--- a/masticgate/inbound.go
+++ b/masticgate/inbound.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"masticladder/masticbody"
+	"masticladder/masticdrain"
 	"masticladder/masticerror"
 )
 
@@ -48,6 +49,8 @@
 	service string
 	model   string
 	started time.Time
+	// running is nil for requests that a drain does not wait for.
+	running *masticdrain.Request
 	// answered is set once the status was written.
 	answered bool
 }
@@ -115,6 +118,7 @@
 		return
 	}
 	q.answered = true
+	q.setStage(masticdrain.StageStream)
 	q.extendWriteDeadline()
 	q.writer.WriteHeader(code)
 }
@@ -141,6 +145,27 @@
 	_ = q.responseController.SetWriteDeadline(time.Now().Add(millis(q.gate.limits.CallerWriteMillis)))
 }
 
+// setStage records what the request waits for, until the next stage.
+func (q *inbound) setStage(s masticdrain.Stage) {
+	if q.running != nil {
+		q.running.Set(q.running.Progress().WithStage(s))
+	}
+}
+
+// waitForAnswer records that the request waits for the answer of a backend server.
+func (q *inbound) waitForAnswer(server string) {
+	if q.running != nil && !q.answered {
+		q.running.Set(q.running.Progress().WithServer(masticdrain.StageAnswer, server))
+	}
+}
+
+// admit records the model or service of the request, and its deadline.
+func (q *inbound) admit(name string, deadline time.Time) {
+	if q.running != nil {
+		q.running.Set(q.running.Progress().WithRoute(name, deadline).WithStage(masticdrain.StageAdmit))
+	}
+}
+
 // finish flushes the response and prepares the connection for its next request.
 func (q *inbound) finish() {
 	if q.body != nil {
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -57,6 +57,7 @@
 	ctx, cancel := context.WithDeadline(q.request.Context(), q.deadline())
 	defer cancel()
 	m := newModelCall(q, p, q.deadline())
+	q.admit(p.model, q.deadline())
 	m.finish(m.run(ctx))
 }
 
--- a/masticgate/order.go
+++ b/masticgate/order.go
@@ -24,6 +24,7 @@
 func (c *serviceCall) serveOrder() {
 	q := c.inbound
 	deadline := q.started.Add(millis(q.gate.limits.OrderMillis))
+	q.admit(c.service.Name, deadline)
 	if e := q.gate.drain.endError(deadline); e != nil {
 		c.fail(e)
 		return
--- a/masticgate/relay.go
+++ b/masticgate/relay.go
@@ -33,6 +33,7 @@
 // attempt sends the request to one backend server and relays the response.
 func (m *modelCall) attempt(ctx context.Context, a masticcall.Assignment) *masticengine.Failure {
 	m.server, m.serverOwner, m.cachedTokens = a.Server().Name, a.Server().Owner, a.CachedTokens()
+	m.inbound.waitForAnswer(m.server)
 	before := m.outputTokens()
 	incarnation, f := m.exchange(ctx, a)
 	r := masticcall.Result{
--- a/masticgate/service.go
+++ b/masticgate/service.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"masticladder/masticcall"
+	"masticladder/masticdrain"
 	"masticladder/masticengine"
 	"masticladder/masticerror"
 	"masticladder/mastichold"
@@ -39,6 +40,7 @@
 		return
 	}
 	if c.service.Idempotent {
+		q.admit(c.service.Name, q.deadline())
 		c.serveIdempotent()
 		return
 	}
@@ -113,6 +115,7 @@
 // over all hosts, no other suspected request runs.
 func (c *serviceCall) acquire(ctx context.Context) (masticcall.Assignment, *masticerror.Error) {
 	g := c.inbound.gate
+	c.inbound.setStage(masticdrain.StageServer)
 	deadline, _ := ctx.Deadline()
 	a, held, err := mastichold.Acquire(ctx, mastichold.Request{
 		Holds: g.holds, Content: c.content, Deadline: deadline, Acquire: c.acquireExcept, Now: g.now,
@@ -145,6 +148,7 @@
 // dispatch sends the call to one backend server.
 func (c *serviceCall) dispatch(ctx context.Context, a masticcall.Assignment) (masticengine.Answer, *masticengine.Failure) {
 	c.server, c.serverOwner = a.Server().Name, a.Server().Owner
+	c.inbound.waitForAnswer(c.server)
 	answer, err := c.inbound.gate.engine.Do(ctx, masticengine.Call{
 		Server:    a.Server(),
 		RequestID: c.inbound.id,
--- a/masticrelay/call.go
+++ b/masticrelay/call.go
@@ -18,6 +18,7 @@
 	"masticladder/masticbody"
 	"masticladder/masticcall"
 	"masticladder/masticdocument"
+	"masticladder/masticdrain"
 	"masticladder/masticerror"
 	"masticladder/masticview"
 )
@@ -47,6 +48,8 @@
 	LastEventID string
 	// Resumes is the ID of the caller's request that brought the first event of that stream.
 	Resumes string
+	// Running is set by Begin.
+	Running *masticdrain.Request
 }
 
 // tokens returns the number of tokens that the request takes from its workspace's quota.
--- a/masticrelay/log.go
+++ b/masticrelay/log.go
@@ -18,8 +18,10 @@
 	fields := logrus.Fields{
 		"request": r.call.ID, "content": r.content.Digest.Short(), "parts": r.content.ShortParts(), "route": r.route.Name, "workspace": r.workspace.Name, "pool": r.pool.Name,
 		"server": r.server, "sends": r.attempts, "ran": r.mayHaveRun, "status": r.status,
-		"millis": now.Sub(r.call.Received).Milliseconds(), "leftMillis": r.deadline.Sub(now).Milliseconds(),
-		"document": r.relay.table.Load().documentNumber(),
+		"millis": now.Sub(r.call.Received).Milliseconds(), "document": r.relay.table.Load().documentNumber(),
+	}
+	if !r.deadline.IsZero() {
+		fields["leftMillis"] = r.deadline.Sub(now).Milliseconds()
 	}
 	if !r.firstByteAt.IsZero() {
 		fields["firstMillis"] = r.firstByteAt.Sub(r.call.Received).Milliseconds()
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -17,6 +17,7 @@
 	"masticladder/masticclock"
 	"masticladder/masticdetector"
 	"masticladder/masticdocument"
+	"masticladder/masticdrain"
 	"masticladder/masticerror"
 	"masticladder/masticretry"
 	"masticladder/masticview"
@@ -54,7 +55,7 @@
 	// startedAt is when the host started; the first document arrives some time later.
 	startedAt time.Time
 
-	running  atomic.Int64
+	requests masticdrain.Requests
 	draining atomic.Bool
 	// ending is nil while requests may take their whole time.
 	ending atomic.Pointer[ending]
@@ -234,8 +235,17 @@
 	}
 }
 
-// Running returns the number of calls of Serve that have not returned.
-func (c *Relay) Running() int64 { return c.running.Load() }
+// Begin counts a call as running from before its body is read until the returned request ends.
+func (c *Relay) Begin(call *Call) *masticdrain.Request {
+	call.Running = c.requests.Begin(call.ID, call.Received)
+	return call.Running
+}
+
+// Running returns the number of running calls.
+func (c *Relay) Running() int64 { return int64(c.requests.Running()) }
+
+// Requests returns the running calls.
+func (c *Relay) Requests() *masticdrain.Requests { return &c.requests }
 
 // Limits returns the limits of the document, and false while there is no document.
 func (c *Relay) Limits() (masticdocument.Limits, bool) {
--- a/masticrelay/response.go
+++ b/masticrelay/response.go
@@ -13,6 +13,7 @@
 	"masticladder/masticbackend"
 	"masticladder/masticcall"
 	"masticladder/masticdocument"
+	"masticladder/masticdrain"
 	"masticladder/masticerror"
 )
 
@@ -99,6 +100,7 @@
 	r.writer.WriteHeader(answer.Status)
 	r.headerWritten = true
 	r.firstByteAt = time.Now()
+	r.call.Running.Set(r.call.Running.Progress().WithStage(masticdrain.StageStream))
 }
 
 // relayBody relays a response that is not an event stream. The header is written only once the
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -10,6 +10,7 @@
 	"masticladder/masticcall"
 	"masticladder/masticdetector"
 	"masticladder/masticdocument"
+	"masticladder/masticdrain"
 	"masticladder/masticerror"
 	"masticladder/mastichold"
 	"masticladder/masticview"
@@ -81,8 +82,10 @@
 // Serve serves one call. If the response cannot be completed or the caller has gone, it panics
 // with http.ErrAbortHandler to close the connection.
 func (c *Relay) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
-	c.running.Add(1)
-	defer c.running.Add(-1)
+	if call.Running == nil {
+		defer c.Begin(call).End()
+	}
+	call.Running.Set(masticdrain.Progress{Stage: masticdrain.StageAdmit})
 	r := &requestState{relay: c, writer: w, call: call}
 	err := r.serve(ctx)
 	r.endOrigin(err)
@@ -144,6 +147,7 @@
 		return errUnknownKey()
 	}
 	r.deadline = deadlineOf(route, r.call)
+	r.call.Running.Set(r.call.Running.Progress().WithRoute(route.Name, r.deadline))
 	if err := c.endError(route, r.deadline); err != nil {
 		return err
 	}
@@ -203,6 +207,7 @@
 // acquire assigns a backend server. A request that has ended backend servers gets one on which, over
 // all hosts, no other such request runs.
 func (r *requestState) acquire(ctx context.Context) (masticcall.Assignment, error) {
+	r.call.Running.Set(r.call.Running.Progress().WithStage(masticdrain.StageServer))
 	a, held, err := mastichold.Acquire(ctx, mastichold.Request{
 		Holds: r.relay.holds, Content: r.content, Deadline: r.deadline, Timeout: r.holdTimeout(), Acquire: r.acquireExcept, Now: time.Now,
 	})
@@ -268,6 +273,7 @@
 	server := a.Server()
 	watched, sentAt := r.relay.detector.Begin(server, server.Incarnation, r.content), time.Now()
 	r.server, r.software = server.Name, server.Software
+	r.call.Running.Set(r.call.Running.Progress().WithServer(masticdrain.StageAnswer, server.Name))
 	r.attempts++
 	r.recordOrigin(server)
 	f := r.exchange(ctx, a, watched)
--- a/masticrelay/status_test.go
+++ b/masticrelay/status_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"masticladder/masticbody"
 	"masticladder/masticdocument"
@@ -33,3 +34,17 @@
 	status, _, _ := b.send(c)
 	c.Assert(status, qt.Equals, http.StatusBadGateway)
 }
+
+// TestOutcomeBeforeADeadlineStatesItsTime: the line of a request without a deadline yet had the smallest number as its time left.
+func TestOutcomeBeforeADeadlineStatesItsTime(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(c, safe)
+	log, lines := test.NewNullLogger()
+	b.relay.log = log
+	a, err := http.Get(b.front.URL + "/unknown")
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Body.Close(), qt.IsNil)
+	c.Assert(lines.LastEntry().Data["reason"], qt.Equals, "notFound")
+	_, stated := lines.LastEntry().Data["leftMillis"]
+	c.Assert(stated, qt.IsFalse)
+}
