--- a/masticgate/fake_test.go
+++ b/masticgate/fake_test.go
@@ -186,6 +186,8 @@
 	acquired []masticcall.Request
 	// beforeAcquire, if not nil, is called at the start of each Acquire.
 	beforeAcquire func()
+	// full makes requests wait until their context ends.
+	full bool
 }
 
 func (f *fakeDispatcher) Acquire(ctx context.Context, r masticcall.Request) (masticcall.Assignment, error) {
@@ -195,6 +197,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.acquired = append(f.acquired, r)
+	if f.full {
+		return nil, f.wait(ctx)
+	}
 	for _, s := range f.views.View().Servers() {
 		if s.Serves(r.Model) && !slices.Contains(r.Avoid, s.Name) && r.Software.Allows(s.Software) {
 			return &fakeAssignment{dispatcher: f, server: s}, nil
@@ -203,7 +208,20 @@
 	return nil, masticerror.New(masticerror.KindNoServer, "none left")
 }
 
-func (f *fakeDispatcher) AcquireService(_ context.Context, service masticview.Service, avoid []string) (masticcall.Assignment, error) {
+// wait is called with the mutex locked, which it unlocks meanwhile.
+func (f *fakeDispatcher) wait(ctx context.Context) error {
+	f.mu.Unlock()
+	defer f.mu.Lock()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (f *fakeDispatcher) AcquireService(ctx context.Context, service masticview.Service, avoid []string) (masticcall.Assignment, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full {
+		return nil, f.wait(ctx)
+	}
 	for _, name := range service.Servers {
 		if s, ok := f.views.View().Server(name); ok && !slices.Contains(avoid, name) {
 			return &fakeAssignment{dispatcher: f, server: s}, nil
--- /dev/null
+++ b/masticgate/waitingstop_test.go
@@ -0,0 +1,101 @@
+package masticgate
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticerror"
+	"masticladder/masticfake"
+	"masticladder/masticview"
+)
+
+// waitingTimeout is the timeout of requests that wait in the tests of a planned stop, in milliseconds.
+const waitingTimeout = "3000"
+
+// requestRun sends a request and keeps the reply.
+type requestRun struct {
+	fixture    *fixture
+	path, body string
+	reply      reply
+	done       chan struct{}
+}
+
+func (r *requestRun) run() {
+	defer close(r.done)
+	r.reply = r.fixture.send(http.MethodPost, r.path, r.body, HeaderTimeout, waitingTimeout)
+}
+
+func (b *fixture) sendInBackground(path, body string) *requestRun {
+	r := &requestRun{fixture: b, path: path, body: body, done: make(chan struct{})}
+	go r.run()
+	return r
+}
+
+// TestPlannedStopCutsWaitingRequests: requests that waited for a server when their host began to refuse what it could not complete
+// waited on, and were cut with it.
+func TestPlannedStopCutsWaitingRequests(t *testing.T) {
+	for _, x := range []struct {
+		name, path, body string
+		// drains reports whether the host refuses all requests, not only orders.
+		drains bool
+	}{
+		{"model", "/v1/chat/completions", chatBody(false, "x"), true},
+		{"stream", "/v1/chat/completions", chatBody(true, "x"), true},
+		{"lookup", "/services/lookups/a", "", true},
+		{"order", "/services/orders/place/o1", orderBody, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			b := newFixture(t)
+			b.limits.OrderMillis = 3000
+			b.dispatcher.full = true
+			b.addEngine("engine-1")
+			b.addService(masticview.Service{Name: "lookups", Idempotent: true}, masticfake.NewService("lookups"))
+			b.addOrders(masticfake.NewService("orders"))
+			b.start()
+			waiting := b.sendInBackground(x.path, x.body)
+			b.eventually(func() bool { return b.gate.Running() == 1 && b.gate.Requests().Stages()["server"] == 1 })
+			b.gate.Leave(time.Now().Add(time.Second))
+			if x.drains {
+				b.gate.Drain()
+			}
+			<-waiting.done
+			b.c.Assert(waiting.reply.detail(b.c).Kind, qt.Equals, masticerror.KindDraining)
+			b.c.Assert(waiting.reply.detail(b.c).NotRun, qt.IsTrue)
+			b.c.Assert(len(waiting.reply.detail(b.c).Addresses) > 0, qt.IsTrue)
+		})
+	}
+}
+
+// TestPlannedStopCutsRequestsWithoutAnswer: requests whose servers had not answered at the end of a planned stop were cut, and
+// streams ended without a word.
+func TestPlannedStopCutsRequestsWithoutAnswer(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(t)
+	e, _ := b.addEngine("engine-1")
+	e.SetMode(masticfake.ModeHang)
+	b.addOrders(masticfake.NewService("orders", masticfake.WithRelease(make(chan struct{}))))
+	b.start()
+	silent := b.sendInBackground("/v1/chat/completions", chatBody(false, "x"))
+	order := b.sendInBackground("/services/orders/place/o1", orderBody)
+	b.eventually(func() bool { return b.gate.Requests().Stages()["answer"] == 2 })
+	e.SetMode(masticfake.ModeStall)
+	stream := b.openStream(context.Background())
+	b.gate.Leave(time.Now().Add(100 * time.Millisecond))
+	b.gate.Drain()
+	rest, err := io.ReadAll(stream.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(rest), qt.Contains, `"kind":"draining"`)
+	<-silent.done
+	c.Assert(silent.reply.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(silent.reply.detail(c).Kind, qt.Equals, masticerror.KindDraining)
+	c.Assert(silent.reply.detail(c).NotRun, qt.IsFalse)
+	c.Assert(silent.reply.detail(c).OutcomeUnknown, qt.IsTrue)
+	<-order.done
+	c.Assert(order.reply.detail(c).Kind, qt.Equals, masticerror.KindOutcomeUnknown)
+}
