Tell callers that wait when their host ends, rather than cut them

What callers saw: a request that waited for a server when its host was stopped waited on, though it could not be sent any more, and its connection was closed 7.5 s after the signal (LOST). One that had been sent and had no byte of an answer was cut in the same way.

Cause: what a host refuses while it ends was asked when a request came and when it got a server, never while it waited; the end of the host was known to the connections only. The class: a decision that is taken once, and holds for those that wait as well. On the product's own path nothing that waited was refused at all, and streams ended without a word.

Now both paths ask one plan (masticdrain.Plan). What waits is refused ("not run", a short Retry-After, other addresses on the own path) the moment it would not be sent: orders from the signal on, all others from 2.5 s or half of the drain on. What a server may have run and has no answer is answered at the end of the drain, half a second before connections close: 502, outcome unknown, on the own path an error, an unknown outcome for orders, an error event in streams. Streams of the relay that have begun run on until connections close. A request that no server has run is checked again at each further attempt too.

--- a/masticgate/drain.go
+++ b/masticgate/drain.go
@@ -5,19 +5,18 @@
 	"sync"
 	"time"
 
+	"masticladder/masticcall"
 	"masticladder/masticdrain"
 	"masticladder/masticerror"
+	"masticladder/mastichold"
 )
 
 // drainState holds the running requests of a host that may be shutting down.
 type drainState struct {
 	requests masticdrain.Requests
+	plan     masticdrain.Plan
 
-	mu sync.Mutex
-	// leaving reports that responses announce the end of their connections.
-	leaving bool
-	// endsAt is when the host ends, set once leaving is.
-	endsAt   time.Time
+	mu       sync.Mutex
 	draining bool
 }
 
@@ -37,35 +36,51 @@
 	return d.draining
 }
 
-func (d *drainState) isLeaving() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.leaving || d.draining
-}
+// isLeaving reports whether responses announce the end of their connections.
+func (d *drainState) isLeaving() bool { return d.plan.Leaving() || d.isDraining() }
 
 // Leave makes responses announce that their connections close. Orders whose deadline is after endsAt, when the host ends, are
-// refused, because they might be cut; all other requests are served as before.
-func (g *Gate) Leave(endsAt time.Time) {
-	g.drain.mu.Lock()
-	defer g.drain.mu.Unlock()
-	g.drain.leaving, g.drain.endsAt = true, endsAt
+// refused, because they might be cut; all other requests are served as before. What is not complete at endsAt ends with an error.
+func (g *Gate) Leave(endsAt time.Time) { g.drain.plan.Leave(endsAt) }
+
+// orderError returns the refusal of an order with the given deadline that this host might not complete.
+func (d *drainState) orderError(deadline time.Time) *masticerror.Error {
+	if !d.plan.Refuses(deadline, masticdrain.Once) {
+		return nil
+	}
+	return masticdrain.Refusal()
+}
+
+// Drain makes the gate refuse new requests for models and services, and those that wait for a server and might not be complete
+// when the host ends. All others complete.
+func (g *Gate) Drain() {
+	g.drain.refuseNew()
+	g.drain.plan.RefuseBeyondEnd()
 }
 
-// endError returns the refusal of an order with the given deadline that this host might not complete.
-func (d *drainState) endError(deadline time.Time) *masticerror.Error {
+func (d *drainState) refuseNew() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.leaving || !deadline.After(d.endsAt) {
-		return nil
+	d.draining = true
+}
+
+// acquire acquires a backend server for a request with the given deadline. A planned end of the host ends the wait; a request
+// that a server may have run, only at the end itself.
+func (d *drainState) acquire(ctx context.Context, r mastichold.Request, repeat masticdrain.Repeat, sent bool) (masticcall.Assignment, bool, *masticerror.Error) {
+	ctx, scope := d.scope(ctx, r.Deadline, repeat, sent)
+	defer scope.End()
+	a, held, err := mastichold.Acquire(ctx, r)
+	if err != nil {
+		return nil, held, preDispatchError(ctx, err)
 	}
-	return masticerror.New(masticerror.KindDraining, "this host ends before the order's deadline")
+	return a, held, nil
 }
 
-// Drain makes the gate refuse new requests for models and services. Running requests complete.
-func (g *Gate) Drain() {
-	g.drain.mu.Lock()
-	defer g.drain.mu.Unlock()
-	g.drain.draining = true
+func (d *drainState) scope(ctx context.Context, deadline time.Time, repeat masticdrain.Repeat, sent bool) (context.Context, *masticdrain.Scope) {
+	if sent {
+		return d.plan.Sent(ctx)
+	}
+	return d.plan.Waiting(ctx, deadline, repeat)
 }
 
 // Running returns the number of requests that Wait would wait for.
--- a/masticgate/hold.go
+++ b/masticgate/hold.go
@@ -18,14 +18,11 @@
 	m.inbound.setStage(masticdrain.StageServer)
 	defer m.restoreRequest(request)
 	m.request.Reacquired = false
-	a, held, err := mastichold.Acquire(ctx, mastichold.Request{
+	a, held, e := g.drain.acquire(ctx, mastichold.Request{
 		Holds: g.holds, Content: m.prompt.content, Deadline: request.Deadline, Acquire: m.acquireExcept, Now: g.now,
-	})
+	}, masticdrain.Repeatable, m.sent)
 	m.held = held
-	if err != nil {
-		return nil, preDispatchError(err)
-	}
-	return a, nil
+	return a, e
 }
 
 func (m *modelCall) restoreRequest(r masticcall.Request) { m.request = r }
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"masticladder/masticcall"
+	"masticladder/masticdrain"
 	"masticladder/masticengine"
 	"masticladder/masticerror"
 	"masticladder/mastichold"
@@ -56,6 +57,8 @@
 	}
 	ctx, cancel := context.WithDeadline(q.request.Context(), q.deadline())
 	defer cancel()
+	ctx, scope := q.gate.drain.plan.Sent(ctx)
+	defer scope.End()
 	m := newModelCall(q, p, q.deadline())
 	q.admit(p.model, q.deadline())
 	m.finish(m.run(ctx))
@@ -151,7 +154,7 @@
 	case errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil:
 		return nil, masticerror.New(masticerror.KindRateLimited, "the workspace got no grant in time")
 	default:
-		return nil, preDispatchError(err)
+		return nil, preDispatchError(ctx, err)
 	}
 }
 
@@ -188,7 +191,7 @@
 	}
 	a, err := g.dispatcher.Acquire(ctx, m.request)
 	if err != nil {
-		return nil, preDispatchError(err)
+		return nil, preDispatchError(ctx, err)
 	}
 	if e := m.recheck(); e != nil {
 		a.Done(g.now(), masticcall.Result{Failure: string(e.Kind())})
@@ -231,10 +234,12 @@
 	return f.Err
 }
 
-// preDispatchError converts an error from before a dispatch to an error with a kind.
-func preDispatchError(err error) *masticerror.Error {
+// preDispatchError converts an error from before a dispatch in ctx to an error with a kind.
+func preDispatchError(ctx context.Context, err error) *masticerror.Error {
 	var known *masticerror.Error
 	switch {
+	case masticdrain.Error(ctx) != nil:
+		return masticdrain.Error(ctx)
 	case errors.As(err, &known):
 		return known
 	case errors.Is(err, context.DeadlineExceeded):
--- a/masticgate/order.go
+++ b/masticgate/order.go
@@ -25,12 +25,14 @@
 	q := c.inbound
 	deadline := q.started.Add(millis(q.gate.limits.OrderMillis))
 	q.admit(c.service.Name, deadline)
-	if e := q.gate.drain.endError(deadline); e != nil {
+	if e := q.gate.drain.orderError(deadline); e != nil {
 		c.fail(e)
 		return
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(q.request.Context()), deadline)
 	defer cancel()
+	ctx, scope := q.gate.drain.plan.Sent(ctx)
+	defer scope.End()
 	key := q.request.Header.Get(HeaderIdempotencyKey)
 	switch {
 	case key == "":
@@ -109,7 +111,7 @@
 	for wait := millis(firstPollMillis); ; wait = min(2*wait, millis(maxPollMillis)) {
 		r, err := o.inbound.gate.ledger.Reserve(ctx, o.key, digest, o.deadline)
 		if err != nil {
-			return r, reserveError(err)
+			return r, reserveError(ctx, err)
 		}
 		if r.State != masticcall.OrderInFlight {
 			return r, nil
@@ -123,8 +125,8 @@
 // reserveError returns the error of a failed reservation. Errors about the key are returned as
 // they are. With any other error, an earlier sending of the same order may have run, so the
 // error must not state that it has not run.
-func reserveError(err error) *masticerror.Error {
-	e := preDispatchError(err)
+func reserveError(ctx context.Context, err error) *masticerror.Error {
+	e := preDispatchError(ctx, err)
 	switch e.Kind() {
 	case masticerror.KindKeyReused, masticerror.KindKeyTooOld:
 		return e
--- a/masticgate/service.go
+++ b/masticgate/service.go
@@ -117,14 +117,11 @@
 	g := c.inbound.gate
 	c.inbound.setStage(masticdrain.StageServer)
 	deadline, _ := ctx.Deadline()
-	a, held, err := mastichold.Acquire(ctx, mastichold.Request{
+	a, held, e := g.drain.acquire(ctx, mastichold.Request{
 		Holds: g.holds, Content: c.content, Deadline: deadline, Acquire: c.acquireExcept, Now: g.now,
-	})
+	}, masticdrain.Repeat(c.service.Idempotent), c.sent)
 	c.held = held
-	if err != nil {
-		return nil, preDispatchError(err)
-	}
-	return a, nil
+	return a, e
 }
 
 // acquireExcept acquires a backend server other than the unavailable ones. The key is checked before
@@ -185,6 +182,8 @@
 func (c *serviceCall) serveIdempotent() {
 	ctx, cancel := context.WithDeadline(c.inbound.request.Context(), c.inbound.deadline())
 	defer cancel()
+	ctx, scope := c.inbound.gate.drain.plan.Sent(ctx)
+	defer scope.End()
 	answer, e := c.sendWithRetries(ctx)
 	if e != nil {
 		c.fail(e)
--- a/masticrelay/access.go
+++ b/masticrelay/access.go
@@ -32,7 +32,7 @@
 	if w, ok := r.authenticate(t); !ok || w.Name != r.workspace.Name {
 		return errUnknownKey()
 	}
-	if r.attempts == 0 {
+	if !r.mayHaveRun {
 		// The drain may have begun while the request waited.
 		if err := r.relay.endError(r.route, r.deadline); err != nil {
 			return err
--- a/masticrelay/liveness.go
+++ b/masticrelay/liveness.go
@@ -78,7 +78,7 @@
 		a.Refused()
 	case !f.Sent || f.Answered:
 		a.End()
-	case f.Err.Kind() == masticerror.KindDeadline || f.Err.Kind() == masticerror.KindCancelled:
+	case f.Err.Kind() == masticerror.KindDeadline || f.Err.Kind() == masticerror.KindCancelled || f.Err.Kind() == masticerror.KindDraining:
 		a.Abandoned()
 	default:
 		return r.failed(ctx, a)
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -57,8 +57,7 @@
 
 	requests masticdrain.Requests
 	draining atomic.Bool
-	// ending is nil while requests may take their whole time.
-	ending atomic.Pointer[ending]
+	plan     masticdrain.Plan
 }
 
 // Option sets one property of a Relay.
@@ -200,32 +199,29 @@
 // the connection closes. Idle connections stay open: a request may be under way on each.
 func (c *Relay) Drain() { c.draining.Store(true) }
 
-// ending is the planned end of the host. It is immutable.
-type ending struct {
-	at time.Time
-	// all reports that also requests that may be repeated are refused if their deadlines are later.
-	all bool
-}
-
 // Leave makes the relay refuse requests that may not be repeated and whose deadline is after endsAt, when the host ends:
-// they might be cut.
-func (c *Relay) Leave(endsAt time.Time) { c.ending.Store(&ending{at: endsAt}) }
+// they might be cut. Requests without an answer by then are told so.
+func (c *Relay) Leave(endsAt time.Time) { c.plan.Leave(endsAt) }
 
 // RefuseBeyondEnd makes the relay refuse all requests whose deadline is after the end given to Leave. It is called once
 // callers have had time to find other hosts.
-func (c *Relay) RefuseBeyondEnd() {
-	if end := c.ending.Load(); end != nil {
-		c.ending.Store(&ending{at: end.at, all: true})
-	}
-}
+func (c *Relay) RefuseBeyondEnd() { c.plan.RefuseBeyondEnd() }
 
 // endError returns the refusal of a request of a route that this host might not complete by the given deadline.
 func (c *Relay) endError(route masticdocument.Route, deadline time.Time) *masticerror.Error {
-	end := c.ending.Load()
-	if end == nil || !deadline.After(end.at) || !end.all && route.Repeat != masticdocument.RetryNever {
+	if !c.plan.Refuses(deadline, repeatOf(route)) {
 		return nil
 	}
-	return unavailable(c, masticerror.KindDraining, "this host ends before the request's deadline")
+	return c.endingError()
+}
+
+// endingError returns the refusal of a request because the host ends; another host can serve it at once.
+func (c *Relay) endingError() *masticerror.Error {
+	return masticdrain.Refusal().WithRetryAfter(c.retryAfter())
+}
+
+func repeatOf(route masticdocument.Route) masticdrain.Repeat {
+	return masticdrain.Repeat(route.Repeat != masticdocument.RetryNever)
 }
 
 // announceClose adds to the header of a response that its connection closes, if the host is draining.
--- a/masticrelay/response.go
+++ b/masticrelay/response.go
@@ -99,6 +99,7 @@
 	r.relay.announceClose(h)
 	r.writer.WriteHeader(answer.Status)
 	r.headerWritten = true
+	r.untilEnd.Keep()
 	r.firstByteAt = time.Now()
 	r.call.Running.Set(r.call.Running.Progress().WithStage(masticdrain.StageStream))
 }
--- a/masticrelay/retry.go
+++ b/masticrelay/retry.go
@@ -35,7 +35,9 @@
 const (
 	denialCancelled retryDenial = "cancelled"
 	denialDeadline  retryDenial = "deadline"
-	denialAttempts  retryDenial = "attempts"
+	// denialDraining means that the host ends.
+	denialDraining retryDenial = "draining"
+	denialAttempts retryDenial = "attempts"
 	// denialProgress means that the response has begun and cannot be resumed.
 	denialProgress retryDenial = "progress"
 	// denialRoute means that the route does not allow another possible run.
@@ -48,6 +50,8 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled) || f.Err.Kind() == masticerror.KindCancelled:
 		return denialCancelled
+	case f.Err.Kind() == masticerror.KindDraining:
+		return denialDraining
 	case ctx.Err() != nil || time.Until(r.deadline) < minRemainingTime:
 		return denialDeadline
 	case r.attempts >= max(1, r.route.Attempts)+maxExtraAttempts:
@@ -86,7 +90,7 @@
 func notRunError(c *Relay, e *masticerror.Error) *masticerror.Error {
 	switch e.Kind() {
 	case masticerror.KindOverloaded, masticerror.KindNoServer, masticerror.KindQuarantined, masticerror.KindRateLimited,
-		masticerror.KindUnauthenticated, masticerror.KindNoLease:
+		masticerror.KindUnauthenticated, masticerror.KindNoLease, masticerror.KindDraining:
 		return e
 	default:
 		return unavailable(c, masticerror.KindOverloaded, "no backend server took the request: %s", e.Message())
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -69,8 +69,10 @@
 	held bool
 	// headerWritten reports that the header of the response was relayed to the caller.
 	headerWritten bool
-	events        eventSplitter
-	server        string
+	// untilEnd is the scope of the running attempt.
+	untilEnd *masticdrain.Scope
+	events   eventSplitter
+	server   string
 	// software is the software version of server.
 	software string
 	origin   streamOrigin
@@ -208,13 +210,26 @@
 // all hosts, no other such request runs.
 func (r *requestState) acquire(ctx context.Context) (masticcall.Assignment, error) {
 	r.call.Running.Set(r.call.Running.Progress().WithStage(masticdrain.StageServer))
+	ctx, scope := r.scope(ctx)
+	defer scope.End()
 	a, held, err := mastichold.Acquire(ctx, mastichold.Request{
 		Holds: r.relay.holds, Content: r.content, Deadline: r.deadline, Timeout: r.holdTimeout(), Acquire: r.acquireExcept, Now: time.Now,
 	})
 	r.held = held
+	if err != nil && masticdrain.Error(ctx) != nil {
+		return nil, r.relay.endingError()
+	}
 	return a, err
 }
 
+// scope returns a context for the wait for a server, which a planned end of the host ends.
+func (r *requestState) scope(ctx context.Context) (context.Context, *masticdrain.Scope) {
+	if r.mayHaveRun {
+		return r.relay.plan.Sent(ctx)
+	}
+	return r.relay.plan.Waiting(ctx, r.deadline, repeatOf(r.route))
+}
+
 // holdTimeout returns the bound of one request for a hold.
 func (r *requestState) holdTimeout() time.Duration {
 	if o := r.relay.origins; o != nil && !o.Available() {
@@ -276,7 +291,7 @@
 	r.call.Running.Set(r.call.Running.Progress().WithServer(masticdrain.StageAnswer, server.Name))
 	r.attempts++
 	r.recordOrigin(server)
-	f := r.exchange(ctx, a, watched)
+	f := r.exchangeUntilEnd(ctx, a, watched)
 	result := masticcall.Result{CachedUnknown: true, ServerIncarnation: server.Incarnation}
 	if f != nil {
 		result.Failure, result.ServerEnded, result.Paused = string(f.Err.Kind()), f.ServerEnded, f.Paused
@@ -298,6 +313,21 @@
 	return f
 }
 
+// exchangeUntilEnd is exchange, which a planned end of the host ends unless the response has begun.
+func (r *requestState) exchangeUntilEnd(ctx context.Context, a masticcall.Assignment, watched *masticdetector.Attempt) *masticbackend.Failure {
+	ctx, scope := r.relay.plan.Sent(ctx)
+	defer scope.End()
+	r.untilEnd = scope
+	if r.headerWritten {
+		scope.Keep()
+	}
+	f := r.exchange(ctx, a, watched)
+	if f != nil && masticdrain.Error(ctx) != nil {
+		f.Err, f.ServerEnded = r.relay.endingError(), false
+	}
+	return f
+}
+
 // lastEventID returns the identifier of the last event that the caller received: in this
 // response, or in the one that its request resumes.
 func (r *requestState) lastEventID() string {
