--- a/masticgate/waitingstop_test.go
+++ b/masticgate/waitingstop_test.go
@@ -83,7 +83,7 @@
 	b.start()
 	silent := b.sendInBackground("/v1/chat/completions", chatBody(false, "x"))
 	order := b.sendInBackground("/services/orders/place/o1", orderBody)
-	b.eventually(func() bool { return b.gate.Requests().Stages()["answer"] == 2 })
+	b.eventually(func() bool { return b.gate.Requests().Stages()["answer"] == 2 && len(e.Received()) == 1 })
 	e.SetMode(masticfake.ModeStall)
 	stream := b.openStream(context.Background())
 	b.gate.Leave(time.Now().Add(100 * time.Millisecond))
