Don't say of a keyed order that a planned stop refuses that it has not run

What callers saw: notRun true for an order with an idempotency key that a host refused because it ends, before the record of the key was looked at. An earlier sending through another host may have run (docs/CALLERS.md says so).

Cause: the refusal at the beginning of an order did not take the way of all other refusals before the record. The test failed before (got true).

--- a/masticgate/order.go
+++ b/masticgate/order.go
@@ -26,7 +26,7 @@
 	deadline := q.started.Add(millis(q.gate.limits.OrderMillis))
 	q.admit(c.service.Name, deadline)
 	if e := q.gate.drain.orderError(deadline); e != nil {
-		c.fail(e)
+		q.refuse(e)
 		return
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(q.request.Context()), deadline)
--- a/masticgate/order_test.go
+++ b/masticgate/order_test.go
@@ -295,3 +295,14 @@
 	b.gate.Leave(time.Now().Add(time.Hour))
 	b.c.Assert(b.order("o1", HeaderIdempotencyKey, "k1").status, qt.Equals, http.StatusOK)
 }
+
+// TestKeyedOrderThatPlannedStopRefusesIsSaidNotToHaveRun: an earlier sending of it, through another host, may have run.
+func TestKeyedOrderThatPlannedStopRefusesIsSaidNotToHaveRun(t *testing.T) {
+	b := newFixture(t)
+	b.addOrders(masticfake.NewService("orders"))
+	b.start()
+	b.gate.Leave(time.Now().Add(time.Second))
+	for key, notRun := range map[string]bool{"": true, "k1": false} {
+		b.c.Assert(b.order("o1", HeaderIdempotencyKey, key).detail(b.c).NotRun, qt.Equals, notRun, qt.Commentf("key %q", key))
+	}
+}
