Leave an answer whose header is relayed out of the plan before it begins

What callers saw: an answer whose first byte came in the same moment as the end of the drain began and was cut at once, half a second before its host closes connections and with the server still at work.

Cause: the relay wrote the header first and left the plan afterwards; whether the plan had ended the attempt meanwhile was not asked. Now it leaves the plan first. If the plan was faster, the caller is told (502, outcome unknown) rather than given a header and a cut; a response that is complete is relayed.

--- a/masticdrain/plan.go
+++ b/masticdrain/plan.go
@@ -40,7 +40,9 @@
 	deadline time.Time
 	repeat   Repeat
 	// sent reports that a server may have run the request, so that it goes on until the end of the host.
-	sent   bool
+	sent bool
+	// ended reports that the plan has ended the scope.
+	ended  bool
 	cancel context.CancelCauseFunc
 }
 
@@ -79,7 +81,7 @@
 func (p *Plan) endScopes() {
 	for s := range p.scopes {
 		if p.ends(s) {
-			s.cancel(errEnding)
+			s.endByPlan()
 			delete(p.scopes, s)
 		}
 	}
@@ -124,7 +126,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.ends(s) {
-		s.cancel(errEnding)
+		s.endByPlan()
 		return ctx, s
 	}
 	if p.scopes == nil {
@@ -134,11 +136,18 @@
 	return ctx, s
 }
 
-// Keep leaves the scope out of the plan: what has begun to reach the caller goes on until its connection is closed.
-func (s *Scope) Keep() {
+func (s *Scope) endByPlan() {
+	s.ended = true
+	s.cancel(errEnding)
+}
+
+// Keep leaves the scope out of the plan: what has begun to reach the caller goes on until its connection is closed. It
+// reports false if the plan has already ended the scope.
+func (s *Scope) Keep() bool {
 	s.plan.mutex.Lock()
 	defer s.plan.mutex.Unlock()
 	delete(s.plan.scopes, s)
+	return !s.ended
 }
 
 // End ends the scope's context. Further calls have no effect.
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -134,6 +134,8 @@
 	assigned     int
 	// ended, if not nil, is closed when an attempt ends.
 	ended chan struct{}
+	// firstToken, if not nil, is called before a response begins.
+	firstToken func()
 }
 
 func (d *fakeDispatcher) Acquire(_ context.Context, r masticcall.Request) (masticcall.Assignment, error) {
@@ -169,7 +171,12 @@
 func (a *fakeAssignment) CacheSalt() string         { return "" }
 func (a *fakeAssignment) FetchAddress() string      { return "" }
 func (a *fakeAssignment) SaveAddress() string       { return "" }
-func (a *fakeAssignment) FirstToken(time.Time)      {}
+
+func (a *fakeAssignment) FirstToken(time.Time) {
+	if a.dispatcher.firstToken != nil {
+		a.dispatcher.firstToken()
+	}
+}
 
 func (a *fakeAssignment) Done(_ time.Time, r masticcall.Result) {
 	a.dispatcher.results = append(a.dispatcher.results, r)
--- a/masticrelay/response.go
+++ b/masticrelay/response.go
@@ -84,7 +84,16 @@
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// writeHeader relays the status and header of the response.
+// begin relays the status and header of the response. It fails if the host has ended the attempt, unless the response is
+// complete.
+func (r *requestState) begin(answer *masticbackend.Answer, complete bool) *masticbackend.Failure {
+	if !r.untilEnd.Keep() && !complete {
+		return &masticbackend.Failure{Err: r.relay.endingError(), Sent: true, Answered: true}
+	}
+	r.writeHeader(answer)
+	return nil
+}
+
 func (r *requestState) writeHeader(answer *masticbackend.Answer) {
 	h := r.writer.Header()
 	for name, values := range answer.Header {
@@ -99,7 +108,6 @@
 	r.relay.announceClose(h)
 	r.writer.WriteHeader(answer.Status)
 	r.headerWritten = true
-	r.untilEnd.Keep()
 	r.firstByteAt = time.Now()
 	r.call.Running.Set(r.call.Running.Progress().WithStage(masticdrain.StageStream))
 }
@@ -114,7 +122,9 @@
 		return readFailure(err, r.server)
 	}
 	a.FirstToken(time.Now())
-	r.writeHeader(answer)
+	if f := r.begin(answer, err == io.EOF); f != nil {
+		return f
+	}
 	for {
 		if _, err := r.writer.Write(buffer[:n]); err != nil {
 			return callerGone(err)
@@ -174,7 +184,7 @@
 			return answeredFailure("%s did not resume the stream: no event", r.server)
 		case err == io.EOF && r.events.empty():
 			if !r.headerWritten {
-				r.writeHeader(answer)
+				return r.begin(answer, true)
 			}
 			return nil
 		case err == io.EOF:
@@ -207,7 +217,9 @@
 func (r *requestState) writeEvents(answer *masticbackend.Answer, whole []byte) *masticbackend.Failure {
 	r.bindOrigin()
 	if !r.headerWritten {
-		r.writeHeader(answer)
+		if f := r.begin(answer, false); f != nil {
+			return f
+		}
 	}
 	if _, err := r.writer.Write(whole); err != nil {
 		return callerGone(err)
