Bound the wait for the last log lines at the end of a process

What operators saw: a process whose log is not read (a full pipe) did not end after all its components had stopped; within a grace period it was killed, and without one, after the failure of a component, it stayed with its listeners closed.

Cause: Writer.Stop waited for the output without a bound. Now for one second.

--- a/masticlog/writer.go
+++ b/masticlog/writer.go
@@ -28,6 +28,8 @@
 	// otherKind counts the kinds beyond maxKinds, and lines dropped by Write, which does not
 	// know their kind.
 	otherKind = "other"
+	// stopTimeout bounds the wait for an output that accepts no writes.
+	stopTimeout = time.Second
 )
 
 // Writer queues log lines and writes them to an output, with a limit of bytes per second. Each
@@ -167,8 +169,13 @@
 	_, _ = w.out.Write(batch)
 }
 
-// Stop ends Run and returns after the queued lines are written.
+// Stop ends Run and returns after the queued lines are written, or after stopTimeout.
 func (w *Writer) Stop(error) {
 	w.lines.Close()
-	<-w.done
+	timer := time.NewTimer(stopTimeout)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+	}
 }
--- a/masticlog/writer_test.go
+++ b/masticlog/writer_test.go
@@ -136,3 +136,20 @@
 		c.Assert(int64(len(kept))+dropped, qt.Equals, int64(lines))
 	})
 }
+
+// TestBlockedOutputKeepsTheProcessFromEnding: a host whose log was not read did not end, though all its components had stopped.
+func TestBlockedOutputKeepsTheProcessFromEnding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		out := &blockedOutput{unblock: make(chan struct{})}
+		w := NewWriter(out, 1<<30)
+		r := &writerRun{writer: w}
+		go r.run()
+		newLog(w).Info("last")
+		w.Stop(nil)
+		close(out.unblock)
+		synctest.Wait()
+		kept, _ := countLines(c, out.written.String())
+		c.Assert(kept["last"], qt.Equals, int64(1))
+	})
+}
