Send the ends of holds and reservations that are queued when a host stops

What operators saw: nothing; callers on other hosts: a request whose content is suspected waited, or was refused, while a hold of a host that had stopped lasted to its deadline, though that host had given it back.

Cause: the agent's queue of ends was given up the moment the agent stopped, and only unspent quota and usage were flushed. The host ended before what it had promised. Now the queue is closed first, and emptied within the same flush timeout as the rest.

--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -154,22 +154,25 @@
 	go a.renewer.run(a.context)
 	go a.watcher.run(a.context)
 	go a.reporter.run(a.context)
-	go a.commandRetrier.run(a.context)
+	flushing, stopFlushing := context.WithCancel(context.Background())
+	defer stopFlushing()
+	go a.commandRetrier.run(flushing)
 	for range originSenders {
 		go a.origins.run(a.context)
 	}
 	<-a.context.Done()
+	a.commandRetrier.queue.Close()
 	a.finish()
+	stopFlushing()
 	a.views.updates.Close()
 	a.limiter.events.Close()
-	a.commandRetrier.queue.Close()
 	a.members.close()
 	a.leader.close()
 	a.running.Wait()
 	return nil
 }
 
-// finish returns unspent quota and flushes usage within the flush timeout.
+// finish returns unspent quota, flushes usage, and ends reservations and holds within the flush timeout.
 func (a *Agent) finish() {
 	ctx, cancel := context.WithTimeout(context.Background(), a.flushTimeout)
 	defer cancel()
@@ -180,6 +183,7 @@
 		}
 	}
 	a.reporter.send(ctx)
+	a.commandRetrier.wait(ctx)
 }
 
 // Stop ends Run.
--- a/masticagent/commandretrier.go
+++ b/masticagent/commandretrier.go
@@ -17,6 +17,8 @@
 type commandRetrier struct {
 	agent *Agent
 	queue *masticring.Ring[pendingCommand]
+	// ended is closed when the queue is closed and empty.
+	ended chan struct{}
 }
 
 // pendingCommand is a release, a record or an end of a hold that is retried until it is committed
@@ -27,7 +29,9 @@
 }
 
 func newCommandRetrier(a *Agent) *commandRetrier {
-	return &commandRetrier{agent: a, queue: masticring.New[pendingCommand]("reservations and holds to end", retryQueueCapacity)}
+	return &commandRetrier{
+		agent: a, queue: masticring.New[pendingCommand]("reservations and holds to end", retryQueueCapacity), ended: make(chan struct{}),
+	}
 }
 
 // add queues a command. If the queue is full, the reservation or hold ends at its deadline, a
@@ -40,6 +44,7 @@
 
 func (f *commandRetrier) run(ctx context.Context) {
 	defer f.agent.running.Done()
+	defer close(f.ended)
 	for w := range f.queue.Out() {
 		if !masticclock.Now().Before(w.deadline) || f.attempt(ctx, w) || ctx.Err() != nil {
 			continue
@@ -49,6 +54,14 @@
 	}
 }
 
+// wait waits until the queue is closed and empty, or ctx ends.
+func (f *commandRetrier) wait(ctx context.Context) {
+	select {
+	case <-f.ended:
+	case <-ctx.Done():
+	}
+}
+
 // attempt sends w once and reports whether no retry is needed. A release is retried until it has
 // an effect, because its reservation may be committed later.
 func (f *commandRetrier) attempt(ctx context.Context, w pendingCommand) bool {
