Answer an order in time when its host ends and its outcome can't be recorded

What callers saw (product's own path): an order whose host ended while the ledger did not answer had its connection closed without an answer; also one that the service had answered.

Now the end of the host bounds what is left of it to one second, whenever the recording began. What the ledger says of such an order stays true: its outcome is unknown.

--- a/masticgate/fake_test.go
+++ b/masticgate/fake_test.go
@@ -81,10 +81,12 @@
 
 // fakeLedger keeps orders in memory.
 type fakeLedger struct {
-	mu       sync.Mutex
-	orders   map[masticcall.OrderKey]*fakeOrder
-	fail     error
-	released int
+	mu     sync.Mutex
+	orders map[masticcall.OrderKey]*fakeOrder
+	fail   error
+	// recordFail is the error of Record.
+	recordFail error
+	released   int
 }
 
 func (f *fakeLedger) Reserve(_ context.Context, k masticcall.OrderKey, d masticview.Digest, _ time.Time) (masticcall.Reservation, error) {
@@ -110,6 +112,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.recordFail != nil {
+		return f.recordFail
+	}
 	o := f.orders[k]
 	o.state = masticcall.OrderUnknown
 	if a != nil {
--- a/masticgate/order.go
+++ b/masticgate/order.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticladder/masticcall"
+	"masticladder/masticdrain"
 	"masticladder/masticengine"
 	"masticladder/masticerror"
 	"masticladder/masticview"
@@ -17,6 +18,8 @@
 	// ledger.
 	firstPollMillis = 20
 	maxPollMillis   = 1_000
+	// endingRecordMillis bounds the time spent on recording an outcome once the host ends: its connections are closed soon.
+	endingRecordMillis = 1_000
 )
 
 // serveOrder serves an order: a call that may not be repeated. It continues after the caller
@@ -217,9 +220,31 @@
 	}
 }
 
-// recordContext returns a context for a call of the ledger, which is not cancelled with ctx.
+// recordContext returns a context for a call of the ledger, which is not cancelled with ctx. Once a planned end of the host has
+// ended ctx, it lasts endingRecordMillis at most.
 func (o *keyedOrder) recordContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.WithoutCancel(ctx), millis(o.inbound.gate.limits.RecordMillis))
+	recording, cancel := context.WithTimeout(context.WithoutCancel(ctx), millis(o.inbound.gate.limits.RecordMillis))
+	l := &recordLimit{order: ctx, cancel: cancel}
+	l.stop = context.AfterFunc(ctx, l.shorten)
+	return recording, l.end
+}
+
+// recordLimit shortens the time for recording the outcome of an order.
+type recordLimit struct {
+	order  context.Context
+	cancel context.CancelFunc
+	stop   func() bool
+}
+
+func (l *recordLimit) end() {
+	l.stop()
+	l.cancel()
+}
+
+func (l *recordLimit) shorten() {
+	if masticdrain.Error(l.order) != nil {
+		time.AfterFunc(millis(endingRecordMillis), l.cancel)
+	}
 }
 
 // sleep waits for d. It reports false if ctx ends first.
--- a/masticgate/waitingstop_test.go
+++ b/masticgate/waitingstop_test.go
@@ -21,17 +21,18 @@
 type requestRun struct {
 	fixture    *fixture
 	path, body string
+	headers    []string
 	reply      reply
 	done       chan struct{}
 }
 
 func (r *requestRun) run() {
 	defer close(r.done)
-	r.reply = r.fixture.send(http.MethodPost, r.path, r.body, HeaderTimeout, waitingTimeout)
+	r.reply = r.fixture.send(http.MethodPost, r.path, r.body, append(r.headers, HeaderTimeout, waitingTimeout)...)
 }
 
-func (b *fixture) sendInBackground(path, body string) *requestRun {
-	r := &requestRun{fixture: b, path: path, body: body, done: make(chan struct{})}
+func (b *fixture) sendInBackground(path, body string, headers ...string) *requestRun {
+	r := &requestRun{fixture: b, path: path, body: body, headers: headers, done: make(chan struct{})}
 	go r.run()
 	return r
 }
@@ -99,3 +100,40 @@
 	<-order.done
 	c.Assert(order.reply.detail(c).Kind, qt.Equals, masticerror.KindOutcomeUnknown)
 }
+
+// TestStoppedHostCutsAnOrderThatItRecords: an order whose outcome could not be recorded when its host ended had no answer until its
+// connection was closed.
+func TestStoppedHostCutsAnOrderThatItRecords(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		// answered reports that the service has answered before the host ends.
+		answered bool
+		status   int
+	}{
+		{"without an answer", false, http.StatusBadGateway},
+		{"with an answer", true, http.StatusOK},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			b := newFixture(t)
+			const recordMillis = 25_000
+			b.limits.RecordMillis = recordMillis
+			b.ledger.recordFail = masticerror.New(masticerror.KindNoQuorum, "no leader")
+			release := make(chan struct{})
+			if x.answered {
+				close(release)
+			}
+			b.addOrders(masticfake.NewService("orders", masticfake.WithRelease(release)))
+			b.start()
+			order := b.sendInBackground("/services/orders/place/o1", orderBody, HeaderIdempotencyKey, "k1")
+			b.eventually(func() bool { return b.gate.Requests().Stages()["answer"] == 1 })
+			b.gate.Leave(time.Now().Add(300 * time.Millisecond))
+			select {
+			case <-order.done:
+			case <-time.After(15 * time.Second):
+				b.c.Fatal("no answer")
+			}
+			b.c.Assert(order.reply.status, qt.Equals, x.status)
+		})
+	}
+}
