Count a request as running until its caller has the end of its answer

What callers get, by reading: a host of the product's own path that is stopped while a slow caller still reads the end of an answer closes that connection 2 s later, with most of the drain left.

Cause: the gate ended its count of running requests before the last flush of the response, which waits for the caller. With no other request the drain is finished at once, and the server gets 2 s to shut down. The cut request is not named either. The relay's drain waits for the connections themselves.

TestPlannedStopDoesNotWaitForTheEndOfAnAnswer counted 0 running requests while the caller read, now 1. The count now ends after the flush.

--- a/masticgate/gate.go
+++ b/masticgate/gate.go
@@ -88,13 +88,15 @@
 // running requests Wait waits for.
 func (g *Gate) drainable(serve func(*inbound)) http.Handler {
 	return g.handler(func(q *inbound) {
+		if q.running = g.drain.enter(q.id, q.started); q.running != nil {
+			defer q.running.End()
+		}
 		defer q.finish()
 		q.setBodyDeadline()
-		if q.running = g.drain.enter(q.id, q.started); q.running == nil {
+		if q.running == nil {
 			q.refuse(masticerror.New(masticerror.KindDraining, "this host is shutting down"))
 			return
 		}
-		defer q.running.End()
 		serve(q)
 	})
 }
