--- a/masticgate/order_test.go
+++ b/masticgate/order_test.go
@@ -306,3 +306,18 @@
 		b.c.Assert(b.order("o1", HeaderIdempotencyKey, key).detail(b.c).NotRun, qt.Equals, notRun, qt.Commentf("key %q", key))
 	}
 }
+
+// TestLeavingHostStatesThatARepeatedOrderHasNotRun: a host that was being stopped refused the resend of an order that had run as not
+// run, without a look at its record.
+func TestLeavingHostStatesThatARepeatedOrderHasNotRun(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(t)
+	b.addOrders(masticfake.NewService("orders"))
+	b.start()
+	c.Assert(b.order("o1", HeaderIdempotencyKey, "k1").status, qt.Equals, http.StatusOK)
+	b.gate.Leave(time.Now().Add(time.Second))
+	refused := b.order("o1", HeaderIdempotencyKey, "k1")
+	c.Assert(refused.detail(c).Kind, qt.Equals, masticerror.KindDraining)
+	c.Assert(refused.detail(c).NotRun, qt.IsFalse)
+	c.Assert(refused.detail(c).OutcomeUnknown, qt.IsTrue)
+}
