Answer operators' calls that wait when their host ends

What operators saw: a change that waited for the control group when the host that had it was stopped was cut 2 s later (EOF), without a word on its outcome; a control host without callers has no drain at all.

Cause: the server for operators is shut down with 2 s for its handlers, which wait as long as their callers do, and is then closed. Nothing told the handlers. Now the contexts of their requests end half a second before the connections are closed, and they answer as if the time of the call had run out: 503 and whether the change may have been made. The platform's servers beside that of callers (control, directory, readiness) get the same; their error tells the operator to repeat the call.

TestOperatorsCallIsCutByTheEndOfItsHost: EOF before, a whole answer now.

--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -184,6 +184,7 @@
 	if err != nil {
 		return err
 	}
+	h.answerBeforeClose()
 	n.servers = append(n.servers, h)
 	return nil
 }
--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -156,6 +156,7 @@
 	if d.adminServer, err = listen(d.settings.Admin, newAdminServer(admin), config); err != nil {
 		return err
 	}
+	d.adminServer.answerBeforeClose()
 	if d.gate == nil {
 		return nil
 	}
--- a/masticdaemon/server.go
+++ b/masticdaemon/server.go
@@ -23,6 +23,8 @@
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 64 << 10
 	closeTimeout   = 2 * time.Second
+	// answerMargin is the time before the close of its connections in which a request is told that the host ends.
+	answerMargin = 500 * time.Millisecond
 	// handlerTimeout bounds the wait for handlers whose connections were closed.
 	handlerTimeout = 200 * time.Millisecond
 )
@@ -42,6 +44,8 @@
 	callers *callerListener
 	// draining is set once the listener is closed on purpose.
 	draining atomic.Bool
+	// endRequests ends the contexts of running requests; nil for a server whose requests end in another way.
+	endRequests context.CancelFunc
 }
 
 // listen binds address, so that an invalid or occupied address fails before any component runs. The
@@ -73,6 +77,14 @@
 	}
 }
 
+// answerBeforeClose makes stop end the contexts of running requests answerMargin before it closes their connections, so that their
+// handlers still answer. It must be called before run.
+func (s *httpServer) answerBeforeClose() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.server.BaseContext = func(net.Listener) context.Context { return ctx }
+	s.endRequests = cancel
+}
+
 // address returns the bound address, with the port that was assigned if port 0 was requested.
 func (s *httpServer) address() string { return s.listener.Addr().String() }
 
@@ -104,6 +116,10 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	if s.endRequests != nil {
+		timer := time.AfterFunc(time.Until(deadline.Add(-answerMargin)), s.endRequests)
+		defer timer.Stop()
+	}
 	if err := s.shutdown(ctx); err != nil {
 		s.cut()
 	}
--- a/masticdaemon/server_test.go
+++ b/masticdaemon/server_test.go
@@ -169,3 +169,30 @@
 	<-q.body
 	c.Assert(<-a.ended, qt.IsNil)
 }
+
+// waitingOperator answers with the error of its context.
+type waitingOperator struct{ begun chan struct{} }
+
+func (h *waitingOperator) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	close(h.begun)
+	<-q.Context().Done()
+	_, _ = io.WriteString(w, "whole")
+}
+
+// TestOperatorsCallIsCutByTheEndOfItsHost: a call of an operator that waited for the control group when its host was stopped was cut
+// 2 s later, without a word on its outcome.
+func TestOperatorsCallIsCutByTheEndOfItsHost(t *testing.T) {
+	c := qt.New(t)
+	h := &waitingOperator{begun: make(chan struct{})}
+	s, err := listen("127.0.0.1:0", newAdminServer(h), nil)
+	c.Assert(err, qt.IsNil)
+	s.answerBeforeClose()
+	a := &actorRunner{actor: s.run, ended: make(chan error, 1)}
+	go a.run()
+	q := &clientRequest{url: "http://" + s.address(), body: make(chan string, 1)}
+	go q.run()
+	<-h.begun
+	s.stop(nil)
+	c.Assert(<-q.body, qt.Equals, "whole")
+	c.Assert(<-a.ended, qt.IsNil)
+}
--- a/process_test.go
+++ b/process_test.go
@@ -63,9 +63,13 @@
 	// peerListen is the address that the process binds for other hosts; empty means peer.
 	peerListen string
 	// tls is the tls object of the settings, as JSON.
-	tls     string
-	command *exec.Cmd
-	log     *lockedBuffer
+	tls string
+	// roles is the list of roles in the settings, as JSON.
+	roles string
+	// drainMillis is the bound of a drain in the settings.
+	drainMillis int
+	command     *exec.Cmd
+	log         *lockedBuffer
 }
 
 // lockedBuffer holds the output of a process; it is safe for concurrent use.
@@ -107,14 +111,16 @@
 	for i := range count {
 		ip := hostIP(i)
 		fleet = append(fleet, &process{
-			t:      t,
-			host:   fmt.Sprintf("host-%d", i+1),
-			folder: t.TempDir(),
-			listen: freeAddressOn(t, ip),
-			admin:  freeAddressOn(t, ip),
-			peer:   freeAddressOn(t, ip),
-			tls:    `{"plain": true}`,
-			log:    &lockedBuffer{},
+			t:           t,
+			host:        fmt.Sprintf("host-%d", i+1),
+			folder:      t.TempDir(),
+			listen:      freeAddressOn(t, ip),
+			admin:       freeAddressOn(t, ip),
+			peer:        freeAddressOn(t, ip),
+			tls:         `{"plain": true}`,
+			roles:       `["entry", "control"]`,
+			drainMillis: 20_000,
+			log:         &lockedBuffer{},
 		})
 	}
 	for i, p := range fleet {
@@ -130,12 +136,12 @@
 	}
 	text := fmt.Sprintf(`{
   // A host of a test.
-  "host": %q, "owner": "association", "zone": "zone-%d", "roles": ["entry", "control"],
+  "host": %q, "owner": "association", "zone": "zone-%d", "roles": %s,
   "listen": %q, "admin": %q, "peer": %q, "peerListen": %q, "dataFolder": %q,
   "control": [%s],
-  "timing": {"addressListMillis": 300, "drainMillis": 20000},
+  "timing": {"addressListMillis": 300, "drainMillis": %d},
   "tls": %s,
-}`, p.host, zone+1, p.listen, p.admin, p.peer, p.peerListen, filepath.Join(p.folder, "data"), strings.Join(control, ", "), p.tls)
+}`, p.host, zone+1, p.roles, p.listen, p.admin, p.peer, p.peerListen, filepath.Join(p.folder, "data"), strings.Join(control, ", "), p.drainMillis, p.tls)
 	p.settings = filepath.Join(p.folder, "host.jsonc")
 	qt.Assert(p.t, os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
 }
