Log the signals and the stop of a host of the own path

What operators saw: a host of masticladder run that is stopped says nothing when a signal comes or when it ends; one without callers leaves no line at all, as if it had been killed. docs/OPERATIONS.md names the lines signal and stop, which only the other deployment had, to tell a planned end from a kill.

Both are now logged here too, the stop with its error. The log is written before the process ends, since this path writes it itself.

--- a/masticcommand/demo.go
+++ b/masticcommand/demo.go
@@ -8,6 +8,8 @@
 	"os"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"masticladder/masticdaemon"
 	"masticladder/masticfake"
 	"masticladder/masticsettings"
@@ -45,27 +47,28 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
-	daemon, err := d.start(folder)
+	daemon, log, err := d.start(folder)
 	if err != nil {
 		return err
 	}
-	handler := newSignalHandler(daemon)
+	handler := newSignalHandler(daemon, log)
 	go handler.run()
 	publisher := &demoPublisher{daemon: daemon, servers: servers}
 	go publisher.run()
 	return daemon.Run()
 }
 
-func (d *demoCommand) start(folder string) (*masticdaemon.Daemon, error) {
+func (d *demoCommand) start(folder string) (*masticdaemon.Daemon, *logrus.Logger, error) {
 	settings, err := d.settings(folder)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	log, err := masticdaemon.NewLog(settings.Log, os.Stderr)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return masticdaemon.New(settings, masticdaemon.WithLog(log))
+	daemon, err := masticdaemon.New(settings, masticdaemon.WithLog(log))
+	return daemon, log, err
 }
 
 func (d *demoCommand) settings(folder string) (masticsettings.Settings, error) {
--- a/masticcommand/run.go
+++ b/masticcommand/run.go
@@ -6,6 +6,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/sirupsen/logrus"
+
 	"masticladder/masticdaemon"
 	"masticladder/masticsettings"
 )
@@ -39,33 +41,38 @@
 	if err != nil {
 		return err
 	}
-	handler := newSignalHandler(daemon)
+	handler := newSignalHandler(daemon, log)
 	go handler.run()
 	ready := readyLine{Ready: true, Listen: daemon.Listen(), Admin: daemon.Admin()}
 	if err := json.NewEncoder(output).Encode(ready); err != nil {
 		return err
 	}
-	return daemon.Run()
+	err = daemon.Run()
+	log.WithField("error", err).Info("stop")
+	return err
 }
 
 // signalHandler drains the daemon on the first signal and ends it at once on a repeated SIGINT. A supervisor may repeat SIGTERM.
 type signalHandler struct {
 	daemon  *masticdaemon.Daemon
+	log     logrus.FieldLogger
 	signals chan os.Signal
 }
 
-func newSignalHandler(d *masticdaemon.Daemon) *signalHandler {
-	s := &signalHandler{daemon: d, signals: make(chan os.Signal, 2)}
+func newSignalHandler(d *masticdaemon.Daemon, log logrus.FieldLogger) *signalHandler {
+	s := &signalHandler{daemon: d, log: log, signals: make(chan os.Signal, 2)}
 	signal.Notify(s.signals, syscall.SIGTERM, syscall.SIGINT)
 	return s
 }
 
 func (s *signalHandler) run() {
-	<-s.signals
-	s.daemon.Drain()
+	draining := false
 	for x := range s.signals {
-		if x == syscall.SIGINT {
+		s.log.WithField("signal", x.String()).Info("signal")
+		if draining && x == syscall.SIGINT {
 			s.daemon.End()
 		}
+		draining = true
+		s.daemon.Drain()
 	}
 }
