Bound the heads of all answers together, and their lines

What callers would see: an entry host that ends with all its requests (LOST). Each head of an answer was bounded by 64 KiB, each of up to five informational answers before it by as much again, and the heads of all answers together by nothing. A header line of a few bytes takes some twenty times its size once it is parsed.

Now the heads of one exchange share 64 KiB and 256 lines, and what is beyond 4 KiB counts against a budget of the client, three times (the buffer while a long line grows), until the answer is closed. The lines are counted while they arrive, so that a head that never ends is cut too, and the fields after each head, since a part of a head may arrive in the read buffer together with what precedes it.

Ruled out: the bodies of skipped answers, which are not kept.

--- a/masticbackend/client.go
+++ b/masticbackend/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"masticladder/masticbody"
 )
 
 // Timeouts and limits of a Client. No option changes them.
@@ -43,6 +45,8 @@
 	dialer      net.Dialer
 	identify    func(header map[string][]string) string
 	idleTimeout time.Duration
+	// heads bounds the memory of the heads of all answers; nil means no limit.
+	heads *masticbody.Budget
 
 	mutex     sync.Mutex
 	idleConns map[string][]*connection
@@ -63,6 +67,10 @@
 	return func(c *Client) { c.identify = f }
 }
 
+// WithHeadBudget sets the budget of the memory that the heads of all answers take, beyond some KiB each, until they are
+// closed.
+func WithHeadBudget(b *masticbody.Budget) Option { return func(c *Client) { c.heads = b } }
+
 // New returns a Client without connections.
 func New(options ...Option) *Client {
 	c := &Client{
@@ -204,5 +212,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConnection(q.Address, conn.(*net.TCPConn)), nil
+	return newConnection(q.Address, conn.(*net.TCPConn), c.heads.Reserve()), nil
 }
--- a/masticbackend/connection.go
+++ b/masticbackend/connection.go
@@ -11,6 +11,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
+
+	"masticladder/masticbody"
 )
 
 const (
@@ -55,8 +57,8 @@
 	return slices.Contains(n.carried[:min(n.carriedCount, carriedRequests)], xxhash.Sum64String(id))
 }
 
-func newConnection(address string, tcp *net.TCPConn) *connection {
-	head := &headReader{tcp: tcp}
+func newConnection(address string, tcp *net.TCPConn, memory *masticbody.Reservation) *connection {
+	head := &headReader{tcp: tcp, memory: memory}
 	return &connection{address: address, tcp: tcp, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -176,7 +176,8 @@
 // readHead reads the status line and header of the answer to q. It skips informational answers
 // and answers to earlier requests on the connection. Each head and each skipped body is bounded.
 func (a *Answer) readHead(q Request) error {
-	skipped, interim := 0, 0
+	a.conn.head.start()
+	skipped, interim, fields := 0, 0, 0
 	for {
 		if err := a.conn.head.begin(); err != nil {
 			return err
@@ -185,6 +186,10 @@
 		if err != nil {
 			return err
 		}
+		// The reader does not count the lines of a head that were buffered together with what precedes it.
+		if fields += fieldsOf(r.Header); fields > maxHeadLines {
+			return errHeadLines
+		}
 		if r.StatusCode >= 100 && r.StatusCode < 200 {
 			interim++
 			if interim > maxInterimAnswers {
@@ -203,7 +208,7 @@
 			if skipped > maxSkippedAnswers || r.ContentLength < 0 || r.ContentLength > maxSkippedBytes {
 				return errWrongRequest
 			}
-			if err := a.conn.head.begin(); err != nil {
+			if err := a.conn.head.beginSkipped(); err != nil {
 				return err
 			}
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -217,6 +222,15 @@
 	}
 }
 
+// fieldsOf returns the number of fields of a header.
+func fieldsOf(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 // Read reads the body. It returns io.EOF only after the complete body. After the context has
 // ended, it returns the context's error.
 func (a *Answer) Read(p []byte) (int, error) {
@@ -237,6 +251,7 @@
 func (a *Answer) Close() { a.closed.Do(a.release) }
 
 func (a *Answer) release() {
+	a.conn.head.memory.Release()
 	idle := idleTimeoutOf(a.Header, a.client.idleTimeout)
 	framed := a.Length >= 0 || len(a.response.TransferEncoding) > 0
 	kept := a.detachContext() && a.complete && a.identified && framed && !a.response.Close && idle > 0 && a.conn.reader.Buffered() == 0
@@ -249,6 +264,7 @@
 }
 
 func (a *Answer) abandon() {
+	a.conn.head.memory.Release()
 	a.detachContext()
 	a.conn.close()
 }
