Bound the parts of events of all streams together

Each stream may hold an event of up to 256 KiB that has not ended; the sum over the streams of a host had no bound. Streams of many faulty servers that stay just under the bound of one event, for as long as their route allows, add up to 512 KiB each while the buffer grows.

Now the buffers count, beyond 8 KiB each, against a budget, 0.15 of the host's memory, which heads of answers share. A stream without room fails like one whose event is too large, but the server is not suspected of having ended. A large event's buffer is given up once the event was relayed.

Ruled out: complete events, which are written before more is read, and answers that are no event streams, which pass through a buffer of 8 KiB.

--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -126,6 +126,14 @@
 	return int64(bodyMemoryFraction * float64(s.MemoryLimitBytes))
 }
 
+// answerBytes returns how many bytes the heads and the parts of events of all answers may take together.
+func answerBytes(s NodeSettings) int64 {
+	if s.MemoryLimitBytes <= 0 {
+		return masticrelay.DefaultBodyBytes
+	}
+	return int64(answerMemoryFraction * float64(s.MemoryLimitBytes))
+}
+
 // newRetryBudget returns the retry budget of a host whose weight is the given fraction of that of all
 // hosts.
 func newRetryBudget(s NodeSettings, fraction func() float64) *masticretry.Budget {
@@ -147,7 +155,8 @@
 	}
 	n.dispatcher = masticdispatch.New(masticdispatch.WithLog(n.log.WithField("host", n.settings.Peer)), masticdispatch.WithSharedLoad(), masticdispatch.WithHost(n.settings.Peer),
 		masticdispatch.WithLeavingReporter(n.agent.Leaving()), masticdispatch.WithCoordinators(n.coordinators))
-	n.client = masticbackend.New(masticbackend.WithSource(bound.Addr()), masticbackend.WithIdentify(n.protocols.Identify))
+	answers := masticbody.NewBudget(answerBytes(n.settings))
+	n.client = masticbackend.New(masticbackend.WithSource(bound.Addr()), masticbackend.WithIdentify(n.protocols.Identify), masticbackend.WithHeadBudget(answers))
 	var lease []masticrelay.Option
 	if n.settings.FailClosed {
 		lease = append(lease, masticrelay.WithLease(n.agent))
@@ -159,6 +168,7 @@
 		masticrelay.WithOrigins(n.agent.Origins()),
 		masticrelay.WithClient(n.client),
 		masticrelay.WithStatementObserver(n.dispatcher),
+		masticrelay.WithAnswerBudget(answers),
 		masticrelay.WithBodyBudget(masticbody.NewBudget(bodyBytes(n.settings))),
 		masticrelay.WithBackends(n.protocols.Backends),
 		masticrelay.WithCallers(n.protocols.Callers),
--- a/masticdaemon/nodesettings.go
+++ b/masticdaemon/nodesettings.go
@@ -85,6 +85,9 @@
 	memoryLimitFraction = 0.8
 	// bodyMemoryFraction is the fraction of MemoryLimitBytes that request bodies may have together.
 	bodyMemoryFraction = 0.15
+	// answerMemoryFraction is the fraction of MemoryLimitBytes that heads and parts of events of answers may take
+	// together.
+	answerMemoryFraction = 0.15
 	// callerDescriptorFraction is the fraction of the descriptors available to callers'
 	// connections. Backend servers, other hosts and files need the rest. Further connections wait
 	// until others close.
--- a/masticrelay/events.go
+++ b/masticrelay/events.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+
+	"masticladder/masticbody"
 )
 
 // maxEventBytes bounds one event of a stream.
@@ -17,11 +19,14 @@
 	// count is the number of complete events.
 	count int
 	order eventOrder
+	// memory is the part of the buffer beyond relayBufferBytes.
+	memory *masticbody.Reservation
 }
 
 // Reasons not to relay an event.
 var (
 	errEventTooLarge = errors.New("an event is over the size limit")
+	errEventMemory   = errors.New("the parts of events in memory exceed the limit of the host")
 	errEventOrder    = errors.New("an event does not follow the one before it")
 )
 
@@ -29,6 +34,9 @@
 // valid until the next call. With an error, it ends before the event that must not be relayed.
 func (e *eventSplitter) add(p []byte) ([]byte, error) {
 	e.buffer = append(e.buffer, p...)
+	if !e.memory.Resize(int64(max(0, cap(e.buffer)-relayBufferBytes))) {
+		return nil, errEventMemory
+	}
 	end := 0
 	for {
 		i := eventEnd(e.buffer[end:])
@@ -49,12 +57,22 @@
 // discard removes the first n bytes of the buffer, which were relayed.
 func (e *eventSplitter) discard(n int) {
 	e.buffer = e.buffer[:copy(e.buffer, e.buffer[n:])]
+	e.shrink()
+}
+
+// shrink releases the memory that a large event took.
+func (e *eventSplitter) shrink() {
+	if len(e.buffer) == 0 && cap(e.buffer) > relayBufferBytes {
+		e.buffer = nil
+		e.memory.Release()
+	}
 }
 
 // resume prepares for the events of another attempt, which follow the event with the given identifier. It removes a
 // partial event, since an attempt begins with a complete one.
 func (e *eventSplitter) resume(lastID string) {
 	e.buffer = e.buffer[:0]
+	e.shrink()
 	e.order.resume(lastID)
 }
 
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -41,6 +41,8 @@
 	callers  CallerProtocol
 	// bodies bounds the bodies of all calls together.
 	bodies  *masticbody.Budget
+	// answers bounds the parts of events of all answers together; nil means no limit.
+	answers *masticbody.Budget
 	log     logrus.FieldLogger
 	metrics *requestMetrics
 
@@ -103,6 +105,9 @@
 // WithBodyBudget sets the budget of the bodies of all calls, of DefaultBodyBytes otherwise.
 func WithBodyBudget(b *masticbody.Budget) Option { return func(c *Relay) { c.bodies = b } }
 
+// WithAnswerBudget sets the budget of the parts of events that are in memory, beyond some KiB for each stream.
+func WithAnswerBudget(b *masticbody.Budget) Option { return func(c *Relay) { c.answers = b } }
+
 // WithLog sets the logger; the default is logrus.StandardLogger.
 func WithLog(l logrus.FieldLogger) Option { return func(c *Relay) { c.log = l } }
 
--- a/masticrelay/response.go
+++ b/masticrelay/response.go
@@ -208,6 +208,8 @@
 		return nil
 	case errEventOrder:
 		return answeredFailure("an event of %s does not follow event %s", r.server, r.lastEventID())
+	case errEventMemory:
+		return answeredFailure("an event of %s: %v", r.server, err)
 	default:
 		return backendFailure("an event of %s is over %d bytes", r.server, maxEventBytes)
 	}
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -89,6 +89,8 @@
 	}
 	call.Running.Set(masticdrain.Progress{Stage: masticdrain.StageAdmit})
 	r := &requestState{relay: c, writer: w, call: call}
+	r.events.memory = c.answers.Reserve()
+	defer r.events.memory.Release()
 	err := r.serve(ctx)
 	r.endOrigin(err)
 	r.logOutcome(err)
