Bound the answers of all calls together on the product's path

What callers would see: a host that ends with all its requests. An answer that is not streamed may have 32 MiB and is held whole until its caller has read it, the event that a stream is in 256 KiB; the sum over all calls had no bound. Sixteen calls to servers that send bytes without end took 512 MiB and what their buffers needed to grow.

Now the memory of all answers counts against MaxAnswersBytes of the client, 512 MiB as for the bodies of requests. An answer without room fails like one that is too large; its server is checked and not taken for ended.

Ruled out: the platform's path, which passes such answers through a buffer of 8 KiB.

--- a/masticengine/answer.go
+++ b/masticengine/answer.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 
+	"masticladder/masticbody"
 	"masticladder/masticerror"
 )
 
@@ -17,9 +18,18 @@
 	Header      http.Header
 	Body        []byte
 	Incarnation string
+	memory      *masticbody.Reader
 }
 
-// Do sends call and returns the complete answer, or a *Failure. An engine's error status is a
+// Release returns the memory of the body to the client, which bounds that of all answers. The body must not be used
+// afterwards.
+func (a Answer) Release() {
+	if a.memory != nil {
+		a.memory.Release()
+	}
+}
+
+// Do sends call and returns the complete answer, which must be released, or a *Failure. An engine's error status is a
 // failure. A service's answer is returned whatever its status.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
 	x, f := c.begin(ctx, call, millis(c.limits.AnswerTimeoutMillis))
@@ -69,16 +79,15 @@
 	if !isFramed(x.answer) {
 		return Answer{}, x.fail(errUnframed)
 	}
-	limit := x.client.limits.MaxAnswerBytes
-	body, err := io.ReadAll(io.LimitReader(x.answer.Body, limit+1))
+	memory := x.client.answers.Reader(x.answer.Body)
+	body, err := memory.ReadAll(-1, x.client.limits.MaxAnswerBytes)
 	if err != nil {
+		memory.Release()
 		x.countTruncated(err)
-		return Answer{}, x.fail(err)
-	}
-	if int64(len(body)) > limit {
-		return Answer{}, x.fail(errTooLarge)
+		return Answer{}, x.fail(sizeError(err))
 	}
 	if x.isEngine() && x.answer.StatusCode == http.StatusOK && !json.Valid(body) {
+		memory.Release()
 		x.client.counters.Truncated.Add(1)
 		return Answer{}, x.fail(errTruncated)
 	}
@@ -87,9 +96,21 @@
 		Header:      filterHeader(x.answer.Header, returnedHeaders),
 		Body:        body,
 		Incarnation: x.running.incarnation,
+		memory:      memory,
 	}, nil
 }
 
+// sizeError returns the error of this package for a body without room, err for another one.
+func sizeError(err error) error {
+	switch {
+	case errors.Is(err, masticbody.ErrTooLarge):
+		return errTooLarge
+	case errors.Is(err, masticbody.ErrBudget):
+		return errMemory
+	}
+	return err
+}
+
 // isFramed reports whether the answer has a stated length or chunked encoding, so that a
 // truncation is detected.
 func isFramed(a *http.Response) bool {
--- a/masticengine/client.go
+++ b/masticengine/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"masticladder/masticbody"
 	"masticladder/masticcall"
 	"masticladder/masticdetector"
 	"masticladder/mastichttp"
@@ -31,7 +32,9 @@
 	ProbeTimeoutMillis int64 `json:"probeMillis"`
 	MaxEventBytes      int   `json:"maxEventBytes"`
 	MaxAnswerBytes     int64 `json:"maxAnswerBytes"`
-	IdleConnections    int   `json:"idleConnections"`
+	// MaxAnswersBytes bounds the memory of all answers together, of streams the part of an event that is not complete.
+	MaxAnswersBytes int64 `json:"maxAnswersBytes"`
+	IdleConnections int   `json:"idleConnections"`
 }
 
 // DefaultLimits returns the limits of a client without WithLimits.
@@ -44,6 +47,7 @@
 		ProbeTimeoutMillis:      500,
 		MaxEventBytes:           masticstream.DefaultMaxEventBytes,
 		MaxAnswerBytes:          32 << 20,
+		MaxAnswersBytes:         512 << 20,
 		IdleConnections:         256,
 	}
 }
@@ -77,6 +81,8 @@
 	log        logrus.FieldLogger
 	detector   *masticdetector.Detector
 	counters   Counters
+	// answers bounds the memory of all answers.
+	answers *masticbody.Budget
 
 	mu      sync.Mutex
 	servers map[string]*serverState
@@ -102,6 +108,7 @@
 	for _, o := range options {
 		o(c)
 	}
+	c.answers = masticbody.NewBudget(c.limits.MaxAnswersBytes)
 	c.pooled = c.transport(false)
 	c.singleUse = c.transport(true)
 	c.detector = masticdetector.New(&livenessChecker{client: c}, c, masticdetector.WithLog(c.log))
@@ -124,6 +131,9 @@
 // Counters returns the counters, which the client updates during calls.
 func (c *Client) Counters() *Counters { return &c.counters }
 
+// AnswerBytes returns the memory of all answers that were not released, and of open streams.
+func (c *Client) AnswerBytes() int64 { return c.answers.Used() }
+
 // Close closes idle connections and ends the checks of servers.
 func (c *Client) Close() {
 	c.detector.Close()
--- a/masticengine/stream.go
+++ b/masticengine/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"masticladder/masticbody"
 	"masticladder/masticstream"
 )
 
@@ -17,8 +18,10 @@
 // Stream is a streamed answer. It uses one decoder buffer of limited size and reads from the
 // server only as fast as its caller calls Next. It is not safe for concurrent use.
 type Stream struct {
-	exchange     *exchange
-	decoder      *masticstream.Decoder
+	exchange *exchange
+	decoder  *masticstream.Decoder
+	// memory is that of the decoder's buffer.
+	memory       *masticbody.Reservation
 	sequence     masticstream.Sequence
 	eventTimeout time.Duration
 	// waiting is set from the first read for an event until that event is delivered.
@@ -38,6 +41,7 @@
 	return &Stream{
 		exchange:     x,
 		decoder:      masticstream.NewDecoder(c.limits.MaxEventBytes),
+		memory:       c.answers.Reserve(),
 		sequence:     call.Sequence,
 		eventTimeout: millis(c.limits.NextEventTimeoutMillis),
 		waiting:      true,
@@ -123,7 +127,11 @@
 		s.waiting = true
 		s.exchange.watch.extend(s.eventTimeout)
 	}
-	n, err := s.exchange.answer.Body.Read(s.decoder.Space())
+	space := s.decoder.Space()
+	if !s.memory.Resize(int64(s.decoder.Size())) {
+		return s.exchange.fail(errMemory)
+	}
+	n, err := s.exchange.answer.Body.Read(space)
 	s.decoder.Advance(n)
 	if n > 0 || err == nil {
 		return nil
@@ -138,6 +146,7 @@
 // Close ends the call. An incomplete stream is cancelled on the server. The connection of a
 // complete stream is reused, for which the end of its body is read.
 func (s *Stream) Close() {
+	s.memory.Release()
 	if s.sequence.Ended() {
 		s.exchange.watch.extend(drainTimeout)
 		_, _ = io.CopyN(io.Discard, s.exchange.answer.Body, 1)
--- a/masticgate/fixture_test.go
+++ b/masticgate/fixture_test.go
@@ -110,6 +110,7 @@
 	b.server.Config.ReadHeaderTimeout = g.NewServer().ReadHeaderTimeout
 	b.server.Config.MaxHeaderBytes = g.NewServer().MaxHeaderBytes
 	b.server.Start()
+	b.t.Cleanup(func() { b.c.Check(b.engine.AnswerBytes(), qt.Equals, int64(0)) })
 	b.t.Cleanup(b.server.Close)
 	b.t.Cleanup(b.engine.Close)
 	return b
--- a/masticgate/inbound.go
+++ b/masticgate/inbound.go
@@ -9,6 +9,7 @@
 
 	"masticladder/masticbody"
 	"masticladder/masticdrain"
+	"masticladder/masticengine"
 	"masticladder/masticerror"
 )
 
@@ -45,6 +46,8 @@
 	identity           identity
 	// body is nil before the body is read.
 	body *masticbody.Reader
+	// answers are the answers of backend servers, which finish releases.
+	answers []masticengine.Answer
 	// service and model are set once they are known to be configured names.
 	service string
 	model   string
@@ -166,11 +169,22 @@
 	}
 }
 
+// keep keeps an answer, and the one of a failure, until the response is complete.
+func (q *inbound) keep(a masticengine.Answer, f *masticengine.Failure) {
+	q.answers = append(q.answers, a)
+	if f != nil && f.Rejected != nil {
+		q.answers = append(q.answers, *f.Rejected)
+	}
+}
+
 // finish flushes the response and prepares the connection for its next request.
 func (q *inbound) finish() {
 	if q.body != nil {
 		q.body.Release()
 	}
+	for _, a := range q.answers {
+		a.Release()
+	}
 	if q.answered {
 		_ = q.flush()
 	}
--- a/masticgate/relay.go
+++ b/masticgate/relay.go
@@ -88,8 +88,9 @@
 func (m *modelCall) exchangeBody(ctx context.Context, a masticcall.Assignment) (string, *masticengine.Failure) {
 	answer, err := m.inbound.gate.engine.Do(ctx, m.call(a))
 	if err != nil {
-		return "", failureOf(err)
+		return "", m.keepFailure(err)
 	}
+	m.inbound.keep(answer, nil)
 	m.sent = true
 	a.FirstToken(m.inbound.gate.now())
 	m.readUsage(answer.Body)
@@ -97,6 +98,13 @@
 	return answer.Incarnation, nil
 }
 
+// keepFailure returns the failure of a call, whose answer is kept.
+func (m *modelCall) keepFailure(err error) *masticengine.Failure {
+	f := failureOf(err)
+	m.inbound.keep(masticengine.Answer{}, f)
+	return f
+}
+
 func (m *modelCall) relayBody(a masticengine.Answer) {
 	for name, values := range a.Header {
 		m.inbound.writer.Header()[name] = values
@@ -107,7 +115,7 @@
 func (m *modelCall) exchangeStream(ctx context.Context, a masticcall.Assignment) (string, *masticengine.Failure) {
 	s, err := m.inbound.gate.engine.Stream(ctx, m.call(a))
 	if err != nil {
-		return "", failureOf(err)
+		return "", m.keepFailure(err)
 	}
 	defer s.Close()
 	m.sent = true
--- a/masticgate/service.go
+++ b/masticgate/service.go
@@ -165,6 +165,7 @@
 		a.Done(c.inbound.gate.now(), masticcall.Result{Failure: string(f.Err.Kind()), ServerEnded: f.ServerEnded})
 		return answer, f
 	}
+	c.inbound.keep(answer, nil)
 	c.sent = true
 	a.Done(c.inbound.gate.now(), masticcall.Result{})
 	return answer, nil
--- a/masticstream/decoder.go
+++ b/masticstream/decoder.go
@@ -43,6 +43,9 @@
 	return d.buffer[len(d.buffer):cap(d.buffer)]
 }
 
+// Size returns the size of the buffer.
+func (d *Decoder) Size() int { return cap(d.buffer) }
+
 func (d *Decoder) compact() {
 	if d.start == 0 {
 		return
