Read whether an answer has choices without keeping them

What callers would see: a host of the product that ends with all its requests. The usage is read from each answer and each event, together with the choices, only to see whether there are any. Each choice was kept as a slice of its own: an answer of 1 MiB that lists numbers as choices made the host allocate 69 MB, one of 32 MiB (the bound) some 2 GB (computed). One faulty engine and one request were enough.

Now a choice is not kept: the decoder checks that they are an array and whether it is empty.

Ruled out: the other members of the answer, which are skipped; the platform's path, which does not read bodies.

Evidence: TestChoicesOfAnswerTakeManyTimesTheirSize, 69,183,296 bytes for an answer of 1,048,619 before; passes after (bound: the size of the answer). TestUsageOnly holds what counts as an event without choices; it passes on both.

--- a/masticgate/relay.go
+++ b/masticgate/relay.go
@@ -10,6 +10,7 @@
 	"masticladder/masticcall"
 	"masticladder/masticengine"
 	"masticladder/masticerror"
+	"masticladder/masticjson"
 	"masticladder/masticstream"
 )
 
@@ -26,8 +27,23 @@
 
 // usageEnvelope is the part of a response or event that carries the usage.
 type usageEnvelope struct {
-	Usage   *engineUsage      `json:"usage"`
-	Choices []json.RawMessage `json:"choices"`
+	Usage   *engineUsage `json:"usage"`
+	Choices choices      `json:"choices"`
+}
+
+// choices reports whether there are any, without keeping them.
+type choices struct{ any bool }
+
+// UnmarshalJSON reads an array.
+func (x *choices) UnmarshalJSON(raw []byte) error {
+	if masticjson.IsNull(raw) {
+		return nil
+	}
+	if raw[0] != '[' {
+		return errors.New("choices are not an array")
+	}
+	x.any = len(bytes.TrimSpace(raw[1:len(raw)-1])) > 0
+	return nil
 }
 
 // attempt sends the request to one backend server and relays the response.
@@ -199,7 +215,7 @@
 		return false
 	}
 	m.usage = *h.Usage
-	return len(h.Choices) == 0
+	return !h.Choices.any
 }
 
 // errorEvent ends a stream that cannot be completed with an error event. No end mark follows it.
