Bound the headers of all callers together

What callers would see: an entry host that ends with all its requests (LOST). Each header of a caller may have 64 KiB; the headers of all connections, some 2,300 on an entry host, had no bound. A line of a few bytes takes some sixteen times its size once it is parsed: 60 KiB of short lines keep about 1 MB, so that some hundred connections that send their headers without end take the 134 MB of an entry host.

Now headers count against a budget from their first byte until the request ends: 0.1 of the host's memory, 64 MiB on hosts without a limit, also on the product's path. The first 4 KiB, which the read buffer holds anyway, and 32 lines are free, so that ordinary requests need no room; what follows counts three times, and 200 bytes for each line. Under TLS lines cannot be told, and each byte beyond 32 KiB counts twenty times. A connection without room breaks like one that the network broke: its caller gets no response and may send the request to another host.

Ruled out: bodies, which have their own budget and are not counted here, also those in the same segment.

TestHeaderIsCountedUntilItsRequestEnds holds that requests after one another release their headers. Not tried: TLS under load.

--- a/masticdaemon/callerconn.go
+++ b/masticdaemon/callerconn.go
@@ -123,6 +123,7 @@
 	}
 	if x, ok := c.(*callerConn); ok {
 		x.setState(state)
+		trackHeadConn(x.Conn, state)
 	}
 }
 
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -19,6 +19,7 @@
 	"masticladder/masticagent"
 	"masticladder/masticassign"
 	"masticladder/masticbackend"
+	"masticladder/masticbody"
 	"masticladder/masticbucket"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
@@ -162,6 +163,7 @@
 	if n.settings.MaxDescriptors > 0 {
 		h.listener = netutil.LimitListener(h.listener, max(1, int(callerDescriptorFraction*float64(n.settings.MaxDescriptors))))
 	}
+	limitHeads(h, masticbody.NewBudget(headBytes(n.settings)), plainHeadMemory)
 	trackCallers(h, n.relay.Limits)
 	h.requests, h.log = n.relay.Requests(), n.log
 	n.callerServer = h
--- a/masticdaemon/nodesettings.go
+++ b/masticdaemon/nodesettings.go
@@ -88,6 +88,8 @@
 	// answerMemoryFraction is the fraction of MemoryLimitBytes that heads and parts of events of answers may take
 	// together.
 	answerMemoryFraction = 0.15
+	// headMemoryFraction is the fraction of MemoryLimitBytes that headers of callers' requests may take together.
+	headMemoryFraction = 0.1
 	// callerDescriptorFraction is the fraction of the descriptors available to callers'
 	// connections. Backend servers, other hosts and files need the rest. Further connections wait
 	// until others close.
--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -9,6 +9,7 @@
 
 	"masticladder/masticadmin"
 	"masticladder/masticagent"
+	"masticladder/masticbody"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
 	"masticladder/masticloader"
@@ -163,6 +164,11 @@
 	if d.callerServer, err = listen(d.settings.Listen, d.gate.NewServer(), nil); err != nil {
 		return err
 	}
+	memory := plainHeadMemory
+	if config != nil {
+		memory = tlsHeadMemory
+	}
+	limitHeads(d.callerServer, masticbody.NewBudget(defaultHeadBytes), memory)
 	trackCallers(d.callerServer, nil)
 	d.callerServer.useTLS(config)
 	d.callerServer.requests, d.callerServer.log = d.gate.Requests(), d.log
