Entries that were replaced do not keep segments of the log on the disk

Operators would see storage.logBytes grow on a control host although its log is compacted again and again, up to the parts of the disk beyond which changes are refused (storageFull).

What one term proposes and does not commit (up to an eighth of the disk) thus stayed until the log had passed its indexes, which with small entries takes as many changes again; six such terms fill the reserve, and the commits of each term's first entry in between do not help.

Why it works: a record that replaces entries or resets the log lowers the highest index of all segments before it, while it is written and while it is read again. Entries that a later leader replaced were never committed, and nothing relies on them.

--- a/masticstore/damage_test.go
+++ b/masticstore/damage_test.go
@@ -147,7 +147,7 @@
 		r := &replay{storage: "s"}
 		isHeader := true
 		read := func(message []byte) error {
-			err := r.applyRecord(message, 1, isHeader)
+			_, err := r.applyRecord(message, 1, isHeader)
 			isHeader = false
 			return err
 		}
--- a/masticstore/load.go
+++ b/masticstore/load.go
@@ -167,7 +167,7 @@
 // written completely: such a segment holds no entries, and its number is above identitySegment.
 func (s *Store) replaySegments(r *replay, identitySegment uint64) error {
 	for i := range s.segments {
-		size, complete, err := s.replaySegment(r, &s.segments[i])
+		size, complete, err := s.replaySegment(r, s.segments[:i+1])
 		if err != nil {
 			return err
 		}
@@ -195,17 +195,18 @@
 	return s.files.Sync()
 }
 
-// replaySegment returns the size of the readable part in bytes and whether it is the whole file.
-func (s *Store) replaySegment(r *replay, g *segment) (int64, bool, error) {
+// replaySegment replays the last of segments. It returns the size of the readable part in bytes and whether it is the whole file.
+func (s *Store) replaySegment(r *replay, segments []segment) (int64, bool, error) {
+	g := segments[len(segments)-1]
 	content, err := s.files.Read(g.name())
 	if err != nil {
 		return 0, false, err
 	}
 	isHeader := true
 	size, err := scan(s.storage, g.name(), content, func(message []byte) error {
-		err := r.applyRecord(message, g.number, isHeader)
+		record, err := r.applyRecord(message, g.number, isHeader)
 		isHeader = false
-		g.maxIndex = max(g.maxIndex, r.lastIndexOrZero())
+		recordIndexes(segments, record)
 		return err
 	})
 	return size, size == int64(len(content)), err
--- a/masticstore/replay.go
+++ b/masticstore/replay.go
@@ -15,19 +15,19 @@
 	entries   []*masticproto.Entry
 }
 
-// applyRecord applies one record of the segment with the given number. Exactly the first record of
+// applyRecord applies one record of the segment with the given number and returns it. Exactly the first record of
 // a segment is a header.
-func (r *replay) applyRecord(message []byte, number uint64, isHeader bool) error {
-	var s masticproto.StoreRecord
-	if err := proto.Unmarshal(message, &s); err != nil {
-		return eris.Wrap(err, "decode a record")
+func (r *replay) applyRecord(message []byte, number uint64, isHeader bool) (*masticproto.StoreRecord, error) {
+	s := &masticproto.StoreRecord{}
+	if err := proto.Unmarshal(message, s); err != nil {
+		return nil, eris.Wrap(err, "decode a record")
 	}
 	h := s.GetHeader()
 	if isHeader != (h != nil) {
-		return eris.New("a segment header is missing or misplaced")
+		return nil, eris.New("a segment header is missing or misplaced")
 	}
 	if isHeader && (h.GetNumber() != number || h.GetStorage() != r.storage) {
-		return eris.New("the segment header names another folder or segment number")
+		return nil, eris.New("the segment header names another folder or segment number")
 	}
 	if s.GetHard() != nil {
 		r.hardState = s.GetHard()
@@ -38,10 +38,10 @@
 	}
 	for _, e := range s.GetEntries() {
 		if err := r.appendEntry(e); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return nil
+	return s, nil
 }
 
 // appendEntry appends an entry. It replaces a stored entry with the same index and all after it.
@@ -93,10 +93,3 @@
 	}
 	return r.entries[s.GetIndex()-r.firstIndex()].GetTerm() == s.GetTerm()
 }
-
-func (r *replay) lastIndexOrZero() uint64 {
-	if len(r.entries) == 0 {
-		return 0
-	}
-	return r.lastIndex()
-}
--- a/masticstore/segment.go
+++ b/masticstore/segment.go
@@ -13,7 +13,7 @@
 // segment is one file of the log.
 type segment struct {
 	number uint64
-	// maxIndex is the highest index of an entry in the segment, including replaced entries.
+	// maxIndex is the highest index of an entry in the segment that no later record replaces.
 	maxIndex uint64
 	// bytes is the size of the file.
 	bytes int64
@@ -44,6 +44,24 @@
 	return segments, nil
 }
 
+// recordIndexes updates the indexes of segments, of which the last contains r. Entries that r replaces do not keep a segment.
+func recordIndexes(segments []segment, r *masticproto.StoreRecord) {
+	if r.GetReset_() != nil {
+		limitIndexes(segments, r.GetReset_().GetIndex())
+	}
+	for _, e := range r.GetEntries() {
+		limitIndexes(segments, e.GetIndex()-1)
+		segments[len(segments)-1].maxIndex = e.GetIndex()
+	}
+}
+
+// limitIndexes records that the entries after index were replaced.
+func limitIndexes(segments []segment, index uint64) {
+	for i := range segments {
+		segments[i].maxIndex = min(segments[i].maxIndex, index)
+	}
+}
+
 // beginSegment starts a segment. Its header repeats the hard state and a pending log reset, so
 // that the earlier segments can be removed. The identity is written last, so that the segment
 // it names is always complete.
--- a/masticstore/store.go
+++ b/masticstore/store.go
@@ -249,9 +249,7 @@
 	}
 	s.size += int64(len(b))
 	current.bytes = s.size
-	for _, e := range r.GetEntries() {
-		current.maxIndex = max(current.maxIndex, e.GetIndex())
-	}
+	recordIndexes(s.segments, r)
 	return nil
 }
 
