--- a/masticcontrol/batch.go
+++ b/masticcontrol/batch.go
@@ -69,6 +69,9 @@
 			return err
 		}
 	}
+	if err := l.storeUnstored(now); err != nil {
+		return err
+	}
 	l.recordSpace()
 	l.startSnapshot(now)
 	return nil
--- a/masticcontrol/commit.go
+++ b/masticcontrol/commit.go
@@ -67,6 +67,7 @@
 	}
 	l.log.WithField("index", s.GetIndex()).Info("state restored from the leader's snapshot")
 	l.stateBytes = int64(len(s.GetData()))
+	l.space.unstored = nil
 	l.replacedMembers = l.replacedMembers.withMembers(s.GetMembers().GetMembers())
 	l.pushSince(before)
 	return nil
--- a/masticcontrol/compact.go
+++ b/masticcontrol/compact.go
@@ -76,11 +76,5 @@
 		return err
 	}
 	l.stateBytes = int64(len(e.data))
-	before := l.store.LogBytes()
-	if err := l.storeSnapshot(now, snapshot); err != nil {
-		return err
-	}
-	l.log.WithField("index", e.index).WithField("bytes", len(e.data)).WithField("logBytesBefore", before).
-		WithField("logBytes", l.store.LogBytes()).Info("log compacted")
-	return nil
+	return l.storeSnapshot(now, snapshot)
 }
--- a/masticcontrol/disk_test.go
+++ b/masticcontrol/disk_test.go
@@ -19,6 +19,9 @@
 	"masticladder/masticview"
 )
 
+// errNoSpace is the error of a full disk.
+var errNoSpace = &fs.PathError{Op: "write", Path: "disk", Err: unix.ENOSPC}
+
 // disk is an in-memory folder that counts syncs and can delay, block or fail them.
 type disk struct {
 	mutex        sync.Mutex
@@ -30,6 +33,8 @@
 	failing      bool
 	// capacity is the size of the disk in bytes, zero for an unlimited one. filled is what files outside of the folder take.
 	capacity, filled int
+	// full refuses everything that needs room, snapshotsFull only snapshots, as a disk with little room does.
+	full, snapshotsFull bool
 	// most is the largest size of all files, those that are being replaced included.
 	most int
 }
@@ -67,13 +72,21 @@
 func (d *disk) Create(name string) (masticstore.File, error) { return d.Append(name, 0) }
 
 func (d *disk) Append(name string, size int64) (masticstore.File, error) {
-	d.set(func(d *disk) { d.files[name] = d.files[name][:size] })
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if _, exists := d.files[name]; d.full && (!exists || int64(len(d.files[name])) != size) {
+		return nil, errNoSpace
+	}
+	d.files[name] = d.files[name][:size]
 	return &diskFile{disk: d, name: name}, nil
 }
 
 func (d *disk) Replace(name string, content []byte) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if d.snapshotsFull && name == "snapshot" {
+		return errNoSpace
+	}
 	if err := d.reserve(len(content)); err != nil {
 		return err
 	}
@@ -87,8 +100,8 @@
 	for _, content := range d.files {
 		used += len(content)
 	}
-	if d.capacity > 0 && used > d.capacity {
-		return &fs.PathError{Op: "write", Path: "disk", Err: unix.ENOSPC}
+	if d.full || d.capacity > 0 && used > d.capacity {
+		return errNoSpace
 	}
 	d.most = max(d.most, used)
 	return nil
@@ -110,6 +123,9 @@
 	if d.failing {
 		return errors.New("the disk failed")
 	}
+	if d.full {
+		return errNoSpace
+	}
 	return nil
 }
 
--- a/masticcontrol/space.go
+++ b/masticcontrol/space.go
@@ -52,6 +52,8 @@
 	// nextCompaction is the earliest time of the next compaction.
 	nextCompaction time.Time
 	nextLog        time.Time
+	// unstored is the snapshot that did not fit on the disk and replaces the stored one once there is room, nil if there is none.
+	unstored *masticproto.Snapshot
 }
 
 func (s *space) share(fraction float64) int64 { return int64(fraction * float64(s.diskBytes)) }
@@ -138,20 +140,37 @@
 	return l.status.Applied >= l.status.SnapshotIndex+l.snapshotEntries || l.store.LogBytes() >= l.space.compactionBytes(l.stateBytes)
 }
 
-// storeSnapshot stores a snapshot of the state and removes what it covers. On a full disk the log is kept and compacted later.
+// storeSnapshot stores a snapshot of the state and removes what it covers. On a full disk the log is kept, and the snapshot is stored
+// later.
 func (l *loop) storeSnapshot(now time.Time, snapshot *masticproto.Snapshot) error {
+	before := l.store.LogBytes()
 	l.space.nextCompaction = now.Add(compactionInterval)
+	l.space.unstored = nil
 	err := l.store.Compact(snapshot)
 	l.recordSpace()
-	if err == nil || l.store.Failed() || !masticstore.IsNoSpace(err) {
+	if err == nil {
+		l.log.WithField("index", snapshot.GetIndex()).WithField("bytes", len(snapshot.GetData())).WithField("logBytesBefore", before).
+			WithField("logBytes", l.store.LogBytes()).Info("log compacted")
+		return nil
+	}
+	if l.store.Failed() || !masticstore.IsNoSpace(err) {
 		return err
 	}
+	l.space.unstored = snapshot
 	l.space.nextCompaction = now.Add(compactionRetryDelay)
 	l.counters.SnapshotFailures.Add(1)
 	l.log.WithError(err).WithField("logBytes", l.store.LogBytes()).Error("snapshot not stored: the disk is full")
 	return nil
 }
 
+// storeUnstored stores the snapshot that did not fit, unless a later one is due.
+func (l *loop) storeUnstored(now time.Time) error {
+	if l.space.unstored == nil || l.compactor.busy || now.Before(l.space.nextCompaction) || l.compactionDue(now) {
+		return nil
+	}
+	return l.storeSnapshot(now, l.space.unstored)
+}
+
 // recordSpace updates the gauges of the files' sizes.
 func (l *loop) recordSpace() {
 	l.counters.LogBytes.Store(l.store.LogBytes())
--- a/masticcontrol/space_test.go
+++ b/masticcontrol/space_test.go
@@ -17,22 +17,30 @@
 
 const testDiskBytes = 4 << 20
 
+// recoveryTimeout is the time within which each change is acknowledged once all disks have room again.
+const recoveryTimeout = 10 * time.Second
+
 // putDocument puts a document of n bytes and repeats it until there is a definite answer.
 func (c *cluster) putDocument(a *client, number int64, n int) error {
 	c.t.Helper()
-	content := fmt.Appendf(nil, "%d %s", number, bytes.Repeat([]byte("r"), n))
-	digest := masticview.DigestOf(content)
-	d := &masticproto.Document{Number: number, ContentDigest: digest[:]}
 	var err error
 	c.eventually(fmt.Sprintf("document %d is answered", number), func() bool {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_, err = a.PutDocument(ctx, d, content)
+		err = c.tryDocument(a, number, n)
 		return err == nil || masticerror.KindOf(err) == masticerror.KindBodyTooLarge
 	})
 	return err
 }
 
+// tryDocument puts a document of n bytes once.
+func (c *cluster) tryDocument(a *client, number int64, n int) error {
+	content := fmt.Appendf(nil, "%d %s", number, bytes.Repeat([]byte("r"), n))
+	digest := masticview.DigestOf(content)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := a.PutDocument(ctx, &masticproto.Document{Number: number, ContentDigest: digest[:]}, content)
+	return err
+}
+
 // TestLargeChangesFillTheDisksOfControlHosts: the log was compacted by its number of entries only, so that some hundred changes of
 // a large document filled the disks of all control hosts, for good.
 func TestLargeChangesFillTheDisksOfControlHosts(t *testing.T) {
@@ -95,3 +103,34 @@
 	c.eventually("the host joins again", func() bool { return c.nodes[full].control.Joined() })
 	q.Assert(c.putDocument(a, 100, 64<<10), quicktest.IsNil)
 }
+
+// TestSnapshotThatDidNotFitIsNotStoredWithoutAChange: a snapshot that found no room was stored only after another entry, so that a host
+// that refuses changes because its log is long refused them long after there was room again.
+func TestSnapshotThatDidNotFitIsNotStoredWithoutAChange(t *testing.T) {
+	q := quicktest.New(t)
+	var counters masticcontrol.Counters
+	c, disks := withDisks(t, 0, masticcontrol.WithDiskBytes(testDiskBytes), masticcontrol.WithCounters(&counters), masticcontrol.WithTickInterval(time.Hour))
+	a := c.agent(1)
+	for _, d := range disks {
+		d.set(func(d *disk) { d.snapshotsFull = true })
+	}
+	number := int64(0)
+	for kind := masticerror.Kind(""); kind != masticerror.KindStorageFull; {
+		number++
+		err := c.tryDocument(a, number, 100<<10)
+		kind = masticerror.KindOf(err)
+		q.Assert(number < 100, quicktest.IsTrue)
+	}
+	failures := counters.SnapshotFailures.Load()
+	c.eventually("the snapshots of all hosts are tried again", func() bool { return counters.SnapshotFailures.Load() >= failures+int64(len(three)) })
+	for _, d := range disks {
+		d.set(func(d *disk) { d.snapshotsFull = false })
+	}
+	ctx, cancel := context.WithTimeout(c.context(), recoveryTimeout)
+	defer cancel()
+	err := error(masticerror.New(masticerror.KindInternal, "not tried"))
+	for err != nil && ctx.Err() == nil {
+		err = c.tryDocument(a, number, 100<<10)
+	}
+	q.Assert(err, quicktest.IsNil)
+}
