--- a/masticcontrol/cluster_test.go
+++ b/masticcontrol/cluster_test.go
@@ -81,17 +81,7 @@
 func (c *cluster) start(name string, members ...*masticproto.Member) {
 	c.t.Helper()
 	n := c.nodes[name]
-	n.wire = masticwire.New(masticwire.WithSource(n.ip))
-	options := append([]masticcontrol.Option{
-		masticcontrol.WithID(name),
-		masticcontrol.WithFolder(n.folder),
-		masticcontrol.WithAddress(netip.AddrPortFrom(n.ip, 0).String()),
-		masticcontrol.WithMembers(members...),
-		masticcontrol.WithWire(n.wire),
-		masticcontrol.WithLog(testLog(c.t)),
-		masticcontrol.WithSeed(uint64(n.ip.As4()[3])),
-	}, slices.Concat(c.options, n.options)...)
-	control, err := masticcontrol.New(options...)
+	control, err := c.open(n, members...)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -102,6 +92,20 @@
 	go n.run()
 }
 
+// open opens control of a host, from a new wire.
+func (c *cluster) open(n *node, members ...*masticproto.Member) (*masticcontrol.Control, error) {
+	n.wire = masticwire.New(masticwire.WithSource(n.ip))
+	return masticcontrol.New(append([]masticcontrol.Option{
+		masticcontrol.WithID(n.name),
+		masticcontrol.WithFolder(n.folder),
+		masticcontrol.WithAddress(netip.AddrPortFrom(n.ip, 0).String()),
+		masticcontrol.WithMembers(members...),
+		masticcontrol.WithWire(n.wire),
+		masticcontrol.WithLog(testLog(c.t)),
+		masticcontrol.WithSeed(uint64(n.ip.As4()[3])),
+	}, slices.Concat(c.options, n.options)...)...)
+}
+
 func (n *node) run() {
 	defer n.running.Done()
 	n.err = n.control.Run()
