--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -40,7 +40,7 @@
 	backends BackendProtocol
 	callers  CallerProtocol
 	// bodies bounds the bodies of all calls together.
-	bodies  *masticbody.Budget
+	bodies *masticbody.Budget
 	// answers bounds the parts of events of all answers together; nil means no limit.
 	answers *masticbody.Budget
 	log     logrus.FieldLogger
