Answer requests that a stopping host has received and not read yet

What callers saw: requests to a host with little processor time, sent 2.6 to 2.9 s after its SIGTERM, were closed 212 to 730 ms later without an answer: three with a reset, one with the end of the connection. No server had run them and no line of the host names them, but they had arrived for longer than the time within which a request may cross a close (LOST).

A process that gets enough processor time reads within a millisecond; one that does not loses what waited. The class: a close that looks at the state of the server, not at what has arrived.

Now the drain accepts what waits, and each connection is closed by its own reader: one that is interrupted reads once more and closes only if no byte of a request has come. It ends when all connections are closed, as before.

Ruled out: requests passed on and cut (none of the four ran); the end of the grace.

--- a/masticdaemon/callerconn.go
+++ b/masticdaemon/callerconn.go
@@ -3,31 +3,35 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
 	"masticladder/masticdocument"
 )
 
-// closeIdleInterval is the time between two searches for idle connections while a server shuts down.
-const closeIdleInterval = 20 * time.Millisecond
+const (
+	// closeIdleInterval is the time between two attempts to close all connections without a request.
+	closeIdleInterval = 20 * time.Millisecond
+	// lastReadTimeout bounds the last read of a connection or listener, which takes what has arrived.
+	lastReadTimeout = 10 * time.Millisecond
+)
 
-// callerListener accepts connections that obey the timeouts of the document in force, which change while the
-// server runs. Timeouts of the server itself apply if they are shorter. It closes them one by one when the server
-// shuts down.
+// callerListener makes the connections of an http.Server obey the timeouts of the document in force, which
+// change while the server runs. Timeouts of the server itself apply if they are shorter.
 type callerListener struct {
 	net.Listener
 	// limits is nil if only the server's own timeouts apply.
 	limits func() (masticdocument.Limits, bool)
 
-	mutex   sync.Mutex
-	open    map[*callerConn]struct{}
-	closing bool
+	mutex sync.Mutex
+	open  map[*callerConn]struct{}
 }
 
-// trackCallers makes h accept its connections with a callerListener, which applies the limits, if any.
+// trackCallers applies the limits, if any, to the connections of h, and makes its shutdown answer what has arrived.
 func trackCallers(h *httpServer, limits func() (masticdocument.Limits, bool)) {
 	h.callers = &callerListener{Listener: h.listener, limits: limits, open: map[*callerConn]struct{}{}}
 	h.listener = h.callers
@@ -40,80 +44,136 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &callerConn{Conn: c, listener: l, acceptedAt: time.Now()}
+	x := &callerConn{Conn: c, listener: l, closeNewAt: time.Now().Add(maxRequestDelay)}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.open[x] = struct{}{}
 	return x, nil
 }
 
-// shutdown stops accepting, closes each connection once it is idle, and returns when none is left or with the error of
-// ctx. Unlike http.Server.Shutdown it serves a request that was read before its connection could be closed.
-func (l *callerListener) shutdown(ctx context.Context) error {
-	// Closing fails if the listener is closed already.
-	_ = l.Close()
-	l.beginClosing()
+// closeIdle closes the connections without a request, and returns the number of connections that were open.
+func (l *callerListener) closeIdle() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for c := range l.open {
+		c.closeIfIdle()
+	}
+	return len(l.open)
+}
+
+func (l *callerListener) remove(c *callerConn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.open, c)
+}
+
+// drainCallers accepts no more connections, and returns once all are closed: each when its running request has been
+// answered. Unlike http.Server.Shutdown, it leaves no request without an answer that has arrived and was not read yet.
+func (s *httpServer) drainCallers(ctx context.Context) error {
+	s.queue.stop()
 	ticker := time.NewTicker(closeIdleInterval)
 	defer ticker.Stop()
-	for l.closeIdle(time.Now()) > 0 {
+	for !s.queue.isEmpty() || s.callers.closeIdle() > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+			s.callers.closeIdle()
 		}
 	}
 	return nil
 }
 
-// closeIdle closes the idle connections, also those that become idle later, and returns the number of the others.
-func (l *callerListener) closeIdle(now time.Time) int {
-	for _, c := range l.connections() {
-		c.closeIfIdle(now)
-	}
-	return len(l.connections())
+// callerConn is a connection of a caller.
+type callerConn struct {
+	net.Conn
+	listener *callerListener
+	// closeNewAt is when the connection counts as idle although it has had no request.
+	closeNewAt time.Time
+
+	mutex sync.Mutex
+	state http.ConnState
+	// deadlines is the number of deadlines that were set in the state; readDeadline is the last.
+	deadlines    int
+	readDeadline time.Time
+	// received reports bytes after the last write: those of a request.
+	received bool
+	// closing means that the reader is to close the connection unless a request has arrived.
+	closing bool
 }
 
-func (l *callerListener) connections() []*callerConn {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	out := make([]*callerConn, 0, len(l.open))
-	for c := range l.open {
-		out = append(out, c)
+// Read reads from the connection. It fails on an idle connection that is to be closed and has no bytes of a request.
+func (c *callerConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			c.setReceived(true)
+		}
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.interrupted() {
+			return n, err
+		}
+		n, err = c.Conn.Read(p)
+		if n > 0 {
+			c.setReceived(true)
+		}
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.isIdle() {
+			c.restoreDeadline()
+			return n, err
+		}
+		c.restoreDeadline()
 	}
-	return out
 }
 
-func (l *callerListener) beginClosing() {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.closing = true
+// Write writes to the connection. What is read afterwards belongs to the next request.
+func (c *callerConn) Write(p []byte) (int, error) {
+	c.setReceived(false)
+	return c.Conn.Write(p)
 }
 
-func (l *callerListener) isClosing() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.closing
+func (c *callerConn) setReceived(received bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.received = received
 }
 
-func (l *callerListener) remove(c *callerConn) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	delete(l.open, c)
+// closeIfIdle interrupts the reader of an idle connection, which closes it unless it finds a request. A deadline that the
+// server sets at the same time may undo this.
+func (c *callerConn) closeIfIdle() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.idle() {
+		return
+	}
+	c.closing = true
+	_ = c.Conn.SetReadDeadline(time.Now())
 }
 
-// callerConn is a connection of a caller.
-type callerConn struct {
-	net.Conn
-	listener   *callerListener
-	acceptedAt time.Time
+// interrupted reports whether closeIfIdle has ended a read, and sets the deadline of the last one.
+func (c *callerConn) interrupted() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.closing {
+		return false
+	}
+	c.closing = false
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTimeout))
+	return true
+}
 
-	mutex sync.Mutex
-	state http.ConnState
-	// deadlines is the number of deadlines that were set in the state.
-	deadlines int
-	// pending reports that a part of a request was read in the state.
-	pending bool
-	closed  bool
+func (c *callerConn) restoreDeadline() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
+}
+
+func (c *callerConn) isIdle() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.idle()
+}
+
+func (c *callerConn) idle() bool {
+	return !c.received && (c.state == http.StateIdle || c.state == http.StateNew && time.Now().After(c.closeNewAt))
 }
 
 // trackCallerConn implements http.Server.ConnState.
@@ -128,51 +188,12 @@
 }
 
 func (c *callerConn) setState(s http.ConnState) {
-	c.mutex.Lock()
-	c.state, c.deadlines, c.pending = s, 0, false
-	c.mutex.Unlock()
-	if s == http.StateIdle && c.listener.isClosing() {
-		c.closeIfIdle(time.Now())
-	}
-}
-
-// closeIfIdle closes the connection unless a request runs or is being read. A new one has maxRequestDelay for its first
-// request.
-func (c *callerConn) closeIfIdle(now time.Time) {
-	if c.claimIdle(now) {
-		_ = c.Close()
+	if s == http.StateClosed || s == http.StateHijacked {
+		c.listener.remove(c)
 	}
-}
-
-// claimIdle reports whether the connection is idle. If so, no request is read from it any more.
-func (c *callerConn) claimIdle(now time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	idle := c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.acceptedAt) > maxRequestDelay
-	c.closed = c.closed || idle && !c.pending
-	return c.closed
-}
-
-// Read reads from the connection. What was read after the connection was found idle is dropped.
-func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && !c.keepRead() {
-		return 0, net.ErrClosed
-	}
-	return n, err
-}
-
-func (c *callerConn) keepRead() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.pending = c.pending || c.state == http.StateNew || c.state == http.StateIdle
-	return !c.closed
-}
-
-// Close closes the connection.
-func (c *callerConn) Close() error {
-	c.listener.remove(c)
-	return c.Conn.Close()
+	c.state, c.deadlines = s, 0
 }
 
 // SetReadDeadline sets the deadline, or an earlier one where the document states a shorter timeout.
@@ -182,6 +203,9 @@
 			t = limited
 		}
 	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.readDeadline, c.closing = t, false
 	return c.Conn.SetReadDeadline(t)
 }
 
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -267,4 +267,4 @@
 func (g *nodeGate) Drain() { g.node.relay.RefuseBeyondEnd() }
 
 // Wait stops accepting connections and waits for the running requests.
-func (g *nodeGate) Wait(ctx context.Context) error { return g.node.callerServer.shutdown(ctx) }
+func (g *nodeGate) Wait(ctx context.Context) error { return g.node.callerServer.drainCallers(ctx) }
--- a/masticdaemon/server.go
+++ b/masticdaemon/server.go
@@ -32,6 +32,8 @@
 // httpServer serves one address until it is stopped.
 type httpServer struct {
 	listener net.Listener
+	// queue is the listener below all others.
+	queue    *queueListener
 	server   *http.Server
 	stopped  chan struct{}
 	stopOnce sync.Once
@@ -42,8 +44,6 @@
 	log      logrus.FieldLogger
 	// callers accepts the connections of a server for callers, nil on other servers.
 	callers *callerListener
-	// draining is set once the listener is closed on purpose.
-	draining atomic.Bool
 	// endRequests ends the contexts of running requests; nil for a server whose requests end in another way.
 	endRequests context.CancelFunc
 }
@@ -55,7 +55,8 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listening on %s", address)
 	}
-	s := &httpServer{listener: l, server: server, stopped: make(chan struct{})}
+	queue := newQueueListener(l.(*net.TCPListener))
+	s := &httpServer{listener: queue, queue: queue, server: server, stopped: make(chan struct{})}
 	s.useTLS(config)
 	return s, nil
 }
@@ -90,7 +91,7 @@
 
 func (s *httpServer) run() error {
 	err := s.server.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return eris.Wrap(err, "serving")
@@ -127,11 +128,12 @@
 
 // shutdown stops accepting connections and returns when no request runs, or with the error of ctx.
 func (s *httpServer) shutdown(ctx context.Context) error {
-	s.draining.Store(true)
-	if s.callers == nil {
-		return s.server.Shutdown(ctx)
+	if s.callers != nil {
+		if err := s.drainCallers(ctx); err != nil {
+			return err
+		}
 	}
-	return s.callers.shutdown(ctx)
+	return s.server.Shutdown(ctx)
 }
 
 // cut closes all connections. It names the requests that this cuts, and waits for their handlers, which log their
