Tests of the plan on the relay that no test covered

Mutants of the relay's part of the plan that all tests of masticdrain, masticrelay, masticgate, masticdaemon and the planned stops of platform let pass: requests that may have run are refused like those that wait (scope without mayHaveRun). RefuseBeyondEnd or Leave without endScopes were caught by the plan's own test only, since a caller that is told later is told the same.

TestRequestWaitsOnForAServerOfAStoppingHost catches the three on the relay, TestResumedStreamIsCutAsThePlanEnds an attempt that resumes a stream and is not left out of the plan.

--- a/masticrelay/planend_test.go
+++ b/masticrelay/planend_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticdocument"
 )
 
 // endPlan ends the host's plan, and returns once it has ended.
@@ -74,3 +76,92 @@
 		})
 	}
 }
+
+// waitingRequest sends a request that waits, and keeps what its caller is told.
+type waitingRequest struct {
+	fixture *fixture
+	status  int
+	notRun  string
+	done    chan struct{}
+}
+
+func (r *waitingRequest) run() {
+	defer close(r.done)
+	q, err := http.NewRequest(http.MethodPost, r.fixture.front.URL+"/a/x", strings.NewReader("the body"))
+	if err != nil {
+		return
+	}
+	q.Header.Set("Key", testKey)
+	a, err := http.DefaultTransport.RoundTrip(q)
+	if err != nil {
+		return
+	}
+	_ = a.Body.Close()
+	r.status, r.notRun = a.StatusCode, a.Header.Get("Not-Run")
+}
+
+// TestRequestWaitsOnForAServerOfAStoppingHost: a request that no server had run waited until its host ended, though it would not be
+// sent; one that a server may have run goes on until then.
+func TestRequestWaitsOnForAServerOfAStoppingHost(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		route   masticdocument.Route
+		servers []string
+		// refusesAll reports whether the host refuses all requests, not only those that may not be repeated.
+		refusesAll, waitsOn bool
+		notRun              string
+	}{
+		{"one that may not be repeated", once, nil, false, false, "true"},
+		{"one that may, as the host stops", safe, nil, false, true, "true"},
+		{"one that may, as the host refuses all", safe, nil, true, false, "true"},
+		{"one that no server took", once, []string{notRunHead}, false, false, "true"},
+		{"one that a server may have run", safe, []string{failure}, true, true, "false"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			var servers []*rawServer
+			for _, answer := range x.servers {
+				servers = append(servers, newRawServer(c, answer))
+			}
+			b := newFixture(c, x.route, servers...)
+			b.dispatcher.waiting = make(chan context.Context, 1)
+			r := &waitingRequest{fixture: b, done: make(chan struct{})}
+			go r.run()
+			ctx := <-b.dispatcher.waiting
+			b.relay.Leave(time.Now().Add(4 * time.Second))
+			if x.refusesAll {
+				b.relay.RefuseBeyondEnd()
+			}
+			c.Assert(ctx.Err() == nil, qt.Equals, x.waitsOn)
+			b.endPlan()
+			<-r.done
+			c.Assert(r.status, qt.Equals, http.StatusServiceUnavailable)
+			c.Assert(r.notRun, qt.Equals, x.notRun)
+		})
+	}
+}
+
+// TestResumedStreamIsCutAsThePlanEnds: a stream that another server resumes goes on after the plan has ended, like any that has begun.
+func TestResumedStreamIsCutAsThePlanEnds(t *testing.T) {
+	c := qt.New(t)
+	const events = 100
+	var rest, want strings.Builder
+	want.WriteString(event(1))
+	for i := 2; i <= events; i++ {
+		e := fmt.Sprintf("id: %d\ndata: %s\n\n", i, strings.Repeat("x", 64<<10))
+		rest.WriteString(chunk(e))
+		want.WriteString(e)
+	}
+	b := newFixture(c, resumable, newRawServer(c, streamHead+chunk(event(1))+"CUT"), newRawServer(c, streamHead+rest.String()+"0\r\n\r\n"))
+	attempts := 0
+	b.dispatcher.firstToken = func() {
+		if attempts++; attempts == 2 {
+			b.endPlan()
+		}
+	}
+	status, body, whole := b.send(c)
+	c.Assert(attempts, qt.Equals, 2)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(whole, qt.IsTrue)
+	c.Assert(body == want.String(), qt.IsTrue, qt.Commentf("%d bytes", len(body)))
+}
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -136,18 +136,20 @@
 	ended chan struct{}
 	// firstToken, if not nil, is called before a response begins.
 	firstToken func()
+	// waiting, if not nil, gets the context of a request that waits until it ends, since no server is left.
+	waiting chan context.Context
 }
 
-func (d *fakeDispatcher) Acquire(_ context.Context, r masticcall.Request) (masticcall.Assignment, error) {
+func (d *fakeDispatcher) Acquire(ctx context.Context, r masticcall.Request) (masticcall.Assignment, error) {
 	d.requests = append(d.requests, r)
-	return d.assign(r.Avoid)
+	return d.assign(ctx, r.Avoid)
 }
 
-func (d *fakeDispatcher) AcquireService(_ context.Context, _ masticview.Service, avoid []string) (masticcall.Assignment, error) {
-	return d.assign(avoid)
+func (d *fakeDispatcher) AcquireService(ctx context.Context, _ masticview.Service, avoid []string) (masticcall.Assignment, error) {
+	return d.assign(ctx, avoid)
 }
 
-func (d *fakeDispatcher) assign(avoid []string) (masticcall.Assignment, error) {
+func (d *fakeDispatcher) assign(ctx context.Context, avoid []string) (masticcall.Assignment, error) {
 	if d.beforeAssign != nil {
 		d.beforeAssign(d.assigned)
 	}
@@ -157,6 +159,11 @@
 			return &fakeAssignment{dispatcher: d, server: s}, nil
 		}
 	}
+	if d.waiting != nil {
+		d.waiting <- ctx
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return nil, masticerror.New(masticerror.KindNoServer, "none left")
 }
 
