--- a/masticrelay/planend_test.go
+++ b/masticrelay/planend_test.go
@@ -165,3 +165,19 @@
 	c.Assert(whole, qt.IsTrue)
 	c.Assert(body == want.String(), qt.IsTrue, qt.Commentf("%d bytes", len(body)))
 }
+
+// TestStoppingHostSendsOnARequestThatAServerRefused: a request that a server has not run was given to a second one by a host that
+// refused it by then.
+func TestStoppingHostSendsOnARequestThatAServerRefused(t *testing.T) {
+	c := qt.New(t)
+	second := newRawServer(c, okAnswer)
+	b := newFixture(c, once, newRawServer(c, notRunHead), second)
+	b.dispatcher.beforeAssign = func(assigned int) {
+		if assigned == 1 {
+			b.relay.Leave(time.Now().Add(4 * time.Second))
+		}
+	}
+	status, _, _ := b.send(c)
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(second.received(), qt.HasLen, 0)
+}
