Tell callers that wait when their host ends without a drain

What callers saw: requests without an answer were cut two seconds after their host had begun to end by itself, at the failure of a component or a repeated SIGINT: the end of the host was known to its connections only.

Cause: the plan was asked by the drain alone. Now the stop of the drain, which comes before that of the callers' server on both paths, gives the plan an end 0.4 s before connections are closed, unless an earlier one is set. Streams that have begun still run until then.

TestLaterEndExtendsThePlan for the order of the two ends.

--- a/masticdaemon/drain.go
+++ b/masticdaemon/drain.go
@@ -23,6 +23,8 @@
 	Leave(endsAt time.Time)
 	// Drain makes it refuse all requests that might not be complete when the host ends.
 	Drain()
+	// EndBy makes it refuse the same when the host ends at endsAt without a drain.
+	EndBy(endsAt time.Time)
 	Wait(ctx context.Context) error
 }
 
@@ -64,7 +66,12 @@
 
 func (d *drainer) closeBegin() { close(d.begin) }
 
-func (d *drainer) stop(error) { d.stopOnce.Do(d.closeStopped) }
+// stop ends the drain. Requests that still run, because the host ends without a drain, are told so before the server
+// closes their connections.
+func (d *drainer) stop(error) {
+	d.stopOnce.Do(d.closeStopped)
+	d.gate.EndBy(time.Now().Add(closeTimeout - answerMargin))
+}
 
 func (d *drainer) closeStopped() { close(d.stopped) }
 
--- a/masticdaemon/drain_test.go
+++ b/masticdaemon/drain_test.go
@@ -28,6 +28,8 @@
 
 func (g *idleGate) Drain() { g.refusedAt = time.Now() }
 
+func (g *idleGate) EndBy(time.Time) {}
+
 func (g *idleGate) Wait(context.Context) error { return nil }
 
 // slowOperator takes some time to answer a publish, or until its context ends.
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -266,5 +266,8 @@
 // it down, but callers that keep one still use it.
 func (g *nodeGate) Drain() { g.node.relay.RefuseBeyondEnd() }
 
+// EndBy makes the relay refuse all that it might not complete by endsAt.
+func (g *nodeGate) EndBy(endsAt time.Time) { g.node.relay.EndBy(endsAt) }
+
 // Wait stops accepting connections and waits for the running requests.
 func (g *nodeGate) Wait(ctx context.Context) error { return g.node.callerServer.drainCallers(ctx) }
--- a/masticdrain/plan.go
+++ b/masticdrain/plan.go
@@ -50,6 +50,22 @@
 func (p *Plan) Leave(endsAt time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.setEnd(endsAt)
+}
+
+// EndBy sets the end of the host, unless an earlier one is set, and makes the plan refuse all requests whose deadline is
+// after it.
+func (p *Plan) EndBy(endsAt time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.refuseAll = true
+	if !p.endsAt.IsZero() && p.endsAt.Before(endsAt) {
+		endsAt = p.endsAt
+	}
+	p.setEnd(endsAt)
+}
+
+func (p *Plan) setEnd(endsAt time.Time) {
 	p.endsAt = endsAt
 	if p.timer != nil {
 		p.timer.Stop()
@@ -71,7 +87,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if time.Now().Before(p.endsAt) {
-		// A later Leave has replaced the timer.
+		// Another Leave has replaced the timer.
 		return
 	}
 	p.ended = true
--- a/masticdrain/plan_test.go
+++ b/masticdrain/plan_test.go
@@ -102,3 +102,19 @@
 		scope.End()
 	})
 }
+
+// TestLaterEndExtendsThePlan: the end that is set when a host stops must not move that of its drain, nor lose to it.
+func TestLaterEndExtendsThePlan(t *testing.T) {
+	for _, x := range []struct{ second, ended time.Duration }{{9 * time.Second, 7 * time.Second}, {2 * time.Second, 2 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			p, now := &Plan{}, time.Now()
+			ctx, scope := p.Sent(context.Background())
+			p.Leave(now.Add(7 * time.Second))
+			p.EndBy(now.Add(x.second))
+			c.Assert(endedAfter(ctx, now, time.Minute), qt.Equals, x.ended)
+			c.Assert(p.Refuses(now.Add(x.ended), Once), qt.IsFalse)
+			scope.End()
+		})
+	}
+}
--- a/masticgate/drain.go
+++ b/masticgate/drain.go
@@ -58,6 +58,12 @@
 	g.drain.plan.RefuseBeyondEnd()
 }
 
+// EndBy is Drain on a host that ends at endsAt, unless Leave has set an earlier end.
+func (g *Gate) EndBy(endsAt time.Time) {
+	g.drain.refuseNew()
+	g.drain.plan.EndBy(endsAt)
+}
+
 func (d *drainState) refuseNew() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -212,6 +212,9 @@
 // callers have had time to find other hosts.
 func (c *Relay) RefuseBeyondEnd() { c.plan.RefuseBeyondEnd() }
 
+// EndBy makes the relay refuse all requests whose deadline is after endsAt, unless Leave has set an earlier end.
+func (c *Relay) EndBy(endsAt time.Time) { c.plan.EndBy(endsAt) }
+
 // endError returns the refusal of a request of a route that this host might not complete by the given deadline.
 func (c *Relay) endError(route masticdocument.Route, deadline time.Time) *masticerror.Error {
 	if !c.plan.Refuses(deadline, repeatOf(route)) {
