Test that the end of a host is no failure of the servers of its requests

Two mutants passed all unit tests: attempts that the plan ends reported to the detector like a server that broke off (passed the planned stops of platform too), and their error left as cancelled, which cuts the caller (caught by TestPlannedStopCutsRequestsThatWait only). TestStoppingHostChecksTheServersOfUnansweredRequests catches both.

--- a/masticrelay/planend_test.go
+++ b/masticrelay/planend_test.go
@@ -181,3 +181,21 @@
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(second.received(), qt.HasLen, 0)
 }
+
+// TestStoppingHostChecksTheServersOfUnansweredRequests: a request that ends with its host says nothing about its server, which would
+// otherwise be checked and could be reported as failed.
+func TestStoppingHostChecksTheServersOfUnansweredRequests(t *testing.T) {
+	c := qt.New(t)
+	server := newRawServer(c, "")
+	b := newFixture(c, once, server)
+	r := &waitingRequest{fixture: b, done: make(chan struct{})}
+	go r.run()
+	for len(server.received()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.endPlan()
+	<-r.done
+	c.Assert(r.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(r.notRun, qt.Equals, "false")
+	c.Assert(server.checks.Load(), qt.Equals, int64(0))
+}
