Withdraw a host again when its announcement was committed last

What callers get: a host that is stopped while it announces itself, so within its first second or while no leader answers, may be listed as live by all others until it has ended and its renewals are missed. Its callers are refused, and then find no process.

Cause: the announcement and the withdrawal go to the control group beside each other, each with its own attempts, and the one committed last holds. A leaving host no longer looked at its own entry. It does now: once the withdrawal is published, an entry that says live again is withdrawn again. Both paths share the announcer.

--- a/masticdaemon/announce.go
+++ b/masticdaemon/announce.go
@@ -31,8 +31,10 @@
 	// firstAnnounceAt is the time from which a host announces itself even without a view, since
 	// it may be the first host of the fleet.
 	firstAnnounceAt time.Time
-	// leaving is set when the host starts to drain. From then on reconcile publishes nothing.
+	// leaving is set when the host starts to drain. From then on reconcile no longer announces the host.
 	leaving atomic.Bool
+	// withdrawn is the revision of the view in which the host is leaving, zero until that is published.
+	withdrawn atomic.Uint64
 	// context ends when the announcer is stopped.
 	context context.Context
 	cancel  context.CancelFunc
@@ -61,6 +63,7 @@
 // an operator retired the host, after calling onRetire.
 func (a *announcer) reconcile() bool {
 	if a.leaving.Load() {
+		a.withdrawAgain()
 		return false
 	}
 	view := a.views.View()
@@ -83,6 +86,20 @@
 	return false
 }
 
+// withdrawAgain publishes that the host leaves if an announcement that was on its way was committed after the withdrawal.
+func (a *announcer) withdrawAgain() {
+	view, withdrawn := a.views.View(), a.withdrawn.Load()
+	known, ok := view.Host(a.host.Name)
+	if withdrawn == 0 || view.Revision() < withdrawn || !ok || known.State != masticview.HostLive {
+		return
+	}
+	ctx, cancel := context.WithTimeout(a.context, announceTimeout)
+	defer cancel()
+	if _, err := a.publish(ctx, masticview.HostLeaving); err != nil {
+		a.log.WithError(err).Warn("announce: publishing the leaving state again failed; retrying")
+	}
+}
+
 // publish publishes the host's entry with the given state.
 func (a *announcer) publish(ctx context.Context, state masticview.HostState) (masticcall.PublishResult, error) {
 	item := a.host.WithState(state).ToProto()
--- a/masticdaemon/drain.go
+++ b/masticdaemon/drain.go
@@ -123,6 +123,9 @@
 func (w *withdrawal) run(ctx context.Context) {
 	defer close(w.done)
 	published, err := w.announcer.publish(ctx, masticview.HostLeaving)
+	if err == nil {
+		w.announcer.withdrawn.Store(published.Revision)
+	}
 	switch {
 	case err != nil:
 		w.log.WithError(err).Warn("drain: publishing the leaving state failed; other hosts list this host until its renewals are missed")
