Drain on SIGHUP rather than end at once

What callers saw: a SIGHUP, which a terminal sends when it closes, ended a host of masticladder run at once: all its requests were cut, and no line was left.

Cause: the signal was not handled, so its default action held. There is nothing to reload here (certificates are read again by themselves), so it now drains like SIGTERM; a repeated one changes nothing.

--- a/masticcommand/run.go
+++ b/masticcommand/run.go
@@ -18,8 +18,8 @@
   masticladder run --settings host.jsonc
 
 It prints one JSON line when it serves. SIGTERM drains: the host leaves the address list, keeps serving
-until every address list handed out has expired, finishes the requests that run and exits. SIGINT does
-the same, and a second SIGINT ends it at once.
+until every address list handed out has expired, finishes the requests that run and exits. SIGINT and
+SIGHUP do the same, and a second SIGINT ends it within 2 s.
 
 ` + exitCodeHelp
 
@@ -52,7 +52,7 @@
 	return err
 }
 
-// signalHandler drains the daemon on the first signal and ends it at once on a repeated SIGINT. A supervisor may repeat SIGTERM.
+// signalHandler drains the daemon on the first signal and ends it at once on a repeated SIGINT. A supervisor may repeat SIGTERM, and a terminal that closes sends SIGHUP.
 type signalHandler struct {
 	daemon  *masticdaemon.Daemon
 	log     logrus.FieldLogger
@@ -61,7 +61,7 @@
 
 func newSignalHandler(d *masticdaemon.Daemon, log logrus.FieldLogger) *signalHandler {
 	s := &signalHandler{daemon: d, log: log, signals: make(chan os.Signal, 2)}
-	signal.Notify(s.signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	return s
 }
 
