Read messages of other hosts into memory that grows with what arrives

What would be seen: a host that ends, or collects garbage without pause, while a process at the address of another host sends a few bytes. The length of a message, up to 256 MiB, was allocated before any of it had arrived, for each of up to 512 streams of a connection.

Now the first buffer has 64 KiB, and a larger one follows once it is full, at most four times as large and never over the length, so that a whole message takes at most a quarter more than before for a moment. The error for a message over the limit has its kind, and the text of the side that sends.

Ruled out: streams over the limit of a connection, which are closed; what a stream has not read, which the window of 256 KiB bounds.

Evidence: TestAnnouncedFrameTakesMemory, 268,439,994 bytes allocated for a message of which 5 bytes arrive before, 69,872 after. TestFramesOfAllSizes holds that messages are read whole and the end is told from a truncation; it passes on both.

--- a/masticwire/frame.go
+++ b/masticwire/frame.go
@@ -2,15 +2,22 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"io"
 
-	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"masticladder/masticerror"
 )
 
+// firstFrameBytes is the size of the first buffer of a frame that is larger than the buffer of its reader, frameGrowth the
+// factor by which it grows.
+const (
+	firstFrameBytes = 64 << 10
+	frameGrowth     = 4
+)
+
 // checkSize returns an error of kind bodyTooLarge for a message over the size limit.
 func (w *Wire) checkSize(m proto.Message) error {
 	if n := proto.Size(m); n > w.maxFrameBytes {
@@ -35,7 +42,60 @@
 	return err
 }
 
+// readFrame reads a message. Its memory grows with what arrives, whatever length was announced. The error is io.EOF if
+// there is no further frame.
 func (w *Wire) readFrame(from *bufio.Reader, m proto.Message) error {
-	o := protodelim.UnmarshalOptions{MaxSize: int64(w.maxFrameBytes)}
-	return o.UnmarshalFrom(from, m)
+	size, err := binary.ReadUvarint(from)
+	if err != nil {
+		return err
+	}
+	if size > uint64(w.maxFrameBytes) {
+		return masticerror.New(masticerror.KindBodyTooLarge, "message of %d bytes is over the limit of %d", size, w.maxFrameBytes)
+	}
+	if size <= uint64(from.Size()) {
+		return readBuffered(from, int(size), m)
+	}
+	b, err := readGrowing(from, int(size))
+	if err != nil {
+		return truncated(err)
+	}
+	return proto.Unmarshal(b, m)
+}
+
+// readGrowing reads size bytes into a buffer that grows up to that size.
+func readGrowing(from io.Reader, size int) ([]byte, error) {
+	b := make([]byte, min(size, firstFrameBytes))
+	read := 0
+	for {
+		n, err := io.ReadFull(from, b[read:])
+		if err != nil {
+			return nil, err
+		}
+		if read += n; read == size {
+			return b, nil
+		}
+		larger := make([]byte, min(size, frameGrowth*read))
+		copy(larger, b)
+		b = larger
+	}
+}
+
+// readBuffered reads a message of size bytes that fits into the buffer of the reader.
+func readBuffered(from *bufio.Reader, size int, m proto.Message) error {
+	b, err := from.Peek(size)
+	if err != nil {
+		return truncated(err)
+	}
+	if err := proto.Unmarshal(b, m); err != nil {
+		return err
+	}
+	_, err = from.Discard(size)
+	return err
+}
+
+func truncated(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
