Bound the headers of all answers together on the product's path

What callers would see: a host of the product that ends with all its requests. The header of an answer had a bound of 64 KiB, of which short lines take some sixteen times; each open stream kept it whole, and the sum had no bound. 100 streams kept 100 MB.

Now a header has at most 16 KiB, also on answers to probes, load orders and the list of the platform, and what it takes beyond 8 KiB counts against the memory of all answers of the client until the exchange ends.

Ruled out: informational answers, which are not kept there and have the bound of net/http each.

--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"masticladder/masticbody"
 	"masticladder/masticcall"
 	"masticladder/masticerror"
 	"masticladder/masticview"
@@ -24,6 +25,8 @@
 	// singleUse reports that the call has a connection of its own.
 	singleUse bool
 	answer    *http.Response
+	// header is the memory of the answer's header.
+	header *masticbody.Reservation
 	// statement is what the answer states about the server.
 	statement masticcall.Statement
 }
@@ -31,7 +34,7 @@
 // begin sends the call and returns after it has received the answer's header and verified that
 // the answer belongs to the call. timeout applies until the first event or the complete answer.
 func (c *Client) begin(ctx context.Context, call Call, timeout time.Duration) (*exchange, *Failure) {
-	x := &exchange{client: c, call: call}
+	x := &exchange{client: c, call: call, header: c.answers.Reserve()}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	x.watch = newWatchdog(x.cancel, call.Check, checkInterval(timeout))
 	x.watch.extend(timeout)
@@ -64,6 +67,9 @@
 	if err != nil {
 		return x.fail(err)
 	}
+	if !x.header.Resize(headerMemory(x.answer.Header)) {
+		return x.fail(errMemory)
+	}
 	x.client.setEchoesID(x.call.Server.Name, x.answer.Header.Get(HeaderRequestID) == x.call.RequestID)
 	if x.isWrongRequest() {
 		x.client.counters.WrongRequest.Add(1)
@@ -77,6 +83,24 @@
 	return nil
 }
 
+// Estimated memory of a header, and what of it is not counted.
+const (
+	headerFieldBytes = 200
+	freeHeaderBytes  = 8 << 10
+)
+
+// headerMemory returns the memory of h beyond that of an ordinary one.
+func headerMemory(h http.Header) int64 {
+	n := int64(0)
+	for name, values := range h {
+		n += int64(len(name))
+		for _, v := range values {
+			n += headerFieldBytes + int64(len(v))
+		}
+	}
+	return max(0, n-freeHeaderBytes)
+}
+
 func (x *exchange) request() (*http.Request, error) {
 	url := x.call.Server.URL + x.call.Path
 	if x.call.Query != "" {
@@ -176,6 +200,7 @@
 	if x.answer != nil {
 		_ = x.answer.Body.Close()
 	}
+	x.header.Release()
 	if x.running != nil {
 		x.running.attempt.End()
 	}
--- a/mastichttp/transport.go
+++ b/mastichttp/transport.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// MaxHeaderBytes is the maximum size of the header of an answer; net/http accepts 10 MB.
-	MaxHeaderBytes = 64 << 10
+	// MaxHeaderBytes is the maximum size of the header of an answer; net/http accepts 10 MB. Parsed short lines take some
+	// sixteen times their size.
+	MaxHeaderBytes = 16 << 10
 	// dialTimeout bounds the connecting of a call that has a later deadline.
 	dialTimeout = 2 * time.Second
 	// idleTimeout is how long an unused connection is kept.
