--- a/masticcontrol/space_test.go
+++ b/masticcontrol/space_test.go
@@ -33,10 +33,15 @@
 
 // tryDocument puts a document of n bytes once.
 func (c *cluster) tryDocument(a *client, number int64, n int) error {
-	content := fmt.Appendf(nil, "%d %s", number, bytes.Repeat([]byte("r"), n))
-	digest := masticview.DigestOf(content)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
+	return c.tryDocumentUntil(ctx, a, number, n)
+}
+
+// tryDocumentUntil puts a document of n bytes once, until ctx ends.
+func (c *cluster) tryDocumentUntil(ctx context.Context, a *client, number int64, n int) error {
+	content := fmt.Appendf(nil, "%d %s", number, bytes.Repeat([]byte("r"), n))
+	digest := masticview.DigestOf(content)
 	_, err := a.PutDocument(ctx, &masticproto.Document{Number: number, ContentDigest: digest[:]}, content)
 	return err
 }
