Say once that a disk is full, and once that it has room again

Operators saw two to three error lines at each opening of control, twice a second while the disk was full: 'the store failed; control stops', for which OPERATIONS.md says to replace the disk, and 'control ended or failed to open; reopening'. No line said that there was room again, and no metric that control is closed.

The state is kept in Counters, which outlive a control that is opened again, so that both daemons (the platform's node and the product's) have it. Other failures are logged as before.

--- a/masticcontrol/commit.go
+++ b/masticcontrol/commit.go
@@ -43,6 +43,7 @@
 		if err := l.store.Save(r.HardState, r.Entries, r.Snapshot); err != nil {
 			return err
 		}
+		l.recordWrite()
 	}
 	l.peers.send(r.Messages, l.status.Members)
 	if r.Snapshot != nil {
--- a/masticcontrol/control.go
+++ b/masticcontrol/control.go
@@ -57,6 +57,9 @@
 // open creates the loop from the contents of the data folder and binds the address.
 func (c *Control) open() error {
 	store, loaded, err := masticstore.Open(c.folder, c.storeOptions...)
+	if masticstore.IsNoSpace(err) {
+		c.recordFailure(err)
+	}
 	if err != nil {
 		return masticerror.Wrap(err, masticerror.KindInternal, "open the data folder %s", c.folder)
 	}
--- a/masticcontrol/counters.go
+++ b/masticcontrol/counters.go
@@ -30,7 +30,10 @@
 	// StorageRefused counts the commands and the entries of other hosts for which the disk had no room, SnapshotFailures the
 	// snapshots that could not be stored on a full disk.
 	StorageRefused, SnapshotFailures atomic.Int64
-	listReadAt                       atomic.Pointer[time.Time]
+	// StorageFull is 1 from a write that found the disk full until the next that succeeds. Control is closed meanwhile, or opened
+	// again and again.
+	StorageFull atomic.Int64
+	listReadAt  atomic.Pointer[time.Time]
 }
 
 // ListAge returns the time since this host last read the list of backend servers, or minus one
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -142,7 +142,7 @@
 			return nil
 		}
 		if err := first.run(); err != nil {
-			l.log.WithError(err).Error("the store failed; control stops")
+			l.recordFailure(err)
 			return err
 		}
 		l.deadline = l.nextDeadline()
--- a/masticcontrol/space.go
+++ b/masticcontrol/space.go
@@ -176,3 +176,20 @@
 	l.counters.LogBytes.Store(l.store.LogBytes())
 	l.counters.SnapshotBytes.Store(l.store.SnapshotBytes())
 }
+
+// recordFailure logs an error of the store that ends control. A full disk is logged once, until there is room.
+func (s *settings) recordFailure(err error) {
+	switch {
+	case !masticstore.IsNoSpace(err):
+		s.log.WithError(err).Error("the store failed; control stops")
+	case s.counters.StorageFull.CompareAndSwap(0, 1):
+		s.log.WithError(err).Error("the disk is full: control stops until there is room")
+	}
+}
+
+// recordWrite logs the first write after the disk was full.
+func (s *settings) recordWrite() {
+	if s.counters.StorageFull.CompareAndSwap(1, 0) {
+		s.log.Info("the disk has room again")
+	}
+}
--- a/masticdaemon/metrics.go
+++ b/masticdaemon/metrics.go
@@ -80,6 +80,7 @@
 		"storage.diskBytes":        func() int64 { return diskBytes },
 		"storage.refused":          c.StorageRefused.Load,
 		"storage.snapshotFailures": c.SnapshotFailures.Load,
+		"storage.full":             c.StorageFull.Load,
 	}
 }
 
--- a/masticdaemon/supervisor.go
+++ b/masticdaemon/supervisor.go
@@ -91,7 +91,10 @@
 			return false
 		default:
 		}
-		s.log.WithField("cause", cause).Error("control ended or failed to open; reopening")
+		// Control reports a full disk itself, once.
+		if !masticstore.IsNoSpace(cause) {
+			s.log.WithField("cause", cause).Error("control ended or failed to open; reopening")
+		}
 		timer := time.NewTimer(reopenDelay)
 		select {
 		case <-s.stopped:
