Tests of the plan on the product's own path that no test covered

Mutants that all unit tests and the planned stops of platform let pass: a wait of a call that may have run ended by the drain (scope without sent), and a call that may be repeated not told at the end (serveIdempotent without its scope). RefuseBeyondEnd or Leave without endScopes was caught by the plan's own test only, since the end came one second later and brought the same answer.

TestPlannedStopCutsWaitingRequests now has its end 30 s away and asserts that it has not come; TestDrainEndsTheWaitOfACallThatMayHaveRun and TestPlannedStopCutsACallWithoutAnswer are new. The fixture of masticrelay logs why a request had no answer.

--- a/masticgate/waitingstop_test.go
+++ b/masticgate/waitingstop_test.go
@@ -15,7 +15,7 @@
 )
 
 // waitingTimeout is the timeout of requests that wait in the tests of a planned stop, in milliseconds.
-const waitingTimeout = "3000"
+const waitingTimeout = "60000"
 
 // requestRun sends a request and keeps the reply.
 type requestRun struct {
@@ -37,6 +37,13 @@
 	return r
 }
 
+// planEnded reports whether what a server may have run is told that the host ends.
+func (b *fixture) planEnded() bool {
+	ctx, scope := b.gate.drain.plan.Sent(context.Background())
+	defer scope.End()
+	return ctx.Err() != nil
+}
+
 // TestPlannedStopCutsWaitingRequests: requests that waited for a server when their host began to refuse what it could not complete
 // waited on, and were cut with it.
 func TestPlannedStopCutsWaitingRequests(t *testing.T) {
@@ -53,7 +60,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
 			b := newFixture(t)
-			b.limits.OrderMillis = 3000
+			b.limits.OrderMillis = 60_000
 			b.dispatcher.full = true
 			b.addEngine("engine-1")
 			b.addService(masticview.Service{Name: "lookups", Idempotent: true}, masticfake.NewService("lookups"))
@@ -61,11 +68,12 @@
 			b.start()
 			waiting := b.sendInBackground(x.path, x.body)
 			b.eventually(func() bool { return b.gate.Running() == 1 && b.gate.Requests().Stages()["server"] == 1 })
-			b.gate.Leave(time.Now().Add(time.Second))
+			b.gate.Leave(time.Now().Add(30 * time.Second))
 			if x.drains {
 				b.gate.Drain()
 			}
 			<-waiting.done
+			b.c.Assert(b.planEnded(), qt.IsFalse)
 			b.c.Assert(waiting.reply.detail(b.c).Kind, qt.Equals, masticerror.KindDraining)
 			b.c.Assert(waiting.reply.detail(b.c).NotRun, qt.IsTrue)
 			b.c.Assert(len(waiting.reply.detail(b.c).Addresses) > 0, qt.IsTrue)
@@ -137,3 +145,58 @@
 		})
 	}
 }
+
+// brokenService takes all servers and breaks off.
+type brokenService struct {
+	fixture *fixture
+	taken   chan struct{}
+}
+
+func (s *brokenService) ServeHTTP(http.ResponseWriter, *http.Request) {
+	s.fixture.dispatcher.mu.Lock()
+	s.fixture.dispatcher.full = true
+	s.fixture.dispatcher.mu.Unlock()
+	close(s.taken)
+	panic(http.ErrAbortHandler)
+}
+
+// TestDrainEndsTheWaitOfACallThatMayHaveRun: a call that waits for a second server goes on until the host ends, since its caller can't
+// simply send it to another host.
+func TestDrainEndsTheWaitOfACallThatMayHaveRun(t *testing.T) {
+	b := newFixture(t)
+	s := &brokenService{fixture: b, taken: make(chan struct{})}
+	b.addService(masticview.Service{Name: "lookups", Idempotent: true}, s)
+	b.start()
+	waiting := b.sendInBackground("/services/lookups/a", "")
+	<-s.taken
+	b.eventually(func() bool { return b.gate.Requests().Stages()["server"] == 1 })
+	b.gate.Leave(time.Now().Add(30 * time.Second))
+	b.gate.Drain()
+	select {
+	case <-waiting.done:
+		b.c.Fatal("ended by the drain")
+	case <-time.After(200 * time.Millisecond):
+	}
+	b.gate.Leave(time.Now())
+	<-waiting.done
+	b.c.Assert(waiting.reply.detail(b.c).Kind, qt.Equals, masticerror.KindDraining)
+	b.c.Assert(waiting.reply.detail(b.c).NotRun, qt.IsFalse)
+}
+
+// TestPlannedStopCutsACallWithoutAnswer: a call that may be repeated and whose server had not answered at the end of a planned stop.
+func TestPlannedStopCutsACallWithoutAnswer(t *testing.T) {
+	b := newFixture(t)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	b.addService(masticview.Service{Name: "lookups", Idempotent: true}, masticfake.NewService("lookups", masticfake.WithRelease(release)))
+	b.start()
+	silent := b.sendInBackground("/services/lookups/a", "")
+	b.eventually(func() bool { return b.gate.Requests().Stages()["answer"] == 1 })
+	b.gate.Leave(time.Now().Add(100 * time.Millisecond))
+	select {
+	case <-silent.done:
+	case <-time.After(10 * time.Second):
+		b.c.Fatal("no answer")
+	}
+	b.c.Assert(silent.reply.detail(b.c).Kind, qt.Equals, masticerror.KindDraining)
+}
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -332,6 +332,7 @@
 	}
 	a, err := http.DefaultTransport.RoundTrip(q)
 	if err != nil {
+		c.Logf("no answer: %v", err)
 		return 0, "", false
 	}
 	defer a.Body.Close()
