--- a/masticengine/manyheads_test.go
+++ b/masticengine/manyheads_test.go
@@ -15,11 +15,10 @@
 	"masticladder/masticview"
 )
 
-// headServer sends the begin of a head on each connection, and reports each.
+// headServer sends the begin of a head on each connection.
 type headServer struct {
 	listener net.Listener
 	head     string
-	sent     chan struct{}
 }
 
 func (s *headServer) run() {
