Shorten errors that quote what a backend server sent; don't suspect servers for want of room

What operators would see: log lines of 60 KB and more, one for each attempt at a server that answers with a long line that is no answer: the parser's error quotes the line, and the log of a process has 256 KB a second, beyond which lines are dropped. And an attempt that failed because this host had no room for the head counted as the end of its server.

Now the text of a parser's error has at most 200 bytes, the bound that a head exceeded is the error whatever the parser makes of it, and a failure for want of room counts as answered.

Ruled out: the product's path, whose errors quote nothing; events and bodies.

Evidence: TestAnswerHeadWithoutEndFillsMemory, new case: an error of over 60 KB before.

--- a/masticbackend/endless_test.go
+++ b/masticbackend/endless_test.go
@@ -61,6 +61,7 @@
 	}{
 		{name: "status line", start: "HTTP/1.1 200 ", repeat: block},
 		{name: "no answer at all", repeat: block},
+		{name: "a long line that is no answer", start: block[:60<<10] + "\r\n", repeat: block},
 		{name: "one header line", start: "HTTP/1.1 200 OK\r\nA: ", repeat: block},
 		{name: "header lines", start: "HTTP/1.1 200 OK\r\n", repeat: "A: " + block[:1000] + "\r\n"},
 		{name: "interim answers", repeat: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100)},
@@ -73,6 +74,7 @@
 			deadline := time.Now().Add(time.Minute)
 			_, err := New().Do(t.Context(), Request{Address: s.listener.Addr().String(), ID: "q", Method: http.MethodGet, URI: "/", Host: "h", Deadline: deadline})
 			c.Assert(err, qt.IsNotNil)
+			c.Assert(len(err.Error()) < 1<<10, qt.IsTrue, qt.Commentf("an error of %d bytes", len(err.Error())))
 			c.Assert(time.Now().Before(deadline), qt.IsTrue)
 			c.Assert(<-s.written < maxWritten, qt.IsTrue)
 		})
--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -136,7 +136,12 @@
 		if ctx.Err() != nil {
 			return nil, contextFailure(ctx, true)
 		}
-		return nil, sentFailure(err, "read the answer of %s", q.Address)
+		f := sentFailure(err, "read the answer of %s", q.Address)
+		if errors.Is(err, errHeadMemory) {
+			// This host has no room; the server was alive.
+			f.ServerEnded, f.Answered = false, true
+		}
+		return nil, f
 	}
 	return a, nil
 }
@@ -184,7 +189,7 @@
 		}
 		r, err := http.ReadResponse(a.conn.reader, &http.Request{Method: q.Method})
 		if err != nil {
-			return err
+			return a.conn.head.errorOf(err)
 		}
 		// The reader does not count the lines of a head that were buffered together with what precedes it.
 		if fields += fieldsOf(r.Header); fields > maxHeadLines {
--- a/masticbackend/head.go
+++ b/masticbackend/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -19,6 +20,8 @@
 	// headTimeout is the time in which a head must be complete once its first byte is there. Servers
 	// write a head at once; a lost segment is retransmitted after some 200 ms.
 	headTimeout = 1500 * time.Millisecond
+	// maxErrorBytes is the maximum size of the text of an error.
+	maxErrorBytes = 200
 	// maxInterimAnswers is the maximum number of informational answers before an answer.
 	maxInterimAnswers = 5
 )
@@ -40,10 +43,12 @@
 	// inLines reports that lines are counted, emptyLine that the current line is empty.
 	inLines, emptyLine bool
 	left, bytes, lines int
+	// failed is the bound that the head exceeded, which parsers do not always return.
+	failed error
 }
 
 // start prepares for the answer to the next request.
-func (r *headReader) start() { r.bytes, r.lines = 0, 0 }
+func (r *headReader) start() { r.bytes, r.lines, r.failed = 0, 0, nil }
 
 // begin starts to bound a head.
 func (r *headReader) begin() error {
@@ -78,7 +83,8 @@
 		return r.tcp.Read(p)
 	}
 	if r.left <= 0 {
-		return 0, errHeadTooLarge
+		r.failed = errHeadTooLarge
+		return 0, r.failed
 	}
 	n, err := r.tcp.Read(p[:min(len(p), r.left)])
 	r.left -= n
@@ -86,8 +92,8 @@
 		return n, err
 	}
 	if r.inLines {
-		if over := r.countHead(p[:n]); over != nil {
-			return n, over
+		if r.failed = r.countHead(p[:n]); r.failed != nil {
+			return n, r.failed
 		}
 	}
 	if !r.begun {
@@ -97,6 +103,18 @@
 	return n, err
 }
 
+// errorOf returns the bound that a head exceeded, or err, the error of its parser, with a short text: parsers quote what
+// they read.
+func (r *headReader) errorOf(err error) error {
+	switch {
+	case r.failed != nil:
+		return r.failed
+	case len(err.Error()) > maxErrorBytes:
+		return fmt.Errorf("%.*q", maxErrorBytes, err.Error())
+	}
+	return err
+}
+
 // countHead counts the bytes of a head, and its lines up to the empty one that ends it.
 func (r *headReader) countHead(p []byte) error {
 	r.bytes += len(p)
--- a/masticbackend/manyheads_test.go
+++ b/masticbackend/manyheads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -62,8 +63,12 @@
 	defer x.done.Done()
 	for range x.count {
 		a, err := x.client.Do(t.Context(), Request{Address: x.address, Method: http.MethodGet, URI: "/", Host: "h", Deadline: time.Now().Add(time.Minute)})
-		if err == nil {
+		var f *Failure
+		switch {
+		case err == nil:
 			x.answers = append(x.answers, a)
+		case errors.Is(err, errHeadMemory) && errors.As(err, &f) && f.ServerEnded:
+			t.Error("a server is suspected because this host has no room")
 		}
 	}
 }
