Give the last read of a draining connection 100 ms

By reading: the Go runtime fails a read at once if its deadline has passed before it is tried. A process that does not run for 10 ms between the two would close a connection with a request, or the listener with a connection.

--- a/masticdaemon/callerconn.go
+++ b/masticdaemon/callerconn.go
@@ -17,7 +17,7 @@
 	// closeIdleInterval is the time between two attempts to close all connections without a request.
 	closeIdleInterval = 20 * time.Millisecond
 	// lastReadTimeout bounds the last read of a connection or listener, which takes what has arrived.
-	lastReadTimeout = 10 * time.Millisecond
+	lastReadTimeout = 100 * time.Millisecond
 )
 
 // callerListener makes the connections of an http.Server obey the timeouts of the document in force, which
