Tests of the relay: a client of their own for each front

TestAnswerCutInItsHeadLooksWhole failed now and then (1 of 12 runs and 2 of 40; once beside other packages): "http: CloseIdleConnections called" instead of an answer. Its subtests run in parallel, each closes its test server, and that closes idle connections of the default transport, which they shared. Now each uses the client of its server.

--- a/masticrelay/planend_test.go
+++ b/masticrelay/planend_test.go
@@ -92,7 +92,7 @@
 		return
 	}
 	q.Header.Set("Key", testKey)
-	a, err := http.DefaultTransport.RoundTrip(q)
+	a, err := r.fixture.front.Client().Transport.RoundTrip(q)
 	if err != nil {
 		return
 	}
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -330,7 +330,7 @@
 	for i := 0; i < len(fields); i += 2 {
 		q.Header.Set(fields[i], fields[i+1])
 	}
-	a, err := http.DefaultTransport.RoundTrip(q)
+	a, err := b.front.Client().Transport.RoundTrip(q)
 	if err != nil {
 		c.Logf("no answer: %v", err)
 		return 0, "", false
@@ -627,7 +627,7 @@
 		q.Header.Set("Key", testKey)
 		l := &cancellingCaller{server: s, cancel: cancel}
 		go l.run()
-		a, err := http.DefaultTransport.RoundTrip(q)
+		a, err := b.front.Client().Transport.RoundTrip(q)
 		if err == nil {
 			_, _ = io.Copy(io.Discard, a.Body)
 			_ = a.Body.Close()
