--- a/masticcontrol/uncommitted_test.go
+++ b/masticcontrol/uncommitted_test.go
@@ -57,7 +57,6 @@
 // TestProposalsOfManyLeadersUseUpTheReserve: what leaders proposed and never committed stayed on their disks, until changes were refused
 // for good.
 func TestProposalsOfManyLeadersUseUpTheReserve(t *testing.T) {
-	t.Parallel()
 	q := quicktest.New(t)
 	s := newFullDiskSoak(t, 3, 2)
 	s.agents = []*client{s.agent(1), s.agent(2)}
