Keep the last sixth of a short grace period for cuts

What callers would see: with a grace period of 2 s, connections closed 1.5 s after the signal, before its last sixth; with 5 s, requests without an answer given up at 4.1 s.

Cause: the margins before the end were constants, 0.9 and 0.5 s, whatever the grace period. Now they are a sixth and a tenth of it at most; at 8 s they are as they were.

--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -176,7 +176,7 @@
 		firstAnnounceAt: time.Now().Add(firstAnnounceDelay),
 	}
 	n.announcer.context, n.announcer.cancel = context.WithCancel(context.Background())
-	n.drainer = newDrainer(&nodeGate{node: n}, n.announcer, n.log, n.settings.AddressListTTL, 0, n.settings.GracePeriod-shutdownMargin)
+	n.drainer = newDrainer(&nodeGate{node: n}, n.announcer, n.log, n.settings.AddressListTTL, 0, n.settings.drainTime())
 	return nil
 }
 
@@ -199,7 +199,7 @@
 		return
 	}
 	n.relay.Drain()
-	closeBy := time.Now().Add(n.settings.GracePeriod - exitMargin)
+	closeBy := time.Now().Add(n.settings.openTime())
 	for _, s := range slices.Concat(n.servers, []*httpServer{n.callerServer}) {
 		s.closeBy.CompareAndSwap(nil, &closeBy)
 	}
--- a/masticdaemon/nodesettings.go
+++ b/masticdaemon/nodesettings.go
@@ -117,10 +117,23 @@
 	// metricsHeaderTimeout bounds reading the header of a request for the metrics.
 	metricsHeaderTimeout = 5 * time.Second
 	// shutdownMargin is how long before the end of the grace period the drain ends, so that the
-	// process exits in time.
-	shutdownMargin = 900 * time.Millisecond
-	// exitMargin is how long before the end of the grace period all connections are closed.
-	exitMargin = 500 * time.Millisecond
+	// process exits in time. In a short grace period it is the last shutdownFraction.
+	shutdownMargin   = 900 * time.Millisecond
+	shutdownFraction = 6
+	// exitMargin is how long before the end of the grace period all connections are closed. In a short grace period it is
+	// the last exitFraction.
+	exitMargin   = 500 * time.Millisecond
+	exitFraction = 10
 	// flushTimeout bounds the return of unspent quota at the end.
 	flushTimeout = 250 * time.Millisecond
 )
+
+// drainTime returns how long a drain may last, from the stop signal.
+func (s NodeSettings) drainTime() time.Duration {
+	return s.GracePeriod - min(shutdownMargin, s.GracePeriod/shutdownFraction)
+}
+
+// openTime returns how long connections may stay open, from the stop signal.
+func (s NodeSettings) openTime() time.Duration {
+	return s.GracePeriod - min(exitMargin, s.GracePeriod/exitFraction)
+}
