Send callers of a stopping control host back soon

Another host, or this one a moment later, serves them; the short time of all temporary refusals applies again.

--- a/masticrelay/retry.go
+++ b/masticrelay/retry.go
@@ -90,8 +90,10 @@
 func notRunError(c *Relay, e *masticerror.Error) *masticerror.Error {
 	switch e.Kind() {
 	case masticerror.KindOverloaded, masticerror.KindNoServer, masticerror.KindQuarantined, masticerror.KindRateLimited,
-		masticerror.KindUnauthenticated, masticerror.KindNoLease, masticerror.KindDraining:
+		masticerror.KindUnauthenticated, masticerror.KindNoLease:
 		return e
+	case masticerror.KindDraining:
+		return unavailable(c, masticerror.KindDraining, "%s", e.Message())
 	default:
 		return unavailable(c, masticerror.KindOverloaded, "no backend server took the request: %s", e.Message())
 	}
