--- a/masticdrain/requests.go
+++ b/masticdrain/requests.go
@@ -24,7 +24,7 @@
 	StageStream Stage = "rest of the answer"
 )
 
-// maxNamedRequests bounds the requests that LogCut names; the others are counted by stage.
+// maxNamedRequests bounds the requests that LogCut names; the others are only counted.
 const maxNamedRequests = 200
 
 // Progress is what is known of a running request. It is immutable.
