Rejections of requests that have not run are no failures of the server's health

Such a rejection has its own kind, backendBusy, and corrects the estimate of the server's load: the server counts as full for 50 ms, doubled with each further rejection in a row up to 400 ms. Requests go elsewhere meanwhile, or wait in the queue. A server that rejects a share of its requests despite room is still found: at most two rejections in a row count as failures if a prompt answer follows and fewer than a third of the pool's other servers rejected requests within 2 s. 421 counts as before.

--- a/masticerror/kind.go
+++ b/masticerror/kind.go
@@ -28,6 +28,7 @@
 	KindStorageFull         Kind = "storageFull"
 	KindRetryBudget         Kind = "retryBudgetSpent"
 	KindBackendRefused      Kind = "backendRefused"
+	KindBackendBusy         Kind = "backendBusy"
 	KindBackendFailed       Kind = "backendFailed"
 	KindStreamBroken        Kind = "streamBroken"
 	KindOutcomeUnknown      Kind = "outcomeUnknown"
--- a/masticerror/table.go
+++ b/masticerror/table.go
@@ -51,6 +51,7 @@
 	{KindStorageFull, http.StatusServiceUnavailable, OutcomeNotRun, time.Second, "The disks of the control group have no room for the change now."},
 	{KindRetryBudget, http.StatusServiceUnavailable, OutcomeByError, time.Second, "The workspace's retry budget is spent."},
 	{KindBackendRefused, http.StatusBadGateway, OutcomeByError, time.Second, "The backend server refused the request."},
+	{KindBackendBusy, http.StatusBadGateway, OutcomeByError, time.Second, "The backend server stated that it does not run the request now."},
 	{KindBackendFailed, http.StatusBadGateway, OutcomeUnknown, time.Second, "The backend server failed after it may have received the request."},
 	{KindStreamBroken, http.StatusBadGateway, OutcomeUnknown, time.Second, "The stream could not be completed."},
 	{KindOutcomeUnknown, http.StatusBadGateway, OutcomeUnknown, 0, "The call may have run; it is not run again."},
--- a/masticrelay/response.go
+++ b/masticrelay/response.go
@@ -29,10 +29,15 @@
 	c := r.relay
 	if c.backends.NotRun(answer.Status, answer.Header) {
 		drainBody(answer)
-		replaced := c.backends.Replaced(answer.Status)
+		if c.backends.Replaced(answer.Status) {
+			return &masticbackend.Failure{
+				Err:         masticerror.New(masticerror.KindBackendRefused, "%s answered %d: not run", r.server, answer.Status),
+				ServerEnded: true,
+			}
+		}
 		return &masticbackend.Failure{
-			Err:         masticerror.New(masticerror.KindBackendRefused, "%s answered %d: not run", r.server, answer.Status),
-			ServerEnded: replaced, Answered: !replaced,
+			Err:      masticerror.New(masticerror.KindBackendBusy, "%s answered %d: not run", r.server, answer.Status),
+			Answered: true,
 		}
 	}
 	if !c.backends.Valid(answer.Status, answer.Header) {
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -165,7 +165,7 @@
 		return d, false
 	}
 	s := r.servers[d.Slot]
-	d.Admit = r.canAdmit(s, d.Wait, q)
+	d.Admit = r.canAdmit(now, s, d.Wait, q)
 	d.Ahead = s.load.ownTokens + s.load.reportedOthersTokens(now)
 	return d, true
 }
@@ -267,7 +267,10 @@
 // canAdmit reports whether s may get a request with the predicted wait at once. The quick class
 // does not wait for other work, since engines schedule it first. A request is queued here no
 // longer than it would wait at the backend server.
-func (r *Router) canAdmit(s *server, wait time.Duration, q *Query) bool {
+func (r *Router) canAdmit(now time.Time, s *server, wait time.Duration, q *Query) bool {
+	if s.rejections.isFull(now) {
+		return false
+	}
 	if s.load.running == 0 {
 		return true
 	}
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -164,7 +164,7 @@
 		r.cacheIndex.Reset(slot)
 		if r.shared {
 			// Failures of the former incarnation or weights say nothing about the new ones.
-			s.peerFailures, s.health = peerFailures{}, mastichealth.Server{}
+			s.peerFailures, s.health, s.rejections = peerFailures{}, mastichealth.Server{}, rejections{}
 		}
 	}
 	if before.Incarnation != i.Incarnation || !r.shared && before.State != i.State {
--- a/masticroute/server.go
+++ b/masticroute/server.go
@@ -28,6 +28,7 @@
 	health       mastichealth.Server
 	peerFailures peerFailures
 	notice       Notice
+	rejections   rejections
 	// active reports that the view allows new work on the backend server.
 	active bool
 	// listed reports that the view has the backend server.
--- a/masticroute/service.go
+++ b/masticroute/service.go
@@ -21,13 +21,26 @@
 		if !ok || !r.servers[slot].usable(now) || slices.Contains(avoid, name) || !r.servers[slot].notice.Allows(now) || !r.limits.Available(now, name) {
 			continue
 		}
-		if best < 0 || r.servers[slot].calls(now) < r.servers[best].calls(now) {
+		if best < 0 || r.servers[slot].isBetterForCall(now, r.servers[best]) {
 			best = slot
 		}
 	}
 	return best, best >= 0
 }
 
+// isBetterForCall reports whether a call goes to s rather than to o: if both count as full, to that which does so for the
+// shorter time.
+func (s *server) isBetterForCall(now time.Time, o *server) bool {
+	full, otherFull := s.rejections.isFull(now), o.rejections.isFull(now)
+	switch {
+	case full && otherFull:
+		return s.rejections.fullUntil.Before(o.rejections.fullUntil)
+	case full != otherFull:
+		return otherFull
+	}
+	return s.calls(now) < o.calls(now)
+}
+
 // calls returns the number of running calls on s, of this host and of the hosts that report
 // theirs.
 func (s *server) calls(now time.Time) int64 {
@@ -45,6 +58,7 @@
 	s := r.servers[slot]
 	s.load.running--
 	r.ObserveIncarnation(slot, e.Incarnation)
+	e.prompt = true
 	r.updateHealth(now, s, e)
 }
 
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -110,8 +110,10 @@
 // memory has room, unless nothing runs there; otherwise the engine preempts the newest running
 // request and computes its prompt again.
 func (r *Router) canAdmitShared(now time.Time, s *server, q *Query, tokens int64) bool {
-	peers := s.load.peersNow(now)
-	running := int64(s.load.running) + peers.running
+	if s.rejections.isFull(now) {
+		return false
+	}
+	running := s.calls(now)
 	if q.Class != masticview.ClassQuick && running > 0 && s.memoryFullFor(now, float64(tokens)) {
 		return false
 	}
@@ -320,15 +322,18 @@
 		work = min(max(0, work-quickTokens), prefillChunkTokens)/2 + quickTokens
 	}
 	running := int64(s.load.running) + peers.running
-	wait := seconds(work/speed) + time.Duration(running)*stepCost
+	wait := seconds(work/speed) + time.Duration(running)*stepCost + s.rejections.wait(now)
 	if slots := s.info.Slots; slots > 0 && running >= slots {
 		wait += time.Duration(running-slots+1) * s.decodeTime() / time.Duration(slots)
 	}
 	return wait
 }
 
-// slotsTaken reports whether at least as many requests run on the engine as it has slots.
+// slotsTaken reports whether at least as many requests run on the engine as it has slots, or whether it counts as full.
 func (s *server) slotsTaken(now time.Time) bool {
+	if s.rejections.isFull(now) {
+		return true
+	}
 	return s.info.Slots > 0 && int64(s.load.running)+s.load.peersNow(now).running >= s.info.Slots
 }
 
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -78,6 +78,11 @@
 	// Paused reports that the backend server turned the request away and stated until when it wants no
 	// further ones.
 	Paused bool
+	// Rejected reports that the backend server stated that it has not run the request, without a pause: it is full, executes
+	// an order, or has a fault.
+	Rejected bool
+	// prompt reports that a success came as soon as from a server with room; it is set by Done and ServiceDone.
+	prompt bool
 	// ServerEnded reports that the connection broke as if the backend server had terminated.
 	ServerEnded  bool
 	Incarnation  string
@@ -100,6 +105,7 @@
 	if e.ServerEnded && r.cacheIndex.Epoch(w.Slot) == w.Epoch {
 		r.cacheIndex.Reset(w.Slot)
 	}
+	e.prompt = r.wasPrompt(w)
 	r.updateHealth(now, s, e)
 	if current && !e.Partial {
 		r.updateEstimates(now, s, w, e)
@@ -113,11 +119,20 @@
 		s.health.RecordConnectionFailure(now)
 		r.recordTerminated(s)
 	case e.Paused:
+	case e.Rejected:
+		s.rejections = s.rejections.WithRejection(now)
 	case e.Failed:
 		if s.updateFailureRate(1) || !r.shared {
 			s.health.RecordFailedAnswer(now)
 		}
 	case !e.Partial:
+		rejected := s.rejections.counted
+		s.rejections = s.rejections.WithAnswer(now)
+		if rejected > 0 && e.prompt && !r.othersReject(now, s) && s.addRejections(rejected) {
+			s.health.RecordFailedAnswer(now)
+			s.updateFailureRate(0)
+			return
+		}
 		s.updateFailureRate(0)
 		s.health.RecordSuccess(now)
 		s.peerFailures = peerFailures{answeredAt: now}
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -231,6 +231,7 @@
 	return masticroute.End{
 		Failed:      isServerFailure(masticerror.Kind(r.Failure)),
 		Partial:     r.Failure != "",
+		Rejected:    masticerror.Kind(r.Failure) == masticerror.KindBackendBusy && !r.Paused,
 		Paused:      r.Paused,
 		ServerEnded: r.ServerEnded,
 		Incarnation: r.ServerIncarnation, CachedTokens: r.CachedTokens, CachedUnknown: r.CachedUnknown,
