Overloaded coordinators reject at once and keep their shards

Three calls that timed out together closed the connection with all calls on it, and each unanswered call gave the shard to a host that knew nothing of its engines for a second.

Questions say when they were sent by the asker's clock; the coordinator drops those whose host has stopped waiting (also charges, so that no tokens are taken for them) and rejects those older than two thirds of that, or while 256 commands wait in its inbox. A host that is rejected or answered late asks the next shard for some 0.1 s; only a coordinator that is out of reach (no connection, or nothing arrives for 0.4 s) is replaced by the second choice.

The coordinator logs no line for assignments to other hosts; its answer has the candidates, which the asking host logs in its own line with the coordinator and the shard. Not yet measured on a site.

--- a/masticassign/assign.go
+++ b/masticassign/assign.go
@@ -21,6 +21,10 @@
 	// asked counts questions to coordinators, unanswered those without an answer, busy those whose shard
 	// could not take the request.
 	asked, unanswered, busy metrics.Counter
+	// rejected counts questions that coordinators rejected because they had too many, late the unanswered ones
+	// at coordinators that are not out of reach.
+	rejected, late metrics.Counter
+	clock          clock
 
 	mutex   sync.Mutex
 	clients map[string]*usedClient
@@ -32,6 +36,18 @@
 	usedAt time.Time
 }
 
+// deadTimeout is the time without anything from a host that leaves questions unanswered after which it counts as
+// out of reach. A host without processor time is silent for some 100 ms.
+const deadTimeout = 400 * time.Millisecond
+
+// classified returns the error of a call, with kind overloaded if the other host is late but not out of reach.
+func (c *usedClient) classified(err error) error {
+	if c.IsConnected() && c.Silence() < deadTimeout {
+		return masticerror.Wrap(err, masticerror.KindOverloaded, "%s is late", c.Address())
+	}
+	return err
+}
+
 // unusedTimeout is the time after which the connection to a host that is no coordinator any more is closed.
 const unusedTimeout = time.Minute
 
@@ -42,6 +58,9 @@
 		asked:      metrics.GetOrRegisterCounter("shards.asked", r),
 		unanswered: metrics.GetOrRegisterCounter("shards.unanswered", r),
 		busy:       metrics.GetOrRegisterCounter("shards.busy", r),
+		rejected:   metrics.GetOrRegisterCounter("shards.rejected", r),
+		late:       metrics.GetOrRegisterCounter("shards.late", r),
+		clock:      newClock(),
 	}
 }
 
@@ -52,6 +71,11 @@
 	switch {
 	case err != nil:
 		c.unanswered.Inc(1)
+		if masticerror.KindOf(err) == masticerror.KindOverloaded {
+			c.late.Inc(1)
+		}
+	case a.Busy:
+		c.rejected.Inc(1)
 	case a.Server == "":
 		c.busy.Inc(1)
 	}
@@ -63,11 +87,12 @@
 	if err != nil {
 		return masticcall.ShardAssignment{}, err
 	}
+	now := time.Now()
 	a, err := client.Call(ctx, &masticproto.PeerRequest{
-		Kind: &masticproto.PeerRequest_Assign{Assign: encodeRequest(time.Now(), q)},
+		Sent: c.clock.sentAt(now), Kind: &masticproto.PeerRequest_Assign{Assign: encodeRequest(now, q)},
 	})
 	if err != nil {
-		return masticcall.ShardAssignment{}, err
+		return masticcall.ShardAssignment{}, client.classified(err)
 	}
 	if a.GetAssign() == nil {
 		return masticcall.ShardAssignment{}, masticerror.New(masticerror.KindInternal, "%s answered no assignment", peer)
@@ -125,12 +150,18 @@
 type Coordinator interface {
 	AssignFromShard(ctx context.Context, q masticcall.ShardRequest) masticcall.ShardAssignment
 	UpdateShard(u masticcall.ShardUpdate)
+	// Busy reports whether questions wait that will take a large part of the time that their hosts wait.
+	Busy() bool
 }
 
 // Server passes the messages of other hosts to this host's Coordinator.
 type Server struct {
 	coordinator Coordinator
 	keeper      Keeper
+	ages        *ages
+	// rejected counts questions that were rejected because this host has too many, expired those whose host had
+	// stopped waiting.
+	rejected, expired metrics.Counter
 }
 
 // ServerOption configures NewServer.
@@ -139,17 +170,32 @@
 // WithKeeper makes the server take charges.
 func WithKeeper(k Keeper) ServerOption { return func(s *Server) { s.keeper = k } }
 
+// WithMetrics registers the counters of rejected and expired questions in r.
+func WithMetrics(r metrics.Registry) ServerOption {
+	return func(s *Server) {
+		s.rejected = metrics.GetOrRegisterCounter("coordinator.rejected", r)
+		s.expired = metrics.GetOrRegisterCounter("coordinator.expired", r)
+	}
+}
+
 // NewServer returns a server for c.
 func NewServer(c Coordinator, options ...ServerOption) *Server {
-	s := &Server{coordinator: c}
+	s := &Server{coordinator: c, ages: newAges(), rejected: metrics.NewCounter(), expired: metrics.NewCounter()}
 	for _, o := range options {
 		o(s)
 	}
 	return s
 }
 
-// Answer answers an assignment request or a charge.
+// Answer answers an assignment request or a charge. It leaves those unanswered whose host has stopped waiting.
 func (s *Server) Answer(ctx context.Context, q *masticproto.PeerRequest) (*masticproto.PeerAnswer, error) {
+	now := time.Now()
+	wait := time.Duration(q.GetTimeoutMs()) * time.Millisecond
+	age := s.ages.age(now, q.GetSent())
+	if wait > 0 && age >= wait || ctx.Err() != nil {
+		s.expired.Inc(1)
+		return nil, masticerror.New(masticerror.KindOverloaded, "the question was %v old", age)
+	}
 	if c := q.GetCharge(); c != nil {
 		return s.charge(c)
 	}
@@ -157,11 +203,31 @@
 	if p == nil {
 		return nil, masticerror.New(masticerror.KindBadRequest, "this host answers no such call")
 	}
-	r, ok := decodeRequest(time.Now(), p)
+	if wait > 0 && age >= wait*busyNumerator/busyDenominator || s.coordinator.Busy() {
+		s.rejected.Inc(1)
+		return assignAnswer(masticcall.ShardAssignment{Busy: true}), nil
+	}
+	r, ok := decodeRequest(now, p)
 	if !ok {
 		return nil, masticerror.New(masticerror.KindBadRequest, "the assignment request is malformed")
 	}
-	return &masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Assign{Assign: encodeAssignment(s.coordinator.AssignFromShard(ctx, r))}}, nil
+	if wait > 0 {
+		left, cancel := context.WithTimeout(ctx, wait-age)
+		defer cancel()
+		ctx = left
+	}
+	return assignAnswer(s.coordinator.AssignFromShard(ctx, r)), nil
+}
+
+// A question is rejected if it has waited for two thirds of the time that its host waits, so that the rejection
+// still arrives in time.
+const (
+	busyNumerator   = 2
+	busyDenominator = 3
+)
+
+func assignAnswer(a masticcall.ShardAssignment) *masticproto.PeerAnswer {
+	return &masticproto.PeerAnswer{Kind: &masticproto.PeerAnswer_Assign{Assign: encodeAssignment(a)}}
 }
 
 // Receive applies an update or a refund and ignores other messages.
--- a/masticassign/charge.go
+++ b/masticassign/charge.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		return masticcall.ChargeAnswer{}, err
 	}
-	a, err := client.Call(ctx, &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Charge{Charge: &masticproto.ChargeRequest{
+	a, err := client.Call(ctx, &masticproto.PeerRequest{Sent: c.clock.sentAt(time.Now()), Kind: &masticproto.PeerRequest_Charge{Charge: &masticproto.ChargeRequest{
 		Workspace: q.Workspace, Tokens: q.Tokens, WaitUs: q.Wait.Microseconds(), SubstituteOf: uint32(q.SubstituteOf),
 	}}})
 	if err != nil {
--- a/masticassign/codec.go
+++ b/masticassign/codec.go
@@ -67,7 +67,7 @@
 func encodeAssignment(a masticcall.ShardAssignment) *masticproto.AssignAnswer {
 	return &masticproto.AssignAnswer{
 		Server: a.Server, Incarnation: a.Incarnation, WeightsVersion: a.WeightsVersion, Fetch: a.FetchAddress, Save: a.SaveAddress,
-		CachedTokens: a.CachedTokens, WaitUs: a.Wait.Microseconds(), PrefillUs: a.Prefill.Microseconds(),
+		CachedTokens: a.CachedTokens, WaitUs: a.Wait.Microseconds(), PrefillUs: a.Prefill.Microseconds(), Busy: a.Busy, Candidates: a.Candidates,
 	}
 }
 
@@ -75,6 +75,7 @@
 	return masticcall.ShardAssignment{
 		Server: p.GetServer(), Incarnation: p.GetIncarnation(), WeightsVersion: p.GetWeightsVersion(), FetchAddress: p.GetFetch(), SaveAddress: p.GetSave(),
 		CachedTokens: min(max(0, p.GetCachedTokens()), maxTokens), Wait: timeOf(p.GetWaitUs()), Prefill: timeOf(p.GetPrefillUs()),
+		Busy: p.GetBusy(), Candidates: p.GetCandidates(),
 	}
 }
 
--- a/masticassign/codec_test.go
+++ b/masticassign/codec_test.go
@@ -27,7 +27,7 @@
 	c.Assert(got, qt.DeepEquals, q)
 	a := masticcall.ShardAssignment{
 		Server: "i-1", Incarnation: "5", WeightsVersion: "2", FetchAddress: "10.0.0.1:1", SaveAddress: "10.0.0.2:1",
-		CachedTokens: 9, Wait: time.Millisecond, Prefill: 3 * time.Millisecond,
+		CachedTokens: 9, Wait: time.Millisecond, Prefill: 3 * time.Millisecond, Busy: true, Candidates: "i-1=shard:4:9",
 	}
 	c.Assert(decodeAssignment(encodeAssignment(a)), qt.DeepEquals, a)
 	u := masticcall.ShardUpdate{Host: "h", ID: 7, Done: true, Result: masticcall.Result{
--- a/masticcall/shard.go
+++ b/masticcall/shard.go
@@ -21,6 +21,10 @@
 	CachedTokens                        int64
 	// Wait and Prefill add up to the predicted time to the first token.
 	Wait, Prefill time.Duration
+	// Busy reports that the coordinator has too many questions and has not looked at this one.
+	Busy bool
+	// Candidates lists the evaluated engines for the log.
+	Candidates string
 }
 
 // ShardUpdate reports the first token, or with Done the end, of an assigned request.
@@ -33,7 +37,8 @@
 
 // Coordinators are the hosts that coordinate shards, by their peer addresses.
 type Coordinators interface {
-	// Assign asks a coordinator. An error means that it gave no answer.
+	// Assign asks a coordinator. An error means that it gave no answer. If the error is of kind overloaded, the
+	// coordinator is late; otherwise it is out of reach.
 	Assign(ctx context.Context, peer string, q ShardRequest) (ShardAssignment, error)
 	// Update reports to a coordinator. It does not block; a lost update is replaced by the deadline of the
 	// request.
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -185,6 +185,6 @@
 		masticrelay.WithRetryBudget(newRetryBudget(n.settings, n.fleetFraction)),
 	)...)
 	n.gossip, err = masticgossip.New(n.settings.Peer, n.wire, n.agent.View, n.dispatcher, n.log, masticgossip.WithListen(n.settings.Peer),
-		masticgossip.WithCalls(masticassign.NewServer(n.dispatcher, masticassign.WithKeeper(n.keeper))))
+		masticgossip.WithCalls(masticassign.NewServer(n.dispatcher, masticassign.WithKeeper(n.keeper), masticassign.WithMetrics(n.registry))))
 	return err
 }
--- a/masticdispatch/dispatcher.go
+++ b/masticdispatch/dispatcher.go
@@ -90,7 +90,7 @@
 		seed:      uint64(time.Now().UnixNano()),
 		drops:     newDrops(),
 		reportDue: make(chan struct{}, 1),
-		sharding:  sharding{lastID: rand.Uint64(), cooldowns: map[string]time.Time{}, assigned: map[assignmentKey]assignedRequest{}},
+		sharding:  sharding{lastID: rand.Uint64(), cooldowns: map[string]time.Time{}, busyUntil: map[string]time.Time{}, assigned: map[assignmentKey]assignedRequest{}},
 	}
 	for _, o := range options {
 		o(d)
--- a/masticdispatch/log.go
+++ b/masticdispatch/log.go
@@ -1,7 +1,7 @@
 package masticdispatch
 
 import (
-	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -22,27 +22,47 @@
 
 // logDecision logs an assignment with all candidates.
 func (d *Dispatcher) logDecision(r masticcall.Request, o *masticschedule.Outcome) {
-	c := &o.Decision
-	d.log.WithFields(requestFields(r)).WithFields(logrus.Fields{
-		"server": o.Server.Name, "reason": string(c.Reason), "predictedMillis": millis(c.Predicted()),
-		"waitMillis": millis(c.Wait), "cachedTokens": int64(c.Cached), "promptTokens": c.Tokens,
-		"queuedMillis": millis(o.Queued), "lookUps": c.LookUps, "candidates": formatCandidates(o),
-		"prefix": c.Prefix(), "weights": o.Server.VersionOf(r.ModelName()), "software": o.Server.Software, "fetch": c.Fetch, "save": c.Save,
+	d.log.WithFields(decisionFields(r, o)).WithField("candidates", formatCandidates(o)).Info("request routed")
+}
+
+// logAdopted logs an assignment by the coordinator with the given peer address, with its candidates. The
+// coordinator has no line of it.
+func (d *Dispatcher) logAdopted(peer string, r masticcall.Request, o *masticschedule.Outcome, a masticcall.ShardAssignment) {
+	d.log.WithFields(decisionFields(r, o)).WithFields(logrus.Fields{
+		"candidates": a.Candidates, "coordinator": peer, "shard": r.Shard,
 	}).Info("request routed")
 }
 
+func decisionFields(r masticcall.Request, o *masticschedule.Outcome) logrus.Fields {
+	c := &o.Decision
+	f := requestFields(r)
+	f["server"], f["reason"], f["predictedMillis"] = o.Server.Name, string(c.Reason), millis(c.Predicted())
+	f["waitMillis"], f["cachedTokens"], f["promptTokens"] = millis(c.Wait), int64(c.Cached), c.Tokens
+	f["queuedMillis"], f["lookUps"], f["prefix"] = millis(o.Queued), c.LookUps, c.Prefix()
+	f["weights"], f["software"] = o.Server.VersionOf(r.ModelName()), o.Server.Software
+	f["fetch"], f["save"] = c.Fetch, c.Save
+	return f
+}
+
 // formatCandidates lists the evaluated candidates as name=reason:milliseconds:cachedTokens.
 func formatCandidates(o *masticschedule.Outcome) string {
-	var b strings.Builder
+	b := make([]byte, 0, candidateBytes*len(o.Names))
 	for i, c := range o.Decision.Evaluated() {
 		if i > 0 {
-			b.WriteByte(' ')
+			b = append(b, ' ')
 		}
-		fmt.Fprintf(&b, "%s=%s:%d:%d", o.Names[i], c.Reason, millis(c.Predicted()), int64(c.Cached))
+		b = append(b, o.Names[i]...)
+		b = append(b, '=')
+		b = append(b, c.Reason...)
+		b = strconv.AppendInt(append(b, ':'), millis(c.Predicted()), 10)
+		b = strconv.AppendInt(append(b, ':'), int64(c.Cached), 10)
 	}
-	return b.String()
+	return string(b)
 }
 
+// candidateBytes is the usual length of a candidate in the log.
+const candidateBytes = 32
+
 func (d *Dispatcher) logRefusal(r masticcall.Request, err error) {
 	e := masticerror.From(err)
 	d.log.WithFields(requestFields(r)).WithFields(logrus.Fields{
--- a/masticdispatch/shard.go
+++ b/masticdispatch/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,8 +20,14 @@
 	shardQueueTimeout = 60 * time.Millisecond
 	// assignTimeout bounds one question to a coordinator.
 	assignTimeout = 150 * time.Millisecond
-	// coordinatorCooldown is how long a coordinator that gave no answer is not asked.
+	// coordinatorCooldown is how long a coordinator that is out of reach is not asked.
 	coordinatorCooldown = time.Second
+	// busyCooldown is the mean time for which a coordinator is not asked that is late or rejects questions. It
+	// varies by half, so that hosts don't ask again together.
+	busyCooldown = 100 * time.Millisecond
+	// maxPendingQuestions is the number of commands in the inbox from which a coordinator rejects questions: a
+	// coordinator with half a core takes some 50 ms for them.
+	maxPendingQuestions = 256
 	// maxShardsTried is the number of shards that are asked before the request is assigned without
 	// knowledge of other hosts' work, and maxRefusedAssignments that of the engines of a shard that this
 	// host may not use.
@@ -45,6 +52,8 @@
 	lastID uint64
 	// cooldowns are the times, by peer address, until which coordinators are not asked.
 	cooldowns map[string]time.Time
+	// busyUntil are the times, by peer address, until which coordinators are spared. They keep their shards.
+	busyUntil map[string]time.Time
 	// assigned are the requests of other hosts that run on engines of this host's shards.
 	assigned map[assignmentKey]assignedRequest
 	sweepAt  time.Time
@@ -99,15 +108,48 @@
 	return masticshard.Host{}, false
 }
 
-// recordAnswer records whether a coordinator answered.
-func (s *sharding) recordAnswer(now time.Time, peer string, answered bool) {
+// isBusy reports whether a coordinator is to be spared.
+func (s *sharding) isBusy(now time.Time, peer string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if answered {
+	return now.Before(s.busyUntil[peer])
+}
+
+// answerKind is how a coordinator reacted to a question.
+type answerKind int
+
+const (
+	answered answerKind = iota
+	// answeredBusy is a rejection, or an answer that comes too late.
+	answeredBusy
+	outOfReach
+)
+
+func kindOfAnswer(a masticcall.ShardAssignment, err error) answerKind {
+	switch {
+	case err == nil && !a.Busy:
+		return answered
+	case err == nil || masticerror.KindOf(err) == masticerror.KindOverloaded:
+		return answeredBusy
+	default:
+		return outOfReach
+	}
+}
+
+// recordAnswer records how a coordinator reacted.
+func (s *sharding) recordAnswer(now time.Time, peer string, k answerKind) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch k {
+	case outOfReach:
+		s.cooldowns[peer] = now.Add(coordinatorCooldown)
+	case answeredBusy:
+		delete(s.cooldowns, peer)
+		s.busyUntil[peer] = now.Add(busyCooldown/2 + rand.N(busyCooldown))
+	default:
 		delete(s.cooldowns, peer)
-		return
+		delete(s.busyUntil, peer)
 	}
-	s.cooldowns[peer] = now.Add(coordinatorCooldown)
 }
 
 func (s *sharding) newID() uint64 {
@@ -125,15 +167,23 @@
 		return nil
 	}
 	shards := division.Rank(r.Model, masticroute.PrefixHash(r.Workspace, r.Model, prompt))
-	for _, s := range shards[:min(maxShardsTried, len(shards))] {
+	asked := 0
+	for _, s := range shards {
+		host, ok := d.sharding.coordinator(time.Now(), s)
+		if !ok || d.sharding.isBusy(time.Now(), host.Peer) {
+			continue
+		}
 		if a := d.acquireFromShard(ctx, s, r, prompt); a != nil || ctx.Err() != nil {
 			return a
 		}
+		if asked++; asked == maxShardsTried {
+			return nil
+		}
 	}
 	return nil
 }
 
-// acquireFromShard asks the coordinator of one shard. A second one is asked if the first gives no answer.
+// acquireFromShard asks the coordinator of one shard. A second one is asked if the first is out of reach.
 func (d *Dispatcher) acquireFromShard(ctx context.Context, s masticshard.Shard, r masticcall.Request, prompt masticprompt.Prompt) masticcall.Assignment {
 	r.Shard = s.Number
 	for range maxRefusedAssignments {
@@ -145,8 +195,8 @@
 			return d.acquireOwnShard(ctx, r, prompt)
 		}
 		q := masticcall.ShardRequest{Host: d.host, ID: d.sharding.newID(), Request: r}
-		answer, err := d.ask(ctx, host.Peer, q)
-		if err != nil {
+		answer, kind := d.ask(ctx, host.Peer, q)
+		if kind == outOfReach {
 			continue
 		}
 		if answer.Server == "" {
@@ -163,23 +213,27 @@
 	return nil
 }
 
-func (d *Dispatcher) ask(ctx context.Context, peer string, q masticcall.ShardRequest) (masticcall.ShardAssignment, error) {
+func (d *Dispatcher) ask(ctx context.Context, peer string, q masticcall.ShardRequest) (masticcall.ShardAssignment, answerKind) {
 	asked, cancel := context.WithTimeout(ctx, assignTimeout)
 	defer cancel()
 	answer, err := d.sharding.coordinators.Assign(asked, peer, q)
+	kind := kindOfAnswer(answer, err)
 	if err != nil {
-		d.log.WithError(err).WithField("request", q.Request.ID).WithField("peer", peer).WithField("shard", q.Request.Shard).Warn("coordinator gave no answer")
+		d.log.WithError(err).WithField("request", q.Request.ID).WithField("peer", peer).WithField("shard", q.Request.Shard).WithField("late", kind == answeredBusy).Warn("coordinator gave no answer")
 		// Without an answer, the coordinator may have assigned an engine.
 		d.sharding.coordinators.Update(peer, masticcall.ShardUpdate{
 			Host: q.Host, ID: q.ID, Done: true, Result: masticcall.Result{Failure: string(masticerror.KindCancelled)},
 		})
 	}
 	if ctx.Err() == nil {
-		d.sharding.recordAnswer(time.Now(), peer, err == nil)
+		d.sharding.recordAnswer(time.Now(), peer, kind)
 	}
-	return answer, err
+	return answer, kind
 }
 
+// Busy reports whether so many commands wait that another host's question would be answered late.
+func (d *Dispatcher) Busy() bool { return len(d.inbox) >= maxPendingQuestions }
+
 // acquireOwnShard assigns an engine of a shard that this host coordinates.
 func (d *Dispatcher) acquireOwnShard(ctx context.Context, r masticcall.Request, prompt masticprompt.Prompt) masticcall.Assignment {
 	o, err := d.submitToShard(ctx, r, prompt)
@@ -212,12 +266,13 @@
 	if err != nil || o.Err != nil {
 		return masticcall.ShardAssignment{}
 	}
-	d.logDecision(q.Request, &o)
+	// The asking host logs the decision.
 	d.cancelAll(d.sharding.addAssigned(q, o.Ticket))
 	c := &o.Decision
 	return masticcall.ShardAssignment{
 		Server: o.Server.Name, Incarnation: o.Server.Incarnation, WeightsVersion: o.Server.VersionOf(q.Request.ModelName()),
 		FetchAddress: c.Fetch, SaveAddress: c.Save, CachedTokens: int64(c.Cached), Wait: c.Wait, Prefill: c.Prefill,
+		Candidates: formatCandidates(&o),
 	}
 }
 
@@ -299,7 +354,7 @@
 	if err != nil || o.Err != nil {
 		return nil
 	}
-	d.logDecision(r, &o)
+	d.logAdopted(peer, r, &o, a)
 	own := d.assignment(o, r.Workspace, r.Class)
 	own.coordinator, own.shardID = peer, q.ID
 	return own
--- a/masticdispatch/shard_test.go
+++ b/masticdispatch/shard_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"masticladder/masticcall"
+	"masticladder/masticerror"
 	"masticladder/masticschedule"
 	"masticladder/masticview"
 )
@@ -22,8 +23,10 @@
 	mutex       sync.Mutex
 	dispatchers map[string]*Dispatcher
 	// down are the hosts that give no answer.
-	down  map[string]bool
-	asked map[string]int
+	down map[string]bool
+	// late are those that answer too late, busy those that reject questions.
+	late, busy map[string]bool
+	asked      map[string]int
 }
 
 func (n *shardNet) dispatcher(peer string) *Dispatcher {
@@ -38,8 +41,16 @@
 
 func (n *shardNet) Assign(ctx context.Context, peer string, q masticcall.ShardRequest) (masticcall.ShardAssignment, error) {
 	d := n.dispatcher(peer)
-	if d == nil {
+	n.mutex.Lock()
+	late, busy := n.late[peer], n.busy[peer]
+	n.mutex.Unlock()
+	switch {
+	case d == nil:
 		return masticcall.ShardAssignment{}, errors.New("no answer")
+	case late:
+		return masticcall.ShardAssignment{}, masticerror.New(masticerror.KindOverloaded, "late")
+	case busy:
+		return masticcall.ShardAssignment{Busy: true}, nil
 	}
 	return d.AssignFromShard(ctx, q), nil
 }
@@ -70,7 +81,7 @@
 }
 
 func newShardNet(c *qt.C, strong, engines int) *shardNet {
-	n := &shardNet{dispatchers: map[string]*Dispatcher{}, down: map[string]bool{}, asked: map[string]int{}}
+	n := &shardNet{dispatchers: map[string]*Dispatcher{}, down: map[string]bool{}, late: map[string]bool{}, busy: map[string]bool{}, asked: map[string]int{}}
 	// The last one is a weak host, which coordinates nothing.
 	for i := range strong + 1 {
 		name := fmt.Sprint("host", i)
@@ -166,6 +177,39 @@
 	c.Assert(n.asked["host0"]+n.asked["host1"]-asked <= 8, qt.IsTrue)
 }
 
+// TestOverloadedCoordinatorKeepsItsShard: a coordinator that answered late lost its shards for a second to one that
+// knew nothing of them. Hosts ask the next shard instead, ask the late one again after a short time, and don't
+// ask the second choice of its shard.
+func TestOverloadedCoordinatorKeepsItsShard(t *testing.T) {
+	for _, rejects := range []bool{false, true} {
+		c := qt.New(t)
+		n := newShardNet(c, 2, 60)
+		now := time.Now()
+		d := n.dispatchers["host2"]
+		shards := d.sharding.current().Rank(shardModel, 1)
+		c.Assert(shards, qt.HasLen, 2)
+		overloaded, other := shards[0].Coordinators[0], shards[1].Coordinators[0]
+		c.Assert(overloaded.Name != other.Name, qt.IsTrue)
+		n.mutex.Lock()
+		n.late[overloaded.Peer], n.busy[overloaded.Peer] = !rejects, rejects
+		n.mutex.Unlock()
+		// All requests are for the shard of the overloaded coordinator.
+		for i := range 20 {
+			n.acquire(c, "host2", i)
+		}
+		got, ok := d.sharding.coordinator(now, shards[0])
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(got, qt.Equals, overloaded)
+		n.mutex.Lock()
+		c.Assert(n.asked[other.Peer] >= 10, qt.IsTrue, qt.Commentf("%v", n.asked))
+		n.mutex.Unlock()
+		end := now.Add(time.Hour)
+		d.sharding.recordAnswer(end, overloaded.Peer, answeredBusy)
+		c.Assert(d.sharding.isBusy(end, overloaded.Peer), qt.IsTrue)
+		c.Assert(d.sharding.isBusy(end.Add(2*busyCooldown), overloaded.Peer), qt.IsFalse)
+	}
+}
+
 // TestHostMayNotUseAssignedEngine checks that a host gets another engine if the assigned one wants nothing
 // from it.
 func TestHostMayNotUseAssignedEngine(t *testing.T) {
--- a/masticwire/call.go
+++ b/masticwire/call.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
+	startedAt := time.Now()
 	q = proto.Clone(q).(*masticproto.PeerRequest)
 	deadline, bounded := ctx.Deadline()
 	if bounded {
@@ -43,10 +44,10 @@
 	}
 	stream, err := session.OpenStream()
 	if err != nil {
-		c.recordUnanswered(session)
+		c.recordUnanswered(session, startedAt)
 		return nil, masticerror.Wrap(err, masticerror.KindNoQuorum, "open a stream to %s", c.address)
 	}
-	s := &Stream{client: c, session: session, stream: stream, reader: bufio.NewReader(stream), context: ctx}
+	s := &Stream{client: c, session: session, stream: stream, reader: bufio.NewReader(stream), context: ctx, startedAt: startedAt}
 	s.stopInterrupt = context.AfterFunc(ctx, s.interrupt)
 	_ = stream.SetWriteDeadline(time.Now().Add(c.wire.writeTimeout))
 	if err := c.wire.writeFrame(stream, q); err != nil {
@@ -63,6 +64,7 @@
 	stream        *yamux.Stream
 	reader        *bufio.Reader
 	context       context.Context
+	startedAt     time.Time
 	stopInterrupt func() bool
 }
 
@@ -90,7 +92,7 @@
 func (s *Stream) readError(err error) error {
 	if cause := s.context.Err(); cause != nil {
 		if errors.Is(cause, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
-			s.client.recordUnanswered(s.session)
+			s.client.recordUnanswered(s.session, s.startedAt)
 		}
 		return masticerror.Wrap(cause, masticerror.KindOutcomeUnknown, "no answer from %s in time", s.client.address)
 	}
--- a/masticwire/client.go
+++ b/masticwire/client.go
@@ -23,15 +23,15 @@
 	dialLock chan struct{}
 	outbox   *outbox
 
-	mutex      sync.Mutex
-	closed     bool
-	session    *yamux.Session
-	conn       net.Conn
-	unanswered int
-	answered   bool
-	backoff    time.Duration
-	nextDial   time.Time
-	lastError  error
+	mutex     sync.Mutex
+	closed    bool
+	session   *yamux.Session
+	conn      *countingConn
+	silence   silence
+	answered  bool
+	backoff   time.Duration
+	nextDial  time.Time
+	lastError error
 }
 
 // Client returns a client for the host at address, an IP:port. It does not connect.
@@ -94,7 +94,7 @@
 }
 
 // finishDial stores the session that was dialled, or starts the back-off if err is not nil.
-func (c *Client) finishDial(now time.Time, conn net.Conn, session *yamux.Session, err error) (*yamux.Session, error) {
+func (c *Client) finishDial(now time.Time, conn *countingConn, session *yamux.Session, err error) (*yamux.Session, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if err != nil {
@@ -102,7 +102,7 @@
 		c.delayNextDial(now)
 		return nil, masticerror.Wrap(err, masticerror.KindNoQuorum, "connect to %s", c.address)
 	}
-	c.conn, c.session, c.unanswered, c.answered = conn, session, 0, false
+	c.conn, c.session, c.silence, c.answered = conn, session, silence{}, false
 	if c.closed {
 		c.closeSession()
 		return nil, masticerror.New(masticerror.KindNoQuorum, "the client of %s is closed", c.address)
@@ -110,7 +110,7 @@
 	return session, nil
 }
 
-func (c *Client) dial(ctx context.Context) (net.Conn, *yamux.Session, error) {
+func (c *Client) dial(ctx context.Context) (*countingConn, *yamux.Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.wire.dialTimeout)
 	defer cancel()
 	dialer := net.Dialer{}
@@ -121,7 +121,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	secured, err := c.handshake(ctx, c.wire.countBytes(plain))
+	counting := c.wire.countBytes(plain)
+	secured, err := c.handshake(ctx, counting)
 	if err != nil {
 		_ = plain.Close()
 		return nil, nil, err
@@ -131,7 +132,7 @@
 		_ = plain.Close()
 		return nil, nil, err
 	}
-	return plain, session, nil
+	return counting, session, nil
 }
 
 func (c *Client) handshake(ctx context.Context, conn net.Conn) (net.Conn, error) {
@@ -169,22 +170,40 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if s == c.session {
-		c.unanswered = 0
+		c.silence = silence{}
 		c.backoff = 0
 		c.answered = true
 	}
 }
 
-// recordUnanswered records a call without an answer on s. It closes the connection after
-// maxUnansweredCalls such calls in a row.
-func (c *Client) recordUnanswered(s *yamux.Session) {
+// recordUnanswered records a call without an answer on s that was started at startedAt. It closes the
+// connection if nothing arrives on it any more.
+func (c *Client) recordUnanswered(s *yamux.Session, startedAt time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if s != c.session {
 		return
 	}
-	c.unanswered++
-	if c.unanswered >= maxUnansweredCalls {
+	var dead bool
+	if c.silence, dead = c.silence.withUnanswered(time.Now(), startedAt, c.conn.arrivedAt()); dead {
 		c.closeSession()
 	}
 }
+
+// Silence returns the time since the first call of a row that got no answer, if nothing has arrived on the
+// connection since then, else zero. Without a connection it is zero.
+func (c *Client) Silence() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.session == nil || c.silence.unanswered == 0 || c.conn.arrivedAt().After(c.silence.since) {
+		return 0
+	}
+	return time.Since(c.silence.since)
+}
+
+// IsConnected reports whether there is a connection.
+func (c *Client) IsConnected() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.session != nil && !c.session.IsClosed()
+}
--- a/masticwire/wire.go
+++ b/masticwire/wire.go
@@ -26,10 +26,7 @@
 	DefaultBackoffMax        = time.Second
 )
 
-const (
-	streamCloseTimeout = 30 * time.Second
-	maxUnansweredCalls = 3
-)
+const streamCloseTimeout = 30 * time.Second
 
 // Wire is the configuration and the byte counters shared by all connections of a host.
 type Wire struct {
