Cache index: prefixes that are being read, saves in progress; shortest source of a fetch

What callers saw: long prompts whose shared part was prefilled a second time, 9 % of all prefilled prompt tokens at a site of 27 entry hosts and 89 engines. Cause: a prefix counted as cached from the moment a request was sent, a store as having it from the first token of the request that saves it, and nearly all fetches went to stores, whose links are 7 times slower than the engines' and were queued.

The index knows when a prefix is read (first token; other hosts' reports; else the predicted time and as much again), and a store has one once its link has transferred it and all saves before. The source of a fetch is the one with the shortest transfer (rates, zone, transfers assigned to it by all hosts), among engines that have read the prefix and the store.

--- a/masticcache/event.go
+++ b/masticcache/event.go
@@ -77,6 +77,7 @@
 		if h.lastUsed.IsZero() {
 			h.lastUsed = now
 		}
+		h.finish(now)
 		x.confirm(slot, h)
 	case Removed:
 		x.removeHolder(now, slot, e.Piece)
--- a/masticcache/index.go
+++ b/masticcache/index.go
@@ -26,17 +26,16 @@
 type holder struct {
 	slot  Slot
 	epoch Epoch
-	// lastUsed is when Touch last recorded the piece for the slot or, before the first Touch, when
-	// an event reported it as stored.
+	// lastUsed is when Begin or Touch last recorded the piece for the slot or, before that, when an
+	// event reported it as stored.
 	lastUsed time.Time
 	// confirmed reports whether an event of the slot's current stream reported the piece as
 	// stored.
 	confirmed bool
 	// missedRemovals is the slot's missedRemovals when the holder was last used or confirmed.
 	missedRemovals float64
-	// residentSince is the start of the piece's current stay in the cache, uninterrupted by a
-	// probable eviction.
-	residentSince time.Time
+	// reading is when the piece is in the cache. The zero value means that it is.
+	reading Reading
 	// writtenTokens is the slot's writtenTokens when it last used the piece.
 	writtenTokens float64
 }
@@ -87,23 +86,11 @@
 	s.confirmedPieces = 0
 }
 
-// Touch records that a request with the pieces was sent to slot at now, or that the store of slot
-// was to save them. It is ignored if epoch is not the current one.
+// Touch records that slot has the pieces at now and uses them. It is ignored if epoch is not the
+// current one.
 func (x *Index) Touch(now time.Time, slot Slot, epoch Epoch, pieces []masticprompt.Piece) {
-	s := x.state(slot)
-	if epoch != s.epoch {
-		return
-	}
-	for _, p := range pieces {
-		h := x.ensureHolder(p.ID, slot)
-		if h.lastUsed.IsZero() || s.evictionProbability(h) > 0 {
-			s.writtenTokens += float64(p.Tokens)
-			h.residentSince = now
-		}
-		h.lastUsed = now
-		h.missedRemovals = s.missedRemovals
-		h.writtenTokens = s.writtenTokens
-	}
+	x.Begin(now, slot, epoch, pieces, Reading{ExpectedAt: now, AssumedAt: now})
+	x.Finish(now, slot, epoch, pieces)
 }
 
 // SetCapacity sets how many tokens fit into the cache of slot. A piece is then expected to
--- a/masticcache/lookup.go
+++ b/masticcache/lookup.go
@@ -33,7 +33,7 @@
 // MatchedPieces returns the number of consecutive pieces with holders from the start of the prompt.
 func (l Lookup) MatchedPieces() int { return len(l.records) }
 
-// Cached returns the expected number of cached tokens of the prompt on slot.
+// Cached returns the expected number of tokens of the prompt that slot has or is reading.
 func (l Lookup) Cached(now time.Time, slot Slot) float64 {
 	s, ok := l.index.states[slot]
 	if !ok {
@@ -52,18 +52,6 @@
 	return tokens
 }
 
-// ResidentBefore reports whether the first piece has been on slot since before the given time, so
-// that its computation has finished by now. It looks at the first piece only: later pieces may
-// have been sent to slot after that time.
-func (l Lookup) ResidentBefore(slot Slot, before time.Time) bool {
-	s, ok := l.index.states[slot]
-	if !ok || len(l.records) == 0 {
-		return false
-	}
-	h := l.records[0].find(slot, s.epoch)
-	return h != nil && h.residentSince.Before(before)
-}
-
 // Holders calls yield with the holders, those of the longest prefix first, until yield
 // returns false. A slot may be passed more than once.
 func (l Lookup) Holders(yield func(Slot) bool) {
--- a/masticdispatch/command.go
+++ b/masticdispatch/command.go
@@ -61,7 +61,12 @@
 	at     time.Time
 }
 
-func (c *firstToken) apply(d *Dispatcher, _ time.Time) { d.scheduler.FirstToken(c.at, c.ticket) }
+func (c *firstToken) apply(d *Dispatcher, _ time.Time) {
+	d.scheduler.FirstToken(c.at, c.ticket)
+	if d.scheduler.TakeFinishedUnsent() {
+		d.signalReportDue()
+	}
+}
 
 type done struct {
 	ticket masticschedule.Ticket
--- a/masticdocument/document.go
+++ b/masticdocument/document.go
@@ -78,8 +78,8 @@
 	Engine             bool
 	Slots, CacheTokens int64
 	Models             []string
-	// TransferTokensPerSecond is the rate at which an engine receives cached prompts over its
-	// network link.
+	// TransferTokensPerSecond is the rate at which an engine or a store transfers cached prompts over
+	// its network link.
 	TransferTokensPerSecond int64
 	// Store is the IP:port of a store of cached prompts, and Zone its zone. Such a pool has no
 	// servers.
--- a/masticgossip/codec.go
+++ b/masticgossip/codec.go
@@ -1,11 +1,16 @@
 package masticgossip
 
 import (
+	"time"
+
 	"masticladder/masticprompt"
 	"masticladder/masticproto"
 	"masticladder/masticroute"
 )
 
+// maxExpectedIn bounds the predicted time until a backend server has a prompt.
+const maxExpectedIn = time.Minute
+
 func encodeReport(r masticroute.PeerReport) *masticproto.LoadReport {
 	p := &masticproto.LoadReport{Host: r.Host, Ended: r.Ended}
 	for _, s := range r.Servers {
@@ -15,7 +20,9 @@
 		})
 	}
 	for _, t := range r.Touches {
-		x := &masticproto.CacheTouch{Server: t.Server}
+		x := &masticproto.CacheTouch{
+			Server: t.Server, ExpectedUs: t.ExpectedIn.Microseconds(), Source: t.Source, SourceTokens: t.SourceTokens,
+		}
 		for _, piece := range t.Pieces {
 			x.Pieces = append(x.Pieces, piece.ID[:])
 			x.Tokens = append(x.Tokens, piece.Tokens)
@@ -34,7 +41,10 @@
 		})
 	}
 	for _, t := range p.GetTouches() {
-		x := masticroute.Touch{Server: t.GetServer()}
+		x := masticroute.Touch{
+			Server: t.GetServer(), ExpectedIn: time.Duration(min(max(0, t.GetExpectedUs()), maxExpectedIn.Microseconds())) * time.Microsecond,
+			Source: t.GetSource(), SourceTokens: max(0, t.GetSourceTokens()),
+		}
 		for i, id := range t.GetPieces() {
 			if i >= len(t.GetTokens()) || len(id) != len(masticprompt.PieceID{}) {
 				break
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -72,6 +72,8 @@
 	OtherHost bool
 	// Suspect reports that the request may crash the backend server that runs it.
 	Suspect bool
+	// Due is when the first token is due, zero if that is not stated.
+	Due time.Time
 	// Waited is how long the request has been in the queue.
 	Waited time.Duration
 	// Versions are the announced versions of the weights, the newest last; empty means that any
@@ -95,6 +97,8 @@
 	// it and holds penalties, such as the time that other requests lose because the prefill takes
 	// cache space.
 	Credit, Cost time.Duration
+	// Hold reports that the request should wait at this host until an engine has read its prefix.
+	Hold bool
 }
 
 // Predicted returns the predicted time to the first token.
@@ -119,6 +123,8 @@
 	// Fetch is the IP:port from which the backend server fetches parts of the prompt, Save that
 	// of the store that receives them. Either may be empty.
 	Fetch, Save string
+	// FetchTokens is the number of tokens that the backend server is expected to fetch.
+	FetchTokens float64
 	evaluated   [maxCandidates]Candidate
 	nEvaluated  int
 }
--- a/masticroute/peer.go
+++ b/masticroute/peer.go
@@ -31,11 +31,16 @@
 	Speed float64
 }
 
-// Touch records that a request with the pieces was sent to a backend server, or that a store was to
-// save them.
+// Touch records that a request with the pieces was sent to a backend server, that the server has them, or
+// that a store was to save them.
 type Touch struct {
 	Server string
 	Pieces []masticprompt.Piece
+	// ExpectedIn is the predicted time until an engine has the pieces, zero if it has them.
+	ExpectedIn time.Duration
+	// Source is the IP:port from which the engine fetches SourceTokens, empty if it fetches nothing.
+	Source       string
+	SourceTokens int64
 }
 
 // PeerReport is the work of one host on all backend servers.
@@ -91,9 +96,7 @@
 	}
 	r.applyPeerFailures(now, report)
 	for _, t := range report.Touches {
-		if slot, ok := r.slots[t.Server]; ok {
-			r.cacheIndex.Touch(now, slot, r.cacheIndex.Epoch(slot), t.Pieces)
-		}
+		r.applyTouch(now, t)
 	}
 }
 
@@ -112,7 +115,7 @@
 // last call.
 func (r *Router) TakeOwnReport(host string) PeerReport {
 	report := PeerReport{Host: host, Touches: r.unsentTouches, Ended: r.unsentTerminated}
-	r.unsentTouches, r.unsentTerminated = nil, nil
+	r.unsentTouches, r.unsentTerminated, r.finishedUnsent = nil, nil, false
 	for _, s := range r.servers {
 		if s.load.running == 0 {
 			continue
@@ -125,22 +128,6 @@
 	return report
 }
 
-// touch records in the cache index that a request with the pieces was sent to slot, or that the
-// store of slot was to save them. A prompt of at least minFetchTokens is also added to the next report to other hosts, which may share it.
-func (r *Router) touch(now time.Time, slot masticcache.Slot, epoch masticcache.Epoch, pieces []masticprompt.Piece) {
-	r.cacheIndex.Touch(now, slot, epoch, pieces)
-	if !r.shared || r.shards != nil || len(r.unsentTouches) >= maxTouches {
-		return
-	}
-	var tokens int64
-	for _, p := range pieces {
-		tokens += p.Tokens
-	}
-	if tokens >= minFetchTokens {
-		r.unsentTouches = append(r.unsentTouches, Touch{Server: r.servers[slot].info.Name, Pieces: pieces})
-	}
-}
-
 // store is a store of cached prompts outside the engines.
 type store struct {
 	slot          masticcache.Slot
@@ -207,6 +194,7 @@
 	}
 	r.document = v.Document()
 	r.stores, r.transferSpeeds, r.memoryTokens = nil, map[string]float64{}, map[string]float64{}
+	r.storeRates = map[string]float64{}
 	for _, p := range v.Document().GetPools() {
 		if p.GetEngine() {
 			r.transferSpeeds[p.GetName()] = float64(p.GetTransferTokensPerSecond())
@@ -222,6 +210,7 @@
 			r.servers = append(r.servers, &server{info: masticview.Server{Name: p.GetStore(), Kind: serverStore}})
 		}
 		r.cacheIndex.SetCapacity(slot, p.GetCacheTokens())
+		r.storeRates[p.GetStore()] = float64(p.GetTransferTokensPerSecond())
 		r.stores = append(r.stores, store{slot: slot, address: p.GetStore(), zone: p.GetZone()})
 	}
 }
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -40,6 +40,12 @@
 	// from them by pool, in tokens per second.
 	stores         []store
 	transferSpeeds map[string]float64
+	// storeRates are the rates of the links of stores by address, in tokens per second.
+	storeRates map[string]float64
+	// links are the links of engines and stores by address.
+	links map[string]*link
+	// sources are those of the decision that is being made.
+	sources []fetchSource
 	// memoryTokens is the memory of an engine by pool, in tokens; document is that of the last
 	// view.
 	memoryTokens map[string]float64
@@ -48,6 +54,8 @@
 	storeHealth map[string]*storeHealth
 	// unsentTouches are the touches since the last report to other hosts.
 	unsentTouches []Touch
+	// finishedUnsent reports that unsentTouches has a prompt that an engine has read.
+	finishedUnsent bool
 	// unsentTerminated are the backend servers found terminated since the last report to other
 	// hosts.
 	unsentTerminated []string
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -21,16 +21,6 @@
 	// prefillChunkTokens is what an engine computes in one step: a quick request waits for half
 	// of it.
 	prefillChunkTokens = 4096
-	// minFetchTokens is the least gain of a fetch, in tokens: each fetch costs some
-	// milliseconds.
-	minFetchTokens = 1000
-	// fetchSetupDelay is the time of a fetch besides its transfer.
-	fetchSetupDelay = 5 * time.Millisecond
-	// prefillDelay is the time after which a prompt that was sent to an engine is assumed to be
-	// computed there.
-	prefillDelay = 600 * time.Millisecond
-	// crossZoneFactor is how many times as long a fetch from another availability zone takes.
-	crossZoneFactor = 2
 	// recomputeCost is the waiting time that counts as much as recomputing one token that is
 	// cached elsewhere: 1,000 recomputed tokens count like 60 ms of waiting. Users consider 1,000
 	// such tokens as bad as a tenth of a review, a long request.
@@ -77,7 +67,7 @@
 		}
 		e := r.newPoolEvaluation(now, p, q, tokens)
 		use := func(slot masticcache.Slot, reason Reason) {
-			c, fetch, ok := e.evaluate(slot, reason)
+			c, plan, ok := e.evaluate(slot, reason)
 			if !ok {
 				return
 			}
@@ -87,7 +77,8 @@
 			}
 			if c.score() < best {
 				best = c.score()
-				d.Candidate, d.Pieces, d.Tokens, d.Fetch, d.Save = c, e.pieces, tokens, fetch, e.saveTo
+				d.Candidate, d.Pieces, d.Tokens, d.Save = c, e.pieces, tokens, e.saveTo
+				d.Fetch, d.FetchTokens = plan.address, plan.tokens
 			}
 		}
 		e.forEachCandidate(use)
@@ -100,7 +91,7 @@
 	}
 	s := r.servers[d.Slot]
 	d.Ahead = s.load.ownTokens + s.load.peersNow(now).tokens
-	d.Admit = r.canAdmitShared(now, s, q, d.Tokens)
+	d.Admit = !d.Hold && r.canAdmitShared(now, s, q, d.Tokens)
 	return d, true
 }
 
@@ -133,22 +124,16 @@
 	tokens int64
 	pieces []masticprompt.Piece
 	home   masticcache.Slot
-	// source is where engines fetch the prompt's prefix from. It is the prompt's home store,
-	// chosen among the usable stores, even if that has none of the prompt; see addHolder for when
-	// an engine replaces it.
-	source fetchSource
-	// fetchableTokens is the expected length of the prefix that source has cached.
-	fetchableTokens float64
+	// defaultSource is the address of the prompt's home store, which is named as source if no fetch is
+	// expected to gain anything.
+	defaultSource string
 	// saveTo is the address of the prompt's home store if that lacks some of the prompt.
 	saveTo string
 	// maxCachedTokens is the length of the longest prefix that the home store or any engine is
-	// expected to have cached.
+	// expected to have or to be reading.
 	maxCachedTokens float64
 }
 
-// fetchSource is the address from which a prompt is fetched, with its availability zone.
-type fetchSource struct{ address, zone string }
-
 func (r *Router) newPoolEvaluation(now time.Time, p *pool, q *Query, tokens int64) *poolEvaluation {
 	e := &poolEvaluation{router: r, now: now, pool: p, query: q, tokens: tokens, home: -1}
 	e.pieces = q.Prompt.Pieces(masticprompt.Seed{Workspace: q.Workspace, Model: q.Model, WeightsVersion: p.version})
@@ -159,36 +144,10 @@
 	if q.Class == masticview.ClassQuick {
 		return e
 	}
-	if s, ok := r.homeStore(now, e.pieces); ok {
-		// The store is the source even if it is not expected to have any of the prompt: a miss
-		// costs an engine a millisecond.
-		stored := r.lookup.Cached(now, s.slot)
-		e.source, e.fetchableTokens = fetchSource{s.address, s.zone}, stored
-		if stored < sharedTokens(e.pieces)-minFetchTokens {
-			e.saveTo = s.address
-		}
-	}
-	e.maxCachedTokens = e.fetchableTokens
-	r.lookup.Holders(e.addHolder)
+	e.addSources()
 	return e
 }
 
-// addHolder takes into account an engine that is expected to have part of the prompt cached. It
-// becomes the source if it is usable, has over minFetchTokens more of the prompt than the source
-// so far, and has held the first piece for longer than prefillDelay.
-func (e *poolEvaluation) addHolder(slot masticcache.Slot) bool {
-	r, s := e.router, e.router.servers[slot]
-	if !s.active || s.info.Kind != masticview.ServerEngine {
-		return true
-	}
-	cached := r.lookup.Cached(e.now, slot)
-	e.maxCachedTokens = max(e.maxCachedTokens, cached)
-	if cached > e.fetchableTokens+minFetchTokens && s.usable(e.now) && r.lookup.ResidentBefore(slot, e.now.Add(-prefillDelay)) {
-		e.source, e.fetchableTokens = fetchSource{s.info.Address(), s.info.Zone}, cached
-	}
-	return true
-}
-
 // homeOf returns the engine of p where all hosts look first for the prompt's prefix, or -1. The
 // hash leaves out the version of the weights, so that the order of the engines on the ring is
 // the same for all versions.
@@ -256,32 +215,20 @@
 	}
 }
 
-// evaluate predicts the time to the first token on one engine, and returns the address from
-// which the engine would fetch. It reports false if the engine can't run the request.
-func (e *poolEvaluation) evaluate(slot masticcache.Slot, reason Reason) (Candidate, string, bool) {
+// evaluate predicts the time to the first token on one engine, and returns how the engine fetches what it
+// lacks. It reports false if the engine can't run the request.
+func (e *poolEvaluation) evaluate(slot masticcache.Slot, reason Reason) (Candidate, fetchPlan, bool) {
 	r, s := e.router, e.router.servers[slot]
 	if !r.canRun(e.now, s, e.query) {
-		return Candidate{}, "", false
+		return Candidate{}, fetchPlan{}, false
 	}
 	speed := s.speed(e.now, r.meanSpeed)
-	cached := r.lookup.Cached(e.now, slot)
-	c := Candidate{Slot: slot, Reason: reason, Cached: cached, Wait: s.waitShared(e.now, e.query.Class, speed)}
-	// An engine fetches only what it lacks, so a source is passed even if the engine is expected
-	// to have everything: it may have evicted it.
-	fetch := e.source.address
-	if fetch == s.info.Address() {
-		fetch = ""
-	}
-	if gain := e.fetchableTokens - cached; gain > minFetchTokens && e.transferTime(s, gain) < seconds(gain/speed)+time.Duration(gain)*recomputeCost {
-		c.Wait += e.transferTime(s, gain)
-		c.Cached = e.fetchableTokens
-	} else if gain > minFetchTokens {
-		fetch = ""
-	}
+	c := Candidate{Slot: slot, Reason: reason, Wait: s.waitShared(e.now, e.query.Class, speed)}
+	plan := e.planPrefix(&c, s, speed)
 	if recomputed := e.maxCachedTokens - c.Cached; recomputed > minFetchTokens {
 		c.Cost += time.Duration(recomputed) * recomputeCost
 	}
-	c.Prefill = seconds(max(0, float64(e.tokens)-c.Cached) / speed)
+	c.Prefill = e.prefillTime(c.Cached, speed)
 	if s.memoryFullFor(e.now, float64(e.tokens)) {
 		c.Cost += memoryFullCost
 	}
@@ -290,27 +237,14 @@
 	}
 	if e.pool.outdated(e.query) {
 		if e.pool.pastDeadline(e.now.Add(c.Wait), e.query) {
-			return Candidate{}, "", false
+			return Candidate{}, fetchPlan{}, false
 		}
 		c.Cost += outdatedWeightsCost
 	}
 	if slot == e.home {
 		c.Credit = homeCredit
 	}
-	return c, fetch, true
-}
-
-// transferTime returns how long s takes to fetch tokens from the source.
-func (e *poolEvaluation) transferTime(s *server, tokens float64) time.Duration {
-	rate := e.router.transferSpeeds[s.info.Service]
-	if rate <= 0 {
-		return math.MaxInt64
-	}
-	t := seconds(tokens / rate)
-	if s.info.Zone != e.source.zone {
-		t *= crossZoneFactor
-	}
-	return t + fetchSetupDelay
+	return c, plan, true
 }
 
 // waitShared returns the predicted time until the engine starts on one more request.
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -29,7 +29,7 @@
 		s.suspects++
 	}
 	r.updateWorkShares(w)
-	r.touch(now, w.Slot, w.Epoch, w.Pieces)
+	r.beginReading(now, &w, d.FetchTokens)
 	return w
 }
 
@@ -63,8 +63,9 @@
 	s := r.servers[w.Slot]
 	s.load.firstToken(now, w)
 	r.observeStore(now, w)
-	if slot, ok := r.slots[w.Save]; ok && w.Save != "" {
-		r.touch(now, slot, r.cacheIndex.Epoch(slot), w.Pieces)
+	r.finishReading(now, w)
+	if slot, ok := r.slots[w.Save]; ok && w.Save != "" && r.saveStarted(now, slot, w.Pieces) {
+		r.addTouch(Touch{Server: w.Save, Pieces: w.Pieces})
 	}
 }
 
@@ -96,6 +97,9 @@
 	s := r.servers[w.Slot]
 	if w.FirstTokenAt.IsZero() {
 		s.load.firstToken(now, w)
+		if e.Failed || e.Partial {
+			r.cacheIndex.Abandon(now, w.Slot, w.Epoch, w.Pieces)
+		}
 	}
 	s.load.done(now, w)
 	if w.Suspect {
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -112,6 +112,7 @@
 	w := &waiting{ticket: t, request: r, queuedAt: now, query: masticroute.Query{
 		Model: r.Model, Workspace: r.Workspace, Class: r.Class, Prompt: p,
 		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Software: r.Software, Suspect: s.suspects[r.Digest], Shard: r.Shard, OtherHost: r.OtherHost,
+		Due: r.FirstTokenDeadline,
 	}}
 	if !s.router.Eligible(&w.query) {
 		s.fail(t, noServerError(r.Model))
@@ -265,6 +266,10 @@
 	return s.router.TakeOwnReport(host)
 }
 
+// TakeFinishedUnsent reports, once for each report, whether the next one says that an engine has read a
+// prompt for which requests on other hosts may wait.
+func (s *Scheduler) TakeFinishedUnsent() bool { return s.router.TakeFinishedUnsent() }
+
 // ObserveRate applies what an answer of a backend server stated of its request rate. It returns the
 // statement if that changed it.
 func (s *Scheduler) ObserveRate(now time.Time, server, incarnation string, o masticlimit.Observation) (masticlimit.Statement, bool) {
