Quota test of shares: fixed seed for the keepers' order, over the rate for 100 s

The limiter has its random source as a field, which the fleet of the test sets to a seeded one; each caller of the test comes back some microseconds after the others.

The check covers 100 s now and asks for 0.95 instead of 0.9 there.

--- a/masticbucket/fleet_test.go
+++ b/masticbucket/fleet_test.go
@@ -32,6 +32,7 @@
 	one *oneBucket
 
 	mutex  sync.Mutex
+	random *rand.Rand
 	silent map[string]bool
 	// ended are the hosts whose process has ended.
 	ended    map[string]bool
@@ -69,6 +70,7 @@
 
 func newFleet(hosts int, limit Limit) *fleet {
 	f := &fleet{limit: limit, limiters: map[string]*Limiter{}, keepers: map[string]*Keeper{}, silent: map[string]bool{}, ended: map[string]bool{}}
+	f.random = rand.New(rand.NewPCG(uint64(hosts), 4))
 	for i := range hosts {
 		name := fmt.Sprintf("10.0.%d.%d:7500", i/250, i%250)
 		f.hosts = append(f.hosts, masticview.Host{Name: name, Address: name, Peer: name, Zone: "z", Weight: int64(1 + 2*(i%3)), State: masticview.HostLive})
@@ -86,9 +88,17 @@
 	k := NewKeeper(name, limitOf(f.limit))
 	f.keepers[name] = k
 	f.limiters[name] = NewLimiter(name, k, f, log)
+	f.limiters[name].shuffle = f.shuffle
 	f.divide(name, f.hosts)
 }
 
+// shuffle is rand.Shuffle with the seed of the fleet.
+func (f *fleet) shuffle(n int, swap func(i, j int)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.random.Shuffle(n, swap)
+}
+
 func (f *fleet) divide(name string, hosts []masticview.Host) {
 	d := NewDivision(hosts)
 	f.limiters[name].division.Store(d)
@@ -122,7 +132,10 @@
 	fleet  *fleet
 	host   string
 	tokens int64
-	done   *sync.WaitGroup
+	// lag delays each attempt after the first. It differs from caller to caller: which of two attempts at one instant
+	// goes first would depend on the scheduler.
+	lag  time.Duration
+	done *sync.WaitGroup
 }
 
 func (a *caller) run() {
@@ -141,7 +154,7 @@
 		if !errors.As(err, &e) || e.RetryAfter() <= 0 || e.RetryAfter() > 3*time.Second {
 			return
 		}
-		time.Sleep(e.RetryAfter())
+		time.Sleep(e.RetryAfter() + a.lag)
 	}
 }
 
@@ -156,7 +169,7 @@
 	mean := float64(tokens) / (load * f.limit.RateTokensPerSecond)
 	for end := time.Now().Add(spell); time.Now().Before(end); asked++ {
 		done.Add(1)
-		a := &caller{fleet: f, host: f.hosts[random.IntN(len(f.hosts))].Name, tokens: tokens, done: &done}
+		a := &caller{fleet: f, host: f.hosts[random.IntN(len(f.hosts))].Name, tokens: tokens, lag: time.Duration(asked) * time.Microsecond, done: &done}
 		go a.run()
 		time.Sleep(time.Duration(random.ExpFloat64() * mean * float64(time.Second)))
 	}
@@ -202,8 +215,12 @@
 	}
 }
 
-// minOfOneBucket is the least that must be admitted of what one bucket admits.
-const minOfOneBucket = 0.9
+// minOfOneBucket is the least that must be admitted of what one bucket admits, minOfOneBucketLong that of a spell of 100 s. In 20 s
+// there are some 59 of the largest requests: one more or less is 0.03 of what is admitted.
+const (
+	minOfOneBucket     = 0.9
+	minOfOneBucketLong = 0.95
+)
 
 func replayQuota(c *qt.C, hosts int, tokens int64) {
 	f, reference := newFleet(hosts, fleetLimit), newFleet(hosts, fleetLimit)
@@ -214,11 +231,12 @@
 		spell        time.Duration
 		load         float64
 		keeperSilent bool
+		least        float64
 	}{
-		{"after the start", 2 * time.Second, 0.7, false},
-		{"calm", 20 * time.Second, 0.7, false},
-		{"one keeper silent", 20 * time.Second, 0.5, true},
-		{"over the rate", 20 * time.Second, 1.5, false},
+		{"after the start", 2 * time.Second, 0.7, false, minOfOneBucket},
+		{"calm", 20 * time.Second, 0.7, false, minOfOneBucket},
+		{"one keeper silent", 20 * time.Second, 0.5, true, minOfOneBucket},
+		{"over the rate", 100 * time.Second, 1.5, false, minOfOneBucketLong},
 	} {
 		f.silent[silent] = x.keeperSilent
 		seed := uint64(hosts*10 + i)
@@ -229,7 +247,7 @@
 		got := f.play(rand.New(rand.NewPCG(seed, 1)), x.spell, x.load, tokens)
 		want := reference.play(rand.New(rand.NewPCG(seed, 1)), x.spell, x.load, tokens)
 		c.Logf("%s: %.2f of what was asked for, by one bucket %.2f", x.name, got, want)
-		c.Check(got >= minOfOneBucket*want, qt.IsTrue)
+		c.Check(got >= x.least*want, qt.IsTrue)
 	}
 	c.Logf("%.2f charges a request", float64(f.charges)/float64(max(1, len(f.admitted))))
 	f.assertWithinLimit(c, 0)
--- a/masticbucket/limiter.go
+++ b/masticbucket/limiter.go
@@ -32,11 +32,13 @@
 
 	division atomic.Pointer[Division]
 	memory   *memory
+	// shuffle reorders n items at random, as rand.Shuffle does.
+	shuffle func(n int, swap func(i, j int))
 }
 
 // NewLimiter returns the limiter of the named host, which is a keeper itself where the division says so.
 func NewLimiter(host string, k *Keeper, others masticcall.Keepers, log logrus.FieldLogger) *Limiter {
-	return &Limiter{host: host, keeper: k, keepers: others, log: log, memory: newMemory()}
+	return &Limiter{host: host, keeper: k, keepers: others, log: log, memory: newMemory(), shuffle: rand.Shuffle}
 }
 
 // SetView finds the keepers under a new view.
@@ -75,7 +77,7 @@
 	}
 	a := &attempt{limiter: l, workspace: workspace, piece: (tokens + int64(pieces) - 1) / int64(pieces), missing: pieces}
 	shuffled := slices.Clone(keepers)
-	rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	l.shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
 	waiting := a.charge(ctx, shuffled, 0)
 	if deadline, bounded := ctx.Deadline(); bounded && a.missing > 0 {
 		waiting = a.charge(ctx, waiting, time.Until(deadline))
