Old weights are used until the site's own time limit

The window is the stated time less 0.8 s; without a statement it is 5.2 s as before. TestOldWeightsAreExcludedBeforeTheirTimeout fails before. Not yet measured on a site.

--- a/masticdaemon/nodesettings.go
+++ b/masticdaemon/nodesettings.go
@@ -5,6 +5,7 @@
 
 	"masticladder/masticcontrol"
 	"masticladder/masticrelay"
+	"masticladder/masticschedule"
 )
 
 // NodeSettings are the settings of a Node. Addresses are IP:port.
@@ -52,6 +53,9 @@
 	VoterRemovalThreshold int
 	// LoadTimeout is the timeout of a load of weights.
 	LoadTimeout time.Duration
+	// OldWeightsTimeout is how long after the announcement of new weights backend servers may start requests
+	// on older ones; zero means masticschedule.DefaultOldWeightsTimeout.
+	OldWeightsTimeout time.Duration
 	// MemoryLimitBytes is the memory that the process may use; zero means no limit.
 	MemoryLimitBytes int64
 	// DiskBytes is the size of the disk that Folder may fill; zero means masticcontrol.DefaultDiskBytes.
@@ -60,6 +64,13 @@
 	MaxDescriptors int
 }
 
+func (s NodeSettings) oldWeightsTimeout() time.Duration {
+	if s.OldWeightsTimeout <= 0 {
+		return masticschedule.DefaultOldWeightsTimeout
+	}
+	return s.OldWeightsTimeout
+}
+
 func (s NodeSettings) diskBytes() int64 {
 	if s.DiskBytes <= 0 {
 		return masticcontrol.DefaultDiskBytes
--- a/masticdispatch/dispatcher.go
+++ b/masticdispatch/dispatcher.go
@@ -43,8 +43,10 @@
 	log           *logrus.Entry
 	seed          uint64
 	routerOptions []masticroute.Option
-	drops         *Drops
-	reportDue     chan struct{}
+	// scheduleOptions are those of the scheduler.
+	scheduleOptions []masticschedule.Option
+	drops           *Drops
+	reportDue       chan struct{}
 	// limited are the backend servers that state a request rate.
 	limited atomic.Pointer[map[string]bool]
 	// leavingServers are the incarnations, by server name, that stated that they are leaving; leaving
@@ -70,6 +72,14 @@
 	return func(d *Dispatcher) { d.routerOptions = append(d.routerOptions, masticroute.WithSharedLoad()) }
 }
 
+// WithOldWeightsTimeout sets how long after the announcement of new weights backend servers may start requests on
+// older ones.
+func WithOldWeightsTimeout(t time.Duration) Option {
+	return func(d *Dispatcher) {
+		d.scheduleOptions = append(d.scheduleOptions, masticschedule.WithOldWeightsTimeout(t))
+	}
+}
+
 // WithHost sets the name of this host, under which it shares the request rates of backend servers and
 // coordinates shards.
 func WithHost(name string) Option {
@@ -95,7 +105,7 @@
 	for _, o := range options {
 		o(d)
 	}
-	d.scheduler = masticschedule.New(masticroute.New(append(d.routerOptions, masticroute.WithSeed(d.seed))...))
+	d.scheduler = masticschedule.New(masticroute.New(append(d.routerOptions, masticroute.WithSeed(d.seed))...), d.scheduleOptions...)
 	return d
 }
 
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -73,9 +73,17 @@
 	announced    announcedVersions
 }
 
+// Option sets one property of a Scheduler.
+type Option func(*Scheduler)
+
+// WithOldWeightsTimeout replaces DefaultOldWeightsTimeout.
+func WithOldWeightsTimeout(d time.Duration) Option {
+	return func(s *Scheduler) { s.announced = newAnnouncedVersions(d) }
+}
+
 // New returns a Scheduler that uses router.
-func New(router *masticroute.Router) *Scheduler {
-	return &Scheduler{
+func New(router *masticroute.Router, options ...Option) *Scheduler {
+	s := &Scheduler{
 		router:       router,
 		queue:        masticfair.New[*waiting](),
 		usage:        masticfair.NewUsage(),
@@ -83,8 +91,12 @@
 		running:      map[Ticket]*running{},
 		serviceCalls: map[Ticket]serviceCall{},
 		suspects:     map[masticview.Digest]bool{},
-		announced:    announcedVersions{byModel: map[string][]masticroute.AnnouncedVersion{}},
+		announced:    newAnnouncedVersions(DefaultOldWeightsTimeout),
+	}
+	for _, o := range options {
+		o(s)
 	}
+	return s
 }
 
 // SetView replaces the view. From then on, a leaving backend server gets no new requests.
--- a/masticschedule/weights.go
+++ b/masticschedule/weights.go
@@ -7,10 +7,13 @@
 	"masticladder/masticview"
 )
 
-// oldWeightsWindow is how long requests may still start on older weights after a new version was
-// announced. Old weights may be used for 6 s after the announcement is acknowledged, and requests
-// started up to 0.7 s later than predicted. That leaves 5.3 s, of which 0.1 s is margin.
-const oldWeightsWindow = 5200 * time.Millisecond
+// DefaultOldWeightsTimeout is how long after the announcement of a new version backend servers may start
+// requests on older weights, unless WithOldWeightsTimeout says otherwise.
+const DefaultOldWeightsTimeout = 6 * time.Second
+
+// oldWeightsMargin is the part of the timeout in which no request is sent to older weights: requests
+// started up to 0.7 s later than predicted, and 0.1 s is reserve.
+const oldWeightsMargin = 800 * time.Millisecond
 
 // firstViewWindow is how long requests may still start on older weights than those in a host's first view.
 // They may have been announced long before, or just before all hosts restarted, so that no engine has them.
@@ -20,15 +23,21 @@
 // Deadlines are by this host's clock, since the clocks of hosts differ.
 type announcedVersions struct {
 	byModel map[string][]masticroute.AnnouncedVersion
+	// window is how long requests may be sent to older weights after an announcement.
+	window time.Duration
 	// hasView reports whether update was called before.
 	hasView bool
 }
 
+func newAnnouncedVersions(timeout time.Duration) announcedVersions {
+	return announcedVersions{byModel: map[string][]masticroute.AnnouncedVersion{}, window: timeout - oldWeightsMargin}
+}
+
 // update adds the new versions in v.
 func (a *announcedVersions) update(now time.Time, v masticview.View) {
-	deadline := now.Add(firstViewWindow)
+	deadline := now.Add(min(firstViewWindow, a.window))
 	if a.hasView {
-		deadline = now.Add(oldWeightsWindow)
+		deadline = now.Add(a.window)
 	}
 	a.hasView = true
 	for _, w := range v.AllWeights() {
--- a/masticschedule/weights_test.go
+++ b/masticschedule/weights_test.go
@@ -23,11 +23,12 @@
 func TestOldWeightsAreExcludedAfterTheirWindow(t *testing.T) {
 	c := qt.New(t)
 	start := time.UnixMilli(1_000_000)
-	a := announcedVersions{byModel: map[string][]masticroute.AnnouncedVersion{}}
+	a := newAnnouncedVersions(DefaultOldWeightsTimeout)
 	a.update(start, masticview.View{})
 	v2 := withWeightsVersion(c, masticview.View{}, 2)
 	a.update(start, v2)
 	a.update(start.Add(2400*time.Millisecond), withWeightsVersion(c, v2, 3))
+	const oldWeightsWindow = 5200 * time.Millisecond
 	for _, x := range []struct {
 		after time.Duration
 		// excluded is the highest version on which no request may start any more.
@@ -46,6 +47,21 @@
 	}
 }
 
+// TestOldWeightsAreExcludedBeforeTheirTimeout: on a site that allows 10 s, hosts used no older weights after 5.2 s, and
+// sent all requests to the one engine that had loaded the new ones while control was slow.
+func TestOldWeightsAreExcludedBeforeTheirTimeout(t *testing.T) {
+	c := qt.New(t)
+	start := time.UnixMilli(1_000_000)
+	s := New(masticroute.New(), WithOldWeightsTimeout(10*time.Second))
+	s.SetView(start, masticview.View{})
+	s.SetView(start, withWeightsVersion(c, masticview.View{}, 2))
+	for after, excluded := range map[time.Duration]int64{5200 * time.Millisecond: 0, 9200*time.Millisecond - 1: 0, 9200 * time.Millisecond: 1} {
+		w := &waiting{request: masticcall.Request{Weights: "m"}}
+		s.announced.setQueryVersions(start.Add(after), w)
+		c.Assert(highestExcludedVersion(start.Add(after), w), qt.Equals, excluded, qt.Commentf("after %v", after))
+	}
+}
+
 // highestExcludedVersion returns the highest version on which w may not start at now.
 func highestExcludedVersion(now time.Time, w *waiting) int64 {
 	var out int64
@@ -62,7 +78,7 @@
 func TestFirstViewExcludesOldWeightsSoon(t *testing.T) {
 	c := qt.New(t)
 	start := time.UnixMilli(1_000_000)
-	a := announcedVersions{byModel: map[string][]masticroute.AnnouncedVersion{}}
+	a := newAnnouncedVersions(DefaultOldWeightsTimeout)
 	a.update(start, withWeightsVersion(c, masticview.View{}, 2))
 	a.update(start.Add(time.Second), withWeightsVersion(c, masticview.View{}, 2))
 	for after, excluded := range map[time.Duration]int64{0: 0, firstViewWindow - 1: 0, firstViewWindow: 1} {
