Requests whose callers have left, or whose deadlines have passed, are dropped before they are sent

The background read of net/http sees a close only when its goroutine runs. For the same reason a long prompt that waited in an engine's queue was still run after its caller's deadline.

The relay checks caller and deadline before the quota, before and after the wait for a server, before each retry, and after the connection to the server is established, right before the first byte. The header for the server is made there too, so that the time it states is what is left.

The connections of netutil.LimitListener hid their sockets; a listener of the same behaviour with NetConn replaces it, also in the test of draining. Tests of confirmed connections call send with an attempt; they check the same as before.

--- a/masticbackend/client.go
+++ b/masticbackend/client.go
@@ -161,6 +161,17 @@
 	c.idleConns[n.address] = append(list, n)
 }
 
+// putUnused returns a connection to the pool on which nothing was sent; a new one is closed, since the time that its server keeps
+// it is not known.
+func (c *Client) putUnused(n *connection) {
+	if n.idleDeadline.IsZero() {
+		n.head.memory.Release()
+		n.close()
+		return
+	}
+	c.putIdle(n)
+}
+
 // CloseIdle closes the idle connections whose idle timeout has passed.
 func (c *Client) CloseIdle(now time.Time) {
 	c.mutex.Lock()
--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -44,6 +44,24 @@
 	// Confirm, if not nil, is called if there is no idle connection of a confirmed process. It checks the process with
 	// DoOnNewConnection and Answer.Confirm, which leaves a connection to use. Nothing is sent if it returns an error.
 	Confirm func(ctx context.Context) error
+	// Prepare, if not nil, is called right before the first byte is sent, after all waits, and returns the header to use instead
+	// of Header. Nothing is sent if it returns an error.
+	Prepare func(now time.Time) (http.Header, *masticerror.Error)
+}
+
+// prepare calls Prepare, and fails once the deadline has passed.
+func (q *Request) prepare(now time.Time) *masticerror.Error {
+	if !now.Before(q.Deadline) {
+		return masticerror.New(masticerror.KindDeadline, "the deadline passed before the request was sent")
+	}
+	if q.Prepare == nil {
+		return nil
+	}
+	h, err := q.Prepare(now)
+	if err == nil {
+		q.Header = h
+	}
+	return err
 }
 
 // Answer is a backend server's answer. Close must be called.
@@ -118,6 +136,10 @@
 		}
 		return nil, notSentFailure(err, "connect to %s", q.Address)
 	}
+	if err := q.prepare(time.Now()); err != nil {
+		c.putUnused(n)
+		return nil, &Failure{Err: err}
+	}
 	n.record(q.ID)
 	a := &Answer{client: c, conn: n, context: ctx}
 	a.detachContext = context.AfterFunc(ctx, n.close)
--- a/masticdaemon/drainqueue_test.go
+++ b/masticdaemon/drainqueue_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"golang.org/x/net/netutil"
 )
 
 // drainRun drains the connections of a server.
@@ -85,7 +84,7 @@
 // process had not accepted yet got no answer.
 func TestPlannedStopResetsConnectionsThatWaitToBeAccepted(t *testing.T) {
 	c := qt.New(t)
-	d := startDrainedServer(c, func(l net.Listener) net.Listener { return netutil.LimitListener(l, 1) })
+	d := startDrainedServer(c, func(l net.Listener) net.Listener { return newLimitListener(l, 1) })
 	first, second := newTestClient(c, d.server.address()), newTestClient(c, d.server.address())
 	first.send()
 	first.assertAnswered(false)
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -13,7 +13,6 @@
 	"github.com/oklog/run"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/net/netutil"
 
 	"masticladder/masticadmin"
 	"masticladder/masticagent"
@@ -161,7 +160,7 @@
 		return err
 	}
 	if n.settings.MaxDescriptors > 0 {
-		h.listener = netutil.LimitListener(h.listener, max(1, int(callerDescriptorFraction*float64(n.settings.MaxDescriptors))))
+		h.listener = newLimitListener(h.listener, max(1, int(callerDescriptorFraction*float64(n.settings.MaxDescriptors))))
 	}
 	limitHeads(h, masticbody.NewBudget(headBytes(n.settings)), plainHeadMemory)
 	trackCallers(h, n.relay.Limits)
--- a/masticrelay/access.go
+++ b/masticrelay/access.go
@@ -25,6 +25,9 @@
 // recheck returns why the newest view no longer allows the request to be sent to a backend server:
 // the lease has ended, the key was withdrawn, or several servers have ended under the request.
 func (r *requestState) recheck() *masticerror.Error {
+	if err := r.waitingError(time.Now()); err != nil {
+		return err
+	}
 	t := r.relay.table.Load()
 	if err := r.relay.leaseError(); err != nil {
 		return err
--- a/masticrelay/call.go
+++ b/masticrelay/call.go
@@ -17,6 +17,7 @@
 
 	"masticladder/masticbody"
 	"masticladder/masticcall"
+	"masticladder/masticcaller"
 	"masticladder/masticdocument"
 	"masticladder/masticdrain"
 	"masticladder/masticerror"
@@ -48,6 +49,8 @@
 	LastEventID string
 	// Resumes is the ID of the caller's request that brought the first event of that stream.
 	Resumes string
+	// Connection is that of the caller, nil if its state is unknown.
+	Connection *masticcaller.Connection
 	// Running is set by Begin.
 	Running *masticdrain.Request
 }
--- a/masticrelay/confirm_test.go
+++ b/masticrelay/confirm_test.go
@@ -83,8 +83,8 @@
 		deadline: time.Now().Add(10 * time.Second),
 	}
 	for _, id := range []string{"q1", "q2"} {
-		r.call = &Call{ID: id, Method: http.MethodGet, URI: "/", Host: "h"}
-		answer, f := r.send(t.Context(), listed, http.Header{"Id": {id}})
+		r.call = &Call{ID: id, Header: http.Header{}, Method: http.MethodGet, URI: "/", Host: "h"}
+		answer, f := r.send(t.Context(), Attempt{Server: listed})
 		c.Assert(f == nil, qt.IsTrue)
 		c.Assert(r.confirmServer(t.Context(), listed, answer) == nil, qt.IsTrue)
 		_, err := io.ReadAll(answer)
@@ -106,14 +106,14 @@
 	listed.Incarnation = "later"
 	r := requestState{
 		relay: b.relay, route: masticdocument.Route{Resumable: true}, pool: masticdocument.Pool{Name: "p", Engine: true},
-		deadline: time.Now().Add(10 * time.Second), call: &Call{ID: "q1", Method: http.MethodGet, URI: "/", Host: "h"},
+		deadline: time.Now().Add(10 * time.Second), call: &Call{ID: "q1", Header: http.Header{}, Method: http.MethodGet, URI: "/", Host: "h"},
 	}
-	_, f := r.send(t.Context(), listed, http.Header{"Id": {"q1"}})
+	_, f := r.send(t.Context(), Attempt{Server: listed})
 	c.Assert(f != nil && !f.Sent && f.ServerEnded, qt.IsTrue)
 	c.Assert(server.requests, qt.HasLen, 0)
 	left, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, f = r.send(left, listed, http.Header{"Id": {"q1"}})
+	_, f = r.send(left, Attempt{Server: listed})
 	c.Assert(f != nil && !f.Sent && !f.ServerEnded, qt.IsTrue)
 	c.Assert(f.Err.Kind(), qt.Equals, masticerror.KindCancelled)
 }
--- a/masticrelay/metrics.go
+++ b/masticrelay/metrics.go
@@ -38,6 +38,11 @@
 	// it. recordWait is how long first events waited for it, in milliseconds.
 	streamsRecorded, recordsFailed, takeUpsRefused metrics.Counter
 	recordWait                                     metrics.Histogram
+	// callersGone counts requests that were dropped before they were sent because their caller had closed the connection, expired
+	// those dropped because their deadline had passed. readDelay is how long requests had arrived when they were read, in
+	// milliseconds.
+	callersGone, expired metrics.Counter
+	readDelay            metrics.Histogram
 	// quotaWait is the time in milliseconds that requests waited for their workspace's quota.
 	quotaWait metrics.Histogram
 	kinds     map[string]kindMetrics
@@ -66,6 +71,9 @@
 		leavingAnswers: metrics.GetOrRegisterCounter("attempts.leavingStated", r),
 		pausedAnswers:  metrics.GetOrRegisterCounter("attempts.pauseStated", r),
 		quotaWait:      histogram(r, "quota.waitMillis"),
+		callersGone:    metrics.GetOrRegisterCounter("attempts.callerGone", r),
+		expired:        metrics.GetOrRegisterCounter("attempts.expired", r),
+		readDelay:      histogram(r, "requests.readDelayMillis"),
 
 		streamsRecorded: metrics.GetOrRegisterCounter("streams.recorded", r),
 		recordsFailed:   metrics.GetOrRegisterCounter("streams.recordFailed", r),
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -14,6 +14,7 @@
 	"masticladder/masticbackend"
 	"masticladder/masticbody"
 	"masticladder/masticcall"
+	"masticladder/masticcaller"
 	"masticladder/masticclock"
 	"masticladder/masticdetector"
 	"masticladder/masticdocument"
@@ -279,6 +280,14 @@
 	return d
 }
 
+// ReceivedAt returns when the bytes of a request arrived that is read at now. Its caller's deadline counts from then, not from when
+// the host has read it.
+func (c *Relay) ReceivedAt(connection *masticcaller.Connection, now time.Time) time.Time {
+	delay := connection.SinceData()
+	c.metrics.readDelay.Update(delay.Milliseconds())
+	return now.Add(-delay)
+}
+
 // recordFirstAttempt adds a first attempt to the retry budget, which is kept by pool.
 func (c *Relay) recordFirstAttempt(pool string) {
 	c.mutex.Lock()
--- a/masticrelay/retry.go
+++ b/masticrelay/retry.go
@@ -73,6 +73,8 @@
 		return f.Err
 	case errors.Is(ctx.Err(), context.Canceled):
 		return masticerror.New(masticerror.KindCancelled, "the caller went away")
+	case f.Err.Kind() == masticerror.KindCancelled:
+		return f.Err
 	case !r.mayHaveRun:
 		return notRunError(r.relay, f.Err)
 	case f.Err.Kind() == masticerror.KindDeadline || ctx.Err() != nil:
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -111,6 +111,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	if err := r.waitingError(time.Now()); err != nil {
+		return err
+	}
 	admission, err := r.acquireQuota(ctx)
 	if err != nil {
 		return err
@@ -351,7 +354,7 @@
 		attempt.Priority, attempt.Salt, attempt.Weights = priority(r.route, r.workspace), salt(r.workspace, version), version
 		attempt.FetchAddress, attempt.SaveAddress = a.FetchAddress(), a.SaveAddress()
 	}
-	answer, f := r.send(ctx, server, c.backends.Header(r.call, attempt, now))
+	answer, f := r.send(ctx, attempt)
 	if f != nil {
 		return f
 	}
@@ -365,11 +368,12 @@
 	return f
 }
 
-// send sends the request with a header to a backend server, on a connection whose process is confirmed if it needs one.
-func (r *requestState) send(ctx context.Context, server masticview.Server, header http.Header) (*masticbackend.Answer, *masticbackend.Failure) {
+// send sends the request to the backend server of attempt, on a connection whose process is confirmed if it needs one.
+func (r *requestState) send(ctx context.Context, attempt Attempt) (*masticbackend.Answer, *masticbackend.Failure) {
+	server := attempt.Server
 	q := masticbackend.Request{
 		Address: server.Address(), ID: r.call.ID, Method: r.call.Method, URI: r.call.URI, Host: r.call.Host,
-		Header: header, Body: r.call.Body, Deadline: r.deadline,
+		Body: r.call.Body, Deadline: r.deadline, Prepare: (&preparation{request: r, attempt: attempt}).header,
 	}
 	if r.needsConfirmedServer() {
 		q.Confirm = (&confirmation{request: r, server: server}).check
