Tests of stated rates and pauses: count requests when hosts send them

What callers saw: nothing; three listed cases failed beside load. Trace of two copies at once under -race (load 37 to 42, the test's callers wait 1 to 3 s): a host knew of a pause 1.39 and 1.86 s after the worker had written its refusal, sent nothing to that worker afterwards, and the three requests that the test counted had been decided before. Arrivals also come together: 12 in 4 s of requests that were sent over a longer time (11 allowed).

The checks take the time of the decision from the hosts' lines "request routed" and "service call routed", which bear the time at which the dispatcher's loop decided (Outcome.At) and not that of the request's goroutine: that one ran seconds later and made 19 decisions out of a rate of 1 a second.

--- a/masticdispatch/log.go
+++ b/masticdispatch/log.go
@@ -20,15 +20,16 @@
 	}
 }
 
-// logDecision logs an assignment with all candidates.
+// logDecision logs an assignment with all candidates. The line bears the time of the decision, which on a busy host may be long
+// before the goroutine of the request runs.
 func (d *Dispatcher) logDecision(r masticcall.Request, o *masticschedule.Outcome) {
-	d.log.WithFields(decisionFields(r, o)).WithField("candidates", formatCandidates(o)).Info("request routed")
+	d.log.WithTime(o.At).WithFields(decisionFields(r, o)).WithField("candidates", formatCandidates(o)).Info("request routed")
 }
 
 // logAdopted logs an assignment by the coordinator with the given peer address, with its candidates. The
 // coordinator has no line of it.
 func (d *Dispatcher) logAdopted(peer string, r masticcall.Request, o *masticschedule.Outcome, a masticcall.ShardAssignment) {
-	d.log.WithFields(decisionFields(r, o)).WithFields(logrus.Fields{
+	d.log.WithTime(o.At).WithFields(decisionFields(r, o)).WithFields(logrus.Fields{
 		"candidates": a.Candidates, "coordinator": peer, "shard": r.Shard,
 	}).Info("request routed")
 }
@@ -75,7 +76,7 @@
 		d.log.WithFields(logrus.Fields{"service": s.Name, "reason": string(o.Err.Kind())}).Info("service call refused")
 		return
 	}
-	d.log.WithFields(logrus.Fields{
+	d.log.WithTime(o.At).WithFields(logrus.Fields{
 		"service": s.Name, "server": o.Server.Name, "reason": "fewestCalls", "candidates": strings.Join(s.Servers, " "),
 	}).Info("service call routed")
 }
--- a/masticdispatch/loop.go
+++ b/masticdispatch/loop.go
@@ -26,15 +26,18 @@
 	pollTimer := time.NewTimer(time.Hour)
 	defer pollTimer.Stop()
 	for {
+		var now time.Time
 		select {
 		case c := <-d.inbox:
-			c.apply(d, time.Now())
+			now = time.Now()
+			c.apply(d, now)
 		case <-pollTimer.C:
-			d.scheduler.Poll(time.Now())
+			now = time.Now()
+			d.scheduler.Poll(now)
 		case <-d.stop:
 			return
 		}
-		d.deliverOutcomes()
+		d.deliverOutcomes(now)
 		d.resetPollTimer(pollTimer)
 	}
 }
@@ -50,10 +53,11 @@
 	pollTimer.Reset(at.Sub(now))
 }
 
-// deliverOutcomes sends the outcomes to their waiters. Each reply channel has room for one, so
+// deliverOutcomes sends the outcomes, decided at now, to their waiters. Each reply channel has room for one, so
 // this never blocks.
-func (d *Dispatcher) deliverOutcomes() {
+func (d *Dispatcher) deliverOutcomes(now time.Time) {
 	for _, o := range d.scheduler.Outcomes() {
+		o.At = now
 		waiter, ok := d.waiters[o.Ticket]
 		if !ok {
 			continue
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -40,6 +40,8 @@
 	Queued time.Duration
 	// Err is nil for an assignment.
 	Err *masticerror.Error
+	// At is when the outcome was decided. The dispatcher sets it.
+	At time.Time
 }
 
 // waiting is a request in the queue.
