Late keepers of quotas refuse no requests within the rate

Each request of a workspace over its rate was put to all three keepers, twice.

A charge goes on when its request asks a second keeper; a late answer is a credit of the host for up to 0.25 s, then it goes back. Busy workspaces charge ahead for 0.15 s while the keeper's bucket stays half full. The keepers' burst is lower by the rate times the lifetime of credits (at most an eighth), so that no window has more than before. Large requests take a third at each keeper, which uses all buckets evenly. If nobody answers, the host's standing share admits; it is no longer used before the keepers are asked.

--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -112,19 +113,20 @@
 	}
 }
 
-// acquireFromKeepers admits a small request from the standing share if that has the tokens, else charges it at the
-// keepers.
+// acquireFromKeepers charges a request at the keepers. If too few of them answer, the standing share admits it while it
+// has the tokens: it is full then, since it is used for nothing else.
 func (l *limiter) acquireFromKeepers(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
-	if s := l.agent.standingShares; s != nil && tokens <= smallRequestTokens {
-		if a, err := s.admit(masticclock.Now(), workspace, tokens); err == nil {
-			return a, nil
-		}
-	}
 	a, err := l.agent.keepers.Admit(ctx, workspace, tokens)
 	if err == nil {
 		l.agent.admissions.Kept.Add(1)
+		return a, nil
 	}
-	return a, err
+	if s := l.agent.standingShares; s != nil && errors.Is(err, masticcall.ErrUnanswered) {
+		if a, shareErr := s.admit(masticclock.Now(), workspace, tokens); shareErr == nil {
+			return a, nil
+		}
+	}
+	return nil, err
 }
 
 // fallbackShares returns the shares to use when ctx ended before a grant arrived, or nil.
--- a/masticbucket/keeper.go
+++ b/masticbucket/keeper.go
@@ -64,7 +64,7 @@
 	if c.SubstituteOf > 0 {
 		keeps, n = true, c.SubstituteOf
 	}
-	total := k.limit(c.Workspace)
+	total, _ := k.quota(c.Workspace)
 	if !keeps || total.RateTokensPerSecond <= 0 {
 		return masticcall.ChargeAnswer{}
 	}
@@ -79,7 +79,34 @@
 	if !taken {
 		k.Refused.Add(1)
 	}
-	return masticcall.ChargeAnswer{Kept: true, Admitted: taken, Delay: delay}
+	answer := masticcall.ChargeAnswer{Kept: true, Admitted: taken, Delay: delay}
+	if taken && delay == 0 && c.Extra > 0 && b.level-float64(c.Extra) >= l.BurstTokens/2 {
+		b.level -= float64(c.Extra)
+		answer.Extra = c.Extra
+	}
+	return answer
+}
+
+const (
+	// maxCreditLifetime is how long after the question charged tokens may be used.
+	maxCreditLifetime = 250 * time.Millisecond
+	// creditBurstDivisor divides the burst of a workspace; the result is the most of it that is set aside for
+	// credits.
+	creditBurstDivisor = 8
+)
+
+// quota returns what all keepers of a workspace together may give out, and how long after the question tokens may be
+// used. Tokens may be used later than they were charged, so that the keepers' burst is lower by what the workspace
+// regains in that time: no window then has more than the rate and the burst allow.
+func (k *Keeper) quota(workspace string) (Limit, time.Duration) {
+	l := k.limit(workspace)
+	if l.RateTokensPerSecond <= 0 {
+		return l, maxCreditLifetime
+	}
+	aside := min(l.RateTokensPerSecond*maxCreditLifetime.Seconds(), l.BurstTokens/creditBurstDivisor)
+	lifetime := time.Duration(aside / l.RateTokensPerSecond * float64(time.Second))
+	l.BurstTokens -= aside
+	return l, lifetime
 }
 
 func (k *Keeper) bucket(now time.Time, workspace string, l Limit) *bucket {
--- a/masticbucket/limiter.go
+++ b/masticbucket/limiter.go
@@ -17,10 +17,17 @@
 )
 
 const (
-	// chargeTimeout bounds one charge at a keeper. An answer normally takes a few milliseconds.
+	// chargeTimeout is the time after which another keeper is asked if one gives no answer, which normally takes
+	// a few milliseconds. The late answer still counts.
 	chargeTimeout = 80 * time.Millisecond
-	// unansweredRetryAfter is the Retry-After if too few keepers answer.
+	// maxUnanswered is the number of keepers that a request asks without an answer. More would add to the load of
+	// keepers that are short of processor time.
+	maxUnanswered = 2
+	// unansweredRetryAfter is the mean Retry-After if too few keepers answer. It varies by half.
 	unansweredRetryAfter = time.Second
+	// aheadTime is the time for which tokens are charged ahead for a busy workspace. It is below maxCreditLifetime,
+	// after which they go back.
+	aheadTime = 150 * time.Millisecond
 )
 
 // Limiter admits requests by charges at keepers. It implements masticcall.DividedLimiter.
@@ -34,11 +41,12 @@
 	memory   *memory
 	// shuffle reorders n items at random, as rand.Shuffle does.
 	shuffle func(n int, swap func(i, j int))
+	purses   *purses
 }
 
 // NewLimiter returns the limiter of the named host, which is a keeper itself where the division says so.
 func NewLimiter(host string, k *Keeper, others masticcall.Keepers, log logrus.FieldLogger) *Limiter {
-	return &Limiter{host: host, keeper: k, keepers: others, log: log, memory: newMemory(), shuffle: rand.Shuffle}
+	return &Limiter{host: host, keeper: k, keepers: others, log: log, memory: newMemory(), purses: newPurses(), shuffle: rand.Shuffle}
 }
 
 // SetView finds the keepers under a new view.
@@ -63,35 +71,103 @@
 // Divided implements masticcall.DividedLimiter.
 func (l *Limiter) Divided() bool { return l.division.Load() != nil }
 
-// Admit charges the request's tokens at keepers. A request that is larger than the bucket of one is charged in
-// equal pieces at several. It waits for tokens that are there before ctx ends.
+// Admit takes the request's tokens from this host's credits or charges them at keepers. A request that is larger
+// than the bucket of one is charged in equal pieces at several. It waits for tokens that are there before ctx ends.
+// The error wraps masticcall.ErrUnanswered if too few keepers answered to say whether the workspace is over its rate.
 func (l *Limiter) Admit(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
 	keepers := l.division.Load().Keepers(workspace)
 	if len(keepers) == 0 {
 		return nil, errFewKeepers(workspace)
 	}
-	limit := l.keeper.limit(workspace)
-	pieces := piecesOf(tokens, limit, len(keepers))
-	if pieces == 0 {
+	limit, lifetime := l.keeper.quota(workspace)
+	least := piecesOf(tokens, limit, len(keepers))
+	if least == 0 {
 		return nil, masticerror.New(masticerror.KindRateLimited, "the request is larger than the burst of workspace %q", workspace)
 	}
-	a := &attempt{limiter: l, workspace: workspace, piece: (tokens + int64(pieces) - 1) / int64(pieces), missing: pieces}
+	now := time.Now()
+	until, bounded := ctx.Deadline()
+	if !bounded {
+		until = now
+	}
+	a := &attempt{limiter: l, workspace: workspace, lifetime: lifetime, until: until}
+	if c, ok := l.purses.takeForRequest(now, until, workspace, tokens); ok {
+		a.charged = c
+		return a.admission(ctx, tokens)
+	}
+	part := limit.divided(len(keepers))
+	if pieces := len(keepers); float64(2*tokens) > part.BurstTokens && pieces > least && !l.memory.anySilent(now, keepers) {
+		// A large request leaves a keeper's bucket empty for long and another's full, unless it takes from all.
+		a.divide(tokens, pieces)
+		a.chargeAll(ctx, keepers)
+	}
+	if a.missing > 0 || len(a.charged) == 0 {
+		a.refund()
+		a.divide(tokens, least)
+		if least == 1 {
+			a.extra = l.extraTokens(now, workspace, tokens, part)
+		}
+		if err := a.run(ctx, keepers, bounded); err != nil {
+			return nil, err
+		}
+	}
+	return a.admission(ctx, tokens)
+}
+
+// divide makes the attempt charge the given number of pieces.
+func (a *attempt) divide(tokens int64, pieces int) {
+	a.piece, a.missing = (tokens+int64(pieces)-1)/int64(pieces), pieces
+	a.charged, a.ended, a.unanswered, a.delays = nil, 0, 0, nil
+}
+
+// run charges until no piece is missing, and returns the refusal if some are.
+func (a *attempt) run(ctx context.Context, keepers []Host, bounded bool) error {
 	shuffled := slices.Clone(keepers)
-	l.shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
-	waiting := a.charge(ctx, shuffled, 0)
-	if deadline, bounded := ctx.Deadline(); bounded && a.missing > 0 {
-		waiting = a.charge(ctx, waiting, time.Until(deadline))
+	a.limiter.shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	a.limiter.memory.sortLateLast(time.Now(), shuffled)
+	waiting := shuffled
+	if !bounded || !a.limiter.memory.allShort(time.Now(), keepers, a.workspace) {
+		waiting = a.charge(ctx, shuffled, 0)
+	}
+	if bounded && a.missing > 0 {
+		waiting = a.charge(ctx, waiting, time.Until(a.until))
 	}
 	if a.missing > 0 && a.ended == len(keepers) {
 		waiting = a.chargeSubstitutes(ctx)
 	}
+	if a.missing > 0 && a.unanswered > 0 {
+		a.awaitCredits(ctx)
+	}
 	if a.missing > 0 {
 		a.refund()
-		return nil, a.refusal(waiting)
+		return a.refusal(waiting)
+	}
+	return nil
+}
+
+// chargeAll charges a piece at each keeper, until one refuses or does not answer.
+func (a *attempt) chargeAll(ctx context.Context, keepers []Host) {
+	a.delays = map[string]time.Duration{}
+	for _, h := range keepers {
+		before := a.missing
+		a.charge(ctx, []Host{h}, max(0, time.Until(a.until)))
+		if a.missing == before {
+			return
+		}
 	}
-	return a.admission(ctx, tokens)
 }
 
+// extraTokens returns how many tokens are charged ahead with a request, zero if the workspace has few requests here.
+func (l *Limiter) extraTokens(now time.Time, workspace string, tokens int64, part Limit) int64 {
+	extra := int64(min(l.purses.demand(now, workspace)*aheadTime.Seconds(), part.BurstTokens/maxExtraDivisor))
+	if extra < 2*tokens {
+		return 0
+	}
+	return extra
+}
+
+// maxExtraDivisor divides the burst of a keeper's part; the result is the most that is charged ahead at once.
+const maxExtraDivisor = 16
+
 // piecesOf returns at how many of n keepers a request is charged, zero if all their buckets together never hold it.
 func piecesOf(tokens int64, limit Limit, n int) int {
 	for pieces := 1; pieces <= n; pieces++ {
@@ -106,16 +182,20 @@
 type attempt struct {
 	limiter   *Limiter
 	workspace string
+	// lifetime is how long charged tokens may be used, until when the request waits.
+	lifetime time.Duration
+	until    time.Time
 	// piece is the number of tokens to charge at each of as many keepers as missing says.
 	piece   int64
 	missing int
-	charged []Host
-	// ended counts the keepers whose process has ended: their hosts refuse connections.
-	ended int
+	// extra is the number of tokens to charge ahead.
+	extra   int64
+	charged []credit
+	// ended counts the keepers whose process has ended: their hosts refuse connections. unanswered counts those
+	// that have not answered yet.
+	ended, unanswered int
 	// substituteOf is that of the charges.
 	substituteOf int
-	// delay is the time until all charged tokens are there.
-	delay time.Duration
 	// delays are those that keepers stated with their refusals.
 	delays map[string]time.Duration
 }
@@ -128,15 +208,15 @@
 	}
 	var refused []Host
 	for _, h := range keepers {
-		if a.missing == 0 {
+		if a.missing == 0 || a.unanswered >= maxUnanswered {
 			break
 		}
 		answer, ok := a.chargeAt(ctx, h, wait)
 		switch {
 		case !ok:
 		case answer.Admitted:
-			a.charged = append(a.charged, h)
-			a.delay = max(a.delay, answer.Delay)
+			now := time.Now()
+			a.charged = append(a.charged, credit{keeper: h, tokens: a.piece, usableAt: now.Add(answer.Delay)})
 			a.missing--
 		default:
 			a.delays[h.Name] = answer.Delay
@@ -147,6 +227,23 @@
 	return refused
 }
 
+// awaitCredits waits for the answers of late keepers.
+func (a *attempt) awaitCredits(ctx context.Context) {
+	for a.missing > 0 {
+		taken, changed := a.limiter.purses.takeOrWait(time.Now(), a.until, a.workspace, int64(a.missing)*a.piece)
+		if changed == nil {
+			a.charged = append(a.charged, taken...)
+			a.missing = 0
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // chargeSubstitutes charges at the hosts that take the place of the keepers, and at this host itself if all keepers of
 // all workspaces have ended. Hosts that all find them ended find the same substitute. It returns those that refused.
 func (a *attempt) chargeSubstitutes(ctx context.Context) []Host {
@@ -168,10 +265,10 @@
 // chargeAt charges a piece at one keeper. It reports false if the keeper gave no answer, or keeps no bucket.
 func (a *attempt) chargeAt(ctx context.Context, h Host, wait time.Duration) (masticcall.ChargeAnswer, bool) {
 	l, now := a.limiter, time.Now()
-	if delay, known := l.memory.refusal(now, h, a.workspace, a.piece); known && delay > wait {
+	c := masticcall.Charge{Workspace: a.workspace, Tokens: a.piece, Wait: wait, SubstituteOf: a.substituteOf}
+	if delay, known := l.memory.refusal(now, h, c); known {
 		return masticcall.ChargeAnswer{Delay: delay}, true
 	}
-	c := masticcall.Charge{Workspace: a.workspace, Tokens: a.piece, Wait: wait, SubstituteOf: a.substituteOf}
 	if h.Name == l.host {
 		answer := l.keeper.Charge(now, c)
 		return answer, answer.Kept
@@ -179,38 +276,42 @@
 	if l.memory.isSilent(now, h) {
 		return masticcall.ChargeAnswer{}, false
 	}
-	asked, cancel := context.WithTimeout(ctx, chargeTimeout)
-	defer cancel()
-	answer, err := l.keepers.Charge(asked, h.Peer, c)
-	if err != nil {
-		a.recordFailure(ctx, h, err)
-		return answer, false
+	if wait == 0 && a.substituteOf == 0 {
+		c.Extra = a.extra
 	}
-	if answer.Kept && !answer.Admitted && a.substituteOf == 0 {
-		l.memory.recordRefusal(time.Now(), h, a.workspace, a.piece, answer.Delay)
-	}
-	return answer, answer.Kept
+	f := &flight{limiter: l, keeper: h, charge: c, lifetime: a.lifetime, sentAt: now, answered: make(chan struct{})}
+	go f.run()
+	return a.await(ctx, f)
 }
 
-// recordFailure records that a keeper gave no answer. One that has ended is asked again, since that costs little and it
-// may be back soon.
-func (a *attempt) recordFailure(ctx context.Context, h Host, err error) {
-	l, ended := a.limiter, errors.Is(err, syscall.ECONNREFUSED)
-	switch {
-	case ended:
-		a.ended++
-	case ctx.Err() == nil:
-		l.memory.recordSilence(time.Now(), h)
+// await waits for the answer to a charge until chargeTimeout. A later one becomes a credit.
+func (a *attempt) await(ctx context.Context, f *flight) (masticcall.ChargeAnswer, bool) {
+	timer := time.NewTimer(chargeTimeout)
+	defer timer.Stop()
+	select {
+	case <-f.answered:
+	case <-timer.C:
+		if !f.leave() {
+			a.limiter.memory.recordLate(time.Now(), f.keeper)
+			a.unanswered++
+			return masticcall.ChargeAnswer{}, false
+		}
+	case <-ctx.Done():
+		if !f.leave() {
+			a.unanswered++
+			return masticcall.ChargeAnswer{}, false
+		}
 	}
-	if !ended || l.memory.isNews(time.Now(), h) {
-		l.log.WithError(err).WithField("keeper", h.Name).WithField("workspace", a.workspace).WithField("ended", ended).Warn("keeper of a quota gave no answer")
+	if errors.Is(f.err, syscall.ECONNREFUSED) {
+		a.ended++
 	}
+	return f.answer, f.err == nil && f.answer.Kept
 }
 
 // refund returns what was charged.
 func (a *attempt) refund() {
-	for _, h := range a.charged {
-		a.limiter.refund(h, a.workspace, a.piece)
+	for _, c := range a.charged {
+		a.limiter.refund(c.keeper, a.workspace, c.tokens)
 	}
 }
 
@@ -223,8 +324,8 @@
 }
 
 func errFewKeepers(workspace string) error {
-	e := masticerror.New(masticerror.KindRateLimited, "too few keepers of the quota of workspace %q answered", workspace)
-	return e.WithRetryAfter(unansweredRetryAfter)
+	e := masticerror.Wrap(masticcall.ErrUnanswered, masticerror.KindRateLimited, "too few keepers of the quota of workspace %q answered", workspace)
+	return e.WithRetryAfter(unansweredRetryAfter/2 + rand.N(unansweredRetryAfter))
 }
 
 // refusal returns the error for a request that was not admitted, with the time at which enough keepers have the
@@ -239,34 +340,39 @@
 
 // admission waits until the charged tokens are there.
 func (a *attempt) admission(ctx context.Context, tokens int64) (masticcall.Admission, error) {
-	if a.delay > 0 {
-		t := time.NewTimer(a.delay)
+	now, usableAt := time.Now(), time.Time{}
+	for _, c := range a.charged {
+		if c.usableAt.After(usableAt) {
+			usableAt = c.usableAt
+		}
+	}
+	if delay := usableAt.Sub(now); delay > 0 {
+		t := time.NewTimer(delay)
 		defer t.Stop()
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 			a.refund()
-			return nil, masticerror.Wrap(ctx.Err(), masticerror.KindRateLimited, "workspace %q is over its rate", a.workspace).WithRetryAfter(a.delay)
+			return nil, masticerror.Wrap(ctx.Err(), masticerror.KindRateLimited, "workspace %q is over its rate", a.workspace).WithRetryAfter(delay)
 		}
 	}
-	return &admission{limiter: a.limiter, workspace: a.workspace, piece: a.piece, tokens: tokens, keepers: a.charged}, nil
+	return &admission{limiter: a.limiter, workspace: a.workspace, tokens: tokens, charged: a.charged}, nil
 }
 
 // admission is a request that was charged.
 type admission struct {
 	limiter   *Limiter
 	workspace string
-	piece     int64
 	tokens    int64
-	keepers   []Host
+	charged   []credit
 }
 
 // Settle returns unused tokens to the keepers.
 func (a *admission) Settle(usedTokens int64) {
 	unused := max(0, a.tokens-usedTokens)
-	for _, h := range a.keepers {
-		if n := min(a.piece, unused); n > 0 {
-			a.limiter.refund(h, a.workspace, n)
+	for _, c := range a.charged {
+		if n := min(c.tokens, unused); n > 0 {
+			a.limiter.refund(c.keeper, a.workspace, n)
 			unused -= n
 		}
 	}
