Coordinators that take over know what runs; hosts without one bound what they send

Without a coordinator a host has at most two requests on an engine, others wait in its queue.

TestCoordinatorThatTakesOverKnowsRunningRequests fails without the report. Not yet measured on a site.

--- a/masticassign/assign.go
+++ b/masticassign/assign.go
@@ -11,7 +11,9 @@
 
 	"masticladder/masticcall"
 	"masticladder/masticerror"
+	"masticladder/masticgossip"
 	"masticladder/masticproto"
+	"masticladder/masticroute"
 	"masticladder/masticwire"
 )
 
@@ -113,6 +115,19 @@
 	})
 }
 
+// ReportLoad implements masticdispatch.LoadReporter.
+func (c *Client) ReportLoad(peer string, r masticroute.PeerReport) {
+	client, err := c.client(peer)
+	if err != nil {
+		return
+	}
+	// A coordinator that does not get the report takes the engines for idle ones until it is told otherwise.
+	_ = client.Send(&masticproto.PeerRequest{
+		Mode: masticproto.PeerMode_PEER_ONE_WAY,
+		Kind: &masticproto.PeerRequest_Load{Load: masticgossip.EncodeReport(r)},
+	})
+}
+
 // client returns the connection to a peer. Whenever there is a new one, those are closed that have not been
 // used for unusedTimeout.
 func (c *Client) client(peer string) (*usedClient, error) {
--- a/masticbucket/limiter.go
+++ b/masticbucket/limiter.go
@@ -41,7 +41,7 @@
 	memory   *memory
 	// shuffle reorders n items at random, as rand.Shuffle does.
 	shuffle func(n int, swap func(i, j int))
-	purses   *purses
+	purses  *purses
 }
 
 // NewLimiter returns the limiter of the named host, which is a keeper itself where the division says so.
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -162,7 +162,8 @@
 		return err
 	}
 	n.dispatcher = masticdispatch.New(masticdispatch.WithLog(n.log.WithField("host", n.settings.Peer)), masticdispatch.WithSharedLoad(), masticdispatch.WithHost(n.settings.Peer),
-		masticdispatch.WithLeavingReporter(n.agent.Leaving()), masticdispatch.WithCoordinators(n.coordinators), masticdispatch.WithOldWeightsTimeout(n.settings.oldWeightsTimeout()))
+		masticdispatch.WithLeavingReporter(n.agent.Leaving()), masticdispatch.WithCoordinators(n.coordinators), masticdispatch.WithLoadReporter(n.coordinators),
+		masticdispatch.WithOldWeightsTimeout(n.settings.oldWeightsTimeout()))
 	answers := masticbody.NewBudget(answerBytes(n.settings))
 	n.client = masticbackend.New(masticbackend.WithSource(bound.Addr()), masticbackend.WithIdentify(n.protocols.Identify), masticbackend.WithHeadBudget(answers))
 	var lease []masticrelay.Option
--- a/masticdispatch/assignment.go
+++ b/masticdispatch/assignment.go
@@ -53,12 +53,14 @@
 // FirstToken records when the first token arrived.
 func (a *assignment) FirstToken(now time.Time) {
 	a.dispatcher.send(&firstToken{a.outcome.Ticket, now})
+	a.dispatcher.takeover.start(a.outcome.Ticket)
 	a.report(masticcall.ShardUpdate{})
 }
 
 // Done records how the attempt ended.
 func (a *assignment) Done(now time.Time, r masticcall.Result) {
 	a.dispatcher.send(&done{a.outcome.Ticket, now, r})
+	a.dispatcher.takeover.remove(a.outcome.Ticket)
 	a.report(masticcall.ShardUpdate{Done: true, Result: r})
 }
 
--- a/masticdispatch/dispatcher.go
+++ b/masticdispatch/dispatcher.go
@@ -55,6 +55,7 @@
 	leaving        LeavingReporter
 	host           string
 	sharding       sharding
+	takeover       takeover
 }
 
 // Option configures New.
@@ -99,6 +100,7 @@
 		log:       logrus.NewEntry(logrus.StandardLogger()),
 		seed:      uint64(time.Now().UnixNano()),
 		drops:     newDrops(),
+		takeover:  newTakeover(),
 		reportDue: make(chan struct{}, 1),
 		sharding:  sharding{lastID: rand.Uint64(), cooldowns: map[string]time.Time{}, busyUntil: map[string]time.Time{}, assigned: map[assignmentKey]assignedRequest{}},
 	}
@@ -128,7 +130,11 @@
 		return nil, o.Err
 	}
 	d.logDecision(r, &o)
-	return d.assignment(o, r.Workspace, r.Class), nil
+	a := d.assignment(o, r.Workspace, r.Class)
+	if d.Sharded() {
+		d.takeover.add(a)
+	}
+	return a, nil
 }
 
 // AcquireService assigns a backend server of a plain service. An error means that the call was
--- a/masticdispatch/shard.go
+++ b/masticdispatch/shard.go
@@ -191,6 +191,7 @@
 		if !ok {
 			return nil
 		}
+		d.reportTakeover(r.Model, s, host)
 		if host.Name == d.host {
 			return d.acquireOwnShard(ctx, r, prompt)
 		}
@@ -357,6 +358,7 @@
 	d.logAdopted(peer, r, &o, a)
 	own := d.assignment(o, r.Workspace, r.Class)
 	own.coordinator, own.shardID = peer, q.ID
+	d.takeover.add(own)
 	return own
 }
 
--- a/masticdispatch/shard_test.go
+++ b/masticdispatch/shard_test.go
@@ -85,7 +85,7 @@
 	// The last one is a weak host, which coordinates nothing.
 	for i := range strong + 1 {
 		name := fmt.Sprint("host", i)
-		d := New(WithHost(name), WithSharedLoad(), WithSeed(uint64(i)), WithCoordinators(n))
+		d := New(WithHost(name), WithSharedLoad(), WithSeed(uint64(i)), WithCoordinators(n), WithLoadReporter(n))
 		n.dispatchers[name] = d
 		r := &testDispatcher{Dispatcher: d}
 		go r.run()
--- a/masticgossip/codec.go
+++ b/masticgossip/codec.go
@@ -11,6 +11,9 @@
 // maxExpectedIn bounds the predicted time until a backend server has a prompt.
 const maxExpectedIn = time.Minute
 
+// EncodeReport converts a report for Exchange.Receive of another host.
+func EncodeReport(r masticroute.PeerReport) *masticproto.LoadReport { return encodeReport(r) }
+
 func encodeReport(r masticroute.PeerReport) *masticproto.LoadReport {
 	p := &masticproto.LoadReport{Host: r.Host, Ended: r.Ended}
 	for _, s := range r.Servers {
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -101,7 +101,7 @@
 // memory has room, unless nothing runs there; otherwise the engine preempts the newest running
 // request and computes its prompt again.
 func (r *Router) canAdmitShared(now time.Time, s *server, q *Query, tokens int64) bool {
-	if s.rejections.isFull(now) {
+	if s.rejections.isFull(now) || r.beyondLocalBound(s, q) {
 		return false
 	}
 	running := s.calls(now)
@@ -111,6 +111,19 @@
 	return s.info.Slots == 0 || running < s.info.Slots+s.info.Slots/extraSlotsDivisor || q.Class == masticview.ClassQuick && running < 2*s.info.Slots
 }
 
+const (
+	// maxLocalRequests is how many requests a host of a site with shards may have on an engine when it assigns one
+	// without a coordinator: it does not know what the other hosts have there.
+	maxLocalRequests = 2
+	// localBoundCost is the cost of an engine on which the host has so many, so that another is chosen.
+	localBoundCost = 2 * time.Second
+)
+
+// beyondLocalBound reports whether this host may not send the request to s as no coordinator assigned it.
+func (r *Router) beyondLocalBound(s *server, q *Query) bool {
+	return r.shards != nil && q.Shard == 0 && s.load.running >= maxLocalRequests
+}
+
 // extraSlotsDivisor divides an engine's slots; the result is the number of requests that it may
 // hold in its queue beyond its slots.
 const extraSlotsDivisor = 4
@@ -232,6 +245,9 @@
 	if s.memoryFullFor(e.now, float64(e.tokens)) {
 		c.Cost += memoryFullCost
 	}
+	if r.beyondLocalBound(s, e.query) {
+		c.Cost += localBoundCost
+	}
 	if e.query.Class == masticview.ClassQuick && s.slotsTaken(e.now) {
 		c.Cost += preemptionCost
 	}
