Hosts that know of a newer view do not reject for routes and keys; frozen leaders are left sooner

With 40 entry hosts and more, renewals go through any control host. One that lags itself passed the leader's answer on, which names the newest revision, without the view, and the host waited for a whole interval. It now records that its view is outdated, leaves that control host with its renewals and its view stream, and asks another one after 150 ms. While it is outdated it refuses as not run, with a short Retry-After, what it would reject with 404 or 401. Hosts out of touch serve as before.

An operator's call lasts 900 ms at a control host, an attempt at the leader 1 s, so each control host in turn spent a whole call on the frozen leader. After 250 ms without an answer the other control hosts are asked who leads; only if another one answers as leader does the attempt end. A slow leader gets no second copy.

Not done: peers and coordinators don't state revisions, since their messages have no field for it.

--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -118,6 +118,9 @@
 // View returns the newest view that this host holds.
 func (a *Agent) View() masticview.View { return a.views.view() }
 
+// Outdated reports whether this host knows that its view is older than the newest one.
+func (a *Agent) Outdated() bool { return a.views.outdated() }
+
 // Leased reports whether the host holds a view lease at now.
 func (a *Agent) Leased(now time.Time) bool { return a.views.leased(now) }
 
--- a/masticagent/document.go
+++ b/masticagent/document.go
@@ -12,8 +12,11 @@
 	command := &masticproto.Command{Kind: &masticproto.Command_Document{Document: &masticproto.PutDocument{
 		Document: d, Content: content,
 	}}}
-	answer, err := a.commit(ctx, command, a.attemptTimeout)
-	return int64(answer.GetRevision()), err
+	answer, err := a.leader.callSearching(ctx, &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Command{Command: command}}, a.attemptTimeout)
+	if err != nil {
+		return 0, err
+	}
+	return int64(answer.answer.GetCommand().GetRevision()), nil
 }
 
 // NameWeights commits a version of a model's weights through the control group.
@@ -21,7 +24,7 @@
 	command := &masticproto.Command{Kind: &masticproto.Command_Weights{Weights: &masticproto.NameWeights{
 		Model: model, Version: version,
 	}}}
-	_, err := a.commit(ctx, command, a.attemptTimeout)
+	_, err := a.leader.callSearching(ctx, &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Command{Command: command}}, a.attemptTimeout)
 	return err
 }
 
@@ -29,7 +32,7 @@
 // it is the newest before it answers.
 func (a *Agent) ReadDocument(ctx context.Context) (int64, []byte, error) {
 	q := &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Document{Document: &masticproto.DocumentRequest{}}}
-	answer, err := a.leader.call(ctx, q, a.attemptTimeout)
+	answer, err := a.leader.callSearching(ctx, q, a.attemptTimeout)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/masticagent/renewer.go
+++ b/masticagent/renewer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticladder/masticclock"
+	"masticladder/masticerror"
 	"masticladder/masticlease"
 	"masticladder/masticproto"
 )
@@ -19,8 +20,13 @@
 	leaseHeld bool
 	// refused reports that the leader grants no lease although this host serves the newest revision.
 	refused bool
+	// lagging reports that the control host that answered last does not have the newest view.
+	lagging bool
 }
 
+// lagDelay is the time to the next renewal while the control hosts asked do not have the newest view.
+const lagDelay = 150 * time.Millisecond
+
 func newRenewer(a *Agent) *renewer {
 	return &renewer{agent: a, wake: make(chan struct{}, 1), holder: masticlease.NewHolder(a.host, a.incarnation)}
 }
@@ -39,6 +45,9 @@
 		delay := r.agent.renewInterval
 		if err := r.renew(ctx); err != nil {
 			delay = r.agent.retryDelay
+			if r.lagging {
+				delay = min(lagDelay, r.agent.renewInterval)
+			}
 			r.agent.log.WithError(err).Debug("the view lease was not renewed")
 		}
 		r.logLease(masticclock.Now())
@@ -76,6 +85,7 @@
 		Relay:       relay,
 	}}}, r.agent.renewTimeout)
 	if err != nil {
+		r.lagging = false
 		return err
 	}
 	if !relay {
@@ -88,7 +98,25 @@
 		r.agent.members.moveOn(a.address)
 	}
 	r.applyAnswer(a.answer.GetRenew())
-	return nil
+	return r.lagError(a)
+}
+
+// lagError returns an error if this host lacks a revision and the control host that answered did not send it, since it lags itself.
+// The next renewal and the next view stream go to another one, without waiting for the interval.
+func (r *renewer) lagError(a leaderAnswer) error {
+	answer := a.answer.GetRenew()
+	wasLagging := r.lagging
+	r.lagging = answer.GetUpdate() == nil && answer.GetRevision() > r.agent.View().Revision()
+	if !r.lagging {
+		return nil
+	}
+	r.agent.members.moveOn(a.address)
+	r.agent.watcher.leave(a.address)
+	if !wasLagging {
+		r.agent.log.WithField("revision", r.agent.View().Revision()).WithField("newest", answer.GetRevision()).WithField("control", a.address).
+			Warn("control host does not have the newest view; asking another one")
+	}
+	return masticerror.New(masticerror.KindConflict, "the control host at %s does not have revision %d", a.address, answer.GetRevision())
 }
 
 func (r *renewer) applyAnswer(answer *masticproto.RenewAnswer) {
@@ -99,6 +127,7 @@
 		Revision: answer.GetRevision(),
 	})
 	r.agent.views.setLease(r.holder.ExpiresAt())
+	r.agent.views.newestKnown.Store(answer.GetRevision())
 	if s := answer.GetSuspects(); s != nil {
 		r.agent.suspects.replace(s)
 	}
--- a/masticagent/views.go
+++ b/masticagent/views.go
@@ -23,6 +23,8 @@
 	leaseExpiresAt atomic.Pointer[time.Time]
 	// lastAnswerAt is when the leader last answered a renewal.
 	lastAnswerAt atomic.Pointer[time.Time]
+	// newestKnown is the revision that the leader stated last.
+	newestKnown atomic.Uint64
 }
 
 func newViews(a *Agent) *views {
@@ -67,6 +69,9 @@
 // reachableTimeout is the time without an answer after which the leader counts as unreachable.
 const reachableTimeout = 1500 * time.Millisecond
 
+// outdated reports whether the leader has stated a newer revision than that of the view.
+func (v *views) outdated() bool { return v.newestKnown.Load() > v.view().Revision() }
+
 func (v *views) recordAnswer(now time.Time) { v.lastAnswerAt.Store(&now) }
 
 func (v *views) controlReachable() bool {
--- a/masticagent/watcher.go
+++ b/masticagent/watcher.go
@@ -110,6 +110,18 @@
 	}
 }
 
+// leave ends the stream if it is from the control host at address, so that the next one is from another host.
+func (w *watcher) leave(address string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.preferred == address {
+		w.preferred = ""
+	}
+	if w.cancel != nil && w.address == address {
+		w.cancel()
+	}
+}
+
 // restart ends the stream, so that the next one starts at this host's revision.
 func (w *watcher) restart() {
 	w.mutex.Lock()
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -171,6 +171,7 @@
 		lease = append(lease, masticrelay.WithLease(n.agent))
 	}
 	n.relay = masticrelay.New(append(lease,
+		masticrelay.WithFreshness(n.agent),
 		masticrelay.WithLimiter(n.agent.Limiter()),
 		masticrelay.WithDispatcher(n.dispatcher),
 		masticrelay.WithSuspects(n.agent.Suspects(), n.agent.Holds()),
--- a/masticrelay/access.go
+++ b/masticrelay/access.go
@@ -33,7 +33,7 @@
 		return err
 	}
 	if w, ok := r.authenticate(t); !ok || w.Name != r.workspace.Name {
-		return errUnknownKey()
+		return r.relay.outdatedOr(errUnknownKey())
 	}
 	if !r.mayHaveRun {
 		// The drain may have begun while the request waited.
--- a/masticrelay/metrics.go
+++ b/masticrelay/metrics.go
@@ -43,6 +43,8 @@
 	// milliseconds.
 	callersGone, expired metrics.Counter
 	readDelay            metrics.Histogram
+	// outdated counts refusals because of an outdated view, instead of those for a route or key.
+	outdated metrics.Counter
 	// quotaWait is the time in milliseconds that requests waited for their workspace's quota.
 	quotaWait metrics.Histogram
 	kinds     map[string]kindMetrics
@@ -72,6 +74,7 @@
 		pausedAnswers:  metrics.GetOrRegisterCounter("attempts.pauseStated", r),
 		quotaWait:      histogram(r, "quota.waitMillis"),
 		callersGone:    metrics.GetOrRegisterCounter("attempts.callerGone", r),
+		outdated:       metrics.GetOrRegisterCounter("requests.viewOutdated", r),
 		expired:        metrics.GetOrRegisterCounter("attempts.expired", r),
 		readDelay:      histogram(r, "requests.readDelayMillis"),
 
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -147,11 +147,11 @@
 	}
 	route, ok := t.index.Route(r.call.Host, r.call.Path)
 	if !ok {
-		return masticerror.New(masticerror.KindNotFound, "no route for %s%s", r.call.Host, r.call.Path)
+		return c.outdatedOr(masticerror.New(masticerror.KindNotFound, "no route for %s%s", r.call.Host, r.call.Path))
 	}
 	r.route = route
 	if r.workspace, ok = r.authenticate(t); !ok {
-		return errUnknownKey()
+		return c.outdatedOr(errUnknownKey())
 	}
 	r.deadline = deadlineOf(route, r.call)
 	r.call.Running.Set(r.call.Running.Progress().WithRoute(route.Name, r.deadline))
