--- a/masticagent/keepers_test.go
+++ b/masticagent/keepers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -13,7 +14,7 @@
 // stubKeepers refuses all requests with an error.
 type stubKeepers struct{ err error }
 
-func (s stubKeepers) Admit(context.Context, string, int64) (masticcall.Admission, error) {
+func (s stubKeepers) Admit(context.Context, string, int64, time.Time) (masticcall.Admission, error) {
 	return nil, s.err
 }
 
@@ -35,7 +36,7 @@
 		c.Assert(err, qt.IsNil)
 		admitted := 0
 		for range 4 {
-			if _, err := a.Limiter().Admit(t.Context(), "w", 2000); err == nil {
+			if _, err := a.Limiter().Admit(t.Context(), "w", 2000, time.Time{}); err == nil {
 				admitted++
 			} else {
 				c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindRateLimited)
--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -69,8 +69,8 @@
 
 // Admit takes tokens from the workspace's quota. It waits for a grant as long as one can arrive
 // before ctx ends.
-func (l *limiter) Admit(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
-	a, err := l.acquire(ctx, workspace, tokens)
+func (l *limiter) Admit(ctx context.Context, workspace string, tokens int64, tokensBy time.Time) (masticcall.Admission, error) {
+	a, err := l.acquire(ctx, workspace, tokens, tokensBy)
 	if err != nil {
 		l.agent.admissions.Refused.Add(1)
 	}
@@ -81,9 +81,9 @@
 // outage share if the control hosts are unreachable or the quota owner is unresponsive, the standing share for a
 // small request, a grant of the owner, and a share again if ctx ends before the grant is decided, also when the
 // caller cancels. A request that the holder refuses, also because its waitUntil has passed, gets no share.
-func (l *limiter) acquire(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
+func (l *limiter) acquire(ctx context.Context, workspace string, tokens int64, tokensBy time.Time) (masticcall.Admission, error) {
 	if k := l.agent.keepers; k != nil && k.Divided() {
-		return l.acquireFromKeepers(ctx, workspace, tokens)
+		return l.acquireFromKeepers(ctx, workspace, tokens, tokensBy)
 	}
 	if s := l.agent.outageShares; s != nil && (!l.agent.ControlReachable() || l.ownerUnresponsive(masticclock.Now())) {
 		return s.admit(masticclock.Now(), workspace, tokens)
@@ -115,8 +115,8 @@
 
 // acquireFromKeepers charges a request at the keepers. If too few of them answer, the standing share admits it while it
 // has the tokens: it is full then, since it is used for nothing else.
-func (l *limiter) acquireFromKeepers(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
-	a, err := l.agent.keepers.Admit(ctx, workspace, tokens)
+func (l *limiter) acquireFromKeepers(ctx context.Context, workspace string, tokens int64, tokensBy time.Time) (masticcall.Admission, error) {
+	a, err := l.agent.keepers.Admit(ctx, workspace, tokens, tokensBy)
 	if err == nil {
 		l.agent.admissions.Kept.Add(1)
 		return a, nil
--- a/masticagent/share_test.go
+++ b/masticagent/share_test.go
@@ -78,16 +78,16 @@
 	c.Assert(err, qt.IsNil)
 	ended, end := context.WithCancel(t.Context())
 	end()
-	_, err = a.limiter.Admit(ended, "w", smallRequestTokens)
+	_, err = a.limiter.Admit(ended, "w", smallRequestTokens, time.Time{})
 	c.Assert(err, qt.IsNil)
 	c.Assert(a.limiter.events.Len(), qt.Equals, 0)
 
-	_, err = a.limiter.Admit(ended, "w", smallRequestTokens)
+	_, err = a.limiter.Admit(ended, "w", smallRequestTokens, time.Time{})
 	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindRateLimited)
 	c.Assert(a.limiter.events.Len() > 0, qt.IsTrue)
 
 	asked := a.limiter.events.Len()
-	_, err = a.limiter.Admit(ended, "other", smallRequestTokens+1)
+	_, err = a.limiter.Admit(ended, "other", smallRequestTokens+1, time.Time{})
 	c.Assert(masticerror.KindOf(err), qt.Equals, masticerror.KindRateLimited)
 	c.Assert(a.limiter.events.Len() > asked, qt.IsTrue)
 }
--- a/masticbucket/fleet_test.go
+++ b/masticbucket/fleet_test.go
@@ -41,6 +41,17 @@
 	// attempts counts the requests of callers with their returns.
 	charges, attempts int
 	admitted          []use
+	// tokenWait bounds the wait of a request for tokens, zero if only its caller's timeout does; waits are how long admitted
+	// requests waited.
+	tokenWait time.Duration
+	waits     []time.Duration
+}
+
+func (f *fleet) tokensBy() time.Time {
+	if f.tokenWait == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(f.tokenWait)
 }
 
 // oneBucket admits from a single bucket, without messages.
@@ -67,7 +78,7 @@
 	if f.one != nil {
 		return f.one.admit(ctx, tokens)
 	}
-	_, err := f.limiters[host].Admit(ctx, "w", tokens)
+	_, err := f.limiters[host].Admit(ctx, "w", tokens, f.tokensBy())
 	return err
 }
 
@@ -152,11 +163,13 @@
 		a.fleet.mutex.Lock()
 		a.fleet.attempts++
 		a.fleet.mutex.Unlock()
+		began := time.Now()
 		err := a.fleet.admit(ctx, a.host, a.tokens)
 		cancel()
 		if err == nil {
 			a.fleet.mutex.Lock()
 			a.fleet.admitted = append(a.fleet.admitted, use{time.Now(), float64(a.tokens)})
+			a.fleet.waits = append(a.fleet.waits, time.Since(began))
 			a.fleet.mutex.Unlock()
 			return
 		}
@@ -323,6 +336,27 @@
 	})
 }
 
+// TestWorkspaceOverItsRateIsServedLate: while a workspace sent six times its rate, each of its admitted requests waited 250 ms
+// for tokens, more than half of the time in which its answer was due, and no more of them were admitted.
+func TestWorkspaceOverItsRateIsServedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const load, spell, tokenWait = 6.0, 6500 * time.Millisecond, 50 * time.Millisecond
+		random := rand.New(rand.NewPCG(5, 6))
+		f := newFleet(87, fleetLimit)
+		f.tokenWait = tokenWait
+		f.play(random, spell, load, smallTokens)
+		admitted := float64(len(f.admitted)) * smallTokens / (fleetLimit.RateTokensPerSecond * spell.Seconds())
+		slices.Sort(f.waits)
+		median, longest := f.waits[len(f.waits)/2], f.waits[len(f.waits)-1]
+		c.Logf("waited %v at the median, %v at most; %.2f of the rate was used", median, longest, admitted)
+		c.Check(median <= tokenWait+10*time.Millisecond, qt.IsTrue)
+		c.Check(admitted >= 0.95, qt.IsTrue)
+		f.assertWithinLimit(c, 0)
+		time.Sleep(time.Second)
+	})
+}
+
 // TestRestartsAndChangesOfKeepersExceedQuota restarts hosts and removes keepers under load. Each restart of a keeper may add
 // its initial level, each change what the former keeper still gives out to hosts with the older view.
 func TestRestartsAndChangesOfKeepersExceedQuota(t *testing.T) {
--- a/masticbucket/limiter.go
+++ b/masticbucket/limiter.go
@@ -23,6 +23,8 @@
 	// maxUnanswered is the number of keepers that a request asks without an answer. More would add to the load of
 	// keepers that are short of processor time.
 	maxUnanswered = 2
+	// minTokenWait is the least time for which a request may wait for tokens.
+	minTokenWait = time.Millisecond
 	// unansweredRetryAfter is the mean Retry-After if too few keepers answer. It varies by half.
 	unansweredRetryAfter = time.Second
 	// aheadTime is the time for which tokens are charged ahead for a busy workspace. It is below maxCreditLifetime,
@@ -72,9 +74,10 @@
 func (l *Limiter) Divided() bool { return l.division.Load() != nil }
 
 // Admit takes the request's tokens from this host's credits or charges them at keepers. A request that is larger
-// than the bucket of one is charged in equal pieces at several. It waits for tokens that are there before ctx ends.
+// than the bucket of one is charged in equal pieces at several. It waits for tokens that are there before ctx ends
+// and before tokensBy: if a workspace stays over its rate, each request would wait that long.
 // The error wraps masticcall.ErrUnanswered if too few keepers answered to say whether the workspace is over its rate.
-func (l *Limiter) Admit(ctx context.Context, workspace string, tokens int64) (masticcall.Admission, error) {
+func (l *Limiter) Admit(ctx context.Context, workspace string, tokens int64, tokensBy time.Time) (masticcall.Admission, error) {
 	keepers := l.division.Load().Keepers(workspace)
 	if len(keepers) == 0 {
 		return nil, errFewKeepers(workspace)
@@ -89,6 +92,9 @@
 	if !bounded {
 		until = now
 	}
+	if !tokensBy.IsZero() && tokensBy.Before(until) {
+		until = later(tokensBy, now.Add(minTokenWait))
+	}
 	a := &attempt{limiter: l, workspace: workspace, lifetime: lifetime, until: until}
 	if c, ok := l.purses.takeForRequest(now, until, workspace, tokens); ok {
 		a.charged = c
@@ -113,6 +119,13 @@
 	return a.admission(ctx, tokens)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // divide makes the attempt charge the given number of pieces.
 func (a *attempt) divide(tokens int64, pieces int) {
 	a.piece, a.missing = (tokens+int64(pieces)-1)/int64(pieces), pieces
@@ -248,10 +261,7 @@
 // all workspaces have ended. Hosts that all find them ended find the same substitute. It returns those that refused.
 func (a *attempt) chargeSubstitutes(ctx context.Context) []Host {
 	d := a.limiter.division.Load()
-	wait := time.Duration(0)
-	if deadline, bounded := ctx.Deadline(); bounded {
-		wait = time.Until(deadline)
-	}
+	wait := max(0, time.Until(a.until))
 	substitutes := d.substitutes(a.workspace)
 	a.ended, a.substituteOf = 0, parts
 	refused := a.charge(ctx, substitutes, wait)
--- a/masticcontrol/bench_test.go
+++ b/masticcontrol/bench_test.go
@@ -124,7 +124,7 @@
 	b.RunParallel(func(p *testing.PB) {
 		a := agents[int(i.Add(1))%len(agents)]
 		for p.Next() {
-			admission, err := a.Limiter().Admit(b.Context(), workspaceName(0), 1)
+			admission, err := a.Limiter().Admit(b.Context(), workspaceName(0), 1, time.Time{})
 			if err == nil {
 				admission.Settle(0)
 			}
--- a/masticcontrol/operator_test.go
+++ b/masticcontrol/operator_test.go
@@ -171,12 +171,12 @@
 		return ok
 	})
 
-	admitted, err := a.Limiter().Admit(c.context(), "saws", 100)
+	admitted, err := a.Limiter().Admit(c.context(), "saws", 100, time.Time{})
 	q.Assert(err, quicktest.IsNil)
 	admitted.Settle(50)
-	_, err = a.Limiter().Admit(c.context(), "saws", 1_000_000)
+	_, err = a.Limiter().Admit(c.context(), "saws", 1_000_000, time.Time{})
 	q.Assert(masticerror.KindOf(err), quicktest.Equals, masticerror.KindRateLimited)
-	_, err = a.Limiter().Admit(c.context(), "unknown", 1)
+	_, err = a.Limiter().Admit(c.context(), "unknown", 1, time.Time{})
 	q.Assert(masticerror.KindOf(err), quicktest.Equals, masticerror.KindRateLimited)
 
 	a.Usage().Add(masticcall.UsageRecord{Workspace: "saws", Profile: "review", InputTokens: 5, OutputTokens: 7})
--- a/masticcontrol/quota_test.go
+++ b/masticcontrol/quota_test.go
@@ -24,7 +24,7 @@
 	defer s.running.Done()
 	for s.ended.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ended, 100*time.Millisecond)
-		a, err := s.agent.Limiter().Admit(ctx, "saws", spentTokens)
+		a, err := s.agent.Limiter().Admit(ctx, "saws", spentTokens, time.Time{})
 		cancel()
 		if err == nil {
 			s.spent.Add(spentTokens)
--- a/masticgate/fake_test.go
+++ b/masticgate/fake_test.go
@@ -52,7 +52,7 @@
 	settled  []int64
 }
 
-func (f *fakeLimiter) Admit(ctx context.Context, _ string, tokens int64) (masticcall.Admission, error) {
+func (f *fakeLimiter) Admit(ctx context.Context, _ string, tokens int64, _ time.Time) (masticcall.Admission, error) {
 	if f.slow {
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -147,7 +147,7 @@
 	inTime, cancel := context.WithDeadline(ctx, m.request.FirstTokenDeadline)
 	defer cancel()
 	reserved := m.prompt.promptTokens + m.prompt.outputTokens
-	a, err := m.inbound.gate.limiter.Admit(inTime, m.request.Workspace, reserved)
+	a, err := m.inbound.gate.limiter.Admit(inTime, m.request.Workspace, reserved, time.Time{})
 	switch {
 	case err == nil:
 		return a, nil
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -254,7 +254,7 @@
 	settled  []int64
 }
 
-func (l *unlimitedLimiter) Admit(context.Context, string, int64) (masticcall.Admission, error) {
+func (l *unlimitedLimiter) Admit(context.Context, string, int64, time.Time) (masticcall.Admission, error) {
 	l.admitted++
 	return l, nil
 }
