Admission by engine memory for all classes, with the growth of outputs

An engine whose requests outgrow its memory ends or computes prompts again. Long prompts were bounded by 0.85 of it without their output, quick ones were not bounded. A request now counts its prompt and stated output (at most 2,048 tokens) in blocks of 16, over all hosts that report; quick requests may take all of the memory together, others 0.85 of it. A prompt that fits nowhere goes where requests are predicted to leave room first.

--- a/masticroute/adopt.go
+++ b/masticroute/adopt.go
@@ -38,6 +38,7 @@
 		Ahead:     s.load.ownTokens,
 		Fetch:     a.FetchAddress, Save: a.SaveAddress,
 	}
+	d.Held = heldFor(d.Tokens, q.OutputTokens)
 	d.evaluated[0], d.nEvaluated = d.Candidate, 1
 	return d, true
 }
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -63,6 +63,8 @@
 	Prompt    masticprompt.Prompt
 	// PromptTokens is the length of the prompt where a better value than the estimate is known.
 	PromptTokens int64
+	// OutputTokens is the largest length of the output, zero if that is not stated.
+	OutputTokens int64
 	Avoid        []string
 	// Software restricts the backend servers by the version of their software.
 	Software masticcall.Software
@@ -125,8 +127,10 @@
 	Fetch, Save string
 	// FetchTokens is the number of tokens that the backend server is expected to fetch.
 	FetchTokens float64
-	evaluated   [maxCandidates]Candidate
-	nEvaluated  int
+	// Held is the memory of the engine that the request needs, in tokens.
+	Held       float64
+	evaluated  [maxCandidates]Candidate
+	nEvaluated int
 }
 
 // Uncached returns the predicted number of tokens to compute before the first token.
--- a/masticroute/load.go
+++ b/masticroute/load.go
@@ -101,7 +101,7 @@
 		l.ownQuickTokens += w.Uncached
 	}
 	l.pending = append(l.pending, pendingRequest{now, w.Uncached + w.Ahead})
-	l.heldTokens += float64(w.Tokens)
+	l.heldTokens += w.Held
 	l.running++
 	l.waiting++
 	l.recordHistory(now)
@@ -118,7 +118,7 @@
 }
 
 func (l *load) done(now time.Time, w *Work) {
-	l.heldTokens = max(0, l.heldTokens-float64(w.Tokens))
+	l.heldTokens = max(0, l.heldTokens-w.Held)
 	l.running--
 	l.recordHistory(now)
 }
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -338,7 +338,9 @@
 	// Ahead is the work predicted to precede it, in tokens.
 	Ahead float64
 	// Tokens is the length of the prompt.
-	Tokens  int64
+	Tokens int64
+	// Held is the memory of the engine that it needs, in tokens.
+	Held    float64
 	Trial   masticcache.HitPrediction
 	Pieces  []masticprompt.Piece
 	Suspect bool
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -28,11 +28,6 @@
 	// homeCredit favors the home engine, so that hosts that do not know of each other's
 	// decisions yet choose the same one.
 	homeCredit = 80 * time.Millisecond
-	// memoryFullCost is the cost of a request that the engine's memory has no room for: another
-	// request is preempted and its prompt computed again.
-	memoryFullCost = 600 * time.Millisecond
-	// maxMemoryShare is the share of the memory that running requests may take.
-	maxMemoryShare = 0.85
 	// preemptionCost is the cost of a quick request on an engine whose slots are taken: it
 	// preempts the newest long request, whose prompt is computed again for some 270 ms.
 	preemptionCost = 270 * time.Millisecond
@@ -91,21 +86,22 @@
 	}
 	s := r.servers[d.Slot]
 	d.Ahead = s.load.ownTokens + s.load.peersNow(now).tokens
-	d.Admit = !d.Hold && r.canAdmitShared(now, s, q, d.Tokens)
+	d.Held = heldFor(d.Tokens, q.OutputTokens)
+	d.Admit = !d.Hold && r.canAdmitShared(now, s, q, d.Held)
 	return d, true
 }
 
-// canAdmitShared reports whether s may get the request at once. Engines queue and order requests
-// themselves, so s may hold a quarter more than its slots (see extraSlotsDivisor), and twice its
-// slots if the request is of the quick class. A request of another class waits until the engine's
-// memory has room, unless nothing runs there; otherwise the engine preempts the newest running
-// request and computes its prompt again.
-func (r *Router) canAdmitShared(now time.Time, s *server, q *Query, tokens int64) bool {
+// canAdmitShared reports whether s may get the request, which needs held tokens of its memory, at once.
+// Engines queue and order requests themselves, so s may hold a quarter more than its slots (see
+// extraSlotsDivisor), and twice its slots if the request is of the quick class. A request waits until the
+// engine's memory has room for it and its output, unless nothing runs there; otherwise the engine preempts
+// the newest running request and computes its prompt again.
+func (r *Router) canAdmitShared(now time.Time, s *server, q *Query, held float64) bool {
 	if s.rejections.isFull(now) || r.beyondLocalBound(s, q) {
 		return false
 	}
 	running := s.calls(now)
-	if q.Class != masticview.ClassQuick && running > 0 && s.memoryFullFor(now, float64(tokens)) {
+	if running > 0 && s.memoryFullFor(now, q.Class, held) {
 		return false
 	}
 	return s.info.Slots == 0 || running < s.info.Slots+s.info.Slots/extraSlotsDivisor || q.Class == masticview.ClassQuick && running < 2*s.info.Slots
@@ -242,8 +238,9 @@
 		c.Cost += time.Duration(recomputed) * recomputeCost
 	}
 	c.Prefill = e.prefillTime(c.Cached, speed)
-	if s.memoryFullFor(e.now, float64(e.tokens)) {
+	if held := heldFor(e.tokens, e.query.OutputTokens); s.memoryFullFor(e.now, e.query.Class, held) {
 		c.Cost += memoryFullCost
+		c.Wait = max(c.Wait, s.memoryWait(e.now, e.query.Class, held, c.Wait))
 	}
 	if r.beyondLocalBound(s, e.query) {
 		c.Cost += localBoundCost
@@ -286,11 +283,3 @@
 	}
 	return s.info.Slots > 0 && int64(s.load.running)+s.load.peersNow(now).running >= s.info.Slots
 }
-
-// memoryFullFor reports whether the engine's memory has no room for tokens more.
-func (s *server) memoryFullFor(now time.Time, tokens float64) bool {
-	if s.memoryTokens == 0 {
-		return false
-	}
-	return s.load.heldTokens+s.load.peersNow(now).heldTokens+tokens > maxMemoryShare*s.memoryTokens
-}
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -17,7 +17,7 @@
 func (r *Router) Start(now time.Time, q *Query, d *Decision) Work {
 	w := Work{
 		Slot: d.Slot, Epoch: r.cacheIndex.Epoch(d.Slot), Class: q.Class,
-		Uncached: max(0, float64(d.Tokens)-d.Cached), Ahead: d.Ahead, Tokens: d.Tokens, Trial: d.Trial,
+		Uncached: max(0, float64(d.Tokens)-d.Cached), Ahead: d.Ahead, Tokens: d.Tokens, Held: d.Held, Trial: d.Trial,
 		Pieces: d.Pieces, Suspect: q.Suspect, StartedAt: now, Save: d.Save, Fetch: d.Fetch, Predicted: d.Predicted(),
 	}
 	s := r.servers[w.Slot]
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -126,7 +126,7 @@
 	}
 	w := &waiting{ticket: t, request: r, queuedAt: now, query: masticroute.Query{
 		Model: r.Model, Workspace: r.Workspace, Class: r.Class, Prompt: p,
-		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Software: r.Software, Suspect: s.suspects[r.Digest], Shard: r.Shard, OtherHost: r.OtherHost,
+		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Avoid: r.Avoid, Software: r.Software, Suspect: s.suspects[r.Digest], Shard: r.Shard, OtherHost: r.OtherHost,
 		Due: r.FirstTokenDeadline,
 	}}
 	if !s.router.Eligible(&w.query) {
@@ -157,7 +157,7 @@
 func (s *Scheduler) Adopt(now time.Time, t Ticket, r masticcall.Request, p masticprompt.Prompt, a masticcall.ShardAssignment) {
 	w := &waiting{ticket: t, request: r, queuedAt: now, query: masticroute.Query{
 		Model: r.Model, Workspace: r.Workspace, Class: r.Class, Prompt: p,
-		PromptTokens: r.PromptTokens, Avoid: r.Avoid, Software: r.Software, Suspect: s.suspects[r.Digest],
+		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Avoid: r.Avoid, Software: r.Software, Suspect: s.suspects[r.Digest],
 	}}
 	d, ok := s.router.Adopt(now, &w.query, a)
 	if !ok {
