--- a/masticdaemon/metrics.go
+++ b/masticdaemon/metrics.go
@@ -1,6 +1,7 @@
 package masticdaemon
 
 import (
+	"errors"
 	"maps"
 	"sync/atomic"
 
@@ -23,7 +24,7 @@
 		return
 	}
 	d.gauge("gate.running", d.running)
-	if err := d.dispatcher.Drops().Register(d.registry); err != nil {
+	if err := errors.Join(d.dispatcher.Drops().Register(d.registry), d.dispatcher.Placements().Register(d.registry)); err != nil {
 		d.log.WithError(err).Warn("registering the metrics of the dispatcher failed; some are missing")
 	}
 	c := d.engine.Counters()
@@ -61,7 +62,7 @@
 	if n.relay != nil {
 		values["requests.running"] = n.relay.Running
 		values["keeper.charges"], values["keeper.refused"] = n.keeper.Charged.Load, n.keeper.Refused.Load
-		if err := n.dispatcher.Drops().Register(n.registry); err != nil {
+		if err := errors.Join(n.dispatcher.Drops().Register(n.registry), n.dispatcher.Placements().Register(n.registry)); err != nil {
 			n.log.WithError(err).Warn("registering the metrics of the dispatcher failed; some are missing")
 		}
 	}
--- a/masticdispatch/dispatcher.go
+++ b/masticdispatch/dispatcher.go
@@ -46,6 +46,7 @@
 	// scheduleOptions are those of the scheduler.
 	scheduleOptions []masticschedule.Option
 	drops           *Drops
+	placements      *Placements
 	reportDue       chan struct{}
 	// limited are the backend servers that state a request rate.
 	limited atomic.Pointer[map[string]bool]
@@ -93,16 +94,17 @@
 // New returns a Dispatcher. It serves requests once Run is called.
 func New(options ...Option) *Dispatcher {
 	d := &Dispatcher{
-		inbox:     make(chan command, inboxLength),
-		stop:      make(chan struct{}),
-		stopped:   make(chan struct{}),
-		waiters:   map[masticschedule.Ticket]chan<- masticschedule.Outcome{},
-		log:       logrus.NewEntry(logrus.StandardLogger()),
-		seed:      uint64(time.Now().UnixNano()),
-		drops:     newDrops(),
-		takeover:  newTakeover(),
-		reportDue: make(chan struct{}, 1),
-		sharding:  sharding{lastID: rand.Uint64(), cooldowns: map[string]time.Time{}, busyUntil: map[string]time.Time{}, assigned: map[assignmentKey]assignedRequest{}},
+		inbox:      make(chan command, inboxLength),
+		stop:       make(chan struct{}),
+		stopped:    make(chan struct{}),
+		waiters:    map[masticschedule.Ticket]chan<- masticschedule.Outcome{},
+		log:        logrus.NewEntry(logrus.StandardLogger()),
+		seed:       uint64(time.Now().UnixNano()),
+		drops:      newDrops(),
+		takeover:   newTakeover(),
+		placements: newPlacements(),
+		reportDue:  make(chan struct{}, 1),
+		sharding:   sharding{lastID: rand.Uint64(), cooldowns: map[string]time.Time{}, busyUntil: map[string]time.Time{}, assigned: map[assignmentKey]assignedRequest{}},
 	}
 	for _, o := range options {
 		o(d)
@@ -262,5 +264,8 @@
 	}
 }
 
+// Placements returns the counters of placements.
+func (d *Dispatcher) Placements() *Placements { return d.placements }
+
 // Drops returns the counters of commands dropped because the inbox was full.
 func (d *Dispatcher) Drops() *Drops { return d.drops }
--- a/masticdispatch/log.go
+++ b/masticdispatch/log.go
@@ -41,7 +41,8 @@
 	f["waitMillis"], f["cachedTokens"], f["promptTokens"] = millis(c.Wait), int64(c.Cached), c.Tokens
 	f["queuedMillis"], f["lookUps"], f["prefix"] = millis(o.Queued), c.LookUps, c.Prefix()
 	f["weights"], f["software"] = o.Server.VersionOf(r.ModelName()), o.Server.Software
-	f["fetch"], f["save"] = c.Fetch, c.Save
+	f["fetch"], f["fetchTokens"], f["save"] = c.Fetch, int64(c.FetchTokens), c.Save
+	f["heldMillis"] = millis(o.Held)
 	return f
 }
 
--- a/masticdispatch/loop.go
+++ b/masticdispatch/loop.go
@@ -64,6 +64,7 @@
 		}
 		delete(d.waiters, o.Ticket)
 		d.signalIfLongPrompt(&o)
+		d.placements.add(&o)
 		waiter <- o
 	}
 }
--- a/masticroute/decide.go
+++ b/masticroute/decide.go
@@ -127,6 +127,8 @@
 	Fetch, Save string
 	// FetchTokens is the number of tokens that the backend server is expected to fetch.
 	FetchTokens float64
+	// FetchFromStore reports that it fetches them from a store, not from an engine.
+	FetchFromStore bool
 	// Held is the memory of the engine that the request needs, in tokens.
 	Held       float64
 	evaluated  [maxCandidates]Candidate
--- a/masticroute/shared.go
+++ b/masticroute/shared.go
@@ -73,7 +73,7 @@
 			if c.score() < best {
 				best = c.score()
 				d.Candidate, d.Pieces, d.Tokens, d.Save = c, e.pieces, tokens, e.saveTo
-				d.Fetch, d.FetchTokens = plan.address, plan.tokens
+				d.Fetch, d.FetchTokens, d.FetchFromStore = plan.address, plan.tokens, plan.store
 			}
 		}
 		e.forEachCandidate(use)
--- a/masticroute/source.go
+++ b/masticroute/source.go
@@ -24,6 +24,7 @@
 // fetchSource is an engine or a store from which engines can fetch the prefix of a prompt.
 type fetchSource struct {
 	address, zone string
+	store         bool
 	// tokens is the expected length of the prefix that it has, or that it has once readyIn has passed.
 	tokens  float64
 	readyIn time.Duration
@@ -71,7 +72,7 @@
 		// The store is named as source also if it is not expected to have any of the prompt: a miss
 		// costs an engine a millisecond.
 		e.defaultSource = s.address
-		e.addSource(fetchSource{address: s.address, zone: s.zone, rate: r.storeRate(s.address)}, stored)
+		e.addSource(fetchSource{address: s.address, zone: s.zone, store: true, rate: r.storeRate(s.address)}, stored)
 		if stored.Tokens < sharedTokens(e.pieces)-minFetchTokens && r.links[s.address].wait(e.now) <= maxTransferWait {
 			e.saveTo = s.address
 		}
@@ -104,6 +105,7 @@
 // fetchPlan is how an engine gets the prefix that it lacks.
 type fetchPlan struct {
 	address string
+	store   bool
 	// tokens is the number of tokens that are fetched, cached the length of the prefix afterwards.
 	tokens, cached float64
 	// readyIn is the time until the source has them, transfer that of the fetch from then on.
@@ -121,7 +123,7 @@
 		if tokens <= minFetchTokens || f.address == own {
 			continue
 		}
-		p := fetchPlan{address: f.address, tokens: tokens, cached: f.tokens, readyIn: f.readyIn}
+		p := fetchPlan{address: f.address, store: f.store, tokens: tokens, cached: f.tokens, readyIn: f.readyIn}
 		var ok bool
 		if p.transfer, ok = e.transferTime(s, f, tokens); !ok {
 			continue
--- a/masticschedule/scan.go
+++ b/masticschedule/scan.go
@@ -50,7 +50,7 @@
 	s.running[w.ticket] = &running{work: s.router.Start(now, &w.query, d)}
 	s.outcomes = append(s.outcomes, Outcome{
 		Ticket: w.ticket, Decision: *d, Server: s.router.Server(d.Slot),
-		Names: s.candidateNames(d), Queued: now.Sub(w.queuedAt),
+		Names: s.candidateNames(d), Queued: now.Sub(w.queuedAt), Held: w.hold.duration(now),
 	})
 }
 
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -38,6 +38,8 @@
 	Names []string
 	// Queued is how long the request was queued.
 	Queued time.Duration
+	// Held is the part of Queued in which the request waited for an engine that read its prefix.
+	Held time.Duration
 	// Err is nil for an assignment.
 	Err *masticerror.Error
 	// At is when the outcome was decided. The dispatcher sets it.
