Suspect tracker: the cost of a report depends on the report only

Callers at site H got 503 for some 20 s after crashes of engines: hosts reported each failed attempt, some 500 a second, and a control host of 0.24 cores needed over 10 s for one batch of reports.

Each report searched all records, parts, holds and completions for expired ones, all parts for trials, lost incarnations and references to trial sets, and sorted all records once there were 16,384. Expiry and eviction now use a queue by time, and an index finds parts, requests and holds by incarnation, server and part.

--- a/masticsuspect/completion.go
+++ b/masticsuspect/completion.go
@@ -20,39 +20,70 @@
 
 // completions hold when requests were last reported to have completed, in Unix milliseconds. A copy of such a request that was
 // sent before, and hangs on a server until that ends, did not end it.
-type completions map[masticview.Digest]int64
+type completions struct {
+	at map[masticview.Digest]int64
+	// queue orders them by age.
+	queue *expiryQueue[masticview.Digest]
+}
+
+func newCompletions() completions {
+	return completions{at: map[masticview.Digest]int64{}, queue: newExpiryQueue(masticview.Digest.Compare)}
+}
 
-func (c completions) add(now time.Time, d masticview.Digest) {
+func (c completions) add(now time.Time, d masticview.Digest, visited *int) {
 	if d == (masticview.Digest{}) {
 		return
 	}
-	c[d] = now.UnixMilli()
-	if len(c) <= maxCompletions {
+	c.put(d, now.UnixMilli())
+	if len(c.at) <= maxCompletions {
 		return
 	}
-	for _, o := range c.oldestFirst()[:maxCompletions/8] {
-		delete(c, o)
+	for range maxCompletions / 8 {
+		if o, ok := c.queue.takeFirst(c.completedAt, visited); ok {
+			delete(c.at, o)
+		}
 	}
 }
 
+func (c completions) put(d masticview.Digest, unixMs int64) {
+	before, ok := c.at[d]
+	c.at[d] = unixMs
+	if !ok || unixMs < before {
+		c.queue.add(unixMs, d)
+		c.queue.compact(len(c.at), maps.All(c.at))
+	}
+}
+
+// completedAt returns when the request was last reported to have completed.
+func (c completions) completedAt(d masticview.Digest) (int64, bool) {
+	at, ok := c.at[d]
+	return at, ok
+}
+
 // since reports whether the request completed at or after a time.
 func (c completions) since(d masticview.Digest, unixMs int64) bool {
-	at, ok := c[d]
+	at, ok := c.at[d]
 	return ok && at >= unixMs
 }
 
-func (c completions) expire(now time.Time) {
-	maps.DeleteFunc(c, func(_ masticview.Digest, at int64) bool { return now.UnixMilli()-at >= completionTTL.Milliseconds() })
+func (c completions) expire(now time.Time, visited *int) {
+	for {
+		d, ok := c.queue.takeDue(now.UnixMilli()-completionTTL.Milliseconds(), c.completedAt, visited)
+		if !ok {
+			return
+		}
+		delete(c.at, d)
+	}
 }
 
 func (c completions) oldestFirst() []masticview.Digest {
-	return slices.SortedFunc(maps.Keys(c), func(a, b masticview.Digest) int { return cmp.Or(cmp.Compare(c[a], c[b]), a.Compare(b)) })
+	return slices.SortedFunc(maps.Keys(c.at), func(a, b masticview.Digest) int { return cmp.Or(cmp.Compare(c.at[a], c.at[b]), a.Compare(b)) })
 }
 
 func (c completions) snapshot() []*masticproto.CompletedRequest {
 	var out []*masticproto.CompletedRequest
 	for _, d := range c.oldestFirst() {
-		out = append(out, &masticproto.CompletedRequest{Digest: d[:], AtUnixMs: c[d]})
+		out = append(out, &masticproto.CompletedRequest{Digest: d[:], AtUnixMs: c.at[d]})
 	}
 	return out
 }
@@ -63,7 +94,7 @@
 		if err != nil {
 			return err
 		}
-		c[d] = x.GetAtUnixMs()
+		c.put(d, x.GetAtUnixMs())
 	}
 	return nil
 }
--- a/masticsuspect/hold.go
+++ b/masticsuspect/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"iter"
 	"time"
 
 	"masticladder/masticproto"
@@ -67,18 +68,64 @@
 func (t *Tracker) Grant(now time.Time, h *masticproto.SuspectHold) { t.grant(now, h, true) }
 
 func (t *Tracker) grant(now time.Time, h *masticproto.SuspectHold, exclusive bool) {
-	t.holds[holdName(h.GetServer(), h.GetDigest())] = &masticproto.SuspectHold{
+	t.putHold(&masticproto.SuspectHold{
 		Digest: h.GetDigest(), Server: h.GetServer(), Host: h.GetHost(), Incarnation: h.GetIncarnation(),
 		DeadlineUnixMs: min(h.GetDeadlineUnixMs(), now.Add(MaxHoldTTL).UnixMilli()),
 		Parts:          h.GetParts(), Exclusive: exclusive,
+	})
+}
+
+// putHold adds or replaces a hold.
+func (t *Tracker) putHold(h *masticproto.SuspectHold) {
+	name := holdName(h.GetServer(), h.GetDigest())
+	t.removeHold(name)
+	t.holds[name] = h
+	t.index.addHold(name, h)
+	t.holdExpiry.add(h.GetDeadlineUnixMs(), name)
+	t.holdExpiry.compact(len(t.holds), t.holdDeadlines())
+}
+
+func (t *Tracker) removeHold(name string) {
+	if h, ok := t.holds[name]; ok {
+		t.index.removeHold(name, h)
+		delete(t.holds, name)
+	}
+}
+
+// holdDeadline returns the deadline of a hold, and false if there is none of that name.
+func (t *Tracker) holdDeadline(name string) (int64, bool) {
+	h, ok := t.holds[name]
+	return h.GetDeadlineUnixMs(), ok
+}
+
+func (t *Tracker) holdDeadlines() iter.Seq2[string, int64] {
+	return func(yield func(string, int64) bool) {
+		for name, h := range t.holds {
+			if !yield(name, h.GetDeadlineUnixMs()) {
+				return
+			}
+		}
+	}
+}
+
+// expireHolds removes the holds whose deadline has passed.
+func (t *Tracker) expireHolds(now time.Time) {
+	for {
+		name, ok := t.holdExpiry.takeDue(now.UnixMilli(), t.holdDeadline, &t.visited)
+		if !ok {
+			return
+		}
+		t.removeHold(name)
 	}
 }
 
 // triedPartsOf returns the parts with which requests run on the server as trials.
 func (t *Tracker) triedPartsOf(now time.Time, server string) map[masticview.Digest]bool {
 	out := map[masticview.Digest]bool{}
-	for _, h := range t.holds {
-		if h.GetServer() != server || h.GetDeadlineUnixMs() <= now.UnixMilli() {
+	for name := range t.index.holdsOn[server] {
+		t.visited++
+		h := t.holds[name]
+		if h.GetDeadlineUnixMs() <= now.UnixMilli() {
 			continue
 		}
 		for _, d := range digestsOf(h.GetParts()) {
@@ -111,9 +158,11 @@
 // serverBusy reports whether a suspect has the server that rules out another one. Trials of parts that
 // failed once may share a server.
 func (t *Tracker) serverBusy(now time.Time, server string, exclusive bool) bool {
-	for _, h := range t.holds {
+	for name := range t.index.holdsOn[server] {
+		t.visited++
+		h := t.holds[name]
 		// Holds of earlier versions have no parts and are exclusive.
-		if h.GetServer() == server && h.GetDeadlineUnixMs() > now.UnixMilli() && (exclusive || h.GetExclusive() || len(h.GetParts()) == 0) {
+		if h.GetDeadlineUnixMs() > now.UnixMilli() && (exclusive || h.GetExclusive() || len(h.GetParts()) == 0) {
 			return true
 		}
 	}
@@ -133,20 +182,18 @@
 	if len(suspected) > 0 && now.Before(t.servers.lastFailure().Add(settleTime)) {
 		return HoldPartBusy
 	}
-	if len(suspected) > 0 && t.anyTried(now, setOf(suspected)) {
+	if t.anyTried(now, suspected) {
 		return HoldPartBusy
 	}
 	return HoldGranted
 }
 
 // anyTried reports whether a request with one of the parts runs under a hold.
-func (t *Tracker) anyTried(now time.Time, parts map[masticview.Digest]bool) bool {
-	for _, h := range t.holds {
-		if h.GetDeadlineUnixMs() <= now.UnixMilli() {
-			continue
-		}
-		for _, d := range digestsOf(h.GetParts()) {
-			if parts[d] {
+func (t *Tracker) anyTried(now time.Time, parts []masticview.Digest) bool {
+	for _, d := range parts {
+		for name := range t.index.holdsWith[d] {
+			t.visited++
+			if t.holds[name].GetDeadlineUnixMs() > now.UnixMilli() {
 				return true
 			}
 		}
@@ -159,8 +206,9 @@
 func (t *Tracker) undecided(now time.Time, d masticview.Digest) bool {
 	r := t.records[d]
 	open := len(r.lost)
-	for _, h := range t.holds {
-		if bytes.Equal(h.GetDigest(), d[:]) && h.GetDeadlineUnixMs() > now.UnixMilli() {
+	for name := range t.index.holdsOf[string(d[:])] {
+		t.visited++
+		if t.holds[name].GetDeadlineUnixMs() > now.UnixMilli() {
 			open++
 		}
 	}
@@ -179,13 +227,13 @@
 	if !sameHold(h, &masticproto.SuspectHold{Digest: e.GetDigest(), Host: e.GetHost(), Incarnation: e.GetIncarnation()}) {
 		return nil
 	}
-	delete(t.holds, name)
+	t.removeHold(name)
 	if !e.GetCompleted() {
 		return t.postponeTrials(now, digestsOf(h.GetParts()))
 	}
 	if d, err := masticview.DigestFromBytes(e.GetDigest()); err == nil {
 		t.remove(d)
-		t.completed.add(now, d)
+		t.completed.add(now, d, &t.visited)
 	}
 	t.CompleteParts(now, now, digestsOf(h.GetParts()))
 	return nil
--- a/masticsuspect/part.go
+++ b/masticsuspect/part.go
@@ -99,11 +99,6 @@
 	return slices.ContainsFunc(p.failures, func(f partFailure) bool { return f.trial && f.incarnation == incarnation })
 }
 
-// failedOn reports whether the failure of an incarnation is recorded, and was not that of a trial.
-func (p part) failedOn(incarnation string) bool {
-	return slices.ContainsFunc(p.failures, func(f partFailure) bool { return !f.trial && f.incarnation == incarnation })
-}
-
 // withoutTrial returns a copy in which the failure of an incarnation is not that of a trial.
 func (p part) withoutTrial(incarnation string) part {
 	p.failures = slices.Clone(p.failures)
--- a/masticsuspect/parts.go
+++ b/masticsuspect/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -92,23 +93,54 @@
 	before := t.parts[d]
 	p = p.withSchedule(now, before)
 	p.expiresUnixMs = max(p.nextTrialAt, now.UnixMilli()) + t.recordTTL.Milliseconds()
-	t.removePart(d)
-	t.parts[d] = p
-	if p.suspicion() != notSuspected {
-		t.fingerprint ^= fingerprintOf(d)
-	}
+	t.setPart(d, p)
 	if before.quarantined() && !p.quarantined() {
 		t.cleared = append(t.cleared, d)
 	}
 }
 
+// setPart adds or replaces the record of a part as it is. Like removePart, it updates the fingerprint and the index.
+func (t *Tracker) setPart(d masticview.Digest, p part) {
+	before, ok := t.parts[d]
+	t.parts[d] = p
+	t.index.replacePart(d, before, p)
+	if (before.suspicion() != notSuspected) != (p.suspicion() != notSuspected) {
+		t.toggle(d)
+	}
+	if !ok || p.expiresUnixMs < before.expiresUnixMs {
+		t.partExpiry.add(p.expiresUnixMs, d)
+		t.partExpiry.compact(len(t.parts), t.partExpiries())
+	}
+}
+
 func (t *Tracker) removePart(d masticview.Digest) {
-	if t.parts[d].suspicion() != notSuspected {
-		t.fingerprint ^= fingerprintOf(d)
+	p, ok := t.parts[d]
+	if !ok {
+		return
+	}
+	if p.suspicion() != notSuspected {
+		t.toggle(d)
 	}
+	t.index.replacePart(d, p, part{})
 	delete(t.parts, d)
 }
 
+// partExpiresAt returns when the record of a part expires, and false if there is none.
+func (t *Tracker) partExpiresAt(d masticview.Digest) (int64, bool) {
+	p, ok := t.parts[d]
+	return p.expiresUnixMs, ok
+}
+
+func (t *Tracker) partExpiries() iter.Seq2[masticview.Digest, int64] {
+	return func(yield func(masticview.Digest, int64) bool) {
+		for d, p := range t.parts {
+			if !yield(d, p.expiresUnixMs) {
+				return
+			}
+		}
+	}
+}
+
 // CompleteParts applies that a request with the given parts completed at the given time.
 func (t *Tracker) CompleteParts(now, at time.Time, parts []masticview.Digest) {
 	for _, d := range parts {
@@ -172,6 +204,9 @@
 // blameParts records that a server failed while it ran request i of r, which was sent at sentAt.
 func (t *Tracker) blameParts(now time.Time, r partReport, i int, x *masticproto.EndedServer, sentAt int64, changed map[masticview.Digest]bool) {
 	blamed := t.blamed(r, i, x, sentAt)
+	if len(blamed) == 0 {
+		return
+	}
 	tried := t.triedPartsOf(now, r.server)
 	for _, d := range blamed {
 		f := partFailure{incarnation: x.GetIncarnation(), sentAt: sentAt, failedAt: x.GetAtUnixMs(), trial: tried[d], lost: x.GetLost()}
@@ -197,6 +232,7 @@
 		return
 	}
 	t.trials.put(x.GetIncarnation(), tried)
+	t.trialsAdded = true
 	disputed := t.ranOtherSuspect(x) || t.otherFailed(x)
 	for _, d := range tried {
 		if disputed {
@@ -209,10 +245,9 @@
 // triedOn returns the parts that were tried on an incarnation, in ascending order.
 func (t *Tracker) triedOn(incarnation string) []masticview.Digest {
 	var out []masticview.Digest
-	for d, p := range t.parts {
-		if p.triedOn(incarnation) {
-			out = append(out, d)
-		}
+	for d := range t.index.tried[incarnation] {
+		t.visited++
+		out = append(out, d)
 	}
 	slices.SortFunc(out, masticview.Digest.Compare)
 	return out
@@ -220,8 +255,9 @@
 
 // ranOtherSuspect reports whether x ran a request with a suspect, without a hold.
 func (t *Tracker) ranOtherSuspect(x *masticproto.EndedServer) bool {
-	for _, p := range t.parts {
-		if p.failedOn(x.GetIncarnation()) && p.withoutFailure(x.GetIncarnation()).suspicion() != notSuspected {
+	for d := range t.index.shared[x.GetIncarnation()] {
+		t.visited++
+		if t.parts[d].withoutFailure(x.GetIncarnation()).suspicion() != notSuspected {
 			return true
 		}
 	}
@@ -237,18 +273,36 @@
 
 // disputeTrialsAround makes the trials that failed about the time of x count for nothing.
 func (t *Tracker) disputeTrialsAround(now time.Time, x *masticproto.EndedServer, changed map[masticview.Digest]bool) {
-	for d, p := range t.parts {
-		next := p
+	for _, d := range t.triedAround(x.GetAtUnixMs()) {
+		p := t.parts[d]
 		for _, f := range p.failures {
 			if f.trial && atOneTime(f.failedAt, x.GetAtUnixMs()) {
-				next = next.withoutTrial(f.incarnation)
+				p = p.withoutTrial(f.incarnation)
 				changed[d] = true
 			}
 		}
 		if changed[d] {
-			t.putPart(now, d, next)
+			t.putPart(now, d, p)
+		}
+	}
+	for d := range changed {
+		t.visited++
+		if p, ok := t.parts[d]; ok {
+			t.putPart(now, d, p)
+		}
+	}
+}
+
+// triedAround returns the parts with a trial that may have failed at one time with a failure at unixMs.
+func (t *Tracker) triedAround(unixMs int64) []masticview.Digest {
+	var out []masticview.Digest
+	for unit := settleUnit(unixMs) - 1; unit <= settleUnit(unixMs)+1; unit++ {
+		for d := range t.index.triedAt[unit] {
+			t.visited++
+			out = append(out, d)
 		}
 	}
+	return out
 }
 
 func atOneTime(a, b int64) bool { return max(a-b, b-a) < settleTime.Milliseconds() }
@@ -267,7 +321,7 @@
 		p := t.parts[d]
 		p.completedAt = max(p.completedAt, r.completed(d))
 		switch {
-		case p.withoutFailure(x.GetIncarnation()).quarantined():
+		case p.quarantined() && p.withoutFailure(x.GetIncarnation()).quarantined():
 			quarantined = append(quarantined, d)
 		case !p.provenAt(x.GetAtUnixMs()):
 			unproven = append(unproven, d)
@@ -287,34 +341,34 @@
 
 // confirmParts makes a lost incarnation an ended one in all records, and adds these to changed.
 func (t *Tracker) confirmParts(now time.Time, incarnation string, changed map[masticview.Digest]bool) {
-	for d, p := range t.parts {
-		if p.lostIn(incarnation) {
-			t.putPart(now, d, p.withEnd(incarnation))
-			changed[d] = true
-		}
+	for _, d := range t.lostPartsOf(incarnation) {
+		t.putPart(now, d, t.parts[d].withEnd(incarnation))
+		changed[d] = true
 	}
 }
 
 // clearLostParts removes the failure of a lost incarnation, which has not ended, from all records.
 func (t *Tracker) clearLostParts(now time.Time, incarnation string) {
-	for d, p := range t.parts {
-		if p.lostIn(incarnation) {
-			t.putPart(now, d, p.withoutFailure(incarnation))
-		}
+	for _, d := range t.lostPartsOf(incarnation) {
+		t.putPart(now, d, t.parts[d].withoutFailure(incarnation))
 	}
 }
 
-// lostIn reports whether the failure of an incarnation is recorded and its end is not known.
-func (p part) lostIn(incarnation string) bool {
-	return slices.ContainsFunc(p.failures, func(f partFailure) bool { return f.lost && f.incarnation == incarnation })
+// lostPartsOf returns the parts with the failure of an incarnation whose end is not known.
+func (t *Tracker) lostPartsOf(incarnation string) []masticview.Digest {
+	out := slices.Collect(maps.Keys(t.index.lostParts[incarnation]))
+	t.visited += len(out)
+	return out
 }
 
 // expireParts removes expired records of parts.
 func (t *Tracker) expireParts(now time.Time) {
-	for d, p := range t.parts {
-		if p.expiresUnixMs <= now.UnixMilli() {
-			t.removePart(d)
+	for {
+		d, ok := t.partExpiry.takeDue(now.UnixMilli(), t.partExpiresAt, &t.visited)
+		if !ok {
+			return
 		}
+		t.removePart(d)
 	}
 }
 
@@ -324,6 +378,7 @@
 		return
 	}
 	ranks := make([]evictionRank, 0, len(t.parts))
+	t.visited += len(t.parts)
 	for d, p := range t.parts {
 		rounds, _ := p.rounds(true)
 		ranks = append(ranks, evictionRank{d, rounds, len(p.failures), p.expiresUnixMs})
--- a/masticsuspect/snapshot.go
+++ b/masticsuspect/snapshot.go
@@ -15,11 +15,7 @@
 	if err != nil {
 		return err
 	}
-	p := partFromProto(r)
-	t.parts[d] = p
-	if p.suspicion() != notSuspected {
-		t.fingerprint ^= fingerprintOf(d)
-	}
+	t.setPart(d, partFromProto(r))
 	return nil
 }
 
@@ -60,7 +56,7 @@
 		})
 	}
 	for _, h := range s.GetHolds() {
-		t.holds[holdName(h.GetServer(), h.GetDigest())] = h
+		t.putHold(h)
 	}
 	for _, x := range s.GetEnded() {
 		x = proto.CloneOf(x)
@@ -77,5 +73,12 @@
 	if err := t.completed.restore(s); err != nil {
 		return nil, err
 	}
-	return t, t.trials.restore(s)
+	if err := t.trials.restore(s); err != nil {
+		return nil, err
+	}
+	t.trialsAdded = true
+	for incarnation := range t.trials {
+		t.index.untried[incarnation] = struct{}{}
+	}
+	return t, nil
 }
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -19,9 +19,11 @@
 
 import (
 	"bytes"
-	"cmp"
 	"encoding/binary"
+	"iter"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"masticladder/masticproto"
@@ -90,6 +92,14 @@
 	completed completions
 	// cleared are the parts that TakeCleared returns next.
 	cleared []masticview.Digest
+	index   index
+	// recordExpiry, partExpiry and holdExpiry order the records and holds by the time at which they expire.
+	recordExpiry, partExpiry *expiryQueue[masticview.Digest]
+	holdExpiry               *expiryQueue[string]
+	// trialsAdded reports that trials may have grown over maxTrialDigests.
+	trialsAdded bool
+	// visited counts the records, holds and index entries that were looked at, in place of the time that calls took.
+	visited int
 }
 
 // Option sets one property of a Tracker.
@@ -108,8 +118,12 @@
 		holds:      make(map[string]*masticproto.SuspectHold),
 		parts:      make(map[masticview.Digest]part),
 		trials:     trialSets{},
-		completed:  completions{},
+		completed:  newCompletions(),
+		index:      newIndex(),
 		maxRecords: MaxRecords, recordTTL: RecordTTL,
+		recordExpiry: newExpiryQueue(masticview.Digest.Compare),
+		partExpiry:   newExpiryQueue(masticview.Digest.Compare),
+		holdExpiry:   newExpiryQueue(strings.Compare),
 	}
 	for _, o := range options {
 		o(t)
@@ -151,13 +165,36 @@
 // an empty set; different sets can collide.
 func (t *Tracker) Fingerprint() uint64 { return t.fingerprint }
 
-// put adds or replaces a record. Like remove, it updates the fingerprint, the exclusive or
-// of the suspects' first 8 bytes.
+// put adds or replaces a record. Like remove, it updates the fingerprint and the index.
 func (t *Tracker) put(d masticview.Digest, r record) {
-	t.remove(d)
+	before, ok := t.records[d]
 	t.records[d] = r
-	if r.suspect() {
-		t.fingerprint ^= fingerprintOf(d)
+	t.index.replaceRecord(d, before, r)
+	if (ok && before.suspect()) != r.suspect() {
+		t.toggle(d)
+	}
+	if !ok || r.expiresUnixMs < before.expiresUnixMs {
+		t.recordExpiry.add(r.expiresUnixMs, d)
+		t.recordExpiry.compact(len(t.records), t.recordExpiries())
+	}
+}
+
+// toggle adds a suspect to the fingerprint, the exclusive or of the suspects' first 8 bytes, or removes it.
+func (t *Tracker) toggle(d masticview.Digest) { t.fingerprint ^= fingerprintOf(d) }
+
+// recordExpiresAt returns when the record of a request expires, and false if there is none.
+func (t *Tracker) recordExpiresAt(d masticview.Digest) (int64, bool) {
+	r, ok := t.records[d]
+	return r.expiresUnixMs, ok
+}
+
+func (t *Tracker) recordExpiries() iter.Seq2[masticview.Digest, int64] {
+	return func(yield func(masticview.Digest, int64) bool) {
+		for d, r := range t.records {
+			if !yield(d, r.expiresUnixMs) {
+				return
+			}
+		}
 	}
 }
 
@@ -165,8 +202,9 @@
 
 func (t *Tracker) remove(d masticview.Digest) {
 	if t.suspectRequest(d) {
-		t.fingerprint ^= fingerprintOf(d)
+		t.toggle(d)
 	}
+	t.index.replaceRecord(d, t.records[d], record{})
 	delete(t.records, d)
 }
 
@@ -193,7 +231,7 @@
 	case masticproto.Verdict_VERDICT_COMPLETED:
 		for _, d := range digests {
 			t.remove(d)
-			t.completed.add(now, d)
+			t.completed.add(now, d, &t.visited)
 		}
 		return nil, nil
 	}
@@ -272,11 +310,9 @@
 
 // confirm makes a lost incarnation an ended one in all records, and adds these to changed.
 func (t *Tracker) confirm(now time.Time, incarnation string, changed map[masticview.Digest]bool) {
-	for d, r := range t.records {
-		if slices.Contains(r.lost, incarnation) {
-			t.put(d, r.withFailure(incarnation, false))
-			changed[d] = true
-		}
+	for _, d := range t.lostRecordsOf(incarnation) {
+		t.put(d, t.records[d].withFailure(incarnation, false))
+		changed[d] = true
 	}
 	t.confirmParts(now, incarnation, changed)
 }
@@ -288,17 +324,22 @@
 	}
 	t.servers.remove(x)
 	t.clearLostParts(now, x.GetIncarnation())
-	for d, r := range t.records {
-		switch {
-		case !slices.Contains(r.lost, x.GetIncarnation()):
-		case r.failures() == 1:
+	for _, d := range t.lostRecordsOf(x.GetIncarnation()) {
+		if r := t.records[d]; r.failures() == 1 {
 			t.remove(d)
-		default:
+		} else {
 			t.put(d, r.without(x.GetIncarnation()))
 		}
 	}
 }
 
+// lostRecordsOf returns the requests under which an incarnation was lost whose end is not known.
+func (t *Tracker) lostRecordsOf(incarnation string) []masticview.Digest {
+	out := slices.Collect(maps.Keys(t.index.lostRecords[incarnation]))
+	t.visited += len(out)
+	return out
+}
+
 // add adds a failed incarnation to the record of d. Of the numbers of ends that reports state, the
 // smallest counts.
 func (t *Tracker) add(now time.Time, d masticview.Digest, x *masticproto.EndedServer, quarantineAfter int) {
@@ -337,15 +378,12 @@
 		t.servers.remove(x)
 	}
 	t.evictParts()
-	t.trials.evict(t.parts)
-	if len(t.records) <= t.maxRecords {
-		return
-	}
-	digests := t.sortedDigests()
-	slices.SortStableFunc(digests, func(a, b masticview.Digest) int {
-		return cmp.Compare(t.records[a].expiresUnixMs, t.records[b].expiresUnixMs)
-	})
-	for _, d := range digests[:len(digests)-t.maxRecords] {
+	t.evictTrials()
+	for len(t.records) > t.maxRecords {
+		d, ok := t.recordExpiry.takeFirst(t.recordExpiresAt, &t.visited)
+		if !ok {
+			return
+		}
 		t.remove(d)
 	}
 }
@@ -370,16 +408,18 @@
 		t.clearLost(now, x)
 	}
 	t.expireParts(now)
-	t.completed.expire(now)
-	for d, r := range t.records {
-		if r.expiresUnixMs <= now.UnixMilli() {
-			t.remove(d)
-		}
-	}
-	for n, h := range t.holds {
-		if h.GetDeadlineUnixMs() <= now.UnixMilli() {
-			delete(t.holds, n)
+	t.completed.expire(now, &t.visited)
+	t.expireRecords(now)
+	t.expireHolds(now)
+}
+
+func (t *Tracker) expireRecords(now time.Time) {
+	for {
+		d, ok := t.recordExpiry.takeDue(now.UnixMilli(), t.recordExpiresAt, &t.visited)
+		if !ok {
+			return
 		}
+		t.remove(d)
 	}
 }
 
--- a/masticsuspect/trialset.go
+++ b/masticsuspect/trialset.go
@@ -107,6 +107,35 @@
 	}
 }
 
+// evictTrials removes the sets of Tracker.trials to which no part refers any more, and the oldest ones while they are too large.
+func (t *Tracker) evictTrials() {
+	for incarnation := range t.index.untried {
+		t.visited++
+		if len(t.index.tried[incarnation]) == 0 {
+			delete(t.trials, incarnation)
+		}
+	}
+	clear(t.index.untried)
+	if !t.trialsAdded {
+		return
+	}
+	t.trialsAdded = false
+	t.visited += len(t.trials)
+	if t.trials.digests() > maxTrialDigests {
+		t.visited += len(t.parts)
+		t.trials.evict(t.parts)
+	}
+}
+
+// digests returns the number of parts of all sets.
+func (s trialSets) digests() int {
+	total := 0
+	for _, set := range s {
+		total += len(set)
+	}
+	return total
+}
+
 // Representatives returns those of the given parts that stand for the quarantined parts which have the same company: a request
 // with one of these and its company has all of them.
 func (t *Tracker) Representatives(digests []masticview.Digest) []masticview.Digest {
