Count connections, headers and bodies of all listeners in one place

Untrusted callers could fill the memory of a process through every listener but callers': the others had no bound on connections or headers, encrypted headers were not counted by line, a Trailer field of 15.8 KB made a map of thousands of names, and half-sent messages on the port of other hosts filled the buffers of their streams before anything counted them.

masticintake now counts all listeners of a process, plain and TLS, and closes the oldest connections without a complete request. Operators and other hosts have reserved memory. A change to publish is read in blocks and its objects are counted before they are decoded.

masticdaemon/headconn.go is replaced; its two tests check the same bounds on the new code. The limit of callers' connections is in masticintake instead of netutil: further ones still wait, and connections without a complete request for 1 s are closed for them.

--- a/masticadmin/server.go
+++ b/masticadmin/server.go
@@ -11,12 +11,26 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"masticladder/masticbody"
 	"masticladder/masticcall"
 	"masticladder/masticerror"
+	"masticladder/masticjson"
 	"masticladder/masticproto"
 	"masticladder/masticview"
 )
 
+// Bounds of a change, and estimates of what it takes once decoded. maxDecodedBytes bounds all changes that are decoded at the
+// same time; the largest one takes 24 MiB.
+const (
+	maxObjects      = 1 << 15
+	maxValues       = 1 << 17
+	objectBytes     = 512
+	valueBytes      = 64
+	maxDecodedBytes = 32 << 20
+	// maxBodiesBytes bounds the changes that arrive at the same time, and the copy of a complete one.
+	maxBodiesBytes = 24 << 20
+)
+
 // MaxBodyBytes is the maximum size of the body of an operator's request.
 const MaxBodyBytes = 4 << 20
 
@@ -27,6 +41,10 @@
 	registry metrics.Registry
 	digests  map[masticview.Digest]bool
 	mux      *http.ServeMux
+	// decoded bounds the memory of all changes that are decoded.
+	decoded *masticbody.Budget
+	// bodies bounds the changes that arrive.
+	bodies *masticbody.Budget
 }
 
 // Option configures a Server.
@@ -52,7 +70,7 @@
 
 // New returns a Server. Without options it serves an empty registry and requires no key.
 func New(options ...Option) *Server {
-	s := &Server{digests: map[masticview.Digest]bool{}, mux: http.NewServeMux(), registry: metrics.NewRegistry()}
+	s := &Server{digests: map[masticview.Digest]bool{}, mux: http.NewServeMux(), registry: metrics.NewRegistry(), decoded: masticbody.NewBudget(maxDecodedBytes), bodies: masticbody.NewBudget(maxBodiesBytes)}
 	for _, o := range options {
 		o(s)
 	}
@@ -115,7 +133,10 @@
 }
 
 func (s *Server) publish(w http.ResponseWriter, r *http.Request) {
-	p, err := readPublish(r)
+	body, memory := s.bodies.Reader(r.Body), s.decoded.Reserve()
+	defer body.Release()
+	defer memory.Release()
+	p, err := readPublish(body, r.ContentLength, memory)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -123,11 +144,19 @@
 	s.publishChange(w, r, p)
 }
 
-func readPublish(r *http.Request) (*masticproto.Publish, error) {
-	b, err := io.ReadAll(r.Body)
+// readPublish reads a change. What it becomes once decoded is counted in memory.
+func readPublish(body *masticbody.Reader, length int64, memory *masticbody.Reservation) (*masticproto.Publish, error) {
+	b, err := body.ReadAll(length, 0)
 	if err != nil {
 		return nil, bodyError(err)
 	}
+	objects, values := masticjson.Count(b)
+	if objects > maxObjects || values > maxValues {
+		return nil, masticerror.New(masticerror.KindBadRequest, "the change has over %d objects or %d values", maxObjects, maxValues)
+	}
+	if !memory.Resize(int64(objects)*objectBytes + int64(values)*valueBytes) {
+		return nil, masticerror.New(masticerror.KindOverloaded, "this host reads as many changes as it may")
+	}
 	p := &masticproto.Publish{}
 	if err := protojson.Unmarshal(b, p); err != nil {
 		return nil, masticerror.New(masticerror.KindBadRequest, "the change cannot be read: %v", err)
@@ -142,6 +171,9 @@
 }
 
 func bodyError(err error) error {
+	if errors.Is(err, masticbody.ErrBudget) {
+		return masticerror.New(masticerror.KindOverloaded, "this host holds as many requests as it may")
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return masticerror.New(masticerror.KindBodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
--- a/masticdaemon/callerconn.go
+++ b/masticdaemon/callerconn.go
@@ -130,6 +130,10 @@
 	return c.Conn.Write(p)
 }
 
+// CloseIfIdle closes the connection when it has no bytes of a request. A deadline that the server sets at the same time
+// may undo this.
+func (c *callerConn) CloseIfIdle() { c.closeIfIdle() }
+
 func (c *callerConn) setReceived(received bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -183,7 +187,6 @@
 	}
 	if x, ok := c.(*callerConn); ok {
 		x.setState(state)
-		trackHeadConn(x.Conn, state)
 	}
 }
 
@@ -228,3 +231,6 @@
 	}
 	return limits.HeaderTimeout
 }
+
+// NetConn returns the connection below, whose socket masticcaller examines.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
--- a/masticdaemon/daemon.go
+++ b/masticdaemon/daemon.go
@@ -35,6 +35,8 @@
 	registry metrics.Registry
 	counters masticcontrol.Counters
 
+	// intake divides memory and descriptors among the listeners.
+	intake       *intake
 	wire         *masticwire.Wire
 	control      *controlSupervisor
 	agent        *masticagent.Agent
@@ -69,6 +71,7 @@
 	for _, o := range options {
 		o(d)
 	}
+	d.intake = newIntake(processMemoryBytes(), 0)
 	for _, open := range []func() error{d.openWire, d.openControl, d.openAgent, d.openEntry, d.openListeners} {
 		if err := open(); err != nil {
 			return nil, err
--- a/masticdaemon/drainqueue_test.go
+++ b/masticdaemon/drainqueue_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"masticladder/masticintake"
 )
 
 // drainRun drains the connections of a server.
@@ -84,7 +86,10 @@
 // process had not accepted yet got no answer.
 func TestPlannedStopResetsConnectionsThatWaitToBeAccepted(t *testing.T) {
 	c := qt.New(t)
-	d := startDrainedServer(c, func(l net.Listener) net.Listener { return newLimitListener(l, 1) })
+	d := startDrainedServer(c, func(l net.Listener) net.Listener {
+		guard := masticintake.New(masticintake.Limits{Bytes: 1 << 20, HeadBytes: 1 << 20})
+		return guard.Share(masticintake.ShareLimits{Connections: 1, MinWait: time.Hour}).Listener(l, nil)
+	})
 	first, second := newTestClient(c, d.server.address()), newTestClient(c, d.server.address())
 	first.send()
 	first.assertAnswered(false)
--- a/masticdaemon/headconn_test.go
+++ b/masticdaemon/headconn_test.go
@@ -13,8 +13,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"masticladder/masticbody"
 	"masticladder/masticdocument"
+	"masticladder/masticintake"
 )
 
 func heapBytes() int64 {
@@ -54,12 +54,12 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			c := qt.New(t)
-			budget := masticbody.NewBudget(limit)
+			guard := masticintake.New(masticintake.Limits{Bytes: limit, HeadBytes: limit})
 			answer := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 			h, err := listen("127.0.0.1:0", &http.Server{Handler: answer, ReadHeaderTimeout: time.Hour, MaxHeaderBytes: 64 << 10}, nil)
 			c.Assert(err, qt.IsNil)
-			limitHeads(h, budget, plainHeadMemory)
 			trackCallers(h, func() (masticdocument.Limits, bool) { return masticdocument.Limits{}, false })
+			h.countIn(guard.Share(masticintake.ShareLimits{Connections: callers}))
 			s := &limitedServer{http: h}
 			go s.run()
 			before := heapBytes()
@@ -75,10 +75,10 @@
 			for range callers {
 				<-sent
 			}
-			waitUntilSteady(budget)
+			waitUntilSteady(guard)
 			kept := heapBytes() - before
-			t.Logf("%d connections keep %d bytes, reserved %d", callers, kept, budget.Used())
-			c.Check(budget.Used() <= limit, qt.IsTrue)
+			t.Logf("%d connections keep %d bytes, reserved %d", callers, kept, guard.Usage().HeadBytes)
+			c.Check(guard.Usage().HeadBytes <= limit, qt.IsTrue)
 			// A connection without a request takes some 12 KiB, on both sides.
 			c.Check(kept < 2*limit+callers*(16<<10), qt.IsTrue, qt.Commentf("%d bytes", kept))
 			for _, conn := range conns {
@@ -89,13 +89,13 @@
 	}
 }
 
-// waitUntilSteady waits until the budget has not changed for some time.
-func waitUntilSteady(b *masticbody.Budget) {
+// waitUntilSteady waits until the memory has not changed for some time.
+func waitUntilSteady(g *masticintake.Guard) {
 	const steadyTime = 300 * time.Millisecond
-	used, since := b.Used(), time.Now()
+	used, since := g.Usage().HeadBytes, time.Now()
 	for time.Since(since) < steadyTime {
 		time.Sleep(10 * time.Millisecond)
-		if now := b.Used(); now != used {
+		if now := g.Usage().HeadBytes; now != used {
 			used, since = now, time.Now()
 		}
 	}
@@ -105,17 +105,17 @@
 // not counted, and that an ordinary request needs no room.
 func TestHeaderIsCountedUntilItsRequestEnds(t *testing.T) {
 	c := qt.New(t)
-	budget := masticbody.NewBudget(256 << 10)
+	guard := masticintake.New(masticintake.Limits{Bytes: 4 << 20, HeadBytes: 256 << 10})
 	var used []int64
 	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n, _ := io.Copy(io.Discard, r.Body)
-		used = append(used, budget.Used())
+		used = append(used, guard.Usage().HeadBytes)
 		_, _ = io.WriteString(w, strconv.FormatInt(n, 10))
 	})
 	h, err := listen("127.0.0.1:0", &http.Server{Handler: answer}, nil)
 	c.Assert(err, qt.IsNil)
-	limitHeads(h, budget, plainHeadMemory)
 	trackCallers(h, func() (masticdocument.Limits, bool) { return masticdocument.Limits{}, false })
+	h.countIn(guard.Share(masticintake.ShareLimits{Connections: 1}))
 	s := &limitedServer{http: h}
 	go s.run()
 	c.Cleanup(func() { _ = h.server.Close() })
--- a/masticdaemon/metrics.go
+++ b/masticdaemon/metrics.go
@@ -15,6 +15,7 @@
 // registerMetrics registers the gauges of the host's components, which /metrics serves.
 func (d *Daemon) registerMetrics() {
 	d.gauge("lease.remainingMillis", d.leaseRemainingMillis)
+	d.intake.register(d.registry)
 	if d.control != nil {
 		for name, value := range storageGauges(&d.counters, d.settings.DiskMegabytes<<20) {
 			d.gauge(name, value)
@@ -38,6 +39,7 @@
 
 // registerMetrics registers the gauges of the node's components, which ServeMetrics serves.
 func (n *Node) registerMetrics() {
+	n.intake.register(n.registry)
 	values := map[string]func() int64{
 		"view.revision":            n.revision,
 		"document.number":          n.documentNumber,
--- a/masticdaemon/netconn_test.go
+++ b/masticdaemon/netconn_test.go
@@ -11,8 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"masticladder/masticbody"
 	"masticladder/masticcaller"
+	"masticladder/masticintake"
 )
 
 // connectionProbe hands over the callers' connections of the requests that it gets.
@@ -38,12 +38,11 @@
 			probe := &connectionProbe{found: make(chan *masticcaller.Connection, 1)}
 			h, err := listen("127.0.0.1:0", &http.Server{Handler: probe, ConnContext: masticcaller.WithConnection}, nil)
 			c.Assert(err, qt.IsNil)
-			h.listener = newLimitListener(h.listener, 2)
-			limitHeads(h, masticbody.NewBudget(1<<20), plainHeadMemory)
 			trackCallers(h, nil)
 			if encrypted {
 				h.useTLS(testTLS())
 			}
+			h.countIn(masticintake.New(masticintake.Limits{Bytes: 1 << 20, HeadBytes: 1 << 20}).Share(masticintake.ShareLimits{Connections: 2}))
 			s := &limitedServer{http: h}
 			go s.run()
 			c.Cleanup(func() { _ = h.server.Close() })
@@ -71,20 +70,21 @@
 	c := qt.New(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	l := newLimitListener(inner, 1)
+	guard := masticintake.New(masticintake.Limits{Bytes: 1 << 20, HeadBytes: 1 << 20})
+	l := guard.Share(masticintake.ShareLimits{Connections: 1}).Listener(inner, nil)
 	for range 3 {
 		caller, err := net.Dial("tcp", inner.Addr().String())
 		c.Assert(err, qt.IsNil)
 		host, err := l.Accept()
 		c.Assert(err, qt.IsNil)
-		c.Assert(len(l.room), qt.Equals, 1)
+		c.Assert(guard.Usage().Connections, qt.Equals, int64(1))
 		_ = host.Close()
 		_ = host.Close()
 		_ = caller.Close()
-		c.Assert(len(l.room), qt.Equals, 0)
+		c.Assert(guard.Usage().Connections, qt.Equals, int64(0))
 	}
 	c.Assert(l.Close(), qt.IsNil)
 	_, err = l.Accept()
 	c.Assert(err, qt.ErrorIs, net.ErrClosed)
-	c.Assert(len(l.room), qt.Equals, 0)
+	c.Assert(guard.Usage().Connections, qt.Equals, int64(0))
 }
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -18,12 +18,12 @@
 	"masticladder/masticagent"
 	"masticladder/masticassign"
 	"masticladder/masticbackend"
-	"masticladder/masticbody"
 	"masticladder/masticbucket"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
 	"masticladder/masticdrain"
 	"masticladder/masticgossip"
+	"masticladder/masticintake"
 	"masticladder/masticrelay"
 	"masticladder/masticview"
 	"masticladder/masticwire"
@@ -38,6 +38,8 @@
 	registry  metrics.Registry
 	counters  masticcontrol.Counters
 
+	// intake divides memory and descriptors among the listeners.
+	intake       *intake
 	wire         *masticwire.Wire
 	control      *controlSupervisor
 	agent        *masticagent.Agent
@@ -68,6 +70,7 @@
 	if s.MemoryLimitBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryLimitBytes)))
 	}
+	n.intake = newIntake(s.MemoryLimitBytes, s.MaxDescriptors)
 	for _, open := range []func() error{n.openWire, n.openControl, n.openAgent, n.openCourse} {
 		if err := open(); err != nil {
 			return nil, err
@@ -149,7 +152,10 @@
 
 // ServeMetrics listens on address for requests for the metrics.
 func (n *Node) ServeMetrics(address string) error {
-	return n.Serve(address, &http.Server{Handler: masticadmin.Metrics(n.registry), ReadHeaderTimeout: metricsHeaderTimeout, MaxHeaderBytes: maxHeaderBytes})
+	return n.Serve(address, &http.Server{
+		Handler: masticadmin.Metrics(n.registry), ReadHeaderTimeout: metricsHeaderTimeout, ReadTimeout: metricsReadTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	})
 }
 
 // ServeCallers listens on the callers' address, with the number of connections bounded by
@@ -159,11 +165,8 @@
 	if err != nil {
 		return err
 	}
-	if n.settings.MaxDescriptors > 0 {
-		h.listener = newLimitListener(h.listener, max(1, int(callerDescriptorFraction*float64(n.settings.MaxDescriptors))))
-	}
-	limitHeads(h, masticbody.NewBudget(headBytes(n.settings)), plainHeadMemory)
 	trackCallers(h, n.relay.Limits)
+	h.countIn(n.intake.callers(false))
 	h.requests, h.log = n.relay.Requests(), n.log
 	n.callerServer = h
 	n.announcer = &announcer{
@@ -179,12 +182,22 @@
 	return nil
 }
 
-// Serve listens on a further address.
+// Serve listens on a further address for short requests.
 func (n *Node) Serve(address string, server *http.Server) error {
+	return n.serve(address, server, n.intake.other())
+}
+
+// ServeOperators listens on a further address for operators' calls, for which memory is reserved.
+func (n *Node) ServeOperators(address string, server *http.Server) error {
+	return n.serve(address, server, n.intake.operators(false))
+}
+
+func (n *Node) serve(address string, server *http.Server, share *masticintake.Share) error {
 	h, err := listen(address, server, nil)
 	if err != nil {
 		return err
 	}
+	h.countIn(share)
 	h.answerBeforeClose()
 	n.servers = append(n.servers, h)
 	return nil
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -24,7 +24,8 @@
 	if err != nil {
 		return err
 	}
-	n.wire = masticwire.New(masticwire.WithMetrics(n.registry), masticwire.WithSource(bound.Addr()), masticwire.WithBackoff(minRedialDelay, maxRedialDelay))
+	n.wire = masticwire.New(masticwire.WithMetrics(n.registry), masticwire.WithSource(bound.Addr()), masticwire.WithIntake(n.intake.peers()),
+		masticwire.WithBackoff(minRedialDelay, maxRedialDelay))
 	return nil
 }
 
@@ -134,14 +135,6 @@
 	return int64(answerMemoryFraction * float64(s.MemoryLimitBytes))
 }
 
-// headBytes returns how many bytes the headers of all callers' requests may take together.
-func headBytes(s NodeSettings) int64 {
-	if s.MemoryLimitBytes <= 0 {
-		return defaultHeadBytes
-	}
-	return int64(headMemoryFraction * float64(s.MemoryLimitBytes))
-}
-
 // newRetryBudget returns the retry budget of a host whose weight is the given fraction of that of all
 // hosts.
 func newRetryBudget(s NodeSettings, fraction func() float64) *masticretry.Budget {
--- a/masticdaemon/nodesettings.go
+++ b/masticdaemon/nodesettings.go
@@ -99,11 +99,9 @@
 	// answerMemoryFraction is the fraction of MemoryLimitBytes that heads and parts of events of answers may take
 	// together.
 	answerMemoryFraction = 0.15
-	// headMemoryFraction is the fraction of MemoryLimitBytes that headers of callers' requests may take together.
-	headMemoryFraction = 0.1
 	// callerDescriptorFraction is the fraction of the descriptors available to callers'
 	// connections. Backend servers, other hosts and files need the rest. Further connections wait
-	// until others close.
+	// until others close, as those do first that have not sent a complete request.
 	callerDescriptorFraction = 0.6
 	// shareSafetyFactor scales the shares that all hosts together admit: of a workspace's rate while
 	// they cannot reach the control group, and of the overage in addition to the owner's grants. It
@@ -125,8 +123,9 @@
 	// milliseconds when all hosts start at once.
 	minRedialDelay = 20 * time.Millisecond
 	maxRedialDelay = 200 * time.Millisecond
-	// metricsHeaderTimeout bounds reading the header of a request for the metrics.
+	// metricsHeaderTimeout and metricsReadTimeout bound reading the header and all of a request for the metrics.
 	metricsHeaderTimeout = 5 * time.Second
+	metricsReadTimeout   = 15 * time.Second
 	// shutdownMargin is how long before the end of the grace period the drain ends, so that the
 	// process exits in time. In a short grace period it is the last shutdownFraction.
 	shutdownMargin   = 900 * time.Millisecond
--- a/masticdaemon/open.go
+++ b/masticdaemon/open.go
@@ -9,7 +9,6 @@
 
 	"masticladder/masticadmin"
 	"masticladder/masticagent"
-	"masticladder/masticbody"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
 	"masticladder/masticloader"
@@ -29,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	options := []masticwire.Option{masticwire.WithMetrics(d.registry), masticwire.WithSource(bound.Addr())}
+	options := []masticwire.Option{masticwire.WithMetrics(d.registry), masticwire.WithSource(bound.Addr()), masticwire.WithIntake(d.intake.peers())}
 	if t := d.settings.TLS; t.PeerAuthority != "" {
 		security, err := masticwire.NewSecurity(t.PeerAuthority, t.PeerCertificate, t.PeerKey)
 		if err != nil {
@@ -158,19 +157,16 @@
 		return err
 	}
 	d.adminServer.answerBeforeClose()
+	d.adminServer.countIn(d.intake.operators(config != nil))
 	if d.gate == nil {
 		return nil
 	}
 	if d.callerServer, err = listen(d.settings.Listen, d.gate.NewServer(), nil); err != nil {
 		return err
 	}
-	memory := plainHeadMemory
-	if config != nil {
-		memory = tlsHeadMemory
-	}
-	limitHeads(d.callerServer, masticbody.NewBudget(defaultHeadBytes), memory)
 	trackCallers(d.callerServer, nil)
 	d.callerServer.useTLS(config)
+	d.callerServer.countIn(d.intake.callers(config != nil))
 	d.callerServer.requests, d.callerServer.log = d.gate.Requests(), d.log
 	d.openAnnouncerAndDrainer()
 	return nil
--- a/masticdaemon/server.go
+++ b/masticdaemon/server.go
@@ -19,7 +19,10 @@
 // Limits of the operators' server, and the time that each server gets to shut down before it is
 // closed.
 const (
-	headerTimeout  = 10 * time.Second
+	headerTimeout = 10 * time.Second
+	// readTimeout bounds reading a whole request. It is above the time in which clients of operators give up, since it ends
+	// the context of a running request.
+	readTimeout    = 60 * time.Second
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 64 << 10
 	closeTimeout   = 2 * time.Second
@@ -73,6 +76,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
--- a/masticwire/frame.go
+++ b/masticwire/frame.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"masticladder/masticerror"
+	"masticladder/masticintake"
 )
 
 // firstFrameBytes is the size of the first buffer of a frame that is larger than the buffer of its reader, frameGrowth the
@@ -45,6 +46,35 @@
 // readFrame reads a message. Its memory grows with what arrives, whatever length was announced. The error is io.EOF if
 // there is no further frame.
 func (w *Wire) readFrame(from *bufio.Reader, m proto.Message) error {
+	return w.readCountedFrame(from, m, nil)
+}
+
+// streamBufferBytes is the memory of the receive buffer of a stream, which yamux fills up to its window and keeps.
+const streamBufferBytes = 512 << 10
+
+// frameMemory is the memory of a message that arrives; nil counts nothing.
+type frameMemory struct {
+	conn  *masticintake.Conn
+	taken int64
+}
+
+// resize reports whether there is room for a buffer of n bytes, which replaces the one before, of a message of size bytes.
+func (f *frameMemory) resize(n, size int) bool {
+	if f == nil {
+		return true
+	}
+	more := int64(n) + min(int64(size), streamBufferBytes) - f.taken
+	if more > 0 && !f.conn.Grow(more) {
+		return false
+	}
+	f.taken += more
+	return true
+}
+
+func (f *frameMemory) release() { f.conn.Shrink(f.taken) }
+
+// readCountedFrame is readFrame with the memory of the message counted in memory.
+func (w *Wire) readCountedFrame(from *bufio.Reader, m proto.Message, memory *frameMemory) error {
 	size, err := binary.ReadUvarint(from)
 	if err != nil {
 		return err
@@ -55,7 +85,7 @@
 	if size <= uint64(from.Size()) {
 		return readBuffered(from, int(size), m)
 	}
-	b, err := readGrowing(from, int(size))
+	b, err := readGrowing(from, int(size), memory)
 	if err != nil {
 		return truncated(err)
 	}
@@ -63,7 +93,10 @@
 }
 
 // readGrowing reads size bytes into a buffer that grows up to that size.
-func readGrowing(from io.Reader, size int) ([]byte, error) {
+func readGrowing(from io.Reader, size int, memory *frameMemory) ([]byte, error) {
+	if !memory.resize(min(size, firstFrameBytes), size) {
+		return nil, masticintake.ErrNoRoom
+	}
 	b := make([]byte, min(size, firstFrameBytes))
 	read := 0
 	for {
@@ -74,6 +107,9 @@
 		if read += n; read == size {
 			return b, nil
 		}
+		if !memory.resize(min(size, frameGrowth*read), size) {
+			return nil, masticintake.ErrNoRoom
+		}
 		larger := make([]byte, min(size, frameGrowth*read))
 		copy(larger, b)
 		b = larger
--- a/masticwire/server.go
+++ b/masticwire/server.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/yamux"
 
 	"masticladder/masticerror"
+	"masticladder/masticintake"
 	"masticladder/masticproto"
 )
 
@@ -45,6 +46,9 @@
 	if err != nil {
 		return nil, masticerror.Wrap(err, masticerror.KindInternal, "listen on %s", address)
 	}
+	if w.intake != nil {
+		l = w.intake.Listener(l, nil)
+	}
 	return &Server{wire: w, listener: l, handler: h, conns: map[net.Conn]struct{}{}}, nil
 }
 
@@ -127,6 +131,12 @@
 	a.serve(session)
 }
 
+// memory returns where the connection's messages are counted, nil without a limit.
+func (a *serverConn) memory() *masticintake.Conn {
+	c, _ := a.conn.(*masticintake.Conn)
+	return c
+}
+
 func (a *serverConn) handshake() (net.Conn, error) {
 	w := a.server.wire
 	c := w.countBytes(a.conn)
@@ -160,7 +170,7 @@
 		select {
 		case slots <- struct{}{}:
 			running.Add(1)
-			v := &serverStream{wire: a.server.wire, handler: a.server.handler, stream: stream, slots: slots, running: &running}
+			v := &serverStream{wire: a.server.wire, handler: a.server.handler, memory: a.memory(), stream: stream, slots: slots, running: &running}
 			go v.run(ctx)
 		default:
 			_ = stream.Close()
--- a/masticwire/serverstream.go
+++ b/masticwire/serverstream.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"masticladder/masticintake"
 	"masticladder/masticproto"
 )
 
@@ -16,6 +17,8 @@
 type serverStream struct {
 	wire    *Wire
 	handler Handler
+	// memory counts the messages that arrive, nil without a limit.
+	memory  *masticintake.Conn
 	stream  *yamux.Stream
 	slots   chan struct{}
 	running *sync.WaitGroup
@@ -27,7 +30,7 @@
 	defer func() { _ = v.stream.Close() }()
 	reader := bufio.NewReader(v.stream)
 	q := new(masticproto.PeerRequest)
-	if err := v.wire.readFrame(reader, q); err != nil {
+	if err := v.read(reader, q); err != nil {
 		return
 	}
 	if q.GetMode() == masticproto.PeerMode_PEER_ONE_WAY {
@@ -64,12 +67,28 @@
 	for {
 		v.handler.Receive(q)
 		q = new(masticproto.PeerRequest)
-		if err := v.wire.readFrame(reader, q); err != nil {
+		if err := v.read(reader, q); err != nil {
 			return
 		}
 	}
 }
 
+// read reads a message, whose memory is counted while it arrives. A connection that has sent a message is not closed to
+// make room for others.
+func (v *serverStream) read(reader *bufio.Reader, q *masticproto.PeerRequest) error {
+	if v.memory == nil || v.memory.FirstMessage() {
+		// What a connection sends before its first message is counted when it is read.
+		if err := v.wire.readFrame(reader, q); err != nil || v.memory == nil {
+			return err
+		}
+		v.memory.Complete()
+		return nil
+	}
+	m := &frameMemory{conn: v.memory}
+	defer m.release()
+	return v.wire.readCountedFrame(reader, q, m)
+}
+
 // send writes an answer. It fails if the reader does not accept the data within the write
 // timeout.
 func (v *serverStream) send(answer *masticproto.PeerAnswer) error {
--- a/masticwire/wire.go
+++ b/masticwire/wire.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"masticladder/masticerror"
+	"masticladder/masticintake"
 )
 
 // Defaults of the options.
@@ -35,6 +36,8 @@
 	maxSessionCalls   int
 	maxOutboxMessages int
 	source            netip.Addr
+	// intake counts the connections and messages of servers; nil means no limit.
+	intake            *masticintake.Share
 	dialTimeout       time.Duration
 	handshakeTimeout  time.Duration
 	writeTimeout      time.Duration
@@ -54,6 +57,9 @@
 // WithSource sets the source IP address of connections.
 func WithSource(source netip.Addr) Option { return func(w *Wire) { w.source = source } }
 
+// WithIntake sets the share in which the connections to servers, and the messages that they receive, are counted.
+func WithIntake(s *masticintake.Share) Option { return func(w *Wire) { w.intake = s } }
+
 // WithMaxFrameBytes sets the maximum size of a message in bytes.
 func WithMaxFrameBytes(n int) Option { return func(w *Wire) { w.maxFrameBytes = n } }
 
