Rollouts in the replicated state, and the operators' two calls

An order of a rollout is committed with its deadline, and each step after it, as part of the view. The same order sent again is accepted again, another target while one runs is a conflict, an unknown service is a bad request; a version that is not listed yet is no error.

Callers see no change: nothing acts on a rollout yet.

Tests: go test -race ./masticstate ./masticview ./platform/masticoperator pass.

--- a/masticadmin/server.go
+++ b/masticadmin/server.go
@@ -167,6 +167,9 @@
 	if len(p.Change.Quarantines) > 0 {
 		return nil, masticerror.New(masticerror.KindBadRequest, "quarantines are not published")
 	}
+	if len(p.Change.Rollouts) > 0 {
+		return nil, masticerror.New(masticerror.KindBadRequest, "rollouts are ordered, not published")
+	}
 	return p, nil
 }
 
--- a/masticcontrol/batch.go
+++ b/masticcontrol/batch.go
@@ -137,6 +137,8 @@
 		l.answerStatus(now, c)
 	case *masticproto.PeerRequest_Document:
 		l.readDocument(c)
+	case *masticproto.PeerRequest_Rollout:
+		l.readRollout(c, k.Rollout)
 	default:
 		c.fail(masticerror.New(masticerror.KindBadRequest, "a request of unknown kind"))
 	}
--- a/masticcontrol/commandresult.go
+++ b/masticcontrol/commandresult.go
@@ -73,6 +73,8 @@
 		return &masticproto.CommandAnswer{Revision: r.Number, Repeated: r.Repeated, Done: r.Err == nil}, r.Err
 	case masticstate.WeightsResult:
 		return &masticproto.CommandAnswer{Done: r.Err == nil}, r.Err
+	case masticstate.RolloutResult:
+		return &masticproto.CommandAnswer{Done: r.Err == nil, Repeated: r.Repeated}, r.Err
 	case masticstate.InvalidResult:
 		return nil, r.Err
 	default:
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -147,7 +147,8 @@
 
 // command proposes the command of a call.
 func (d *leaderState) command(now time.Time, c *call, command *masticproto.Command) {
-	if command.GetKind() == nil || command.GetTick() != nil || command.GetQuota() != nil {
+	if command.GetKind() == nil || command.GetTick() != nil || command.GetQuota() != nil || command.GetStepRollout() != nil ||
+		len(command.GetPublish().GetChange().GetRollouts()) > 0 {
 		c.fail(masticerror.New(masticerror.KindBadRequest, "a host may not ask for this command"))
 		return
 	}
--- a/masticstate/result.go
+++ b/masticstate/result.go
@@ -3,6 +3,7 @@
 import (
 	"masticladder/masticcall"
 	"masticladder/masticproto"
+	"masticladder/masticview"
 )
 
 // Result is the result of a command of the log. Each kind of command has its own type,
@@ -103,6 +104,16 @@
 // WeightsResult is the result of a NameWeights.
 type WeightsResult struct{ Err error }
 
+// RolloutResult is the result of an OrderRollout or a StepRollout. Err is nil, or has kind conflict or badRequest.
+type RolloutResult struct {
+	// Repeated reports that the order was accepted before.
+	Repeated bool
+	// Rollout is the service's rollout after the command.
+	Rollout masticview.Rollout
+	Err     error
+}
+
+func (RolloutResult) isResult()  {}
 func (DocumentResult) isResult() {}
 func (WeightsResult) isResult()  {}
 func (InvalidResult) isResult()  {}
--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -121,6 +121,10 @@
 		return LeavingResult{Applied: s.applyServerLeaving(k.Leaving)}
 	case *masticproto.Command_Origins:
 		return s.applyOrigins(k.Origins)
+	case *masticproto.Command_OrderRollout:
+		return s.orderRollout(k.OrderRollout)
+	case *masticproto.Command_StepRollout:
+		return s.stepRollout(k.StepRollout)
 	case *masticproto.Command_Tick:
 		s.origins.Rotate()
 		s.usage.Close(s.now)
--- a/masticview/check.go
+++ b/masticview/check.go
@@ -23,6 +23,7 @@
 		checkNames("host", c.GetHosts(), (*masticproto.Host).GetName),
 		checkNames("server", c.GetServers(), (*masticproto.Server).GetName),
 		checkNames("service", c.GetServices(), (*masticproto.Service).GetName),
+		checkNames("rollout", c.GetRollouts(), (*masticproto.Rollout).GetService),
 	}
 	for _, err := range errs {
 		if err != nil {
@@ -38,7 +39,7 @@
 func itemCount(c *masticproto.ViewChange) int {
 	n := len(c.GetWorkspaces()) + len(c.GetProfiles()) + len(c.GetKeys()) + len(c.GetHosts())
 	n += len(c.GetServers()) + len(c.GetServices()) + len(c.GetQuarantines()) + len(c.GetEndedQuarantines())
-	n += len(c.GetWeights()) + len(c.GetRemovedServers()) + len(c.GetBaseSoftware())
+	n += len(c.GetWeights()) + len(c.GetRemovedServers()) + len(c.GetBaseSoftware()) + len(c.GetRollouts())
 	if c.GetDocument() != nil {
 		n++
 	}
@@ -95,6 +96,9 @@
 	if err := checkBaseSoftware(v, next, c.GetBaseSoftware()); err != nil {
 		return err
 	}
+	if err := checkRollouts(v, next, c.GetRollouts()); err != nil {
+		return err
+	}
 	return checkQuarantines(next, c.GetQuarantines(), at)
 }
 
--- a/masticview/draft.go
+++ b/masticview/draft.go
@@ -21,6 +21,7 @@
 	document    *masticproto.Document
 
 	baseSoftware tableEdit[string, string]
+	rollouts     tableEdit[string, Rollout]
 }
 
 func newDraft(v View) *draft {
@@ -38,6 +39,7 @@
 		document:    v.document,
 
 		baseSoftware: newTableEdit(v.baseSoftware),
+		rollouts:     newTableEdit(v.rollouts),
 	}
 }
 
@@ -63,6 +65,9 @@
 		d.services.put(p.GetName(), ServiceFromProto(p))
 	}
 	d.putBaseSoftware(c)
+	for _, p := range c.GetRollouts() {
+		d.rollouts.put(p.GetService(), RolloutFromProto(p))
+	}
 	if err := d.putKeys(c.GetKeys()); err != nil {
 		return err
 	}
@@ -135,5 +140,6 @@
 		document:    d.document,
 
 		baseSoftware: d.baseSoftware.table,
+		rollouts:     d.rollouts.table,
 	}
 }
--- a/masticview/snapshot.go
+++ b/masticview/snapshot.go
@@ -18,6 +18,7 @@
 			Document:    v.document,
 
 			BaseSoftware: v.baseSoftwareToProto(),
+			Rollouts:     encode(v.Rollouts(), Rollout.ToProto),
 		},
 	}
 }
--- a/masticview/view.go
+++ b/masticview/view.go
@@ -24,6 +24,8 @@
 	document    *masticproto.Document
 	// baseSoftware is by service.
 	baseSoftware table[string, string]
+	// rollouts is by service.
+	rollouts table[string, Rollout]
 }
 
 // Revision returns the view's revision; it is zero for the zero View.
