--- a/masticassign/codec.go
+++ b/masticassign/codec.go
@@ -15,7 +15,7 @@
 		Host: q.Host, Id: q.ID, Shard: uint32(r.Shard), Request: r.ID, Workspace: r.Workspace, Weight: r.Weight, Model: r.Model,
 		Class: string(r.Class), Weights: r.Weights, PromptTokens: count(r.PromptTokens), OutputTokens: count(r.OutputTokens), Digest: r.Digest[:],
 		FirstTokenMs: r.FirstTokenDeadline.Sub(now).Milliseconds(), DeadlineMs: r.Deadline.Sub(now).Milliseconds(),
-		Avoid: r.Avoid, Attempt: int64(r.Attempt), Reacquired: r.Reacquired, Software: r.Software.Version, SoftwareRequired: r.Software.Required,
+		Avoid: r.Avoid, Attempt: int64(r.Attempt), Reacquired: r.Reacquired, Software: r.Software.Version, SoftwareRequired: r.Software.Required, SoftwareExcluded: r.Software.Excluded,
 	}
 	// The coordinator needs the outermost levels only, which requests share. PromptTokens counts all.
 	for _, l := range r.Levels[:min(maxLevels, len(r.Levels))] {
@@ -43,7 +43,7 @@
 		Weights: p.GetWeights(), PromptTokens: p.GetPromptTokens(), OutputTokens: p.GetOutputTokens(), Digest: digest,
 		FirstTokenDeadline: timeLeft(now, p.GetFirstTokenMs()), Deadline: timeLeft(now, p.GetDeadlineMs()),
 		Avoid: p.GetAvoid(), Shard: int(p.GetShard()), Attempt: int(p.GetAttempt()), Reacquired: p.GetReacquired(),
-		Software: masticcall.Software{Version: p.GetSoftware(), Required: p.GetSoftwareRequired()},
+		Software: masticcall.Software{Version: p.GetSoftware(), Required: p.GetSoftwareRequired(), Excluded: p.GetSoftwareExcluded()},
 	}
 	for _, l := range p.GetLevels() {
 		if !isCount(l.GetTokens()) {
--- a/masticcall/origin.go
+++ b/masticcall/origin.go
@@ -11,13 +11,20 @@
 type Software struct {
 	Version  string
 	Required bool
+	// Excluded allows servers with any other version only.
+	Excluded bool
 }
 
 // OnlySoftware allows servers with the given version only.
 func OnlySoftware(version string) Software { return Software{Version: version, Required: true} }
 
+// ExceptSoftware allows servers with any other version than the given one.
+func ExceptSoftware(version string) Software { return Software{Version: version, Excluded: true} }
+
 // Allows reports whether a server with the given version may run the request.
-func (s Software) Allows(version string) bool { return !s.Required || s.Version == version }
+func (s Software) Allows(version string) bool {
+	return (!s.Required || s.Version == version) && !(s.Excluded && s.Version == version)
+}
 
 // StreamKey identifies a stream over all hosts and all attempts of its caller.
 type StreamKey [16]byte
--- /dev/null
+++ b/masticrollout/evidence.go
@@ -0,0 +1,187 @@
+package masticrollout
+
+import (
+	"time"
+
+	"masticladder/masticproto"
+	"masticladder/masticview"
+)
+
+const (
+	// maxSlices bounds the slices of time, and minSlice is the least length of one: hosts report each half second.
+	maxSlices = 40
+	minSlice  = time.Second
+	// maxCells bounds the kinds of like answers in one slice, over all hosts.
+	maxCells = 4096
+)
+
+// Evidence sums what hosts have counted of one rollout. It is not safe for concurrent use.
+type Evidence struct {
+	rollout masticview.Rollout
+	slice   time.Duration
+	hosts   map[string]*hostEvidence
+	// slices are the counts by the time at which they were reported, in the order of time. A new leader has all that
+	// was counted before in its first slice.
+	slices []slice
+}
+
+// hostEvidence is the last report of a host.
+type hostEvidence struct {
+	incarnation string
+	at          time.Time
+	report      *masticproto.RolloutEvidence
+	// earlier counts are those of earlier incarnations.
+	earlierRequests, earlierExposed int64
+}
+
+// slice holds the counts that were reported within one slice of time.
+type slice struct {
+	at    time.Time
+	cells map[rowKey]*counts
+	// long reports that hosts reported what they had counted over a longer time.
+	long bool
+}
+
+// NewEvidence returns no evidence of a rollout.
+func NewEvidence(r masticview.Rollout) *Evidence {
+	return &Evidence{rollout: r, slice: max(minSlice, r.Span()/maxSlices), hosts: map[string]*hostEvidence{}}
+}
+
+// FirstSequence identifies the rollout.
+func (e *Evidence) FirstSequence() uint64 { return e.rollout.FirstSequence }
+
+// Add adds a host's report. Reports are cumulative; one of another rollout, or older than the last, is ignored.
+func (e *Evidence) Add(now time.Time, host, incarnation string, p *masticproto.RolloutEvidence) {
+	if p.GetFirstSequence() != e.rollout.FirstSequence || len(p.GetRows()) > 2*maxRows {
+		return
+	}
+	h, known := e.hosts[host]
+	if !known {
+		h = &hostEvidence{incarnation: incarnation}
+		e.hosts[host] = h
+	}
+	if known && h.incarnation == incarnation && (p.GetRequests() < h.report.GetRequests() || p.GetSequence() < h.report.GetSequence()) {
+		return
+	}
+	if known && h.incarnation != incarnation {
+		h.earlierRequests += h.report.GetRequests()
+		h.earlierExposed += h.report.GetExposed()
+		h.incarnation, h.report = incarnation, nil
+	}
+	e.addRows(now, h.report.GetRows(), p.GetRows())
+	h.report, h.at = p, now
+}
+
+// addRows adds the difference between two reports of a host to the current slice.
+func (e *Evidence) addRows(now time.Time, old, rows []*masticproto.RolloutRow) {
+	before := make(map[rowKey]*masticproto.RolloutRow, len(old))
+	for _, r := range old {
+		before[keyOf(r)] = r
+	}
+	current := e.current(now)
+	current.long = current.long || len(old) == 0 && now.Sub(e.rollout.OrderedAt) > 2*e.slice
+	cells := current.cells
+	for _, r := range rows {
+		k := keyOf(r)
+		c, ok := cells[k]
+		if !ok && len(cells) >= maxCells {
+			continue
+		}
+		x, y := countsOf(r), countsOf(before[k])
+		x.subtract(&y)
+		if x == (counts{}) {
+			continue
+		}
+		if !ok {
+			c = new(counts)
+			cells[k] = c
+		}
+		c.add(&x)
+	}
+}
+
+func keyOf(r *masticproto.RolloutRow) rowKey {
+	return rowKey{r.GetRoute(), r.GetStratum(), r.GetServer()}
+}
+
+func countsOf(r *masticproto.RolloutRow) counts {
+	c := counts{bad: r.GetBad()}
+	copy(c.good[:], r.GetGood())
+	return c
+}
+
+// current returns the current slice.
+func (e *Evidence) current(now time.Time) *slice {
+	if n := len(e.slices); n > 0 && (now.Sub(e.slices[n-1].at) < e.slice || n >= 2*maxSlices) {
+		return &e.slices[n-1]
+	}
+	e.slices = append(e.slices, slice{at: now, cells: map[rowKey]*counts{}})
+	return &e.slices[len(e.slices)-1]
+}
+
+// Heard reports whether each of the hosts has reported.
+func (e *Evidence) Heard(hosts []string) bool {
+	for _, name := range hosts {
+		if _, known := e.hosts[name]; !known {
+			return false
+		}
+	}
+	return true
+}
+
+// Totals are the requests of all hosts since the order.
+type Totals struct {
+	Requests, Exposed int64
+	// Answers and Bad count the answers of the target version, OtherAnswers and OtherBad those of others.
+	Answers, Bad, OtherAnswers, OtherBad int64
+	// RunningTarget and RunningOther count the requests that run or wait.
+	RunningTarget, RunningOther int64
+	// OldestAge is the age of the oldest last report of a host.
+	OldestAge time.Duration
+}
+
+// Totals returns the sums of all reports.
+func (e *Evidence) Totals(now time.Time) Totals {
+	t := Totals{}
+	for _, h := range e.hosts {
+		t.Requests += h.earlierRequests + h.report.GetRequests()
+		t.Exposed += h.earlierExposed + h.report.GetExposed()
+		t.RunningTarget += h.report.GetRunningTarget()
+		t.RunningOther += h.report.GetRunningOther()
+		t.OldestAge = max(t.OldestAge, now.Sub(h.at))
+	}
+	for _, s := range e.slices {
+		for k, c := range s.cells {
+			if k.server != "" {
+				t.Answers += c.total()
+				t.Bad += c.bad
+			} else {
+				t.OtherAnswers += c.total()
+				t.OtherBad += c.bad
+			}
+		}
+	}
+	return t
+}
+
+// Confirmed reports whether each of the hosts has reported, since the given step, that it applies the step and that
+// nothing runs on other versions. Other hosts that were heard of must have reported the same, unless they have been
+// silent for the given time.
+func (e *Evidence) Confirmed(now time.Time, sequence uint64, hosts []string, silence time.Duration) bool {
+	if !e.Heard(hosts) {
+		return false
+	}
+	required := make(map[string]bool, len(hosts))
+	for _, name := range hosts {
+		required[name] = true
+	}
+	for name, h := range e.hosts {
+		if !required[name] && now.Sub(h.at) >= silence {
+			continue
+		}
+		if h.report.GetSequence() < sequence || h.report.GetRunningOther() > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/masticstate/rollout.go
+++ b/masticstate/rollout.go
@@ -58,7 +58,7 @@
 	if !ordered || last.Step.Final() || last.Sequence != p.GetExpected() {
 		return RolloutResult{Rollout: last, Err: masticerror.New(masticerror.KindConflict, "the step of %.64q does not follow the current one", next.Service)}
 	}
-	next = last.WithStep(s.now, next.Step, next.Share, next.Focus, next.Reason)
+	next = last.WithStep(s.now, next.Step, next.Share, next.Focus, next.Reason).WithAllowance(next.Allowance)
 	if err := s.applyChange(&masticproto.ViewChange{Rollouts: []*masticproto.Rollout{next.ToProto()}}); err != nil {
 		return RolloutResult{Rollout: last, Err: err}
 	}
--- a/masticview/rollout.go
+++ b/masticview/rollout.go
@@ -18,6 +18,8 @@
 	RolloutObserve RolloutStep = "observe"
 	// RolloutLoad: a share is sent to few servers of the target version, each of which has the load of an old one.
 	RolloutLoad RolloutStep = "load"
+	// RolloutConfirm is RolloutObserve after RolloutLoad.
+	RolloutConfirm RolloutStep = "confirm"
 	// RolloutDrain: new requests are sent to the target version only; streams that other versions began continue there.
 	RolloutDrain RolloutStep = "drain"
 	// RolloutClose: nothing is sent to other versions.
@@ -27,7 +29,7 @@
 )
 
 // rolloutSteps lists the steps by their number on the wire.
-var rolloutSteps = []RolloutStep{RolloutWait, RolloutObserve, RolloutLoad, RolloutDrain, RolloutClose, RolloutCompleted, RolloutRolledBack}
+var rolloutSteps = []RolloutStep{RolloutWait, RolloutObserve, RolloutLoad, RolloutDrain, RolloutClose, RolloutCompleted, RolloutRolledBack, RolloutConfirm}
 
 // Final reports whether no step follows.
 func (s RolloutStep) Final() bool { return s == RolloutCompleted || s == RolloutRolledBack }
@@ -53,9 +55,12 @@
 	Reason string
 	// Sequence is higher in each step, over all rollouts of the service. FirstSequence is that of the order.
 	Sequence, FirstSequence uint64
-	// Share is the share of the requests, in millionths, that go to the target version in RolloutObserve and
-	// RolloutLoad.
+	// Share is the share of the requests, in millionths, that go to the target version in RolloutObserve,
+	// RolloutLoad and RolloutConfirm.
 	Share int64
+	// Allowance is the number of requests that all hosts together may have sent to the target version, from the order
+	// on, before RolloutDrain.
+	Allowance int64
 	// Focus lists the servers of the target version that get requests in RolloutLoad; empty for all. The caller must
 	// not change it.
 	Focus []string
@@ -68,6 +73,12 @@
 	return r
 }
 
+// WithAllowance returns a copy with the given allowance, if that is not less.
+func (r Rollout) WithAllowance(n int64) Rollout {
+	r.Allowance = max(r.Allowance, n)
+	return r
+}
+
 // Span returns the time from the order to the deadline.
 func (r Rollout) Span() time.Duration { return r.Deadline.Sub(r.OrderedAt) }
 
@@ -76,7 +87,7 @@
 	return &masticproto.Rollout{
 		Service: r.Service, Target: r.Target, OrderedUnixMs: r.OrderedAt.UnixMilli(), DeadlineUnixMs: r.Deadline.UnixMilli(),
 		Step: masticproto.RolloutStep(max(0, slices.Index(rolloutSteps, r.Step))), StepUnixMs: r.StepAt.UnixMilli(), Reason: r.Reason,
-		Sequence: r.Sequence, FirstSequence: r.FirstSequence, SharePpm: r.Share, Focus: r.Focus,
+		Sequence: r.Sequence, FirstSequence: r.FirstSequence, SharePpm: r.Share, Focus: r.Focus, Allowance: r.Allowance,
 	}
 }
 
@@ -89,7 +100,7 @@
 	return Rollout{
 		Service: p.GetService(), Target: p.GetTarget(), OrderedAt: time.UnixMilli(p.GetOrderedUnixMs()), Deadline: time.UnixMilli(p.GetDeadlineUnixMs()),
 		Step: step, StepAt: time.UnixMilli(p.GetStepUnixMs()), Reason: p.GetReason(),
-		Sequence: p.GetSequence(), FirstSequence: p.GetFirstSequence(), Share: p.GetSharePpm(), Focus: p.GetFocus(),
+		Sequence: p.GetSequence(), FirstSequence: p.GetFirstSequence(), Share: p.GetSharePpm(), Focus: p.GetFocus(), Allowance: p.GetAllowance(),
 	}
 }
 
