Rollouts: wiring of the decisions, the evidence and the placement

The relay places each attempt by the step in force, and checks it again when a server is assigned. Without an order nothing changes for a service.

Tests: go test ./masticcontrol ./masticdaemon ./masticrelay ./masticagent ./platform/masticsite ./platform/masticoperator pass (without -race).

--- a/masticagent/agent.go
+++ b/masticagent/agent.go
@@ -27,6 +27,7 @@
 	wire                  *masticwire.Wire
 	onView                func(masticview.View)
 	onSuspects            func([]masticview.Digest)
+	evidence              func() []*masticproto.RolloutEvidence
 	log                   logrus.FieldLogger
 	renewInterval         time.Duration
 	renewTimeout          time.Duration
--- a/masticagent/option.go
+++ b/masticagent/option.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"masticladder/masticcall"
+	"masticladder/masticproto"
 	"masticladder/masticview"
 	"masticladder/masticwire"
 )
@@ -54,6 +55,11 @@
 	return func(a *Agent) { a.onSuspects = f }
 }
 
+// WithEvidence adds to each renewal what this host has counted of running rollouts.
+func WithEvidence(f func() []*masticproto.RolloutEvidence) Option {
+	return func(a *Agent) { a.evidence = f }
+}
+
 // WithLog sets the log.
 func WithLog(l logrus.FieldLogger) Option { return func(a *Agent) { a.log = l } }
 
--- a/masticagent/renewer.go
+++ b/masticagent/renewer.go
@@ -83,6 +83,7 @@
 		Revision:    renewal.Acknowledged,
 		Suspects:    r.agent.suspects.fingerprint(),
 		Relay:       relay,
+		Evidence:    r.evidence(),
 	}}}, r.agent.renewTimeout)
 	if err != nil {
 		r.lagging = false
@@ -119,6 +120,13 @@
 	return masticerror.New(masticerror.KindConflict, "the control host at %s does not have revision %d", a.address, answer.GetRevision())
 }
 
+func (r *renewer) evidence() []*masticproto.RolloutEvidence {
+	if r.agent.evidence == nil {
+		return nil
+	}
+	return r.agent.evidence()
+}
+
 func (r *renewer) applyAnswer(answer *masticproto.RenewAnswer) {
 	r.holder.ApplyGrant(masticlease.Grant{
 		ID:       answer.GetId(),
--- a/masticcontrol/control.go
+++ b/masticcontrol/control.go
@@ -11,6 +11,7 @@
 	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticquorum"
+	"masticladder/masticrollout"
 	"masticladder/masticstate"
 	"masticladder/masticstore"
 	"masticladder/masticwire"
@@ -40,6 +41,7 @@
 		batchCalls:        DefaultBatchCalls,
 		seed:              rand.Uint64(),
 		counters:          &Counters{},
+		rolloutBounds:     masticrollout.DefaultBounds,
 	}}
 	for _, o := range options {
 		o(&c.settings)
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -45,6 +45,7 @@
 	nextUnreachableCheck time.Time
 	baseSoftware         baseSoftware
 	workload             workload
+	rollouts             rollouts
 }
 
 // updateLeadership starts or ends leadership after the core has advanced. The leader is kept for
@@ -93,6 +94,7 @@
 	d.renewals = newRenewals(now)
 	d.baseSoftware.goneSince = map[string]time.Time{}
 	d.lastAnswers = lastAnswers{}
+	d.rollouts = newRollouts()
 	d.workspaces, d.seenRevision = map[string]bool{}, view.Revision()
 	for _, name := range l.workspaceNames() {
 		d.workspaces[name] = true
@@ -190,6 +192,7 @@
 	d.proposeLostHosts(now)
 	d.updateUnreachable(now)
 	d.proposeBaseSoftware(now)
+	d.proposeRolloutSteps(now)
 	if d.placement != nil {
 		d.placement.propose(now)
 	}
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -56,6 +56,7 @@
 			Acknowledged: r.GetRevision(),
 		})
 		answer.SpanUs = g.Lifetime.Microseconds()
+		d.recordEvidence(now, r)
 		d.renewals.lostCheckFrom[r.GetHost()] = now
 		d.renewals.lastRenewed[r.GetHost()] = now
 	}
--- a/masticcontrol/option.go
+++ b/masticcontrol/option.go
@@ -7,6 +7,7 @@
 
 	"masticladder/masticplace"
 	"masticladder/masticproto"
+	"masticladder/masticrollout"
 	"masticladder/masticstore"
 	"masticladder/masticwire"
 )
@@ -53,6 +54,7 @@
 	counters            *Counters
 	outageShares        outageShares
 	receive             func(*masticproto.PeerRequest)
+	rolloutBounds       masticrollout.Bounds
 }
 
 // Option sets one property of a Control.
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -25,6 +25,7 @@
 	"masticladder/masticgossip"
 	"masticladder/masticintake"
 	"masticladder/masticrelay"
+	"masticladder/masticrollout"
 	"masticladder/masticview"
 	"masticladder/masticwire"
 )
@@ -46,10 +47,12 @@
 	dispatcher   *masticdispatch.Dispatcher
 	coordinators *masticassign.Client
 	// keeper and quotas are the quotas that this host keeps, and its charges at all keepers.
-	keeper       *masticbucket.Keeper
-	quotas       *masticbucket.Limiter
-	client       *masticbackend.Client
-	relay        *masticrelay.Relay
+	keeper *masticbucket.Keeper
+	quotas *masticbucket.Limiter
+	client *masticbackend.Client
+	relay  *masticrelay.Relay
+	// traffic places requests during rollouts, nil on a host that serves no callers.
+	traffic      *masticrollout.Traffic
 	gossip       *masticgossip.Exchange
 	announcer    *announcer
 	drainer      *drainer
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -16,6 +16,7 @@
 	"masticladder/masticproto"
 	"masticladder/masticrelay"
 	"masticladder/masticretry"
+	"masticladder/masticrollout"
 	"masticladder/masticwire"
 )
 
@@ -58,6 +59,7 @@
 		masticcontrol.WithVoterRemoval(s.VoterRemovalThreshold),
 		masticcontrol.WithSnapshotEntries(snapshotEntries, snapshotEntries/2),
 		masticcontrol.WithDiskBytes(s.diskBytes()),
+		masticcontrol.WithRolloutBounds(s.rolloutBounds()),
 		masticcontrol.WithLoader(n.protocols.Loader, nodeLoadSenders, masticplace.WithOrderTimeout(s.LoadTimeout), masticplace.WithSupersede()),
 	)
 }
@@ -99,7 +101,8 @@
 		n.coordinators = masticassign.NewClient(n.wire, n.registry)
 		n.keeper = masticbucket.NewKeeper(s.Peer, n.quota)
 		n.quotas = masticbucket.NewLimiter(s.Peer, n.keeper, n.coordinators, n.log.WithField("host", s.Peer))
-		keepers = append(keepers, masticagent.WithKeepers(n.quotas))
+		n.traffic = masticrollout.NewTraffic(s.Peer)
+		keepers = append(keepers, masticagent.WithKeepers(n.quotas), masticagent.WithEvidence(n.traffic.Reports))
 	}
 	agent, err := masticagent.New(append(keepers,
 		masticagent.WithHost(s.Peer),
@@ -169,6 +172,7 @@
 		masticrelay.WithDispatcher(n.dispatcher),
 		masticrelay.WithSuspects(n.agent.Suspects(), n.agent.Holds()),
 		masticrelay.WithOrigins(n.agent.Origins()),
+		masticrelay.WithTraffic(n.traffic, n.agent.Leased),
 		masticrelay.WithClient(n.client),
 		masticrelay.WithStatementObserver(n.dispatcher),
 		masticrelay.WithAnswerBudget(answers),
--- a/masticdaemon/nodesettings.go
+++ b/masticdaemon/nodesettings.go
@@ -5,6 +5,7 @@
 
 	"masticladder/masticcontrol"
 	"masticladder/masticrelay"
+	"masticladder/masticrollout"
 	"masticladder/masticschedule"
 )
 
@@ -46,6 +47,9 @@
 	// default budget of each host.
 	RetryBudgetRatio float64
 	RetryBudgetSlack float64
+	// Rollout bounds the requests that a software version gets before it is known to be good; the zero value means
+	// masticrollout.DefaultBounds.
+	Rollout masticrollout.Bounds
 	// FailClosed makes the host refuse callers while it cannot reach the control group.
 	FailClosed bool
 	// VoterRemovalThreshold is the number of voters, this host included, that must answer for an
@@ -78,6 +82,13 @@
 	return s.DiskBytes
 }
 
+func (s NodeSettings) rolloutBounds() masticrollout.Bounds {
+	if s.Rollout == (masticrollout.Bounds{}) {
+		return masticrollout.DefaultBounds
+	}
+	return s.Rollout
+}
+
 // Protocols are the codecs of a Node's protocols towards callers and backend servers.
 type Protocols struct {
 	Backends masticrelay.BackendProtocol
--- a/masticrelay/origin.go
+++ b/masticrelay/origin.go
@@ -253,7 +253,7 @@
 
 // withSoftware returns service with the servers that s allows.
 func withSoftware(t *routingTable, service masticview.Service, s masticcall.Software) masticview.Service {
-	if !s.Required {
+	if !s.Required && !s.Excluded {
 		return service
 	}
 	var names []string
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -21,6 +21,7 @@
 	"masticladder/masticdrain"
 	"masticladder/masticerror"
 	"masticladder/masticretry"
+	"masticladder/masticrollout"
 	"masticladder/masticview"
 )
 
@@ -39,7 +40,10 @@
 	// statements is nil if what backend servers state about themselves is not observed.
 	statements masticcall.StatementObserver
 	// origins is nil if streams may go on at any software version.
-	origins  masticcall.Origins
+	origins masticcall.Origins
+	// traffic places requests while a rollout moves them to another version; nil without rollouts.
+	traffic  *masticrollout.Traffic
+	inTouch  func(now time.Time) bool
 	backends BackendProtocol
 	callers  CallerProtocol
 	// bodies bounds the bodies of all calls together.
@@ -198,6 +202,9 @@
 		t.services[s.Service] = x
 	}
 	c.table.Store(t)
+	if c.traffic != nil {
+		c.traffic.SetView(v)
+	}
 	c.detector.SetView(v)
 	if t.index != nil {
 		c.firstDocument.notify()
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -13,6 +13,7 @@
 	"masticladder/masticdrain"
 	"masticladder/masticerror"
 	"masticladder/mastichold"
+	"masticladder/masticrollout"
 	"masticladder/masticview"
 )
 
@@ -79,7 +80,11 @@
 	// software is the software version of server.
 	software string
 	origin   streamOrigin
-	status   int
+	// placement is where the rollout of the service let the running attempt go, nil without an attempt. placed reports that
+	// an attempt of the request had one.
+	placement *masticrollout.Placement
+	placed    bool
+	status    int
 	// firstByteAt is when the header of the response was relayed.
 	firstByteAt time.Time
 }
@@ -95,6 +100,7 @@
 	r.events.memory = c.answers.Reserve()
 	defer r.events.memory.Release()
 	err := r.serve(ctx)
+	r.endPlacement(masticrollout.Outcome{Unknown: true})
 	r.endOrigin(err)
 	r.logOutcome(err)
 	c.metrics.recordOutcome(r, err, time.Now())
@@ -263,10 +269,9 @@
 	return a, nil
 }
 
-// assign has the dispatcher assign a backend server other than the unavailable ones.
-func (r *requestState) assign(ctx context.Context, unavailable []string) (masticcall.Assignment, error) {
+// assignAny has the dispatcher assign a backend server other than the unavailable ones, of an allowed version.
+func (r *requestState) assignAny(ctx context.Context, unavailable []string, software masticcall.Software) (masticcall.Assignment, error) {
 	avoid := append(r.avoid[:len(r.avoid):len(r.avoid)], unavailable...)
-	software := r.allowedSoftware()
 	if !r.pool.Engine {
 		return r.relay.dispatcher.AcquireService(ctx, withSoftware(r.relay.table.Load(), r.service, software), avoid)
 	}
@@ -309,6 +314,7 @@
 			r.possibleRuns++
 		}
 	}
+	r.countAnswer(server, a.CachedTokens(), f, time.Since(sentAt))
 	a.Done(time.Now(), result)
 	verdict := r.observe(ctx, watched, f)
 	if f != nil {
--- a/masticrollout/fleet_test.go
+++ b/masticrollout/fleet_test.go
@@ -262,7 +262,9 @@
 	if x.view.Software == "v1" && s.rollout.Step == masticview.RolloutCompleted {
 		s.badOnOld = true
 	}
-	p.Assigned(x.view)
+	if !p.Assigned(s.time(at), x.view) {
+		panic("a server was assigned that the step does not allow")
+	}
 	h.running = append(h.running, runningAttempt{at + latency, p, Outcome{
 		Route: route, Stratum: x.view.Zone, Bad: s.random.Float64() < failure, Latency: latency,
 	}, x.view})
--- a/masticrollout/traffic.go
+++ b/masticrollout/traffic.go
@@ -216,16 +216,20 @@
 // allows reports whether one more request may be sent to the target version.
 func (s *serviceTraffic) allows() bool { return s.exposed+s.reserved < s.part }
 
-// Assigned notes the server that the attempt is sent to.
-func (p *Placement) Assigned(server masticview.Server) {
+// Assigned notes the server that the attempt is sent to. It reports false, and then nothing may be sent, if the step in
+// force no longer allows the server's version.
+func (p *Placement) Assigned(now time.Time, server masticview.Server) bool {
 	t, s := p.traffic, p.service
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	p.leaveQueue()
+	if s.forbids(now, server.Software) {
+		return false
+	}
 	p.software = server.Software
 	s.running[p.software]++
 	if s.rollout.Sequence == 0 || s.rollout.FirstSequence != p.first {
-		return
+		return true
 	}
 	p.counted = true
 	if !p.repeated {
@@ -235,6 +239,37 @@
 		p.server = server.Name
 		s.exposed++
 	}
+	return true
+}
+
+// forbids reports whether no request at all may be sent to a version.
+func (s *serviceTraffic) forbids(now time.Time, version string) bool {
+	switch target := version == s.rollout.Target; s.rollout.Step {
+	case masticview.RolloutWait:
+		return target
+	case masticview.RolloutRolledBack:
+		return target && (s.others > 0 || now.Before(s.rollout.StepAt.Add(excludedTime)))
+	case masticview.RolloutClose:
+		return !target
+	case masticview.RolloutCompleted:
+		return !target && s.targets > 0
+	default:
+		return false
+	}
+}
+
+// Part returns "target" or "other" for a version of a service whose rollout runs, and the empty string otherwise.
+func (t *Traffic) Part(service, version string) string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	switch s := t.service(service); {
+	case s.rollout.Sequence == 0 || s.rollout.Step.Final():
+		return ""
+	case version == s.rollout.Target:
+		return "target"
+	default:
+		return "other"
+	}
 }
 
 // leaveQueue ends the wait for a server.
