--- a/masticrollout/latency.go
+++ b/masticrollout/latency.go
@@ -22,14 +22,6 @@
 	return min(1+int(bucketsPerDoubling*math.Log2(millis)), Buckets-1)
 }
 
-// lowerBound returns the least latency in a bucket.
-func lowerBound(bucket int) time.Duration {
-	if bucket == 0 {
-		return 0
-	}
-	return time.Duration(math.Pow(2, float64(bucket-1)/bucketsPerDoubling) * float64(time.Millisecond))
-}
-
 // counts counts answers: bad ones, and the others by latency.
 type counts struct {
 	bad  int64
