Control: suspects are pushed at most each 50 ms, as differences

Each report that changed the set of suspects made the control host sort all records and send the whole set to every watcher, and each renewal with another fingerprint got the whole set. The suspect tracker now keeps its last 4,096 changes. A host applies a difference only if it leads to the fingerprint that it states, so one that was lost, repeated or overtaken leaves the set as it is until the next renewal. Hosts of earlier versions get the whole set.

--- a/masticagent/renewer.go
+++ b/masticagent/renewer.go
@@ -84,6 +84,8 @@
 		Suspects:    r.agent.suspects.fingerprint(),
 		Relay:       relay,
 		Evidence:    r.evidence(),
+
+		SuspectDifferences: true,
 	}}}, r.agent.renewTimeout)
 	if err != nil {
 		r.lagging = false
@@ -137,7 +139,7 @@
 	r.agent.views.setLease(r.holder.ExpiresAt())
 	r.agent.views.newestKnown.Store(answer.GetRevision())
 	if s := answer.GetSuspects(); s != nil {
-		r.agent.suspects.replace(s)
+		r.agent.suspects.update(s)
 	}
 	r.logRefusal(answer)
 	if answer.GetUpdate() == nil {
--- a/masticagent/suspects.go
+++ b/masticagent/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -35,7 +34,8 @@
 
 	mutex              sync.Mutex
 	currentFingerprint uint64
-	fromControl        map[masticview.Digest]bool
+	// fromControl holds the suspects of the control group, with false for those that completed for this host.
+	fromControl map[masticview.Digest]bool
 	// local counts what this host has reported. It is next searched for expired records at expireAt.
 	local    *masticsuspect.Tracker
 	expireAt time.Time
@@ -53,7 +53,7 @@
 func newSuspects(a *Agent) *suspects {
 	return &suspects{
 		agent: a, fromControl: map[masticview.Digest]bool{},
-		local: masticsuspect.New(masticsuspect.WithMaxRecords(maxLocalRecords), masticsuspect.WithRecordTTL(localRecordTTL)),
+		local: masticsuspect.New(masticsuspect.WithMaxRecords(maxLocalRecords), masticsuspect.WithRecordTTL(localRecordTTL), masticsuspect.WithKeptChanges(0)),
 		turns: newTurns(),
 	}
 }
@@ -67,7 +67,9 @@
 	s.local.TakeCleared()
 	if r.Verdict == masticcall.VerdictCompleted {
 		for _, q := range r.Requests {
-			delete(s.fromControl, q.Content.Digest)
+			if s.fromControl[q.Content.Digest] {
+				s.fromControl[q.Content.Digest] = false
+			}
 		}
 	}
 	s.mutex.Unlock()
@@ -124,6 +126,58 @@
 	return s.currentFingerprint
 }
 
+// update applies set to the suspects of the control group. A difference that does not lead to the set which it states is not
+// applied: the next renewal brings what this host lacks.
+func (s *suspects) update(set *masticproto.SuspectSet) {
+	if !set.GetDifference() {
+		s.replace(set)
+		return
+	}
+	s.mutex.Lock()
+	applied := s.applyDifference(set)
+	s.mutex.Unlock()
+	if applied {
+		s.notify()
+	}
+}
+
+// applyDifference reports whether the difference was applied. The mutex is held.
+func (s *suspects) applyDifference(set *masticproto.SuspectSet) bool {
+	fingerprint := s.currentFingerprint
+	var added, removed []masticview.Digest
+	for _, b := range set.GetDigests() {
+		d, err := masticview.DigestFromBytes(b)
+		if err != nil {
+			return false
+		}
+		added = append(added, d)
+		if _, ok := s.fromControl[d]; !ok {
+			fingerprint ^= masticsuspect.FingerprintOf(d)
+		}
+	}
+	for _, b := range set.GetRemoved() {
+		d, err := masticview.DigestFromBytes(b)
+		if err != nil {
+			return false
+		}
+		removed = append(removed, d)
+		if _, ok := s.fromControl[d]; ok {
+			fingerprint ^= masticsuspect.FingerprintOf(d)
+		}
+	}
+	if fingerprint != set.GetFingerprint() {
+		return false
+	}
+	for _, d := range added {
+		s.fromControl[d] = true
+	}
+	for _, d := range removed {
+		delete(s.fromControl, d)
+	}
+	s.currentFingerprint = fingerprint
+	return true
+}
+
 // replace replaces the suspects of the control group by set.
 func (s *suspects) replace(set *masticproto.SuspectSet) {
 	fromControl := make(map[masticview.Digest]bool, len(set.GetDigests()))
@@ -150,7 +204,12 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.local.Expire(now)
-	out := slices.Collect(maps.Keys(s.fromControl))
+	var out []masticview.Digest
+	for d, suspect := range s.fromControl {
+		if suspect {
+			out = append(out, d)
+		}
+	}
 	for _, d := range s.local.Suspects() {
 		if !s.fromControl[d] {
 			out = append(out, d)
--- a/masticagent/views.go
+++ b/masticagent/views.go
@@ -88,7 +88,7 @@
 
 func (v *views) apply(u *masticproto.ViewUpdate) {
 	if s := u.GetSuspects(); s != nil {
-		v.agent.suspects.replace(s)
+		v.agent.suspects.update(s)
 	}
 	old := v.view()
 	local, err := v.local.withUpdate(time.Now(), u)
--- a/masticagent/watcher.go
+++ b/masticagent/watcher.go
@@ -55,6 +55,8 @@
 		Kind: &masticproto.PeerRequest_Watch{Watch: &masticproto.WatchRequest{
 			Host:     w.agent.host,
 			Revision: w.agent.View().Revision(),
+
+			SuspectDifferences: true,
 		}},
 	})
 	if err != nil {
--- a/masticcontrol/batch.go
+++ b/masticcontrol/batch.go
@@ -61,6 +61,7 @@
 	}
 	l.updateLeadership(now)
 	l.pushChanges(now)
+	l.pushSuspects(now)
 	if l.leader != nil {
 		l.leader.answerPublishes(now)
 	}
--- a/masticcontrol/commandresult.go
+++ b/masticcontrol/commandresult.go
@@ -34,10 +34,9 @@
 
 // applyCommand applies a command and passes its effects to the watchers and the leader.
 func (l *loop) applyCommand(now time.Time, index uint64, command *masticproto.Command) commandResult {
-	before, suspects := l.state.View().Revision(), l.state.Suspects().Fingerprint()
+	before := l.state.View().Revision()
 	result := l.state.Apply(index, command)
 	l.markViewChanged(before)
-	l.pushSuspects(suspects)
 	if l.leader != nil {
 		l.leader.applied(now, result)
 		l.leader.appliedLoad(now, command.GetLoad(), result)
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -230,7 +230,7 @@
 
 // logQuarantine logs that requests with a content, or with a part of their prompts, are refused.
 func (d *leaderState) logQuarantine(digest masticview.Digest) {
-	log := d.loop.log.WithField("suspects", len(d.loop.state.Suspects().Suspects()))
+	log := d.loop.log.WithField("suspects", d.loop.state.Suspects().SuspectCount())
 	q, isPart := d.loop.state.Suspects().PartQuarantine(digest)
 	if !isPart {
 		log.WithField("content", digest.Short()).Warn("request quarantined: several backend servers ended under it")
--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -70,23 +70,13 @@
 		answer.Update = l.updateFrom(r.GetRevision())
 	}
 	if r.GetSuspects() != l.state.Suspects().Fingerprint() {
-		answer.Suspects = l.suspectSet()
+		answer.Suspects = l.suspectsSince(r.GetSuspects(), r.GetSuspectDifferences())
 	}
 	for _, m := range l.status.Members {
 		answer.Control = append(answer.Control, m.GetAddress())
 	}
 }
 
-// suspectSet returns the current suspects.
-func (l *loop) suspectSet() *masticproto.SuspectSet {
-	tracker := l.state.Suspects()
-	set := &masticproto.SuspectSet{Fingerprint: tracker.Fingerprint()}
-	for _, x := range tracker.Suspects() {
-		set.Digests = append(set.Digests, x[:])
-	}
-	return set
-}
-
 // awaitInForce queues a committed publish until it is in force or its deadline has passed. The
 // deadline is at the latest answerSlack before the caller stops waiting.
 func (d *leaderState) awaitInForce(now time.Time, c *call, answer *masticproto.CommandAnswer) {
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -52,9 +52,11 @@
 	fullView         *masticproto.ViewUpdate
 	fullViewRevision uint64
 	// nextPush is the earliest time of the next push to the watchers.
-	nextPush   time.Time
-	listReader *listReader
-	relay      *renewalRelay
+	nextPush time.Time
+	// suspectUpdates are the messages with suspects to the watchers and in answers to renewals.
+	suspectUpdates suspectUpdates
+	listReader     *listReader
+	relay          *renewalRelay
 	// batchTime is the time of the current batch, deadline the time at which the next one is due.
 	batchTime, deadline time.Time
 	// joined reports that this host is a voter and knows the leader.
@@ -201,6 +203,9 @@
 	if l.viewChanged && l.nextPush.Before(deadline) && !l.replays(masticclock.Now()) {
 		deadline = l.nextPush
 	}
+	if due, changed := l.suspectPushDue(masticclock.Now()); changed && due.Before(deadline) {
+		deadline = due
+	}
 	if l.leader == nil {
 		return deadline
 	}
--- a/masticcontrol/watch.go
+++ b/masticcontrol/watch.go
@@ -61,16 +61,6 @@
 	l.pushAll(l.updateFrom(revision))
 }
 
-// pushSuspects sends the suspects to every watcher if they differ from those with the given
-// fingerprint.
-func (l *loop) pushSuspects(fingerprint uint64) {
-	if l.state.Suspects().Fingerprint() == fingerprint {
-		return
-	}
-	l.dropEndedWatchers()
-	l.pushAll(&masticproto.ViewUpdate{Suspects: l.suspectSet()})
-}
-
 func (l *loop) pushAll(u *masticproto.ViewUpdate) {
 	for w := range l.watchers {
 		l.push(w, u)
--- a/masticsuspect/parts.go
+++ b/masticsuspect/parts.go
@@ -104,8 +104,8 @@
 	before, ok := t.parts[d]
 	t.parts[d] = p
 	t.index.replacePart(d, before, p)
-	if (before.suspicion() != notSuspected) != (p.suspicion() != notSuspected) {
-		t.toggle(d)
+	if suspected := p.suspicion() != notSuspected; suspected != (before.suspicion() != notSuspected) {
+		t.toggle(d, suspected)
 	}
 	if !ok || p.expiresUnixMs < before.expiresUnixMs {
 		t.partExpiry.add(p.expiresUnixMs, d)
@@ -119,7 +119,7 @@
 		return
 	}
 	if p.suspicion() != notSuspected {
-		t.toggle(d)
+		t.toggle(d, false)
 	}
 	t.index.replacePart(d, p, part{})
 	delete(t.parts, d)
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -96,6 +96,10 @@
 	// recordExpiry, partExpiry and holdExpiry order the records and holds by the time at which they expire.
 	recordExpiry, partExpiry *expiryQueue[masticview.Digest]
 	holdExpiry               *expiryQueue[string]
+	// changes are the last changes of the set of suspects, keptChanges at most. They are no part of snapshots.
+	changes      []suspectChange
+	keptChanges  int
+	suspectCount int
 	// trialsAdded reports that trials may have grown over maxTrialDigests.
 	trialsAdded bool
 	// visited counts the records, holds and index entries that were looked at, in place of the time that calls took.
@@ -120,7 +124,7 @@
 		trials:     trialSets{},
 		completed:  newCompletions(),
 		index:      newIndex(),
-		maxRecords: MaxRecords, recordTTL: RecordTTL,
+		maxRecords: MaxRecords, recordTTL: RecordTTL, keptChanges: DefaultKeptChanges,
 		recordExpiry: newExpiryQueue(masticview.Digest.Compare),
 		partExpiry:   newExpiryQueue(masticview.Digest.Compare),
 		holdExpiry:   newExpiryQueue(strings.Compare),
@@ -171,7 +175,7 @@
 	t.records[d] = r
 	t.index.replaceRecord(d, before, r)
 	if (ok && before.suspect()) != r.suspect() {
-		t.toggle(d)
+		t.toggle(d, r.suspect())
 	}
 	if !ok || r.expiresUnixMs < before.expiresUnixMs {
 		t.recordExpiry.add(r.expiresUnixMs, d)
@@ -180,7 +184,15 @@
 }
 
 // toggle adds a suspect to the fingerprint, the exclusive or of the suspects' first 8 bytes, or removes it.
-func (t *Tracker) toggle(d masticview.Digest) { t.fingerprint ^= fingerprintOf(d) }
+func (t *Tracker) toggle(d masticview.Digest, suspect bool) {
+	t.keepChange(d)
+	t.fingerprint ^= FingerprintOf(d)
+	if suspect {
+		t.suspectCount++
+	} else {
+		t.suspectCount--
+	}
+}
 
 // recordExpiresAt returns when the record of a request expires, and false if there is none.
 func (t *Tracker) recordExpiresAt(d masticview.Digest) (int64, bool) {
@@ -198,11 +210,12 @@
 	}
 }
 
-func fingerprintOf(d masticview.Digest) uint64 { return binary.BigEndian.Uint64(d[:]) }
+// FingerprintOf returns the fingerprint of a set of one suspect. That of several is the exclusive or of theirs.
+func FingerprintOf(d masticview.Digest) uint64 { return binary.BigEndian.Uint64(d[:]) }
 
 func (t *Tracker) remove(d masticview.Digest) {
 	if t.suspectRequest(d) {
-		t.toggle(d)
+		t.toggle(d, false)
 	}
 	t.index.replaceRecord(d, t.records[d], record{})
 	delete(t.records, d)
