Questions between hosts: reuse readers, compute sizes less often

BenchmarkQuestion: one question over a connection, both sides: 19,703 to 11,337 bytes and 126 to 122 allocations; 229 bytes out, 44 in. Times on the busy machine are no measure (96 to 202 us on one code).

--- a/masticwire/call.go
+++ b/masticwire/call.go
@@ -23,7 +23,9 @@
 		return nil, err
 	}
 	defer s.Close()
-	return s.Next()
+	answer, err := s.Next()
+	freeReader(s.reader)
+	return answer, err
 }
 
 // Stream sends q and returns the stream of its answers. The stream ends when ctx ends. Its error
@@ -39,7 +41,7 @@
 	if bounded {
 		q.TimeoutMs = max(time.Until(deadline).Milliseconds(), 1)
 	}
-	if err := c.wire.checkSize(q); err != nil {
+	if _, err := c.wire.checkSize(q); err != nil {
 		return nil, err
 	}
 	stream, err := session.OpenStream()
@@ -47,7 +49,7 @@
 		c.recordUnanswered(session, startedAt)
 		return nil, masticerror.Wrap(err, masticerror.KindNoQuorum, "open a stream to %s", c.address)
 	}
-	s := &Stream{client: c, session: session, stream: stream, reader: bufio.NewReader(stream), context: ctx, startedAt: startedAt}
+	s := &Stream{client: c, session: session, stream: stream, reader: newReader(stream), context: ctx, startedAt: startedAt}
 	s.stopInterrupt = context.AfterFunc(ctx, s.interrupt)
 	_ = stream.SetWriteDeadline(time.Now().Add(c.wire.writeTimeout))
 	if err := c.wire.writeFrame(stream, q); err != nil {
--- a/masticwire/frame.go
+++ b/masticwire/frame.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"sync"
 
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
@@ -19,23 +20,24 @@
 	frameGrowth     = 4
 )
 
-// checkSize returns an error of kind bodyTooLarge for a message over the size limit.
-func (w *Wire) checkSize(m proto.Message) error {
-	if n := proto.Size(m); n > w.maxFrameBytes {
-		return masticerror.New(masticerror.KindBodyTooLarge, "message of %d bytes is over the limit of %d", n, w.maxFrameBytes)
+// checkSize returns the size of a message, and an error of kind bodyTooLarge if that is over the size limit.
+func (w *Wire) checkSize(m proto.Message) (int, error) {
+	n := proto.Size(m)
+	if n > w.maxFrameBytes {
+		return n, masticerror.New(masticerror.KindBodyTooLarge, "message of %d bytes is over the limit of %d", n, w.maxFrameBytes)
 	}
-	return nil
+	return n, nil
 }
 
 // writeFrame writes the message, preceded by its length, in a single write.
 func (w *Wire) writeFrame(to io.Writer, m proto.Message) error {
-	if err := w.checkSize(m); err != nil {
+	n, err := w.checkSize(m)
+	if err != nil {
 		return err
 	}
-	n := proto.Size(m)
 	frame := make([]byte, 0, n+protowire.SizeVarint(uint64(n)))
 	frame = protowire.AppendVarint(frame, uint64(n))
-	frame, err := proto.MarshalOptions{}.MarshalAppend(frame, m)
+	frame, err = proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(frame, m)
 	if err != nil {
 		return masticerror.Wrap(err, masticerror.KindInternal, "encode a message")
 	}
@@ -43,6 +45,21 @@
 	return err
 }
 
+// readers are the buffered readers of ended streams: a call takes one on each side, which is most of its memory.
+var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
+func newReader(from io.Reader) *bufio.Reader {
+	r := readers.Get().(*bufio.Reader)
+	r.Reset(from)
+	return r
+}
+
+// freeReader takes back a reader that nothing reads from any more.
+func freeReader(r *bufio.Reader) {
+	r.Reset(nil)
+	readers.Put(r)
+}
+
 // readFrame reads a message. Its memory grows with what arrives, whatever length was announced. The error is io.EOF if
 // there is no further frame.
 func (w *Wire) readFrame(from *bufio.Reader, m proto.Message) error {
--- a/masticwire/outbox.go
+++ b/masticwire/outbox.go
@@ -31,7 +31,7 @@
 // full and bodyTooLarge for a message over the size limit. A nil error does not guarantee
 // delivery.
 func (c *Client) Send(q *masticproto.PeerRequest) error {
-	if err := c.wire.checkSize(q); err != nil {
+	if _, err := c.wire.checkSize(q); err != nil {
 		return err
 	}
 	c.outbox.start.Do(c.outbox.startRun)
--- a/masticwire/serverstream.go
+++ b/masticwire/serverstream.go
@@ -28,7 +28,8 @@
 	defer v.running.Done()
 	defer func() { <-v.slots }()
 	defer func() { _ = v.stream.Close() }()
-	reader := bufio.NewReader(v.stream)
+	reader := newReader(v.stream)
+	defer freeReader(reader)
 	q := new(masticproto.PeerRequest)
 	if err := v.read(reader, q); err != nil {
 		return
