--- a/masticagent/limiter.go
+++ b/masticagent/limiter.go
@@ -114,14 +114,19 @@
 }
 
 // acquireFromKeepers charges a request at the keepers. If too few of them answer, the standing share admits it while it
-// has the tokens: it is full then, since it is used for nothing else.
+// has the tokens. It also admits small requests over the rate that keepers give out, which leaves the shares of
+// workspaces within their rates full for the time when keepers give no answer.
 func (l *limiter) acquireFromKeepers(ctx context.Context, workspace string, tokens int64, tokensBy time.Time) (masticcall.Admission, error) {
 	a, err := l.agent.keepers.Admit(ctx, workspace, tokens, tokensBy)
 	if err == nil {
 		l.agent.admissions.Kept.Add(1)
 		return a, nil
 	}
-	if s := l.agent.standingShares; s != nil && errors.Is(err, masticcall.ErrUnanswered) {
+	s := l.agent.standingShares
+	if s == nil || masticerror.KindOf(err) != masticerror.KindRateLimited {
+		return nil, err
+	}
+	if tokens <= smallRequestTokens || errors.Is(err, masticcall.ErrUnanswered) {
 		if a, shareErr := s.admit(masticclock.Now(), workspace, tokens); shareErr == nil {
 			return a, nil
 		}
