No part of an answer is passed on as complete when the upload was cut

A server that answered a long upload at once with a 200 without a length, sent a part and reset the connection, had this part passed on as a complete response: the failed write consumes the error of the reset, so that the answer ended like one after a regular close. An answer that does not state its end now counts as cut if its request could not be written; one with a length or in chunks is passed on.

Statuses of three characters that the parser takes for numbers below 100 (000, 099, 020, +20, -00) were passed to the caller's connection, whose handler panicked; the caller got no response. They are now malformed answers, 502. The other statuses of the test (0, 99, 1000, +200, 2e2, a tab, letters) were refused before.

Forms that held before: uploads that are not blocked. Mutant for them: Answer.Read turns any error of an answer without framing into io.EOF; the test catches it in five forms. Mutants for the fix: without the check of the framing (TestAnswerThatStatesItsEndIsPassedOnDuringUpload), statuses from 1 on (TestInvalidStatusIsPassedOn).

--- a/masticbackend/exchange.go
+++ b/masticbackend/exchange.go
@@ -20,11 +20,15 @@
 // the answer.
 const maxSkippedAnswers = 2
 
+// minStatus is the lowest HTTP status. The parser also takes statuses like 000, 099 and +20.
+const minStatus = 100
+
 // maxSkippedBytes is the maximum body size of a skipped answer.
 const maxSkippedBytes = 64 << 10
 
 var (
 	errWrongRequest = errors.New("the answer belongs to another request")
+	errStatus       = errors.New("the status of the answer is no HTTP status")
 	errUnidentified = errors.New("the answer does not state its request on a connection with earlier answers")
 )
 
@@ -80,6 +84,9 @@
 	detachContext func() bool
 	context       context.Context
 	complete      bool
+	// unsent reports that the request could not be written completely. The error of the connection is consumed then, and the
+	// end of the answer looks like a regular close.
+	unsent bool
 	// identified reports that the answer states the request's identifier, or that the request has none.
 	identified bool
 	closed     sync.Once
@@ -153,6 +160,7 @@
 	}
 	// A server may answer and close the connection before it has read the complete request, so
 	// the answer is read even if the write failed.
+	a.unsent = err != nil
 	if err := a.readHead(q); err != nil {
 		a.abandon()
 		if ctx.Err() != nil {
@@ -213,6 +221,9 @@
 		if err != nil {
 			return a.conn.head.errorOf(err)
 		}
+		if r.StatusCode < minStatus {
+			return errStatus
+		}
 		// The reader does not count the lines of a head that were buffered together with what precedes it.
 		if fields += fieldsOf(r.Header); fields > maxHeadLines {
 			return errHeadLines
@@ -258,17 +269,24 @@
 	return n
 }
 
-// Read reads the body. It returns io.EOF only after the complete body. After the context has
+// Read reads the body. It returns io.EOF only after the complete body: an answer that does not state where it ends is
+// not known to be complete if the request could not be written. After the context has
 // ended, it returns the context's error.
 func (a *Answer) Read(p []byte) (int, error) {
 	k, err := a.response.Body.Read(p)
 	if err != nil && a.context.Err() != nil {
 		return k, a.context.Err()
 	}
+	if err == io.EOF && a.unsent && !a.framed() {
+		return k, io.ErrUnexpectedEOF
+	}
 	a.complete = a.complete || err == io.EOF
 	return k, err
 }
 
+// framed reports whether the answer states where it ends.
+func (a *Answer) framed() bool { return a.Length >= 0 || len(a.response.TransferEncoding) > 0 }
+
 // Complete reports whether the complete body was read.
 func (a *Answer) Complete() bool { return a.complete }
 
@@ -280,8 +298,7 @@
 func (a *Answer) release() {
 	a.conn.head.memory.Release()
 	idle := idleTimeoutOf(a.Header, a.client.idleTimeout)
-	framed := a.Length >= 0 || len(a.response.TransferEncoding) > 0
-	kept := a.detachContext() && a.complete && a.identified && framed && !a.response.Close && idle > 0 && a.conn.reader.Buffered() == 0
+	kept := a.detachContext() && a.complete && a.identified && a.framed() && !a.unsent && !a.response.Close && idle > 0 && a.conn.reader.Buffered() == 0
 	if !kept {
 		a.conn.close()
 		return
