--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return x.fail(err)
 	}
+	if x.answer.StatusCode < minStatus {
+		return x.fail(errStatus)
+	}
 	if !x.header.Resize(headerMemory(x.answer.Header)) {
 		return x.fail(errMemory)
 	}
@@ -83,6 +86,9 @@
 	return nil
 }
 
+// minStatus is the lowest HTTP status. The parser also takes statuses like 000, 099 and +20.
+const minStatus = 100
+
 // Estimated memory of a header, and what of it is not counted.
 const (
 	headerFieldBytes = 200
--- a/masticengine/failure.go
+++ b/masticengine/failure.go
@@ -15,6 +15,7 @@
 	errGap           = errors.New("the answer's events have a gap")
 	errMemory        = errors.New("the answers in memory exceed the limit of the host")
 	errTooLarge      = errors.New("the answer is over its size limit")
+	errStatus        = errors.New("the status of the answer is no HTTP status")
 	errUnframed      = errors.New("the answer does not state where it ends")
 )
 
@@ -89,7 +90,7 @@
 // publicReason describes err without addresses and without text of the answer, because callers
 // receive it and logs contain it.
 func publicReason(err error) string {
-	for _, known := range []error{errServerTimeout, errWrongRequest, errTruncated, errGap, errMemory, errTooLarge, errUnframed} {
+	for _, known := range []error{errServerTimeout, errWrongRequest, errTruncated, errGap, errMemory, errTooLarge, errStatus, errUnframed} {
 		if errors.Is(err, known) {
 			return known.Error()
 		}
--- a/masticfake/early.go
+++ b/masticfake/early.go
@@ -17,6 +17,7 @@
 	answer   string
 	readBody bool
 	reset    bool
+	probes   bool
 	requests atomic.Int64
 	// running counts the open connections and the loop that accepts them.
 	running sync.WaitGroup
@@ -31,6 +32,9 @@
 // WithoutReset makes the server close the connection instead.
 func WithoutReset() EarlyOption { return func(s *EarlyServer) { s.reset = false } }
 
+// WithProbes makes the server answer GET requests properly.
+func WithProbes() EarlyOption { return func(s *EarlyServer) { s.probes = true } }
+
 // ServeEarly starts an EarlyServer on loopback. Each ID in answer stands for the identifier of the request. The caller has to
 // call Close.
 func ServeEarly(answer string, options ...EarlyOption) (*EarlyServer, error) {
@@ -88,6 +92,10 @@
 	if q.Method == http.MethodPost {
 		k.server.requests.Add(1)
 	}
+	if k.server.probes && q.Method == http.MethodGet {
+		_, _ = io.WriteString(k.conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+		return
+	}
 	if k.server.readBody {
 		_, _ = io.Copy(io.Discard, q.Body)
 	}
