Queue: requests that can be on time go first, by owner and priority; returns are spread

On the relay's path all workspaces that share cached prompts were one owner in the queue; each has its own share now. A request is refused as soon as its prefill alone takes longer than what is left, not at its deadline. Refusals because of the load named one second for all; they name at least 0.3 s and a random part of the time in which the queue is served, within the third of its remaining time that a caller waits.

Scan takes the time; its tests pass the zero time, at which nothing is late, and check the same as before.

--- a/masticcall/request.go
+++ b/masticcall/request.go
@@ -39,6 +39,11 @@
 	// OtherHost reports that another host sends the request: what servers state about the requests of this
 	// host does not apply to it.
 	OtherHost bool
+	// Owner is the workspace whose share the request takes in this host's queue; Workspace if empty. Requests of several owners may
+	// share cached prompts, and then have the same Workspace.
+	Owner string
+	// Priority orders the requests of an owner in this host's queue, the smaller before the larger.
+	Priority int64
 	// Attempt is the number of the attempt, starting at zero.
 	Attempt int
 	// Reacquired reports that the dispatcher was asked for a server for this attempt before, and that the
--- a/masticfair/queue_test.go
+++ b/masticfair/queue_test.go
@@ -51,7 +51,7 @@
 		}
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			taken := ""
-			q.Scan(1, func(i Item[int]) bool {
+			q.Scan(time.Time{}, 1, func(i Item[int]) bool {
 				taken = i.Workspace
 				flows[taken].tokens += i.Tokens
 				return true
@@ -81,12 +81,12 @@
 	for range 20 {
 		push("busy")
 	}
-	q.Scan(10, func(Item[int]) bool { return true })
+	q.Scan(time.Time{}, 10, func(Item[int]) bool { return true })
 	for range 10 {
 		push("late")
 	}
 	got := map[string]int{}
-	q.Scan(10, func(i Item[int]) bool {
+	q.Scan(time.Time{}, 10, func(i Item[int]) bool {
 		got[i.Workspace]++
 		return true
 	})
@@ -101,7 +101,7 @@
 	}
 	var order []int
 	scan := func(take bool) {
-		q.Scan(10, func(i Item[int]) bool {
+		q.Scan(time.Time{}, 10, func(i Item[int]) bool {
 			order = append(order, i.Value)
 			return take && i.Value == 1
 		})
--- a/masticfair/scan.go
+++ b/masticfair/scan.go
@@ -1,25 +1,33 @@
 package masticfair
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Scan offers up to limit items to accept, in service order. An accepted item is removed
 // and charged to its workspace; the others keep their positions. accept must not modify
 // the queue.
-func (q *Queue[T]) Scan(limit int, accept func(Item[T]) bool) {
+func (q *Queue[T]) Scan(now time.Time, limit int, accept func(Item[T]) bool) {
 	for _, f := range q.active {
-		f.offered = 0
+		f.moveLate(now)
+		f.offered, f.offeredLate = 0, 0
 	}
 	for ; limit > 0; limit-- {
 		f := q.next()
 		if f == nil {
 			return
 		}
-		i := f.items[f.offered]
-		if !accept(i) {
-			f.offered++
+		list, index := f.next()
+		if !accept((*list)[*index]) {
+			*index++
 			continue
 		}
-		q.charge(f)
+		f.served++
+		if list == &f.late {
+			f.served = 0
+		}
+		q.charge(f, list, *index)
 	}
 }
 
@@ -27,7 +35,7 @@
 func (q *Queue[T]) next() *flow[T] {
 	var best *flow[T]
 	for _, f := range q.active {
-		if f.offered == len(f.items) {
+		if list, _ := f.next(); list == nil {
 			continue
 		}
 		if best == nil || f.before(best) {
@@ -45,12 +53,12 @@
 	return f.workspace < g.workspace
 }
 
-// charge removes the offered item of f and advances the flow's virtual start by its cost.
-func (q *Queue[T]) charge(f *flow[T]) {
-	i := f.items[f.offered]
+// charge removes the item at index from a list of f and advances the flow's virtual start by its cost.
+func (q *Queue[T]) charge(f *flow[T], list *[]Item[T], index int) {
+	i := (*list)[index]
 	q.virtualTime = max(q.virtualTime, q.minVirtualStart())
 	f.virtualStart += float64(i.Tokens) / f.weight
-	q.remove(f, f.offered)
+	q.remove(f, list, index)
 }
 
 func (q *Queue[T]) minVirtualStart() float64 {
@@ -61,14 +69,14 @@
 	return lowest
 }
 
-// remove removes the item at index from f without charging the workspace.
-func (q *Queue[T]) remove(f *flow[T], index int) {
-	tokens := f.items[index].Tokens
-	f.items = slices.Delete(f.items, index, index+1)
+// remove removes the item at index from a list of f without charging the workspace.
+func (q *Queue[T]) remove(f *flow[T], list *[]Item[T], index int) {
+	tokens := (*list)[index].Tokens
+	*list = slices.Delete(*list, index, index+1)
 	f.tokens -= tokens
 	q.tokens -= tokens
 	q.count--
-	if len(f.items) > 0 {
+	if f.len() > 0 {
 		return
 	}
 	q.active = slices.DeleteFunc(q.active, func(g *flow[T]) bool { return g == f })
@@ -89,13 +97,15 @@
 func (q *Queue[T]) RemoveFunc(match func(Item[T]) bool) []Item[T] {
 	var out []Item[T]
 	for _, f := range slices.Clone(q.active) {
-		for index := 0; index < len(f.items); {
-			if !match(f.items[index]) {
-				index++
-				continue
+		for _, list := range []*[]Item[T]{&f.items, &f.late} {
+			for index := 0; index < len(*list); {
+				if !match((*list)[index]) {
+					index++
+					continue
+				}
+				out = append(out, (*list)[index])
+				q.remove(f, list, index)
 			}
-			out = append(out, f.items[index])
-			q.remove(f, index)
 		}
 	}
 	return out
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -279,6 +279,8 @@
 	return r.relay.dispatcher.Acquire(ctx, masticcall.Request{
 		ID:                 r.call.ID,
 		Workspace:          cacheScope(r.workspace),
+		Owner:              r.workspace.Name,
+		Priority:           max(0, r.route.Priority),
 		Weight:             1,
 		Model:              masticview.PoolModel(r.pool.Name, r.call.Model),
 		Class:              class(r.call),
--- a/masticschedule/admission.go
+++ b/masticschedule/admission.go
@@ -37,24 +37,43 @@
 // its rate is served late rather than refused, so apart from a full queue only a request that
 // cannot meet its deadline is shed.
 func (s *Scheduler) overloadError(now time.Time, w *waiting, d *masticroute.Decision) *masticerror.Error {
+	r := w.request
 	if s.queue.Len() >= maxQueued {
-		return masticerror.New(masticerror.KindOverloaded, "the queue of this host is full")
+		return masticerror.New(masticerror.KindOverloaded, "the queue of this host is full").WithRetryAfter(s.returnDelay(now, &r, 0))
 	}
-	r := w.request
-	wait := s.router.DrainTime(r.Model, s.queue.TokensAhead(r.Workspace, r.Weight, headStartTokens(r.Class)))
+	wait := s.router.DrainTime(r.Model, s.queue.TokensAhead(queueOwner(&r), r.Weight, headStartTokens(r.Class)))
 	if w.noUsableServer {
 		return nil
 	}
 	due := now.Add(wait + d.Predicted())
 	if !r.Deadline.IsZero() && due.After(r.Deadline) {
-		return s.tooLateError(due.Sub(r.Deadline))
+		return s.tooLateError(now, &r, due.Sub(r.Deadline))
 	}
 	return nil
 }
 
-func (s *Scheduler) tooLateError(late time.Duration) *masticerror.Error {
+func (s *Scheduler) tooLateError(now time.Time, r *masticcall.Request, late time.Duration) *masticerror.Error {
 	return masticerror.New(masticerror.KindOverloaded, "the first token would come after the deadline").
-		WithRetryAfter(max(late, time.Second))
+		WithRetryAfter(s.returnDelay(now, r, late))
+}
+
+const (
+	// minReturnDelay is the least time after which a request returns that was refused because of the load.
+	minReturnDelay = 300 * time.Millisecond
+	// returnDivisor divides the remaining time of a request; callers wait for a third of theirs at most, and the refusal takes
+	// some time to reach them.
+	returnDivisor = 3.3
+)
+
+// returnDelay returns the time after which a request refused because of the load comes back, at the earliest once the load that makes it
+// late is served. Returns are spread over the time in which the queue is served, within the time that the caller waits.
+func (s *Scheduler) returnDelay(now time.Time, r *masticcall.Request, late time.Duration) time.Duration {
+	base := max(late, minReturnDelay)
+	span := max(base, s.router.DrainTime(r.Model, s.queue.Tokens()))
+	if limit := time.Duration(float64(r.Deadline.Sub(now)) / returnDivisor); !r.Deadline.IsZero() && limit > base {
+		span = min(span, limit-base)
+	}
+	return base + s.router.Spread(span)
 }
 
 func noServerError(model string) *masticerror.Error {
@@ -82,13 +101,17 @@
 	return masticerror.New(masticerror.KindOverloaded, "all backend servers of %q state that they take no more requests now", pool)
 }
 
-// refuseExpired refuses queued requests whose deadline has passed. While no backend server is
+// refuseExpired refuses queued requests that can no longer be served by their deadline. While no backend server is
 // usable, it also refuses those whose ServerWaitDeadline, or else FirstTokenDeadline, has passed.
 func (s *Scheduler) refuseExpired(now time.Time) {
 	for _, i := range s.queue.RemoveFunc(func(i item) bool { return i.Value.expired(now) }) {
 		w := i.Value
 		if w.noUsableServer {
-			s.fail(w.ticket, noServerError(w.request.Model))
+			s.fail(w.ticket, noServerError(w.request.Model).WithRetryAfter(s.router.NoServerDelay()))
+			continue
+		}
+		if now.Before(w.request.Deadline) {
+			s.fail(w.ticket, s.tooLateError(now, &w.request, 0))
 			continue
 		}
 		s.fail(w.ticket, masticerror.New(masticerror.KindDeadline, "deadline passed in the queue"))
@@ -97,7 +120,7 @@
 
 func (w *waiting) expired(now time.Time) bool {
 	r := w.request
-	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+	if !w.serveBy.IsZero() && !now.Before(w.serveBy) {
 		return true
 	}
 	serverWaitDeadline := r.ServerWaitDeadline
--- a/masticschedule/scan.go
+++ b/masticschedule/scan.go
@@ -17,7 +17,7 @@
 	}
 	s.refuseExpired(now)
 	s.refuseUnservable()
-	s.queue.Scan(scanLimit, func(i item) bool { return s.tryStart(now, i.Value) })
+	s.queue.Scan(now, scanLimit, func(i item) bool { return s.tryStart(now, i.Value) })
 }
 
 // tryStart starts w if the best backend server for it has capacity, and refuses it if what
@@ -32,7 +32,7 @@
 	w.query.Waited = now.Sub(w.queuedAt)
 	s.announced.setQueryVersions(now, w)
 	d, ok := s.router.Decide(now, &w.query)
-	w.noUsableServer = !ok
+	w.evaluated(&d, ok)
 	if err := s.withheldError(now, w); err != nil {
 		s.fail(w.ticket, err)
 		return true
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -3,6 +3,7 @@
 package masticschedule
 
 import (
+	"cmp"
 	"time"
 
 	"masticladder/masticcache"
@@ -56,6 +57,18 @@
 	// evaluated.
 	noUsableServer bool
 	hold           holdState
+	// serveBy is the latest time at which the request can be sent to end its prefill by its deadline, as last evaluated; zero if it
+	// has no deadline.
+	serveBy time.Time
+}
+
+// evaluated records the evaluation d of w; ok reports whether a backend server was usable.
+func (w *waiting) evaluated(d *masticroute.Decision, ok bool) {
+	w.noUsableServer = !ok
+	w.serveBy = w.request.Deadline
+	if ok && !w.serveBy.IsZero() {
+		w.serveBy = w.serveBy.Add(-d.Prefill)
+	}
 }
 
 // running is a request on a backend server.
@@ -137,7 +150,7 @@
 	}
 	s.announced.setQueryVersions(now, w)
 	d, ok := s.router.Decide(now, &w.query)
-	w.noUsableServer = !ok
+	w.evaluated(&d, ok)
 	if err := s.withheldError(now, w); err != nil {
 		s.fail(t, err)
 		return
@@ -146,11 +159,11 @@
 		s.fail(t, err)
 		return
 	}
-	tokens := max(p.Tokens(), r.PromptTokens)
+	tokens, startBy := max(p.Tokens(), r.PromptTokens), r.FirstTokenDeadline
 	if ok {
-		tokens = d.Uncached()
+		tokens, startBy = d.Uncached(), startBy.Add(-d.Prefill)
 	}
-	s.push(w, tokens)
+	s.push(w, tokens, startBy)
 	s.scan(now)
 }
 
@@ -174,14 +187,17 @@
 // Shards returns the division of the engines, nil if they are not divided.
 func (s *Scheduler) Shards() *masticshard.Map { return s.router.Shards() }
 
-func (s *Scheduler) push(w *waiting, tokens int64) {
+func (s *Scheduler) push(w *waiting, tokens int64, startBy time.Time) {
 	r := w.request
 	s.queue.Push(masticfair.Item[*waiting]{
-		Workspace: r.Workspace, Weight: r.Weight, Deadline: r.FirstTokenDeadline,
+		Workspace: queueOwner(&r), Weight: r.Weight, Deadline: r.FirstTokenDeadline, StartBy: startBy, Rank: r.Priority,
 		Tokens: max(1, tokens), HeadStartTokens: headStartTokens(r.Class), Value: w,
 	})
 }
 
+// queueOwner returns the workspace whose share of the queue r takes.
+func queueOwner(r *masticcall.Request) string { return cmp.Or(r.Owner, r.Workspace) }
+
 // headStartTokens returns how far ahead of its workspace's turn a class may be served, in tokens.
 func headStartTokens(c masticview.Class) int64 {
 	switch c {
