Keepers of quotas are asked in proportion to what they admit; one wait for tokens for all requests

Keepers lend tokens ahead for the time that a request may wait, which was an eighth of its target: long prompts (150 ms) found tokens where short ones (50 ms, calls 19 ms) never did.

Hosts asked a keeper again only 30 to 720 ms after a refusal, whatever the rate. They now put twice as many requests to keepers as are admitted and refuse the others at once, counted by size of request; a short workspace's request asks as many keepers as it has pieces. Refused ones return up to a second later the more are refused.

--- a/masticbucket/fleet_test.go
+++ b/masticbucket/fleet_test.go
@@ -357,6 +357,72 @@
 	})
 }
 
+// TestRateOfLargeWorkspaceIsUnused: hosts that asked a keeper again only 0.06 to 0.7 s after its refusal used a small part of
+// the rate of a workspace that is allowed 1,700 requests a second.
+func TestRateOfLargeWorkspaceIsUnused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		limit := Limit{RateTokensPerSecond: 650_000, BurstTokens: 745_000}
+		const load, spell = 6.0, 6 * time.Second
+		random := rand.New(rand.NewPCG(5, 7))
+		f := newFleet(87, limit)
+		f.tokenWait = 50 * time.Millisecond
+		f.play(random, 2*time.Second, load, smallTokens)
+		before := len(f.admitted)
+		f.charges, f.attempts = 0, 0
+		f.play(random, spell, load, smallTokens)
+		admitted := float64(len(f.admitted)-before) * smallTokens / (limit.RateTokensPerSecond * spell.Seconds())
+		c.Logf("%.2f of the rate was used, %.2f charges an attempt", admitted, float64(f.charges)/float64(f.attempts))
+		c.Check(admitted >= 0.95, qt.IsTrue)
+		f.assertWithinLimit(c, 0)
+		time.Sleep(time.Second)
+	})
+}
+
+// player plays the requests of one size.
+type player struct {
+	fleet  *fleet
+	random *rand.Rand
+	spell  time.Duration
+	load   float64
+	tokens int64
+	done   sync.WaitGroup
+}
+
+func (p *player) run() {
+	defer p.done.Done()
+	p.fleet.play(p.random, p.spell, p.load, p.tokens)
+}
+
+// TestLongRequestsTakeTheRateOfShortOnes: keepers lend tokens ahead for the time that a request may wait. While a workspace sent three times
+// its rate, and long requests could wait three times as long as short ones, these found all buckets lent beyond their reach.
+func TestLongRequestsTakeTheRateOfShortOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		limit := Limit{RateTokensPerSecond: 576_000, BurstTokens: 671_000}
+		const spell = 6 * time.Second
+		f := newFleet(87, limit)
+		f.tokenWait = 50 * time.Millisecond
+		long := &player{fleet: f, random: rand.New(rand.NewPCG(5, 8)), spell: spell, load: 2, tokens: meanTokens}
+		short := &player{fleet: f, random: rand.New(rand.NewPCG(5, 9)), spell: spell, load: 1.5, tokens: smallTokens}
+		for _, p := range []*player{long, short} {
+			p.done.Add(1)
+			go p.run()
+		}
+		long.done.Wait()
+		short.done.Wait()
+		used := map[float64]float64{}
+		for _, u := range f.admitted {
+			used[u.tokens] += u.tokens / (limit.RateTokensPerSecond * spell.Seconds())
+		}
+		c.Logf("of the rate, short requests used %.2f and long ones %.2f", used[smallTokens], used[meanTokens])
+		c.Check(used[smallTokens] >= 0.6, qt.IsTrue)
+		c.Check(used[meanTokens] > 0, qt.IsTrue)
+		f.assertWithinLimit(c, 0)
+		time.Sleep(time.Second)
+	})
+}
+
 // TestRestartsAndChangesOfKeepersExceedQuota restarts hosts and removes keepers under load. Each restart of a keeper may add
 // its initial level, each change what the former keeper still gives out to hosts with the older view.
 func TestRestartsAndChangesOfKeepersExceedQuota(t *testing.T) {
--- a/masticbucket/flight.go
+++ b/masticbucket/flight.go
@@ -77,7 +77,6 @@
 	if err == nil {
 		switch {
 		case answer.Admitted:
-			l.memory.recordAdmission(now, f.keeper, c.Workspace)
 		case answer.Kept && c.SubstituteOf == 0:
 			l.memory.recordRefusal(now, f.keeper, c, answer.Delay)
 		}
--- a/masticbucket/limiter.go
+++ b/masticbucket/limiter.go
@@ -41,6 +41,8 @@
 
 	division atomic.Pointer[Division]
 	memory   *memory
+	// throttles refuse requests of workspaces over their rate without a question.
+	throttles *throttles
 	// shuffle reorders n items at random, as rand.Shuffle does.
 	shuffle func(n int, swap func(i, j int))
 	purses  *purses
@@ -48,7 +50,7 @@
 
 // NewLimiter returns the limiter of the named host, which is a keeper itself where the division says so.
 func NewLimiter(host string, k *Keeper, others masticcall.Keepers, log logrus.FieldLogger) *Limiter {
-	return &Limiter{host: host, keeper: k, keepers: others, log: log, memory: newMemory(), purses: newPurses(), shuffle: rand.Shuffle}
+	return &Limiter{host: host, keeper: k, keepers: others, log: log, memory: newMemory(), throttles: newThrottles(), purses: newPurses(), shuffle: rand.Shuffle}
 }
 
 // SetView finds the keepers under a new view.
@@ -95,11 +97,15 @@
 	if !tokensBy.IsZero() && tokensBy.Before(until) {
 		until = later(tokensBy, now.Add(minTokenWait))
 	}
-	a := &attempt{limiter: l, workspace: workspace, lifetime: lifetime, until: until}
+	a := &attempt{limiter: l, workspace: workspace, lifetime: lifetime, until: until, throttle: throttleKeyOf(workspace, tokens)}
 	if c, ok := l.purses.takeForRequest(now, until, workspace, tokens); ok {
 		a.charged = c
 		return a.admission(ctx, tokens)
 	}
+	short := l.memory.allShort(now, keepers, workspace)
+	if short && l.throttles.refusesNow(now, a.throttle) {
+		return nil, a.overRate(l.memory.earliest(now, keepers, workspace))
+	}
 	part := limit.divided(len(keepers))
 	if pieces := len(keepers); float64(2*tokens) > part.BurstTokens && pieces > least && !l.memory.anySilent(now, keepers) {
 		// A large request leaves a keeper's bucket empty for long and another's full, unless it takes from all.
@@ -112,7 +118,7 @@
 		if least == 1 {
 			a.extra = l.extraTokens(now, workspace, tokens, part)
 		}
-		if err := a.run(ctx, keepers, bounded); err != nil {
+		if err := a.run(ctx, keepers, bounded, short && bounded); err != nil {
 			return nil, err
 		}
 	}
@@ -133,12 +139,15 @@
 }
 
 // run charges until no piece is missing, and returns the refusal if some are.
-func (a *attempt) run(ctx context.Context, keepers []Host, bounded bool) error {
+// If the keepers are short of tokens, only as many of them are asked as there are pieces.
+func (a *attempt) run(ctx context.Context, keepers []Host, bounded, short bool) error {
 	shuffled := slices.Clone(keepers)
 	a.limiter.shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
 	a.limiter.memory.sortLateLast(time.Now(), shuffled)
 	waiting := shuffled
-	if !bounded || !a.limiter.memory.allShort(time.Now(), keepers, a.workspace) {
+	if short {
+		a.maxAsked = a.missing
+	} else {
 		waiting = a.charge(ctx, shuffled, 0)
 	}
 	if bounded && a.missing > 0 {
@@ -207,6 +216,9 @@
 	// ended counts the keepers whose process has ended: their hosts refuse connections. unanswered counts those
 	// that have not answered yet.
 	ended, unanswered int
+	// asked counts the questions, maxAsked bounds them unless it is zero.
+	asked, maxAsked int
+	throttle        throttleKey
 	// substituteOf is that of the charges.
 	substituteOf int
 	// delays are those that keepers stated with their refusals.
@@ -221,7 +233,7 @@
 	}
 	var refused []Host
 	for _, h := range keepers {
-		if a.missing == 0 || a.unanswered >= maxUnanswered {
+		if a.missing == 0 || a.unanswered >= maxUnanswered || a.maxAsked > 0 && a.asked >= a.maxAsked {
 			break
 		}
 		answer, ok := a.chargeAt(ctx, h, wait)
@@ -280,7 +292,11 @@
 		return masticcall.ChargeAnswer{Delay: delay}, true
 	}
 	if h.Name == l.host {
+		a.asked++
 		answer := l.keeper.Charge(now, c)
+		if answer.Kept && !answer.Admitted && c.SubstituteOf == 0 {
+			l.memory.recordRefusal(now, h, c, answer.Delay)
+		}
 		return answer, answer.Kept
 	}
 	if l.memory.isSilent(now, h) {
@@ -289,6 +305,7 @@
 	if wait == 0 && a.substituteOf == 0 {
 		c.Extra = a.extra
 	}
+	a.asked++
 	f := &flight{limiter: l, keeper: h, charge: c, lifetime: a.lifetime, sentAt: now, answered: make(chan struct{})}
 	go f.run()
 	return a.await(ctx, f)
@@ -341,16 +358,24 @@
 // refusal returns the error for a request that was not admitted, with the time at which enough keepers have the
 // tokens.
 func (a *attempt) refusal(waiting []Host) error {
-	if len(waiting) < a.missing {
+	if len(waiting) == 0 || a.maxAsked == 0 && len(waiting) < a.missing {
 		return errFewKeepers(a.workspace)
 	}
+	return a.overRate(a.delays[waiting[min(a.missing, len(waiting))-1].Name])
+}
+
+// overRate returns the refusal of a request whose tokens are there after the given time.
+func (a *attempt) overRate(delay time.Duration) error {
+	now := time.Now()
+	a.limiter.throttles.record(now, a.throttle, false)
 	e := masticerror.New(masticerror.KindRateLimited, "workspace %q is over its rate", a.workspace)
-	return e.WithRetryAfter(a.delays[waiting[a.missing-1].Name])
+	return e.WithRetryAfter(a.limiter.throttles.returnDelay(now, a.throttle, delay))
 }
 
 // admission waits until the charged tokens are there.
 func (a *attempt) admission(ctx context.Context, tokens int64) (masticcall.Admission, error) {
 	now, usableAt := time.Now(), time.Time{}
+	a.limiter.throttles.record(now, a.throttle, true)
 	for _, c := range a.charged {
 		if c.usableAt.After(usableAt) {
 			usableAt = c.usableAt
--- a/masticbucket/memory.go
+++ b/masticbucket/memory.go
@@ -1,7 +1,6 @@
 package masticbucket
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -14,12 +13,8 @@
 	silenceCooldown = time.Second
 	// lateCooldown is how long a keeper that answered late is asked after the others.
 	lateCooldown = 100 * time.Millisecond
-	// minRefusalHold is the mean time for which a keeper that refused is not asked again. It varies by half, and doubles
-	// with each further refusal up to maxRefusalHold. A workspace at several times its rate otherwise has a
-	// question for each of its requests, since the tokens for a small one are there after some milliseconds and
-	// another host takes them. maxRefusalHold is short compared with the time in which a bucket fills.
-	minRefusalHold = 60 * time.Millisecond
-	maxRefusalHold = 480 * time.Millisecond
+	// shortTime is how long after its refusal a keeper counts as short of tokens for a workspace.
+	shortTime = 500 * time.Millisecond
 	// maxRefusals bounds the refusals that are remembered.
 	maxRefusals = 1 << 14
 )
@@ -40,14 +35,8 @@
 
 // refusal is that a keeper will not have tokens before notBefore.
 type refusal struct {
-	tokens    int64
-	notBefore time.Time
-	// heldUntil is until when the keeper is not asked, waitHeldUntil the same for requests that can wait for up to
-	// wait.
-	heldUntil, waitHeldUntil time.Time
-	wait                     time.Duration
-	// hold is the mean time of the last hold.
-	hold time.Duration
+	tokens               int64
+	refusedAt, notBefore time.Time
 }
 
 func newMemory() *memory {
@@ -122,36 +111,7 @@
 	if len(m.refusals) >= maxRefusals {
 		clear(m.refusals)
 	}
-	key := refusalKey{h.Name, c.Workspace}
-	r := m.refusals[key]
-	if c.Tokens < r.tokens {
-		r = refusal{}
-	}
-	r.hold = min(max(2*r.hold, minRefusalHold), maxRefusalHold)
-	hold := r.hold/2 + rand.N(r.hold)
-	r.tokens, r.notBefore = c.Tokens, now.Add(delay)
-	if c.Wait > 0 {
-		r.wait, r.waitHeldUntil = c.Wait, now.Add(max(0, delay-c.Wait)+hold)
-	}
-	r.heldUntil = now.Add(max(delay, hold))
-	m.refusals[key] = r
-}
-
-// recordAdmission records that a keeper has tokens again. The next hold is as long as the last one, as the workspace is
-// probably still over its rate; after maxRefusalHold without a refusal it is short again.
-func (m *memory) recordAdmission(now time.Time, h Host, workspace string) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	key := refusalKey{h.Name, workspace}
-	r, ok := m.refusals[key]
-	if !ok {
-		return
-	}
-	if now.Sub(r.heldUntil) > maxRefusalHold {
-		delete(m.refusals, key)
-		return
-	}
-	m.refusals[key] = refusal{tokens: r.tokens, heldUntil: r.heldUntil, hold: r.hold / 2}
+	m.refusals[refusalKey{h.Name, c.Workspace}] = refusal{tokens: c.Tokens, refusedAt: now, notBefore: now.Add(delay)}
 }
 
 // allShort reports whether all keepers have refused requests of the workspace a short time ago.
@@ -160,10 +120,23 @@
 	defer m.mutex.Unlock()
 	return !slices.ContainsFunc(keepers, func(h Host) bool {
 		r, ok := m.refusals[refusalKey{h.Name, workspace}]
-		return !ok || now.Sub(r.heldUntil) > maxRefusalHold
+		return !ok || now.Sub(r.refusedAt) > shortTime
 	})
 }
 
+// earliest returns the time until one of the keepers that have refused requests of the workspace may have tokens.
+func (m *memory) earliest(now time.Time, keepers []Host, workspace string) time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	least := unansweredRetryAfter
+	for _, h := range keepers {
+		if r, ok := m.refusals[refusalKey{h.Name, workspace}]; ok {
+			least = min(least, max(0, r.notBefore.Sub(now)))
+		}
+	}
+	return least
+}
+
 // refusal returns the time until a keeper may have tokens, if it has refused such a charge before.
 func (m *memory) refusal(now time.Time, h Host, c masticcall.Charge) (time.Duration, bool) {
 	m.mutex.Lock()
@@ -173,13 +146,5 @@
 		return 0, false
 	}
 	delay := r.notBefore.Sub(now)
-	if c.Wait == 0 {
-		delay = r.heldUntil.Sub(now)
-	} else if c.Wait <= r.wait+waitTolerance {
-		delay = max(delay, r.waitHeldUntil.Sub(now)+c.Wait)
-	}
 	return delay, delay > c.Wait
 }
-
-// waitTolerance is the difference up to which two requests count as waiting for the same time.
-const waitTolerance = 50 * time.Millisecond
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -252,10 +252,14 @@
 type unlimitedLimiter struct {
 	admitted int
 	settled  []int64
+	// afterTokens is the time between the latest time for tokens and the end of the last admission's context.
+	afterTokens time.Duration
 }
 
-func (l *unlimitedLimiter) Admit(context.Context, string, int64, time.Time) (masticcall.Admission, error) {
+func (l *unlimitedLimiter) Admit(ctx context.Context, _ string, _ int64, tokensBy time.Time) (masticcall.Admission, error) {
 	l.admitted++
+	until, _ := ctx.Deadline()
+	l.afterTokens = until.Sub(tokensBy)
 	return l, nil
 }
 func (l *unlimitedLimiter) Settle(used int64) { l.settled = append(l.settled, used) }
@@ -652,3 +656,17 @@
 	time.Sleep(20 * time.Millisecond)
 	l.cancel()
 }
+
+// TestPatientRequestsTakeTheTokensOfOthers: keepers lend tokens for the time that a request may wait. Requests of routes with
+// long targets waited longer, and left none to the more urgent ones of their workspace.
+func TestPatientRequestsTakeTheTokensOfOthers(t *testing.T) {
+	c := qt.New(t)
+	for _, target := range []time.Duration{150 * time.Millisecond, 1200 * time.Millisecond} {
+		route := safe
+		route.TargetLatency = target
+		b := newFixture(c, route, newRawServer(c, okAnswer))
+		b.send(c)
+		c.Assert(b.limiter.admitted, qt.Equals, 1)
+		c.Assert(b.limiter.afterTokens, qt.Equals, quotaTimeout-tokenWait)
+	}
+}
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -21,9 +21,10 @@
 	// quotaTimeout bounds the wait for a quota grant. A grant takes one round trip to the leader,
 	// plus some tens of milliseconds if the leader handles other grants first.
 	quotaTimeout = 250 * time.Millisecond
-	// tokenWaitDivisor bounds the wait for tokens that the rate has yet to yield: Target/tokenWaitDivisor. A workspace that
-	// stays over its rate gets as many requests through whatever each waits, and all of them late with a long wait.
-	tokenWaitDivisor = 8
+	// tokenWait bounds the wait for tokens that the rate has yet to yield. A workspace that stays over its rate gets as many
+	// requests through whatever each waits, and all of them late with a long wait. It is the same for all requests: those
+	// that could wait longer would be lent the tokens of the others.
+	tokenWait = 50 * time.Millisecond
 	// maxExtraAttempts bounds the attempts beyond those of the route, for servers that respond
 	// that the request has not run.
 	maxExtraAttempts = 2
@@ -192,10 +193,10 @@
 	if !r.workspace.Limited() {
 		return nil, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
-	defer cancel()
 	began := time.Now()
-	a, err := r.relay.limiter.Admit(ctx, r.workspace.Name, r.call.tokens(r.workspace), r.call.Received.Add(r.route.TargetLatency/tokenWaitDivisor))
+	ctx, cancel := context.WithDeadline(ctx, began.Add(quotaTimeout))
+	defer cancel()
+	a, err := r.relay.limiter.Admit(ctx, r.workspace.Name, r.call.tokens(r.workspace), began.Add(tokenWait))
 	r.relay.metrics.quotaWait.Update(time.Since(began).Milliseconds())
 	if err != nil {
 		return nil, masticerror.From(err)
