Control: bounded batches; renewals go before commands, reports wait

Under 500 reports a second on failed engines one batch of the leader's loop took over 10 s: it took all calls that waited and applied what they led to, while heartbeats and renewals waited. Leaders changed each second.

Renewals and reads, commands, and reports now have queues of their own. A batch handles messages of the log and the first queue whole, then commands until 20 ms are used, then 16 reports at most; 32 reports at most are proposed and not applied. Beyond 64 that wait, a report is rejected at once as overloaded, with 200 ms to retry. Committed entries are applied 8 at a time until 25 ms were spent on them; the time of a sync does not count any more. Ages in a report grow by its wait, since one that waited seemed to state a second end of a server. A control host that has applied its log once sends views while up to 64 entries are left to apply: under load some always are.

TestReportThatWaitedCountsOnce: 2 ends recorded for one before, 1 now.

TestHoldOfQuarantinedRequestIsTriedOnEveryServer failed with -race at load 30 without this change too, once in 40 runs or more often.

--- a/masticcontrol/batch.go
+++ b/masticcontrol/batch.go
@@ -12,7 +12,9 @@
 type batch struct {
 	loop        *loop
 	messages    []*masticproto.PeerRequest
-	calls       []*call
+	urgent      []*call
+	commands    []*call
+	reports     []*call
 	watches     []*watch
 	encoded     []encodedSnapshot
 	listing     *Listing
@@ -32,9 +34,7 @@
 		l.core.Step(now, m.GetQuorum())
 	}
 	l.updateLeadership(now)
-	for _, c := range b.calls {
-		l.handle(now, c)
-	}
+	b.handleCalls(now, began)
 	for _, w := range b.watches {
 		l.addWatcher(w)
 	}
@@ -78,7 +78,7 @@
 	return nil
 }
 
-// fill adds the queued messages and calls to the first item.
+// fill adds the queued messages and urgent calls to the first item.
 func (b *batch) fill() {
 	for range DefaultMessageQueueSize {
 		m, ok := b.loop.messages.Take()
@@ -87,12 +87,12 @@
 		}
 		b.messages = append(b.messages, m)
 	}
-	for len(b.calls) < b.loop.batchCalls {
-		c, ok := b.loop.calls.Take()
+	for len(b.urgent) < b.loop.batchCalls {
+		c, ok := b.loop.queues.urgent.Take()
 		if !ok {
 			break
 		}
-		b.calls = append(b.calls, c)
+		b.urgent = append(b.urgent, c)
 	}
 }
 
--- a/masticcontrol/commit.go
+++ b/masticcontrol/commit.go
@@ -22,6 +22,7 @@
 // advance processes the consensus core's outputs until none are left, or until applyBudget is spent on committed entries.
 func (l *loop) advance(now time.Time) error {
 	l.unfinished = false
+	l.applyTime = 0
 	for {
 		r, some := l.core.Ready()
 		if !some {
@@ -31,7 +32,7 @@
 			return err
 		}
 		l.core.Advance(r)
-		if r.More && masticclock.Now().Sub(now) > applyBudget {
+		if r.More && l.applyTime > applyBudget {
 			l.unfinished = true
 			return nil
 		}
@@ -51,11 +52,13 @@
 			return err
 		}
 	}
+	began := masticclock.Now()
 	for _, e := range r.Committed {
 		if err := l.apply(now, e); err != nil {
 			return err
 		}
 	}
+	l.applyTime += masticclock.Now().Sub(began)
 	return nil
 }
 
@@ -80,11 +83,10 @@
 	if err != nil {
 		return err
 	}
-	p, proposed := l.proposals[e.GetIndex()]
+	p, proposed := l.takeProposal(e.GetIndex())
 	if !proposed {
 		return nil
 	}
-	delete(l.proposals, e.GetIndex())
 	if p.term != e.GetTerm() {
 		p.call.fail(l.notLeader())
 		return nil
--- a/masticcontrol/counters.go
+++ b/masticcontrol/counters.go
@@ -30,6 +30,8 @@
 	// StorageRefused counts the commands and the entries of other hosts for which the disk had no room, SnapshotFailures the
 	// snapshots that could not be stored on a full disk.
 	StorageRefused, SnapshotFailures atomic.Int64
+	// RejectedReports counts the reports of hosts that were rejected at once because too many waited.
+	RejectedReports atomic.Int64
 	// StorageFull is 1 from a write that found the disk full until the next that succeeds. Control is closed meanwhile, or opened
 	// again and again.
 	StorageFull atomic.Int64
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -123,7 +123,7 @@
 func (l *loop) endLeadership() {
 	for index, p := range l.proposals {
 		p.call.fail(masticerror.New(masticerror.KindOutcomeUnknown, "leadership ended before entry %d was committed", index))
-		delete(l.proposals, index)
+		l.takeProposal(index)
 	}
 	if l.leader == nil {
 		return
@@ -158,12 +158,13 @@
 		c.answer(commandAnswer(&masticproto.CommandAnswer{}))
 		return
 	}
+	addWait(command.GetSuspect(), now.Sub(c.receivedAt))
 	index, term, err := d.loop.propose(now, command)
 	if err != nil {
 		c.fail(err)
 		return
 	}
-	d.loop.proposals[index] = proposal{call: c, term: term}
+	d.loop.addProposal(index, proposal{call: c, term: term})
 }
 
 // isNews reports whether the view does not say yet that the incarnation is leaving. Many hosts hear a
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -24,7 +24,7 @@
 	core        *masticquorum.Core
 	store       *masticstore.Store
 	state       *masticstate.State
-	calls       *masticring.Ring[*call]
+	queues      callQueues
 	watches     *masticring.Ring[*watch]
 	messages    *masticring.Ring[*masticproto.PeerRequest]
 	orders      *masticring.Ring[loadOrder]
@@ -32,9 +32,13 @@
 	stopping    chan struct{}
 	stopOnce    sync.Once
 
-	peers           *peers
-	status          masticquorum.Status
-	proposals       map[uint64]proposal
+	peers     *peers
+	status    masticquorum.Status
+	proposals map[uint64]proposal
+	// openReports is the number of proposals that are reports.
+	openReports int
+	// callBudget is the time after which a batch takes no further commands and reports.
+	callBudget      time.Duration
 	replacedMembers replacedMembers
 	compactor       *compactor
 	watchers        map[*watch]struct{}
@@ -65,8 +69,14 @@
 	// startedAt is when the loop was created. heardLeader reports that a leader was known since, or that maxReplay has passed.
 	startedAt   time.Time
 	heardLeader bool
-	// unfinished reports that committed entries are left to the next batch.
+	// loggedIndex is the last index of the log when the loop was created. caughtUp reports that all entries up to it were applied, and
+	// all that a leader had stated to be committed.
+	loggedIndex uint64
+	caughtUp    bool
+	// unfinished reports that committed entries are left to the next batch, applyTime is the time that the current one has spent on
+	// them.
 	unfinished bool
+	applyTime  time.Duration
 
 	// background is cancelled when the loop ends. backgroundTasks counts the list reader and the
 	// senders of load orders.
@@ -86,12 +96,14 @@
 	}
 	l := &loop{
 		startedAt:       masticclock.Now(),
+		loggedIndex:     core.Status(masticclock.Now()).LastIndex,
 		settings:        s,
 		space:           space{diskBytes: s.diskBytes},
 		core:            core,
 		store:           store,
 		state:           state,
-		calls:           masticring.New[*call]("calls to control", DefaultCallQueueSize),
+		queues:          newCallQueues(),
+		callBudget:      callBudget,
 		watches:         masticring.New[*watch]("watches of control", DefaultCallQueueSize),
 		orders:          masticring.New[loadOrder]("load orders", maxQueuedLoadOrders),
 		failedLoads:     masticring.New[loadOrder]("failed load orders", maxQueuedLoadOrders),
@@ -126,8 +138,12 @@
 		select {
 		case m := <-l.messages.Out():
 			first.messages = append(first.messages, m)
-		case c := <-l.calls.Out():
-			first.calls = append(first.calls, c)
+		case c := <-l.queues.urgent.Out():
+			first.urgent = append(first.urgent, c)
+		case c := <-l.queues.commands.Out():
+			first.commands = append(first.commands, c)
+		case c := <-l.reportsOut():
+			first.reports = append(first.reports, c)
 		case w := <-l.watches.Out():
 			first.watches = append(first.watches, w)
 		case o := <-l.failedLoads.Out():
@@ -218,14 +234,18 @@
 // shutDown answers all accepted calls: the outcome of proposed commands is unknown, and calls
 // still queued were not run.
 func (l *loop) shutDown() {
-	l.calls.Close()
+	for _, q := range l.queues.all() {
+		q.Close()
+	}
 	l.watches.Close()
 	l.messages.Close()
 	l.endLeadership()
 	l.cancelBackground()
 	l.orders.Close()
-	for c := range l.calls.Out() {
-		c.fail(masticerror.New(masticerror.KindDraining, "this control host stops"))
+	for _, q := range l.queues.all() {
+		for c := range q.Out() {
+			c.fail(masticerror.New(masticerror.KindDraining, "this control host stops"))
+		}
 	}
 	for w := range l.watches.Out() {
 		w.call.fail(masticerror.New(masticerror.KindDraining, "this control host stops"))
--- a/masticcontrol/place.go
+++ b/masticcontrol/place.go
@@ -269,7 +269,7 @@
 // commit has the loop commit what came of an order.
 func (s *loadSender) commit(ctx context.Context, log logrus.FieldLogger, command *masticproto.Command) {
 	c := newCall(ctx, &masticproto.PeerRequest{Kind: &masticproto.PeerRequest_Command{Command: command}})
-	if err := s.loop.calls.Offer(c); err != nil {
+	if err := s.loop.queues.offer(c); err != nil {
 		log.WithError(err).Warn("outcome of a load order not recorded; the order expires at its deadline")
 		return
 	}
--- a/masticcontrol/service.go
+++ b/masticcontrol/service.go
@@ -22,7 +22,10 @@
 // Answer waits for the loop's answer to one request.
 func (s *service) Answer(ctx context.Context, q *masticproto.PeerRequest) (*masticproto.PeerAnswer, error) {
 	c := newCall(ctx, q)
-	if err := s.loop.calls.Offer(c); err != nil {
+	if err := s.loop.queues.offer(c); err != nil {
+		if isReport(c) {
+			s.loop.counters.RejectedReports.Add(1)
+		}
 		return nil, err
 	}
 	return c.wait()
--- a/masticcontrol/watch.go
+++ b/masticcontrol/watch.go
@@ -24,11 +24,20 @@
 // maxReplay is the time after its start at which a control host that has heard from no leader serves the view that it has.
 const maxReplay = 3 * time.Second
 
+// maxAppliedLag is the number of committed entries that a control host which had applied all since its start may have left to
+// apply while it sends views. Under load it always has some left.
+const maxAppliedLag = 64
+
 // replays reports whether this host's view is one of the past, because it has not applied the entries of its log since it
-// started, or not all that are committed.
+// started, or many that are committed.
 func (l *loop) replays(now time.Time) bool {
 	l.heardLeader = l.heardLeader || l.status.Leader != "" || !now.Before(l.startedAt.Add(maxReplay))
-	return l.unfinished || l.status.Applied < l.status.Commit || !l.heardLeader && l.status.Applied < l.status.LastIndex
+	if l.caughtUp {
+		return l.status.Applied+maxAppliedLag < l.status.Commit
+	}
+	replays := l.unfinished || l.status.Applied < l.status.Commit || !l.heardLeader && l.status.Applied < l.status.LastIndex
+	l.caughtUp = !replays && l.status.Leader != "" && l.status.Applied >= min(l.loggedIndex, l.status.LastIndex)
+	return replays
 }
 
 // markViewChanged records that the view has changed since revision. The watchers are sent changes
--- a/masticcontrol/workload.go
+++ b/masticcontrol/workload.go
@@ -12,7 +12,8 @@
 type workload struct {
 	since                                          time.Time
 	batches, messages, renewals, demands, commands int
-	otherCalls                                     int
+	// reports are those of failed backend servers, which are counted in commands too.
+	otherCalls, reports int
 	// longestBatch is the longest time that one batch took, longestWait the longest time that a call waited
 	// for its batch, latest the longest time by which a batch came after the deadline that it was due at.
 	longestBatch, longestWait, latest time.Duration
@@ -28,6 +29,9 @@
 		w.demands++
 	case *masticproto.PeerRequest_Command:
 		w.commands++
+		if isReport(c) {
+			w.reports++
+		}
 	default:
 		w.otherCalls++
 	}
@@ -47,7 +51,7 @@
 func (w *workload) fields(now time.Time) logrus.Fields {
 	return logrus.Fields{
 		"millis": now.Sub(w.since).Milliseconds(), "batches": w.batches, "messages": w.messages,
-		"renewals": w.renewals, "demands": w.demands, "commands": w.commands, "otherCalls": w.otherCalls,
+		"renewals": w.renewals, "demands": w.demands, "commands": w.commands, "otherCalls": w.otherCalls, "reports": w.reports,
 		"longestBatchMillis": w.longestBatch.Milliseconds(), "longestWaitMillis": w.longestWait.Milliseconds(),
 		"latestMillis": w.latest.Milliseconds(),
 	}
--- a/masticdaemon/metrics.go
+++ b/masticdaemon/metrics.go
@@ -54,6 +54,7 @@
 	if n.control != nil {
 		c := &n.counters
 		values["control.term"], values["control.leads"] = c.Term.Load, c.Leads.Load
+		values["control.rejectedReports"] = c.RejectedReports.Load
 		values["control.renewals"], values["control.renewalCalls"] = c.Renewals.Load, c.RenewalCalls.Load
 		values["quota.demands"], values["quota.grants"], values["quota.grantedTokens"] = c.Demands.Load, c.Grants.Load, c.GrantedTokens.Load
 		values["orders.sent"], values["orders.failed"], values["orders.outdated"] = c.Orders.Load, c.FailedOrders.Load, c.OutdatedEngines.Load
--- a/masticquorum/ready.go
+++ b/masticquorum/ready.go
@@ -7,7 +7,7 @@
 
 // maxCommittedEntries bounds the committed entries of one Ready, so that the owner can handle messages and send
 // heartbeats while it applies a long log.
-const maxCommittedEntries = 32
+const maxCommittedEntries = 8
 
 // Ready returns the pending work and whether there is any. If there is, the owner calls Advance
 // once with the same value before it calls Ready again.
