Hosts merge reports of an incarnation and limit their rate

Each of 87 hosts sent a report for each failed attempt: 516 in the second after a crash of a third of 44 engines. A report now is merged with one that waits, of the same incarnation and verdict, unless a report in between may depend on their order or the two have more parts than a report states. The one under way is not changed. A host sends one each 25 ms for each 16 hosts of the site (125 ms at 87 hosts, at once below 16), and 200 ms later what the control group had no room for, in place of at the next report or 5 s later. A hold still sends all pending reports first, at once.

--- a/masticagent/reporter.go
+++ b/masticagent/reporter.go
@@ -7,6 +7,7 @@
 
 	"masticladder/masticcall"
 	"masticladder/masticclock"
+	"masticladder/masticerror"
 	"masticladder/masticproto"
 	"masticladder/masticusage"
 )
@@ -22,7 +23,7 @@
 
 	mutex    sync.Mutex
 	counter  *masticusage.Counter
-	suspects []*masticcall.ServerReport
+	suspects reportQueue
 	// leaving are the backend servers that stated that they are leaving, the oldest first.
 	leaving []*masticproto.ServerLeaving
 }
@@ -51,11 +52,11 @@
 func (r *reporter) push(report *masticcall.ServerReport) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if len(r.suspects) >= MaxPendingSuspectReports {
-		r.agent.log.WithField("server", r.suspects[0].Server).Error("too many pending suspect reports; dropping the oldest")
-		r.suspects = r.suspects[1:]
+	if oldest := r.suspects.reports; len(oldest) >= MaxPendingSuspectReports {
+		r.agent.log.WithField("server", oldest[0].Server).Error("too many pending suspect reports; dropping the oldest")
+		r.suspects.drop(oldest[0])
 	}
-	r.suspects = append(r.suspects, report)
+	r.suspects.add(report)
 }
 
 func (r *reporter) run(ctx context.Context) {
@@ -80,7 +81,7 @@
 func (r *reporter) send(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.agent.reportInterval)
 	defer cancel()
-	if err := r.sendSuspects(ctx); err != nil {
+	if err := r.sendSuspectsInIntervals(ctx); err != nil {
 		r.agent.log.WithError(err).Warn("suspect report failed; it is retried")
 		return
 	}
@@ -95,20 +96,51 @@
 // reports are idempotent. An attempt is short, so that the ages which a report states hold when it is
 // committed.
 func (r *reporter) sendSuspects(ctx context.Context) error {
+	for {
+		if sent, err := r.sendFirstSuspects(ctx); err != nil || !sent {
+			return err
+		}
+	}
+}
+
+// sendFirstSuspects sends the oldest pending suspect report, and reports whether there was one.
+func (r *reporter) sendFirstSuspects(ctx context.Context) (bool, error) {
 	for {
 		report := r.firstSuspects()
 		if report == nil {
-			return nil
+			return false, nil
 		}
 		command := &masticproto.Command{Kind: &masticproto.Command_Suspect{Suspect: r.agent.suspectReport(masticclock.Now(), *report)}}
-		if err := r.commitBriefly(ctx, command); err != nil {
-			if ctx.Err() != nil || isFinal(err) {
-				return err
-			}
-			continue
+		err := r.commitBriefly(ctx, command)
+		switch {
+		case err == nil:
+			r.dropSuspects(report)
+			r.agent.renewer.renewNow()
+			return true, nil
+		case ctx.Err() != nil || isFinal(err):
+			return true, err
+		}
+	}
+}
+
+// sendSuspectsInIntervals sends pending suspect reports, one in each suspectInterval, and again what the control group had no
+// room for. Reports that wait are merged.
+func (r *reporter) sendSuspectsInIntervals(ctx context.Context) error {
+	for {
+		sent, err := r.sendFirstSuspects(ctx)
+		delay := r.suspectInterval()
+		switch {
+		case masticerror.KindOf(err) == masticerror.KindOverloaded:
+			delay = max(delay, rejectedReportDelay)
+		case err != nil:
+			return err
+		case !sent:
+			return nil
+		}
+		sleep(ctx, delay)
+		if ctx.Err() != nil {
+			return err
 		}
-		r.dropSuspects(report)
-		r.agent.renewer.renewNow()
 	}
 }
 
@@ -122,18 +154,13 @@
 func (r *reporter) firstSuspects() *masticcall.ServerReport {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if len(r.suspects) == 0 {
-		return nil
-	}
-	return r.suspects[0]
+	return r.suspects.first()
 }
 
 func (r *reporter) dropSuspects(report *masticcall.ServerReport) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if len(r.suspects) > 0 && r.suspects[0] == report {
-		r.suspects = r.suspects[1:]
-	}
+	r.suspects.drop(report)
 }
 
 func (r *reporter) sendUsage(ctx context.Context) {
