Suspect reports have an ID: one that is committed twice counts once

What callers saw: on a busy machine a request was quarantined after two servers had ended under it, not three, and harmless requests that ran on servers that ended counted more ends than there were.

A report states the age of each request. When it is applied again the request seems to have been sent later, after the end that the first copy recorded, and a request sent after the end counts as one on a restarted server: control recorded failures=2 and failures=3 for one end of w10-1. The reports were not idempotent, as a comment said.

A copy names the same failure. Reports of earlier versions (ID 0) count as before.

TestRepeatedReportCountsAsAnotherEnd fails without the look-up by ID (4 quarantines instead of none).

--- a/masticagent/reporter.go
+++ b/masticagent/reporter.go
@@ -92,8 +92,8 @@
 	r.sendUsage(ctx)
 }
 
-// sendSuspects sends pending suspect reports, the oldest first. Goroutines may send concurrently:
-// reports are idempotent. An attempt is short, so that the ages which a report states hold when it is
+// sendSuspects sends pending suspect reports, the oldest first. Goroutines may send concurrently: a report that
+// is committed again has no effect, since it has an ID. An attempt is short, so that the ages which a report states hold when it is
 // committed.
 func (r *reporter) sendSuspects(ctx context.Context) error {
 	for {
--- a/masticagent/suspectreport.go
+++ b/masticagent/suspectreport.go
@@ -26,6 +26,7 @@
 // differ.
 func (a *Agent) suspectReport(now time.Time, r masticcall.ServerReport) *masticproto.SuspectReport {
 	out := &masticproto.SuspectReport{
+		Id:                    r.ID,
 		Server:                r.Server,
 		ServerIncarnation:     r.Incarnation,
 		QuarantineUntilUnixMs: now.Add(a.quarantinePeriod).UnixMilli(),
--- a/masticagent/suspects.go
+++ b/masticagent/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -61,6 +62,7 @@
 // Report records the verdict on a backend server and reports it to the control group.
 func (s *suspects) Report(r masticcall.ServerReport) {
 	now := masticclock.Now()
+	r.ID = rand.Uint64()
 	report := s.agent.suspectReport(now, r)
 	s.mutex.Lock()
 	_, err := s.local.Report(now, report)
--- a/masticcall/suspects.go
+++ b/masticcall/suspects.go
@@ -43,6 +43,8 @@
 // ServerReport states the verdict on an incarnation of a backend server and the requests that were
 // running when it failed. A report that the server is alive has none.
 type ServerReport struct {
+	// ID identifies the report. The receiver sets it.
+	ID                  uint64
 	Server, Incarnation string
 	Verdict             Verdict
 	FailedAt            time.Time
--- a/masticsuspect/lost_test.go
+++ b/masticsuspect/lost_test.go
@@ -213,3 +213,30 @@
 		}
 	}
 }
+
+// TestRepeatedReportCountsAsAnotherEnd: a report that was committed twice, some time apart, counted as two ends, so that a request was
+// quarantined after two servers.
+func TestRepeatedReportCountsAsAnotherEnd(t *testing.T) {
+	for _, incarnation := range []string{"", "born"} {
+		c := qt.New(t)
+		tracker, d, now := New(), digest(1), begin
+		var quarantined []masticview.Digest
+		for i := range 2 {
+			r := &masticproto.SuspectReport{
+				Id: uint64(i + 1), Server: fmt.Sprint("s", i), ServerIncarnation: incarnation, QuarantineAfter: 3, Digests: [][]byte{d[:]},
+				AgesMs: []int64{2}, FailedAgeMs: 1, Parts: []*masticproto.SuspectPart{{Digest: d[:]}}, RequestParts: []*masticproto.PartIndices{{Indices: []uint32{0}}},
+			}
+			for range 3 {
+				now = now.Add(60 * time.Millisecond)
+				q, err := tracker.Report(now, r)
+				c.Assert(err, qt.IsNil)
+				quarantined = append(quarantined, q...)
+				tracker = restored(c, tracker)
+			}
+			now = now.Add(time.Second)
+		}
+		c.Assert(quarantined, qt.HasLen, 0)
+		c.Assert(tracker.MostFailures([][]byte{d[:]}), qt.Equals, 2)
+		c.Assert(tracker.servers, qt.HasLen, 2)
+	}
+}
--- a/masticsuspect/servers.go
+++ b/masticsuspect/servers.go
@@ -26,6 +26,8 @@
 	runningMargin = 50 * time.Millisecond
 	// maxFailedServers bounds the failed servers that are remembered.
 	maxFailedServers = 1024
+	// maxReportIDs bounds the reports of one failure that are remembered. Each host sends a few.
+	maxReportIDs = 256
 	// nameSeparator stands between the name of a server and that of its incarnation.
 	nameSeparator = "\x00"
 	// restartSeparator precedes the number of a restart in an incarnation's name.
@@ -46,6 +48,33 @@
 	return nil
 }
 
+// reportedBy returns the failure of the server and incarnation named that a report has stated before. A report is committed again
+// when its answer was late or when goroutines of its host sent it at the same time, and its requests seem to have been sent later
+// then, by the time that the commit took.
+func (s failedServers) reportedBy(name string, id uint64) *masticproto.EndedServer {
+	if id == 0 {
+		return nil
+	}
+	for _, x := range slices.Backward(s) {
+		rest, ok := strings.CutPrefix(x.GetIncarnation(), name)
+		if ok && (rest == "" || strings.HasPrefix(rest, restartSeparator)) && slices.Contains(x.GetReportIds(), id) {
+			return x
+		}
+	}
+	return nil
+}
+
+// addReport records that a report states the failure.
+func addReport(x *masticproto.EndedServer, id uint64) {
+	if id == 0 || slices.Contains(x.GetReportIds(), id) {
+		return
+	}
+	x.ReportIds = append(x.ReportIds, id)
+	if n := len(x.GetReportIds()) - maxReportIDs; n > 0 {
+		x.ReportIds = slices.Clone(x.GetReportIds()[n:])
+	}
+}
+
 // running returns the failed incarnation on which request i of the report ran, nil if the request was
 // sent after the server had failed and before it ended, so that it cannot be the cause. A request that
 // was sent after the end ran on a restarted server, of which lists of servers do not tell yet.
@@ -53,6 +82,9 @@
 	failedAt := now.Add(-time.Duration(r.GetFailedAgeMs()) * time.Millisecond)
 	named := r.GetServerIncarnation() != ""
 	x := s.latest(name)
+	if reported := s.reportedBy(name, r.GetId()); reported != nil {
+		return reported
+	}
 	switch {
 	case x == nil && named:
 		return s.add(name, failedAt, now, r)
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -273,6 +273,7 @@
 		}
 	}
 	for _, x := range failed {
+		addReport(x, r.GetId())
 		t.judgeTrials(now, x, changed)
 	}
 	t.evictExcess(now)
