Long first messages of hosts and look-ups of many callers stay within the limits

A first message of a host counted three times whatever its size, so that one of 16 MB, a document, would have reached the part of other hosts on a host of 280 MB. Each byte beyond 4 MiB counts 1.25 times now (TestLongFirstMessageCountsItsSize). Processes without callers have 0.2 of the descriptors for each of operators, look-ups and metrics instead of 0.05.

--- a/masticdaemon/daemon.go
+++ b/masticdaemon/daemon.go
@@ -71,7 +71,7 @@
 	for _, o := range options {
 		o(d)
 	}
-	d.intake = newIntake(processMemoryBytes(), 0)
+	d.intake = newIntake(processMemoryBytes(), 0, settings.Has(masticsettings.RoleEntry))
 	for _, open := range []func() error{d.openWire, d.openControl, d.openAgent, d.openEntry, d.openListeners} {
 		if err := open(); err != nil {
 			return nil, err
--- a/masticdaemon/intake.go
+++ b/masticdaemon/intake.go
@@ -37,10 +37,12 @@
 	// Up to a thousand connections suffice for any listener but callers'.
 	peerDescriptorFraction  = 0.2
 	otherDescriptorFraction = 0.05
-	minPeerConnections      = 256
-	minOtherConnections     = 128
-	maxPeerConnections      = 1024
-	maxOtherConnections     = 1024
+	// controlDescriptorFraction is otherDescriptorFraction of a process without callers.
+	controlDescriptorFraction = 0.2
+	minPeerConnections        = 256
+	minOtherConnections       = 128
+	maxPeerConnections        = 1024
+	maxOtherConnections       = 1024
 	// callerMinWait and otherMinWait are how long a connection waits for its client before it may be closed. Callers
 	// abandon a request that was not read after 1 s.
 	callerMinWait = time.Second
@@ -54,10 +56,12 @@
 	guard       *masticintake.Guard
 	bytes       int64
 	descriptors int
+	// hasCallers reports that the process serves callers, whose connections take most descriptors.
+	hasCallers bool
 }
 
 // newIntake returns the intake of a process with limits on its memory and descriptors, zero if there is none.
-func newIntake(memoryBytes int64, descriptors int) *intake {
+func newIntake(memoryBytes int64, descriptors int, hasCallers bool) *intake {
 	l := masticintake.Limits{Bytes: defaultIntakeBytes, HeadBytes: defaultHeadBytes}
 	if memoryBytes > 0 {
 		l = masticintake.Limits{Bytes: int64(intakeMemoryFraction * float64(memoryBytes)), HeadBytes: int64(headMemoryFraction * float64(memoryBytes))}
@@ -65,7 +69,7 @@
 	if descriptors <= 0 {
 		descriptors = processDescriptors()
 	}
-	return &intake{guard: masticintake.New(l), bytes: l.Bytes, descriptors: min(descriptors, maxDescriptors)}
+	return &intake{guard: masticintake.New(l), bytes: l.Bytes, descriptors: min(descriptors, maxDescriptors), hasCallers: hasCallers}
 }
 
 // processDescriptors returns the number of descriptors that the process may open.
@@ -125,7 +129,11 @@
 }
 
 func (i *intake) otherConnections() int {
-	return min(max(i.connections(otherDescriptorFraction), minOtherConnections), maxOtherConnections)
+	fraction := controlDescriptorFraction
+	if i.hasCallers {
+		fraction = otherDescriptorFraction
+	}
+	return min(max(i.connections(fraction), minOtherConnections), maxOtherConnections)
 }
 
 // register registers what all listeners take as gauges.
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -73,7 +73,7 @@
 	if s.MemoryLimitBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryLimitBytes)))
 	}
-	n.intake = newIntake(s.MemoryLimitBytes, s.MaxDescriptors)
+	n.intake = newIntake(s.MemoryLimitBytes, s.MaxDescriptors, s.CallerAddress != "")
 	for _, open := range []func() error{n.openWire, n.openControl, n.openAgent, n.openCourse} {
 		if err := open(); err != nil {
 			return nil, err
--- a/masticintake/conn.go
+++ b/masticintake/conn.go
@@ -34,9 +34,17 @@
 // in lists, which take less than a map.
 const freeElements = 64
 
-// firstMessageFactor is the memory that the bytes of a connection take before its first complete message: in the receive
-// buffer of a stream, which has room for more, and in the message.
-const firstMessageFactor = 3
+// Memory of the bytes of a connection before its first complete message: many streams have receive buffers with room for
+// more, one long message grows in its own buffer only.
+const (
+	firstMessageFactor = 3
+	longMessageBytes   = 4 << 20
+)
+
+// firstMessageMemory returns the memory of n bytes before the first complete message.
+func firstMessageMemory(n int64) int64 {
+	return firstMessageFactor*min(n, longMessageBytes) + max(0, n-longMessageBytes)*5/4
+}
 
 // ErrNoRoom is the error of a read that the memory of the listeners has no room for.
 var ErrNoRoom = errors.New("the connections of all listeners take the memory that the host has for them")
@@ -177,7 +185,9 @@
 		return false
 	}
 	if c.share.limits.OtherProtocol && c.phase == phaseNew {
-		return c.grow(firstMessageFactor * int64(len(p)))
+		before := firstMessageMemory(c.bytes)
+		c.bytes += int64(len(p))
+		return c.grow(firstMessageMemory(c.bytes) - before)
 	}
 	if !c.inHead {
 		return true
--- a/masticintake/guard_test.go
+++ b/masticintake/guard_test.go
@@ -147,3 +147,18 @@
 	}
 	c.Check(g.Usage().RefusedHeads, qt.Equals, int64(0))
 }
+
+// TestLongFirstMessageCountsItsSize guards against a limit that the first long message of a host on a connection reaches,
+// since bytes before a message count for more than themselves.
+func TestLongFirstMessageCountsItsSize(t *testing.T) {
+	c := qt.New(t)
+	s := New(Limits{Bytes: 64 << 20}).Share(ShareLimits{Connections: 1, OtherProtocol: true})
+	x, _, _ := connect(s, "10.0.0.1")
+	x.inHead = false
+	for range 20 << 10 {
+		c.Assert(x.countHead(make([]byte, 1<<10)), qt.IsTrue)
+	}
+	c.Check(s.guard.Usage().Bytes, qt.Equals, int64(32<<20))
+	x.Complete()
+	c.Check(s.guard.Usage().Bytes, qt.Equals, int64(0))
+}
