Cache events: one reader for each engine and store, changes passed on in reports

The index learned of cache contents from placements only: evictions were predicted, stores that restarted empty were not noticed. Where a service of the document states maxInFlight, one host reads GET /v1/kv-events of each server (with shards the coordinator, else by rendezvous hashing), finds the pieces by a hash of salt and part, which touches carry to all hosts, and passes on what was asked for twice or is long. Restarts, gaps, 404 and 429 have their cases.

--- a/masticassign/replay_test.go
+++ b/masticassign/replay_test.go
@@ -307,7 +307,7 @@
 	defer cancel()
 	quotaCtx, cancelQuota := context.WithTimeout(ctx, 250*time.Millisecond)
 	defer cancelQuota()
-	if _, err := q.host.limiter.Admit(quotaCtx, q.workspace, q.kind.shared+q.kind.own); err != nil {
+	if _, err := q.host.limiter.Admit(quotaCtx, q.workspace, q.kind.shared+q.kind.own, time.Now().Add(50*time.Millisecond)); err != nil {
 		if isUnanswered(err) {
 			return false, "keepers"
 		}
--- a/masticcache/index.go
+++ b/masticcache/index.go
@@ -48,6 +48,8 @@
 	oldest    *record
 	maxPieces int
 	states    map[Slot]*cacheState
+	// parts are the pieces by the key of their part, nil if parts are not tracked.
+	parts map[uint64][]masticprompt.PieceID
 	// total counts the pieces stored by all backend servers together.
 	total cacheState
 }
--- a/masticcache/reading.go
+++ b/masticcache/reading.go
@@ -25,6 +25,7 @@
 	}
 	for _, p := range pieces {
 		h := x.ensureHolder(p.ID, slot)
+		x.describe(p)
 		if h.lastUsed.IsZero() || s.evictionProbability(h) > 0 {
 			s.writtenTokens += float64(p.Tokens)
 			h.reading = r
--- a/masticcache/record.go
+++ b/masticcache/record.go
@@ -7,6 +7,11 @@
 	id           masticprompt.PieceID
 	holders      []holder
 	newer, older *record
+	// part is the key of the piece's part if the index tracks parts, tokens its length; uses counts
+	// requests with the piece up to minSharedUses.
+	part   uint64
+	tokens int64
+	uses   uint8
 }
 
 func (r *record) find(slot Slot, epoch Epoch) *holder {
@@ -53,6 +58,7 @@
 		x.uncountConfirmed(h)
 	}
 	x.unlink(r)
+	x.forgetPart(r)
 	delete(x.pieces, r.id)
 }
 
--- a/masticdaemon/metrics.go
+++ b/masticdaemon/metrics.go
@@ -69,6 +69,11 @@
 			n.log.WithError(err).Warn("registering the metrics of the dispatcher failed; some are missing")
 		}
 	}
+	if n.events != nil {
+		if err := n.events.Register(n.registry); err != nil {
+			n.log.WithError(err).Warn("registering the metrics of cache events failed; some are missing")
+		}
+	}
 	for name, value := range values {
 		registerGauge(n.registry, name, value)
 	}
--- a/masticdaemon/node.go
+++ b/masticdaemon/node.go
@@ -22,6 +22,7 @@
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
 	"masticladder/masticdrain"
+	"masticladder/masticevents"
 	"masticladder/masticgossip"
 	"masticladder/masticintake"
 	"masticladder/masticrelay"
@@ -54,6 +55,7 @@
 	// traffic places requests during rollouts, nil on a host that serves no callers.
 	traffic      *masticrollout.Traffic
 	gossip       *masticgossip.Exchange
+	events       *masticevents.Readers
 	announcer    *announcer
 	drainer      *drainer
 	callerServer *httpServer
@@ -242,6 +244,9 @@
 		g.Add(n.gossip.Serve, n.gossip.StopServing)
 		g.Add(n.gossip.Run, n.gossip.Stop)
 		g.Add(n.dispatcher.Run, n.dispatcher.Stop)
+		if n.events != nil {
+			g.Add(n.events.Run, n.events.Stop)
+		}
 		s := &idleConnectionSweeper{client: n.client, stopped: make(chan struct{})}
 		g.Add(s.run, s.stop)
 	}
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -11,6 +11,7 @@
 	"masticladder/masticbucket"
 	"masticladder/masticcontrol"
 	"masticladder/masticdispatch"
+	"masticladder/masticevents"
 	"masticladder/masticgossip"
 	"masticladder/masticplace"
 	"masticladder/masticproto"
@@ -183,6 +184,9 @@
 		masticrelay.WithMetrics(n.registry),
 		masticrelay.WithRetryBudget(newRetryBudget(n.settings, n.fleetFraction)),
 	)...)
+	if n.protocols.Events != nil {
+		n.events = masticevents.New(n.settings.Peer, n.agent.View, n.protocols.Events, n.dispatcher, n.log)
+	}
 	n.gossip, err = masticgossip.New(n.settings.Peer, n.wire, n.agent.View, n.dispatcher, n.log, masticgossip.WithListen(n.settings.Peer),
 		masticgossip.WithCalls(masticassign.NewServer(n.dispatcher, masticassign.WithKeeper(n.keeper), masticassign.WithMetrics(n.registry))))
 	return err
--- a/masticdaemon/nodesettings.go
+++ b/masticdaemon/nodesettings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"masticladder/masticcontrol"
+	"masticladder/masticevents"
 	"masticladder/masticrelay"
 	"masticladder/masticrollout"
 	"masticladder/masticschedule"
@@ -96,6 +97,8 @@
 	Identify func(header map[string][]string) string
 	Lister   masticcontrol.Lister
 	Loader   masticcontrol.Loader
+	// Events reads the cache events of engines and stores; nil if there are none.
+	Events masticevents.Source
 }
 
 const (
--- a/masticdispatch/command.go
+++ b/masticdispatch/command.go
@@ -108,6 +108,16 @@
 	d.scheduler.Events(now, c.server, c.incarnation, c.batch)
 }
 
+type partEvents struct {
+	server string
+	reset  bool
+	events []masticcache.PartEvent
+}
+
+func (c *partEvents) apply(d *Dispatcher, now time.Time) {
+	d.scheduler.PartEvents(now, c.server, c.reset, c.events)
+}
+
 type peerReport struct{ report masticroute.PeerReport }
 
 func (c *peerReport) apply(d *Dispatcher, now time.Time) { d.scheduler.ApplyPeerReport(now, c.report) }
--- a/masticdispatch/dispatcher.go
+++ b/masticdispatch/dispatcher.go
@@ -219,6 +219,12 @@
 	d.trySend(DropEvents, &cacheEvents{server, incarnation, b})
 }
 
+// PartEvents applies what a backend server or store reports of the parts in its cache; reset reports that the
+// cache was emptied before. It waits for room in the inbox.
+func (d *Dispatcher) PartEvents(server string, reset bool, events []masticcache.PartEvent) {
+	d.send(&partEvents{server, reset, events})
+}
+
 // Probe applies the result of a health probe.
 func (d *Dispatcher) Probe(server, incarnation string, alive bool) {
 	d.send(&probeResult{server, incarnation, alive})
--- a/masticdocument/codec.go
+++ b/masticdocument/codec.go
@@ -24,6 +24,7 @@
 			Name: l.Name, Connections: l.Connections, Engine: l.Engine, Slots: l.Slots,
 			CacheTokens: l.CacheTokens, Models: l.Models, Store: l.Store,
 			TransferTokensPerSecond: l.TransferTokensPerSecond, Zone: l.Zone, HealthPath: l.HealthPath,
+			MaxInFlight: l.MaxInFlight,
 		})
 	}
 	for _, t := range d.Workspaces {
@@ -76,6 +77,7 @@
 			Name: x.GetName(), Connections: x.GetConnections(), Engine: x.GetEngine(), Slots: x.GetSlots(),
 			CacheTokens: x.GetCacheTokens(), Models: x.GetModels(), Store: x.GetStore(),
 			TransferTokensPerSecond: x.GetTransferTokensPerSecond(), Zone: x.GetZone(), HealthPath: x.GetHealthPath(),
+			MaxInFlight: x.GetMaxInFlight(),
 		})
 	}
 	for _, x := range p.GetTenants() {
--- a/masticdocument/document.go
+++ b/masticdocument/document.go
@@ -86,6 +86,9 @@
 	Store, Zone string
 	// HealthPath is the path of the servers' health check.
 	HealthPath string
+	// MaxInFlight is the number of calls for cache events that a server holds at once, zero if it has no
+	// such calls.
+	MaxInFlight int64
 }
 
 // Workspace is a workspace with its API keys and bounds.
--- a/masticgossip/codec.go
+++ b/masticgossip/codec.go
@@ -25,10 +25,12 @@
 	for _, t := range r.Touches {
 		x := &masticproto.CacheTouch{
 			Server: t.Server, ExpectedUs: t.ExpectedIn.Microseconds(), Source: t.Source, SourceTokens: t.SourceTokens,
+			Gone: t.Gone, Reset_: t.Reset,
 		}
 		for _, piece := range t.Pieces {
 			x.Pieces = append(x.Pieces, piece.ID[:])
 			x.Tokens = append(x.Tokens, piece.Tokens)
+			x.Parts = append(x.Parts, piece.Part)
 		}
 		p.Touches = append(p.Touches, x)
 	}
@@ -47,12 +49,17 @@
 		x := masticroute.Touch{
 			Server: t.GetServer(), ExpectedIn: time.Duration(min(max(0, t.GetExpectedUs()), maxExpectedIn.Microseconds())) * time.Microsecond,
 			Source: t.GetSource(), SourceTokens: max(0, t.GetSourceTokens()),
+			Gone: t.GetGone(), Reset: t.GetReset_(),
 		}
 		for i, id := range t.GetPieces() {
 			if i >= len(t.GetTokens()) || len(id) != len(masticprompt.PieceID{}) {
 				break
 			}
-			x.Pieces = append(x.Pieces, masticprompt.Piece{ID: masticprompt.PieceID(id), Tokens: t.GetTokens()[i]})
+			piece := masticprompt.Piece{ID: masticprompt.PieceID(id), Tokens: t.GetTokens()[i]}
+			if parts := t.GetParts(); i < len(parts) {
+				piece.Part = parts[i]
+			}
+			x.Pieces = append(x.Pieces, piece)
 		}
 		r.Touches = append(r.Touches, x)
 	}
--- a/masticgossip/codec_test.go
+++ b/masticgossip/codec_test.go
@@ -17,7 +17,7 @@
 		Host:    "10.0.0.1:7600",
 		Ended:   []string{"i-2"},
 		Servers: []masticroute.ServerLoad{{Server: "i-1", Tokens: 100, QuickTokens: 20, HeldTokens: 300, Running: 2, Speed: 5000}},
-		Touches: []masticroute.Touch{{Server: "i-1", Pieces: []masticprompt.Piece{{ID: masticprompt.PieceID{1}, Tokens: 800}, {ID: masticprompt.PieceID{2}, Tokens: 400}}, ExpectedIn: 300 * time.Millisecond, Source: "10.0.0.2:80", SourceTokens: 700}},
+		Touches: []masticroute.Touch{{Server: "i-1", Pieces: []masticprompt.Piece{{ID: masticprompt.PieceID{1}, Tokens: 800, Part: 77}, {ID: masticprompt.PieceID{2}, Tokens: 400}}, ExpectedIn: 300 * time.Millisecond, Source: "10.0.0.2:80", SourceTokens: 700}, {Server: "i-2", Gone: true}, {Server: "i-3", Reset: true}},
 	}
 	c.Assert(decodeReport(encodeReport(r)), qt.DeepEquals, r)
 }
--- a/masticprompt/piece.go
+++ b/masticprompt/piece.go
@@ -6,9 +6,25 @@
 	"encoding/hex"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"masticladder/masticcall"
 )
 
+// PartKey returns the key of a level of stated length by what cache events name: the salt and the text.
+// Equal levels behind different ones have equal keys. Keys are not safe against collisions that a caller
+// constructs: one makes a prompt count as cached, or not, that is not, or is.
+func PartKey(salt, text string) uint64 {
+	return partKey(xxhash.Sum64String(salt), xxhash.Sum64String(text))
+}
+
+func partKey(salt, text uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], salt)
+	binary.LittleEndian.PutUint64(b[8:], text)
+	return max(1, xxhash.Sum64(b[:]))
+}
+
 // PieceTokens is the length of the pieces that a level is cut into, in tokens.
 const PieceTokens = 4000
 
@@ -29,6 +45,9 @@
 	Level int
 	// Last reports whether the piece is the last one of its level.
 	Last bool
+	// Part is the key under which cache events name the level, see PartKey. It is zero for a piece that
+	// is not a whole level of stated length.
+	Part uint64
 }
 
 // Prompt is a prompt cut into pieces, without the identifiers that depend on a Seed. It is
@@ -46,6 +65,8 @@
 	tokens int64
 	level  int
 	last   bool
+	// text is a hash of the text of a level of stated length.
+	text uint64
 }
 
 // Cut splits levels into pieces: at the end of each level, and after every PieceTokens
@@ -73,7 +94,7 @@
 		chain = p.chainedPieces[len(p.chainedPieces)-1].chain
 	}
 	if l.Tokens > 0 {
-		p.chainedPieces = append(p.chainedPieces, chainedPiece{extendChain(chain, l.Role, l.Text, true), l.Tokens, p.levels, true})
+		p.chainedPieces = append(p.chainedPieces, chainedPiece{extendChain(chain, l.Role, l.Text, true), l.Tokens, p.levels, true, xxhash.Sum64String(l.Text)})
 		p.tokens += l.Tokens
 		p.levels++
 		return
@@ -83,7 +104,7 @@
 		last := end == len(l.Text)
 		chain = extendChain(chain, l.Role, l.Text[start:end], last)
 		tokens := EstimateTokens(l.Text[start:end])
-		p.chainedPieces = append(p.chainedPieces, chainedPiece{chain, tokens, p.levels, last})
+		p.chainedPieces = append(p.chainedPieces, chainedPiece{chain, tokens, p.levels, last, 0})
 		p.tokens += tokens
 		start = max(end, 1)
 	}
@@ -118,10 +139,14 @@
 	out := make([]Piece, len(p.chainedPieces))
 	var input [2 * sha256.Size]byte
 	copy(input[:], seed[:])
+	salt := xxhash.Sum64String(masticcall.CacheSalt(s.Workspace, s.WeightsVersion))
 	for i, l := range p.chainedPieces {
 		copy(input[sha256.Size:], l.chain[:])
 		d := sha256.Sum256(input[:])
 		out[i] = Piece{ID: PieceID(d[:16]), Tokens: l.tokens, Level: l.level, Last: l.last}
+		if l.text != 0 {
+			out[i].Part = partKey(salt, l.text)
+		}
 	}
 	return out
 }
--- a/masticrelay/rank.go
+++ b/masticrelay/rank.go
@@ -1,6 +1,7 @@
 package masticrelay
 
 import (
+	"masticladder/masticcall"
 	"masticladder/masticdocument"
 	"masticladder/masticview"
 )
@@ -11,8 +12,6 @@
 	// maxQuickPromptTokens is the longest prompt of the quick class. Engines process prompts in
 	// chunks of about this length, and one chunk does not delay other requests for long.
 	maxQuickPromptTokens = 4096
-	// sharedSalt is the salt of all workspaces that may share cached prompts.
-	sharedSalt = "shared"
 )
 
 // priority returns the engine priority of a request: ordered by the route's priority, then by
@@ -31,13 +30,9 @@
 	return masticview.ClassLong
 }
 
-// salt returns the cache salt of a workspace for a version of the weights. Servers that fetch
-// cached prompts check neither the workspace nor the version.
+// salt returns the cache salt of a workspace for a version of the weights.
 func salt(w masticdocument.Workspace, version string) string {
-	if w.Isolated {
-		return "workspace-" + w.Name + "@" + version
-	}
-	return sharedSalt + "@" + version
+	return masticcall.CacheSalt(cacheScope(w), version)
 }
 
 // cacheScope returns the name under which the dispatcher records where prompts are believed to
--- a/masticroute/peer.go
+++ b/masticroute/peer.go
@@ -36,11 +36,14 @@
 type Touch struct {
 	Server string
 	Pieces []masticprompt.Piece
-	// ExpectedIn is the predicted time until an engine has the pieces, zero if it has them.
+	// ExpectedIn is the predicted time until an engine has the pieces, zero if it has them. For a store it
+	// is not zero if it is to save them; each host predicts the time from what it knows of the link.
 	ExpectedIn time.Duration
 	// Source is the IP:port from which the engine fetches SourceTokens, empty if it fetches nothing.
 	Source       string
 	SourceTokens int64
+	// Gone reports that the server does not have the pieces any more, Reset that its cache is empty.
+	Gone, Reset bool
 }
 
 // PeerReport is the work of one host on all backend servers.
@@ -195,6 +198,11 @@
 	r.document = v.Document()
 	r.stores, r.transferSpeeds, r.memoryTokens = nil, map[string]float64{}, map[string]float64{}
 	r.storeRates = map[string]float64{}
+	for _, p := range v.Document().GetPools() {
+		if p.GetMaxInFlight() > 0 {
+			r.cacheIndex.TrackParts()
+		}
+	}
 	for _, p := range v.Document().GetPools() {
 		if p.GetEngine() {
 			r.transferSpeeds[p.GetName()] = float64(p.GetTransferTokensPerSecond())
--- a/masticroute/reading.go
+++ b/masticroute/reading.go
@@ -85,7 +85,11 @@
 	r.assignFetch(now, t.Source, float64(t.SourceTokens))
 	epoch := r.cacheIndex.Epoch(slot)
 	switch {
-	case r.servers[slot].info.Kind == serverStore:
+	case t.Reset:
+		r.cacheIndex.Reset(slot)
+	case t.Gone:
+		r.cacheIndex.Remove(now, slot, t.Pieces)
+	case r.servers[slot].info.Kind == serverStore && t.ExpectedIn > 0:
 		r.saveStarted(now, slot, t.Pieces)
 	case t.ExpectedIn > 0:
 		r.cacheIndex.Begin(now, slot, epoch, t.Pieces, newReading(now, t.ExpectedIn))
--- a/masticroute/work.go
+++ b/masticroute/work.go
@@ -65,7 +65,7 @@
 	r.observeStore(now, w)
 	r.finishReading(now, w)
 	if slot, ok := r.slots[w.Save]; ok && w.Save != "" && r.saveStarted(now, slot, w.Pieces) {
-		r.addTouch(Touch{Server: w.Save, Pieces: w.Pieces})
+		r.addTouch(Touch{Server: w.Save, Pieces: w.Pieces, ExpectedIn: saveDelay})
 	}
 }
 
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -339,6 +339,12 @@
 	return s.router.ApplyCacheEvents(now, server, incarnation, b)
 }
 
+// PartEvents applies what a backend server or store reports of the parts in its cache.
+func (s *Scheduler) PartEvents(now time.Time, server string, reset bool, events []masticcache.PartEvent) {
+	s.router.ApplyPartEvents(now, server, reset, events)
+	s.scan(now)
+}
+
 // Probe applies the result of a health probe.
 func (s *Scheduler) Probe(now time.Time, server, incarnation string, alive bool) {
 	s.router.RecordProbe(now, server, incarnation, alive)
