--- a/masticrollout/fleet_test.go
+++ b/masticrollout/fleet_test.go
@@ -13,7 +13,7 @@
 	"masticladder/masticview"
 )
 
-// seeds is the number of rollouts of each case; docs/MEASUREMENTS.md has the table of 1,000.
+// seeds is the number of rollouts of each case; docs/MEASUREMENTS.md has a table of more.
 var seeds = flag.Int("seeds", 12, "rollouts simulated in each case")
 
 const (
@@ -61,8 +61,10 @@
 	model    answerModel
 	rate     func(at time.Duration) float64
 	// endsLeader reports that each step loses its leader, which takes 0.6 s to replace.
-	endsLeader  bool
-	leaderless  time.Duration
+	endsLeader bool
+	leaderless time.Duration
+	// endedIn is the last step whose leader ended.
+	endedIn     uint64
 	requests    int
 	exposed     int
 	exposedLate int
@@ -287,8 +289,10 @@
 	if !d.Changed {
 		return
 	}
-	if s.endsLeader && s.leaderless < at {
-		// The first decision of each step is lost with its leader; the next one has no evidence until hosts report again.
+	if s.endsLeader && s.endedIn < s.rollout.Sequence {
+		s.endedIn = s.rollout.Sequence
+		// The leader of each step ends when it decides, before or after its decision is committed. The next one has no evidence until
+		// hosts report again.
 		s.leaderless, s.evidence = at+600*time.Millisecond, NewEvidence(s.rollout)
 		if s.random.Float64() < 0.5 {
 			return
@@ -427,8 +431,8 @@
 	wrong := (s.rollout.Step == masticview.RolloutCompleted) != x.good || !s.rollout.Step.Final() || s.endedAt > simulatedDeadline || s.badOnOld
 	if wrong {
 		r.wrong++
-		if r.wrong < 3 {
-			t.Logf("seed %d: %s at %v: %s %v; %+v", seed, s.rollout.Step, s.endedAt, s.rollout.Reason, s.steps, s.evidence.Totals(s.time(s.endedAt)))
+		if r.wrong < 4 {
+			t.Errorf("seed %d: %s at %v: %s %v; %+v", seed, s.rollout.Step, s.endedAt, s.rollout.Reason, s.steps, s.evidence.Totals(s.time(s.endedAt)))
 		}
 	}
 	r.ends = append(r.ends, s.endedAt)
@@ -439,7 +443,7 @@
 	r.exposure = append(r.exposure, float64(s.exposed)/bound)
 	if float64(s.exposed) > bound || s.exposedLate > 0 {
 		r.over++
-		if r.over < 3 {
+		if r.over < 4 {
 			t.Errorf("seed %d: %d of %d requests to a bad version, %d of them late", seed, s.exposed, s.requests, s.exposedLate)
 		}
 	}
--- a/masticrollout/judge.go
+++ b/masticrollout/judge.go
@@ -24,7 +24,7 @@
 	relativeMargin = 1.2
 	failureMargin  = 0.02
 	slowMargin     = 0.03
-	tailMargin     = 0.05
+	tailMargin     = 0.035
 	// minSlowBucket is the first bucket in which an answer can be too slow, at 22 ms. Shorter differences are within
 	// what busy hosts add.
 	minSlowBucket = 10
@@ -85,7 +85,7 @@
 	if c.bad < minBad || c.answers <= 0 || c.expected > c.criterion.maxExpected*c.answers {
 		return 0
 	}
-	p, q := c.bad/c.answers, min(0.97, relativeMargin*c.expected/c.answers+c.criterion.margin)
+	p, q := c.bad/c.answers, relativeMargin*c.expected/c.answers+c.criterion.margin
 	if p <= q {
 		return 0
 	}
--- a/masticrollout/plan.go
+++ b/masticrollout/plan.go
@@ -15,12 +15,13 @@
 	observeFrom     = 0.04
 	loadFrom        = 0.26
 	loadPart        = 0.14
-	minConfirmPart  = 0.08
-	drainFrom       = 0.55
-	drainInDoubt    = 0.66
+	minConfirmPart  = 0.05
+	drainFrom       = 0.53
+	skipTrialFrom   = 0.62
+	trialEnd        = 0.69
 	trialPart       = 0.08
 	trialInDoubt    = 0.13
-	minObservePart  = 0.16
+	minObservePart  = 0.12
 	closeFrom       = 0.82
 	lastChance      = 0.94
 	maxLastChance   = time.Second
@@ -151,7 +152,7 @@
 		p.step(masticview.RolloutRolledBack, 0, nil, "deadline: "+p.stalledBy())
 	case !p.situation.Heard:
 	case r.Step == masticview.RolloutWait:
-		if len(s.Targets) > 0 && p.part() >= observeFrom && p.part() <= drainInDoubt {
+		if len(s.Targets) > 0 && p.part() >= observeFrom && p.part() <= skipTrialFrom {
 			p.step(masticview.RolloutObserve, p.observeShare(observeBudget, loadFrom), nil, "servers of the target version are listed")
 			p.allow(observeBudget)
 		}
@@ -205,6 +206,11 @@
 	if !p.proven() || !p.carries() {
 		return
 	}
+	if p.part() >= skipTrialFrom {
+		// Leaders ended or servers came late: there is no time left for the trial.
+		p.step(masticview.RolloutDrain, 1, nil, "the target version is as good as the others")
+		return
+	}
 	focus, share := p.focus(minFocus)
 	p.step(masticview.RolloutTrial, share, focus, "the target version is as good as the others so far")
 	p.decision.Next = p.decision.Next.WithAllowance(int64(p.most()))
@@ -215,7 +221,7 @@
 func (p *planner) afterTrial() {
 	v := p.decision.Verdict
 	switch {
-	case p.inStep() < trialPart || v.Doubt && p.inStep() < trialInDoubt:
+	case p.part() < trialEnd && (p.inStep() < trialPart || v.Doubt && p.inStep() < trialInDoubt):
 	case v.Evidence >= lastEvidence && v.Suspect == "":
 		p.step(masticview.RolloutRolledBack, 0, nil, v.text())
 	default:
@@ -256,7 +262,7 @@
 	switch {
 	case p.part() < drainFrom || p.inStep() < minConfirmPart || len(p.situation.Servers.Targets) == 0:
 		return false
-	case p.part() < drainInDoubt:
+	case p.part() < skipTrialFrom:
 		return float64(t.Answers) >= enough
 	default:
 		return float64(t.Answers) >= enough/2
