--- a/masticrollout/plan.go
+++ b/masticrollout/plan.go
@@ -17,13 +17,14 @@
 	loadPart        = 0.14
 	minConfirmPart  = 0.05
 	drainFrom       = 0.53
-	skipTrialFrom   = 0.62
-	trialEnd        = 0.69
-	trialPart       = 0.08
-	trialInDoubt    = 0.13
+	skipTrialFrom   = 0.6
+	trialEnd        = 0.66
+	trialPart       = 0.12
+	trialFuture     = 0.4
+	trialInDoubt    = 0.15
 	minObservePart  = 0.12
 	closeFrom       = 0.82
-	lastChance      = 0.94
+	lastChance      = 0.965
 	maxLastChance   = time.Second
 	minObserveShare = 0.01
 	maxObserveShare = 0.25
@@ -179,6 +180,14 @@
 	return r.Deadline.Add(-min(maxLastChance, time.Duration((1-lastChance)*float64(r.Span()))))
 }
 
+// mostOfTrial returns the largest allowance that the requests so far permit, with trialFuture of those that follow if the traffic
+// goes on. With the requests so far alone, versions of which 15 % of the answers fail were not known as bad in time.
+func (p *planner) mostOfTrial() float64 {
+	requests := float64(p.decision.Totals.Requests)
+	left := requests / max(observeFrom, p.part()) * max(0, 1-p.part())
+	return p.most() + mostFraction*p.bounds.ExposureShare*trialFuture*left
+}
+
 func (p *planner) afterObserve() {
 	if p.inStep() < minObservePart || p.part() < loadFrom && p.inStep() < loadFrom-observeFrom {
 		return
@@ -213,7 +222,7 @@
 	}
 	focus, share := p.focus(minFocus)
 	p.step(masticview.RolloutTrial, share, focus, "the target version is as good as the others so far")
-	p.decision.Next = p.decision.Next.WithAllowance(int64(p.most()))
+	p.decision.Next = p.decision.Next.WithAllowance(int64(p.mostOfTrial()))
 }
 
 // afterTrial moves the traffic once the answers of the trial are there. It is about the last that the bounds permit: a version
