--- a/masticdaemon/drainqueue_test.go
+++ b/masticdaemon/drainqueue_test.go
@@ -39,6 +39,10 @@
 	c.Assert(err, qt.IsNil)
 	s.listener = wrap(s.listener)
 	trackCallers(s, nil)
+	return runDrainedServer(s, h)
+}
+
+func runDrainedServer(s *httpServer, h *countingHandler) *drainedServer {
 	d := &drainedServer{drainRun: &drainRun{server: s, ended: make(chan error, 1)}, handler: h, actor: &actorRunner{actor: s.runUntilStopped, ended: make(chan error, 1)}}
 	go d.actor.run()
 	return d
@@ -104,6 +108,27 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
+// TestPlannedStopDropsConnectionThatWaitsForRoom is TestPlannedStopResetsConnectionsThatWaitToBeAccepted with the limit of
+// connections that callers' listener has.
+func TestPlannedStopDropsConnectionThatWaitsForRoom(t *testing.T) {
+	c := qt.New(t)
+	h := &countingHandler{release: make(chan struct{})}
+	s, err := listen("127.0.0.1:0", &http.Server{Handler: h}, nil)
+	c.Assert(err, qt.IsNil)
+	trackCallers(s, nil)
+	s.countIn(masticintake.New(masticintake.Limits{Bytes: 1 << 20, HeadBytes: 1 << 20}).Share(masticintake.ShareLimits{Connections: 1, MinWait: time.Hour}))
+	d := runDrainedServer(s, h)
+	first, second := newTestClient(c, d.server.address()), newTestClient(c, d.server.address())
+	first.send()
+	first.assertAnswered(false)
+	second.send()
+	close(d.handler.release)
+	go d.run()
+	second.assertAnswered(true)
+	d.finish(c)
+	c.Assert(d.handler.passedOn.Load(), qt.Equals, int64(2))
+}
+
 // TestPlannedStopDropsRequestsThatWaitToBeRead: a planned stop closed connections as idle whose next request a slow process had not
 // read yet.
 func TestPlannedStopDropsRequestsThatWaitToBeRead(t *testing.T) {
