Servers stop at work for callers that left after bytes of a further request

The background read of net/http ends with the first byte of a further request and sees no close after it, so a server worked on until the deadline. The socket of a running request is checked each 200 ms; its context ends when the caller has left.

--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -121,6 +121,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	ctx, watch := r.call.Connection.Watch(ctx)
+	defer watch.Stop()
 	if err := r.waitingError(time.Now()); err != nil {
 		return err
 	}
--- a/masticrelay/waiting_test.go
+++ b/masticrelay/waiting_test.go
@@ -67,7 +67,9 @@
 
 // newLateHost starts a host over servers and sends it a request.
 func newLateHost(c *qt.C, deadline time.Duration, servers ...*rawServer) (*lateHost, *leavingCaller) {
-	h := &lateHost{fixture: newFixture(c, safe, servers...), deadline: deadline, ended: make(chan struct{})}
+	route := safe
+	route.Timeout = time.Hour
+	h := &lateHost{fixture: newFixture(c, route, servers...), deadline: deadline, ended: make(chan struct{})}
 	front := httptest.NewUnstartedServer(h)
 	caller := &leavingCaller{c: c, host: make(chan *masticcaller.Connection, 1)}
 	front.Config.ConnContext = func(ctx context.Context, n net.Conn) context.Context {
@@ -181,3 +183,53 @@
 	<-h.ended
 	_ = l.Close()
 }
+
+// silentServer takes a request and answers nothing until its connection is closed.
+type silentServer struct {
+	listener        net.Listener
+	reached, closed chan struct{}
+}
+
+func (s *silentServer) run() {
+	defer close(s.closed)
+	conn, err := s.listener.Accept()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	q, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, q.Body)
+	close(s.reached)
+	_, _ = reader.ReadByte()
+}
+
+// TestServerWorksOnAfterCallerLeft: a caller that has sent bytes of a further request and leaves, which net/http does not see, must not keep
+// the server at work until the deadline.
+func TestServerWorksOnAfterCallerLeft(t *testing.T) {
+	for name, further := range map[string]string{"no further bytes": "", "bytes of a further request": "POST /"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			s := &silentServer{listener: l, reached: make(chan struct{}), closed: make(chan struct{})}
+			h, caller := newLateHost(c, time.Minute, &rawServer{listener: l})
+			go s.run()
+			caller.send()
+			<-s.reached
+			_, err = io.WriteString(caller.conn, further)
+			c.Assert(err, qt.IsNil)
+			caller.leave(false)
+			select {
+			case <-s.closed:
+			case <-time.After(20 * time.Second):
+				c.Error("the server still works on the request of a caller that has left")
+			}
+			<-h.ended
+			_ = l.Close()
+		})
+	}
+}
