Late answers of keepers admit requests that wait 50 ms for tokens; charged tokens expire

Found by review: a request that waits 50 ms for tokens never used the answer of a keeper that is 80 ms late, since its tokens are there later than that; it was refused after 250 ms with the tokens unused.

The wait for late answers ends with the questions. Pieces that a request already holds expire like other charged tokens, so that the bound holds for divided requests too; an answer later than the lifetime goes back to its keeper.

--- a/masticbucket/fleet_test.go
+++ b/masticbucket/fleet_test.go
@@ -293,23 +293,27 @@
 		{"all slow, large requests", parts, 120 * time.Millisecond, largeTokens, 0.8},
 		{"all very slow, small requests", parts, 200 * time.Millisecond, smallTokens, 0.95},
 	} {
-		t.Run(x.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := qt.New(t)
-				random := rand.New(rand.NewPCG(4, 4))
-				f := newFleet(87, fleetLimit)
-				f.play(random, 2*time.Second, 0.5, x.tokens)
-				for _, h := range NewDivision(f.hosts).Keepers("w")[:x.slow] {
-					f.slow[h.Name] = x.late
-				}
-				got := f.play(random, 20*time.Second, 0.5, x.tokens)
-				c.Logf("%.3f of what was asked for", got)
-				c.Check(got >= x.min, qt.IsTrue)
-				f.assertWithinLimit(c, 0)
-				// The last charges end.
-				time.Sleep(time.Second)
+		for _, tokenWait := range []time.Duration{0, 50 * time.Millisecond} {
+			name := x.name + ", " + tokenWait.String()
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					random := rand.New(rand.NewPCG(4, 4))
+					f := newFleet(87, fleetLimit)
+					f.tokenWait = tokenWait
+					f.play(random, 2*time.Second, 0.5, x.tokens)
+					for _, h := range NewDivision(f.hosts).Keepers("w")[:x.slow] {
+						f.slow[h.Name] = x.late
+					}
+					got := f.play(random, 20*time.Second, 0.5, x.tokens)
+					c.Logf("%.3f of what was asked for", got)
+					c.Check(got >= x.min, qt.IsTrue)
+					f.assertWithinLimit(c, 0)
+					// The last charges end.
+					time.Sleep(time.Second)
+				})
 			})
-		})
+		}
 	}
 }
 
--- a/masticbucket/flight.go
+++ b/masticbucket/flight.go
@@ -30,7 +30,7 @@
 }
 
 func (f *flight) run() {
-	ctx, cancel := context.WithTimeout(context.Background(), f.lifetime)
+	ctx, cancel := context.WithTimeout(context.Background(), max(f.lifetime, maxCreditLifetime))
 	defer cancel()
 	answer, err := f.limiter.keepers.Charge(ctx, f.keeper.Peer, f.charge)
 	f.finish(time.Now(), answer, err)
--- a/masticbucket/limiter.go
+++ b/masticbucket/limiter.go
@@ -151,7 +151,7 @@
 		waiting = a.charge(ctx, shuffled, 0)
 	}
 	if bounded && a.missing > 0 {
-		waiting = a.charge(ctx, waiting, time.Until(a.until))
+		waiting = a.charge(ctx, waiting, max(0, time.Until(a.until)))
 	}
 	if a.missing > 0 && a.ended == len(keepers) {
 		waiting = a.chargeSubstitutes(ctx)
@@ -241,7 +241,9 @@
 		case !ok:
 		case answer.Admitted:
 			now := time.Now()
-			a.charged = append(a.charged, credit{keeper: h, tokens: a.piece, usableAt: now.Add(answer.Delay)})
+			a.charged = append(a.charged, credit{
+				keeper: h, tokens: a.piece, usableAt: now.Add(answer.Delay), expiresAt: now.Add(a.lifetime + answer.Delay),
+			})
 			a.missing--
 		default:
 			a.delays[h.Name] = answer.Delay
@@ -254,8 +256,12 @@
 
 // awaitCredits waits for the answers of late keepers.
 func (a *attempt) awaitCredits(ctx context.Context) {
+	// No question is answered later than that.
+	end := time.NewTimer(a.lifetime)
+	defer end.Stop()
 	for a.missing > 0 {
-		taken, changed := a.limiter.purses.takeOrWait(time.Now(), a.until, a.workspace, int64(a.missing)*a.piece)
+		now := time.Now()
+		taken, changed := a.limiter.purses.takeOrWait(now, later(a.until, now), a.workspace, int64(a.missing)*a.piece)
 		if changed == nil {
 			a.charged = append(a.charged, taken...)
 			a.missing = 0
@@ -263,6 +269,8 @@
 		}
 		select {
 		case <-changed:
+		case <-end.C:
+			return
 		case <-ctx.Done():
 			return
 		}
@@ -375,7 +383,6 @@
 // admission waits until the charged tokens are there.
 func (a *attempt) admission(ctx context.Context, tokens int64) (masticcall.Admission, error) {
 	now, usableAt := time.Now(), time.Time{}
-	a.limiter.throttles.record(now, a.throttle, true)
 	for _, c := range a.charged {
 		if c.usableAt.After(usableAt) {
 			usableAt = c.usableAt
@@ -391,6 +398,13 @@
 			return nil, masticerror.Wrap(ctx.Err(), masticerror.KindRateLimited, "workspace %q is over its rate", a.workspace).WithRetryAfter(delay)
 		}
 	}
+	now = time.Now()
+	// The keepers' burst is lower only by what the workspace regains in the lifetime of charged tokens.
+	if slices.ContainsFunc(a.charged, func(c credit) bool { return !now.Before(c.expiresAt) }) {
+		a.refund()
+		return nil, a.overRate(0)
+	}
+	a.limiter.throttles.record(now, a.throttle, true)
 	return &admission{limiter: a.limiter, workspace: a.workspace, tokens: tokens, charged: a.charged}, nil
 }
 
--- a/masticbucket/purse.go
+++ b/masticbucket/purse.go
@@ -1,6 +1,7 @@
 package masticbucket
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -102,7 +103,7 @@
 	x, ok := p.by[workspace]
 	if !ok {
 		if len(p.by) >= maxPurses {
-			clear(p.by)
+			maps.DeleteFunc(p.by, func(_ string, x *purse) bool { return len(x.credits) == 0 && x.changed == nil })
 		}
 		x = &purse{}
 		p.by[workspace] = x
