Requests held for a prefix do not keep others from being evaluated

Found by review: 16 requests that wait for an engine to read their prefix took all evaluations of a scan, for up to a second. TestHeldRequestsKeepOthersFromBeingEvaluated.

--- a/masticschedule/scan.go
+++ b/masticschedule/scan.go
@@ -17,7 +17,20 @@
 	}
 	s.refuseExpired(now)
 	s.refuseUnservable()
-	s.queue.Scan(now, scanLimit, func(i item) bool { return s.tryStart(now, i.Value) })
+	// Requests that wait for an engine to read their prefix must not keep others from being evaluated.
+	s.queue.Scan(now, scanLimit+s.held(now), func(i item) bool { return s.tryStart(now, i.Value) })
+}
+
+// held returns the number of requests that wait for an engine to read their prefix and need no evaluation.
+func (s *Scheduler) held(now time.Time) int {
+	n, readings := 0, s.router.FinishedReadings()
+	s.queue.RemoveFunc(func(i item) bool {
+		if i.Value.hold.unchanged(now, readings) {
+			n++
+		}
+		return false
+	})
+	return n
 }
 
 // tryStart starts w if the best backend server for it has capacity, and refuses it if what
