Placements that failed are retracted at other hosts; resets of caches are always reported

Found by review: other hosts went on waiting for a prefix, and counted it as cached, at an engine that had rejected the request; a full report dropped that a cache is empty.

--- a/masticroute/events.go
+++ b/masticroute/events.go
@@ -32,9 +32,9 @@
 // maxNews bounds the touches from cache events between two reports. It leaves room for placements.
 const maxNews = maxTouches / 2
 
-// addNews adds t to the next report to other hosts, if there is room.
+// addNews adds t to the next report to other hosts, if there is room; a reset always.
 func (r *Router) addNews(t Touch) {
-	if r.shared && r.shards == nil && len(r.unsentTouches) < maxNews {
+	if r.shared && r.shards == nil && (t.Reset || len(r.unsentTouches) < maxNews) {
 		r.unsentTouches = append(r.unsentTouches, t)
 	}
 }
--- a/masticroute/peer.go
+++ b/masticroute/peer.go
@@ -42,7 +42,8 @@
 	// Source is the IP:port from which the engine fetches SourceTokens, empty if it fetches nothing.
 	Source       string
 	SourceTokens int64
-	// Gone reports that the server does not have the pieces any more, Reset that its cache is empty.
+	// Gone reports that the server does not have the pieces any more or, if ExpectedIn is not zero, that it will
+	// not read those that it has not read yet. Reset reports that its cache is empty.
 	Gone, Reset bool
 }
 
--- a/masticroute/reading.go
+++ b/masticroute/reading.go
@@ -59,6 +59,7 @@
 func (r *Router) abandonReading(now time.Time, w *Work) {
 	r.cacheIndex.Abandon(now, w.Slot, w.Epoch, w.Pieces)
 	r.finishedReadings++
+	r.addTouch(Touch{Server: r.servers[w.Slot].info.Name, Pieces: w.Pieces, Gone: true, ExpectedIn: time.Microsecond})
 }
 
 // saveStarted records that the store of slot receives the pieces: it has them once its link has
@@ -87,6 +88,9 @@
 	switch {
 	case t.Reset:
 		r.cacheIndex.Reset(slot)
+	case t.Gone && t.ExpectedIn > 0:
+		r.cacheIndex.Abandon(now, slot, epoch, t.Pieces)
+		r.finishedReadings++
 	case t.Gone:
 		r.cacheIndex.Remove(now, slot, t.Pieces)
 	case r.servers[slot].info.Kind == serverStore && t.ExpectedIn > 0:
