Rollouts: allowance is not divided again, requests of before the order are placed again, verdicts within rollbackMs

Found by review. Hosts divided what retired hosts had spent; a request that waited since before the order went to the target version uncounted (a test for each fails before). With a deadline of an hour a slice of evidence lasts 90 s, and a verdict wanted bad answers in two; one that lasts longer than a second now counts as two. A reason over 256 bytes blocked a rollout.

--- a/masticrollout/evidence.go
+++ b/masticrollout/evidence.go
@@ -115,7 +115,10 @@
 // current returns the current slice.
 func (e *Evidence) current(now time.Time) *slice {
 	if n := len(e.slices); n > 0 && (now.Sub(e.slices[n-1].at) < e.slice && e.slices[n-1].loaded == e.loaded || n >= 2*maxSlices) {
-		return &e.slices[n-1]
+		// A version whose answers turn bad in a long slice must not wait for the next one.
+		s := &e.slices[n-1]
+		s.long = s.long || now.Sub(s.at) > minSlice
+		return s
 	}
 	e.slices = append(e.slices, slice{at: now, cells: map[rowKey]*counts{}, loaded: e.loaded})
 	return &e.slices[len(e.slices)-1]
--- a/masticrollout/traffic.go
+++ b/masticrollout/traffic.go
@@ -67,15 +67,21 @@
 	defer t.mutex.Unlock()
 	for _, r := range v.Rollouts() {
 		s := t.service(r.Service)
-		if s.rollout.FirstSequence != r.FirstSequence {
+		last := s.rollout
+		if last.FirstSequence != r.FirstSequence {
 			s.requests, s.exposed, s.rows, s.restarted = 0, 0, map[rowKey]*counts{}, !t.viewed
+			last, s.part = masticview.Rollout{}, 0
 		}
 		s.rollout = r
 		s.list(v)
-		s.part = 0
-		if !s.restarted && !r.Step.Final() {
-			s.part = partOf(t.host, r, v.Hosts())
+		if s.restarted || r.Step.Final() {
+			s.part = 0
+			continue
 		}
+		// Only what the allowance has grown by is divided over the hosts of this view: hosts that left have spent their parts.
+		former := r
+		former.Allowance = last.Allowance
+		s.part += partOf(t.host, r, v.Hosts()) - partOf(t.host, former, v.Hosts())
 	}
 	t.viewed = t.viewed || v.Revision() > 0
 }
@@ -222,7 +228,12 @@
 	t, s := p.traffic, p.service
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	reserved := p.reserved
 	p.leaveQueue()
+	// A request may have waited since before the order, or a listed server may have changed its version meanwhile.
+	if !p.Software.Allows(server.Software) || s.unproven() && server.Software == s.rollout.Target && !reserved {
+		return false
+	}
 	if s.forbids(now, server.Software) {
 		return false
 	}
@@ -242,6 +253,16 @@
 	return true
 }
 
+// unproven reports whether the target version gets only requests within the allowance.
+func (s *serviceTraffic) unproven() bool {
+	switch s.rollout.Step {
+	case masticview.RolloutObserve, masticview.RolloutLoad, masticview.RolloutConfirm, masticview.RolloutTrial:
+		return true
+	default:
+		return false
+	}
+}
+
 // forbids reports whether no request at all may be sent to a version.
 func (s *serviceTraffic) forbids(now time.Time, version string) bool {
 	switch target := version == s.rollout.Target; s.rollout.Step {
--- a/masticrollout/traffic_test.go
+++ b/masticrollout/traffic_test.go
@@ -106,6 +106,37 @@
 	c.Assert(p.allowed(first), qt.Equals, "v1")
 }
 
+// TestAllowanceOfLeftHostsIsNotDividedAgain guards against hosts that divide among them what hosts which left have spent.
+func TestAllowanceOfLeftHostsIsNotDividedAgain(t *testing.T) {
+	c := qt.New(t)
+	p := newPlacing(c)
+	other := masticview.Host{Name: "g", Address: "b", State: masticview.HostLive, Weight: 1}
+	p.view = p.view.WithHost(other).WithRevision(2)
+	p.step(masticview.RolloutObserve, 4)
+	first := Ask{Service: "huvo", First: true, InTouch: true}
+	for range 2 {
+		x, err := p.traffic.Begin(p.at, first)
+		c.Assert(err, qt.IsNil)
+		c.Assert(x.Assigned(p.at, newServer), qt.IsTrue)
+	}
+	c.Assert(p.allowed(first), qt.Equals, "v1")
+	other.State = masticview.HostRetired
+	p.view = p.view.WithHost(other).WithRevision(p.view.Revision() + 1)
+	p.traffic.SetView(p.view)
+	c.Assert(p.allowed(first), qt.Equals, "v1")
+}
+
+// TestRequestOfBeforeTheOrderIsPlacedAgain guards against requests that waited for a server since before the order and go to the
+// target version beside its allowance.
+func TestRequestOfBeforeTheOrderIsPlacedAgain(t *testing.T) {
+	c := qt.New(t)
+	p := newPlacing(c)
+	x, err := p.traffic.Begin(p.at, Ask{Service: "huvo", First: true, InTouch: true})
+	c.Assert(err, qt.IsNil)
+	p.step(masticview.RolloutObserve, 2)
+	c.Assert(x.Assigned(p.at, newServer), qt.IsFalse)
+}
+
 // TestRequestThatWaitedIsPlacedAgain guards against a request that waited for a server while the version was rolled back, or
 // the old servers were about to stop.
 func TestRequestThatWaitedIsPlacedAgain(t *testing.T) {
--- a/masticview/rollout.go
+++ b/masticview/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"masticladder/masticproto"
@@ -70,7 +71,9 @@
 
 // WithStep returns a copy in the step that follows, taken at a time for a reason.
 func (r Rollout) WithStep(at time.Time, step RolloutStep, share int64, focus []string, reason string) Rollout {
-	r.Step, r.StepAt, r.Share, r.Focus, r.Reason = step, at, share, focus, reason
+	r.Step, r.StepAt, r.Share, r.Focus = step, at, share, focus
+	// A step with a reason over the bound would be refused, and the rollout would stand still.
+	r.Reason = strings.ToValidUTF8(reason[:min(len(reason), MaxNameBytes)], "")
 	r.Sequence++
 	return r
 }
