--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -235,8 +235,12 @@
 		return nil, err
 	}
 	t.Expire(now)
-	t.applyCompletions(now, parts)
 	server := r.GetServer() + nameSeparator + r.GetServerIncarnation()
+	if t.servers.reportedBy(server, r.GetId()) != nil {
+		// The report was committed before. Its requests may have failed on two ends of one listed incarnation.
+		return nil, nil
+	}
+	t.applyCompletions(now, parts)
 	switch r.GetVerdict() {
 	case masticproto.Verdict_VERDICT_ALIVE:
 		t.clearLost(now, t.servers.latest(server))
