--- a/masticcontrol/lease.go
+++ b/masticcontrol/lease.go
@@ -69,7 +69,7 @@
 	if !l.replays(masticclock.Now()) && r.GetRevision() < l.state.View().Revision() {
 		answer.Update = l.updateFrom(r.GetRevision())
 	}
-	if r.GetSuspects() != l.state.Suspects().Fingerprint() {
+	if !l.replays(masticclock.Now()) && r.GetSuspects() != l.state.Suspects().Fingerprint() {
 		answer.Suspects = l.suspectsSince(r.GetSuspects(), r.GetSuspectDifferences())
 	}
 	for _, m := range l.status.Members {
