Only late answers of coordinators count as late; closed connections take no memory

Found by review: any error on a live connection counted as late, and a read that returned after the close of a connection took memory of headers that nothing gave back.

--- a/masticassign/assign.go
+++ b/masticassign/assign.go
@@ -44,7 +44,8 @@
 
 // classified returns the error of a call, with kind overloaded if the other host is late but not out of reach.
 func (c *usedClient) classified(err error) error {
-	if c.IsConnected() && c.Silence() < deadTimeout {
+	k := masticerror.KindOf(err)
+	if (k == masticerror.KindOutcomeUnknown || k == masticerror.KindOverloaded) && c.IsConnected() && c.Silence() < deadTimeout {
 		return masticerror.Wrap(err, masticerror.KindOverloaded, "%s is late", c.Address())
 	}
 	return err
--- a/masticintake/conn.go
+++ b/masticintake/conn.go
@@ -208,6 +208,9 @@
 	if more <= 0 {
 		return true
 	}
+	if !c.counted {
+		return false
+	}
 	for g.usage.HeadBytes+more > g.limits.HeadBytes || !c.share.take(more) {
 		v := c.share.victim(c, false)
 		if v == nil || !v.evict() {
