--- a/masticbucket/purse.go
+++ b/masticbucket/creditaccount.go
@@ -15,9 +15,9 @@
 	usableAt, expiresAt time.Time
 }
 
-// purse holds the credits of one workspace that no request has used yet: tokens charged ahead, and answers that
+// creditAccount holds the credits of one workspace that no request has used yet: tokens charged ahead, and answers that
 // came after their requests had given up.
-type purse struct {
+type creditAccount struct {
 	credits []credit
 	// demand estimates the tokens that requests use per second on this host, as of demandAt.
 	demand   float64
@@ -30,19 +30,19 @@
 const demandWindow = 500 * time.Millisecond
 
 // addDemand records that a request needs tokens.
-func (p *purse) addDemand(now time.Time, tokens int64) {
+func (p *creditAccount) addDemand(now time.Time, tokens int64) {
 	p.demand = p.demandNow(now) + float64(tokens)/demandWindow.Seconds()
 	p.demandAt = now
 }
 
-func (p *purse) demandNow(now time.Time) float64 {
+func (p *creditAccount) demandNow(now time.Time) float64 {
 	passed := now.Sub(p.demandAt)
 	return p.demand * max(0, 1-float64(passed)/float64(demandWindow))
 }
 
 // take removes tokens that are there before the given time, those that expire first before the others. It reports
 // false, and takes nothing, if there are not enough.
-func (p *purse) take(now, before time.Time, tokens int64) ([]credit, bool) {
+func (p *creditAccount) take(now, before time.Time, tokens int64) ([]credit, bool) {
 	var taken, left []credit
 	missing := tokens
 	for _, c := range p.credits {
@@ -67,7 +67,7 @@
 }
 
 // add adds a credit.
-func (p *purse) add(c credit) {
+func (p *creditAccount) add(c credit) {
 	i, _ := slices.BinarySearchFunc(p.credits, c, func(a, b credit) int { return a.expiresAt.Compare(b.expiresAt) })
 	p.credits = slices.Insert(p.credits, i, c)
 	if p.changed != nil {
@@ -77,7 +77,7 @@
 }
 
 // expire removes and returns the expired credits.
-func (p *purse) expire(now time.Time) []credit {
+func (p *creditAccount) expire(now time.Time) []credit {
 	n := 0
 	for n < len(p.credits) && !now.Before(p.credits[n].expiresAt) {
 		n++
@@ -87,32 +87,32 @@
 	return expired
 }
 
-// purses are the purses of all workspaces of a host.
-type purses struct {
+// creditAccounts are the accounts of all workspaces of a host.
+type creditAccounts struct {
 	mutex sync.Mutex
-	by    map[string]*purse
+	by    map[string]*creditAccount
 }
 
-// maxPurses bounds the workspaces whose demand is remembered.
-const maxPurses = 1 << 14
+// maxCreditAccounts bounds the workspaces whose demand is remembered.
+const maxCreditAccounts = 1 << 14
 
-func newPurses() *purses { return &purses{by: map[string]*purse{}} }
+func newCreditAccounts() *creditAccounts { return &creditAccounts{by: map[string]*creditAccount{}} }
 
-// of returns the purse of a workspace. The caller holds the mutex.
-func (p *purses) of(workspace string) *purse {
+// of returns the account of a workspace. The caller holds the mutex.
+func (p *creditAccounts) of(workspace string) *creditAccount {
 	x, ok := p.by[workspace]
 	if !ok {
-		if len(p.by) >= maxPurses {
-			maps.DeleteFunc(p.by, func(_ string, x *purse) bool { return len(x.credits) == 0 && x.changed == nil })
+		if len(p.by) >= maxCreditAccounts {
+			maps.DeleteFunc(p.by, func(_ string, x *creditAccount) bool { return len(x.credits) == 0 && x.changed == nil })
 		}
-		x = &purse{}
+		x = &creditAccount{}
 		p.by[workspace] = x
 	}
 	return x
 }
 
 // takeForRequest records a new request and takes its tokens, if they are there before the given time.
-func (p *purses) takeForRequest(now, before time.Time, workspace string, tokens int64) ([]credit, bool) {
+func (p *creditAccounts) takeForRequest(now, before time.Time, workspace string, tokens int64) ([]credit, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	x := p.of(workspace)
@@ -121,7 +121,7 @@
 }
 
 // takeOrWait takes tokens, or returns a channel that is closed when there are more.
-func (p *purses) takeOrWait(now, before time.Time, workspace string, tokens int64) ([]credit, <-chan struct{}) {
+func (p *creditAccounts) takeOrWait(now, before time.Time, workspace string, tokens int64) ([]credit, <-chan struct{}) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	x := p.of(workspace)
@@ -134,19 +134,19 @@
 	return nil, x.changed
 }
 
-func (p *purses) add(workspace string, c credit) {
+func (p *creditAccounts) add(workspace string, c credit) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.of(workspace).add(c)
 }
 
-func (p *purses) demand(now time.Time, workspace string) float64 {
+func (p *creditAccounts) demand(now time.Time, workspace string) float64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.of(workspace).demandNow(now)
 }
 
-func (p *purses) expire(now time.Time, workspace string) []credit {
+func (p *creditAccounts) expire(now time.Time, workspace string) []credit {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.of(workspace).expire(now)
--- a/masticbucket/purse_test.go
+++ b/masticbucket/creditaccount_test.go
@@ -13,7 +13,7 @@
 func TestCreditsAreUsedOnceAndInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.UnixMilli(1_000_000)
-		p := &purse{}
+		p := &creditAccount{}
 		added, gone := int64(0), int64(0)
 		for range 60 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "pass")) * time.Millisecond)
--- a/masticbucket/fleet_test.go
+++ b/masticbucket/fleet_test.go
@@ -103,6 +103,7 @@
 	f.keepers[name] = k
 	f.limiters[name] = NewLimiter(name, k, f, log)
 	f.limiters[name].shuffle = f.shuffle
+	f.limiters[name].throttles.random = f.float64
 	f.divide(name, f.hosts)
 }
 
@@ -113,6 +114,13 @@
 	f.random.Shuffle(n, swap)
 }
 
+// float64 is rand.Float64 with the seed of the fleet.
+func (f *fleet) float64() float64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.random.Float64()
+}
+
 func (f *fleet) divide(name string, hosts []masticview.Host) {
 	d := NewDivision(hosts)
 	f.limiters[name].division.Store(d)
--- a/masticbucket/flight.go
+++ b/masticbucket/flight.go
@@ -22,11 +22,11 @@
 	sentAt   time.Time
 
 	mutex sync.Mutex
-	// left reports that the request waits no longer.
-	left     bool
-	answer   masticcall.ChargeAnswer
-	err      error
-	answered chan struct{}
+	// abandoned reports that the request waits no longer.
+	abandoned bool
+	answer    masticcall.ChargeAnswer
+	err       error
+	answered  chan struct{}
 }
 
 func (f *flight) run() {
@@ -41,14 +41,14 @@
 	l := f.limiter
 	l.recordAnswer(now, f, answer, err)
 	f.mutex.Lock()
-	left := f.left
+	abandoned := f.abandoned
 	f.answer, f.err = answer, err
 	close(f.answered)
 	f.mutex.Unlock()
 	if answer.Extra > 0 {
 		l.deposit(now, f.charge.Workspace, f.creditOf(now, answer, answer.Extra))
 	}
-	if left && answer.Admitted {
+	if abandoned && answer.Admitted {
 		l.deposit(now, f.charge.Workspace, f.creditOf(now, answer, f.charge.Tokens))
 	}
 }
@@ -57,15 +57,15 @@
 	return credit{keeper: f.keeper, tokens: tokens, usableAt: now.Add(answer.Delay), expiresAt: f.sentAt.Add(f.lifetime + answer.Delay)}
 }
 
-// leave ends the request's interest. It reports true if the answer has come meanwhile, which is then the request's.
-func (f *flight) leave() bool {
+// abandon ends the request's interest. It reports true if the answer has come meanwhile, which is then the request's.
+func (f *flight) abandon() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	select {
 	case <-f.answered:
 		return true
 	default:
-		f.left = true
+		f.abandoned = true
 		return false
 	}
 }
@@ -90,7 +90,7 @@
 	case !ended:
 		l.memory.recordSilence(now, f.keeper)
 	}
-	if !ended && !late || l.memory.isNews(now, f.keeper) {
+	if !ended && !late || l.memory.shouldLog(now, f.keeper) {
 		l.log.WithError(err).WithField("keeper", f.keeper.Name).WithField("workspace", c.Workspace).
 			WithField("ended", ended).WithField("late", late).Warn("keeper of a quota gave no answer")
 	}
@@ -102,7 +102,7 @@
 		l.refund(c.keeper, workspace, c.tokens)
 		return
 	}
-	l.purses.add(workspace, c)
+	l.creditAccounts.add(workspace, c)
 	x := &expiry{limiter: l, workspace: workspace}
 	time.AfterFunc(c.expiresAt.Sub(now), x.run)
 }
@@ -114,7 +114,7 @@
 }
 
 func (x *expiry) run() {
-	for _, c := range x.limiter.purses.expire(time.Now(), x.workspace) {
+	for _, c := range x.limiter.creditAccounts.expire(time.Now(), x.workspace) {
 		x.limiter.refund(c.keeper, x.workspace, c.tokens)
 	}
 }
--- a/masticbucket/limiter.go
+++ b/masticbucket/limiter.go
@@ -44,13 +44,13 @@
 	// throttles refuse requests of workspaces over their rate without a question.
 	throttles *throttles
 	// shuffle reorders n items at random, as rand.Shuffle does.
-	shuffle func(n int, swap func(i, j int))
-	purses  *purses
+	shuffle        func(n int, swap func(i, j int))
+	creditAccounts *creditAccounts
 }
 
 // NewLimiter returns the limiter of the named host, which is a keeper itself where the division says so.
 func NewLimiter(host string, k *Keeper, others masticcall.Keepers, log logrus.FieldLogger) *Limiter {
-	return &Limiter{host: host, keeper: k, keepers: others, log: log, memory: newMemory(), throttles: newThrottles(), purses: newPurses(), shuffle: rand.Shuffle}
+	return &Limiter{host: host, keeper: k, keepers: others, log: log, memory: newMemory(), throttles: newThrottles(), creditAccounts: newCreditAccounts(), shuffle: rand.Shuffle}
 }
 
 // SetView finds the keepers under a new view.
@@ -98,7 +98,7 @@
 		until = later(tokensBy, now.Add(minTokenWait))
 	}
 	a := &attempt{limiter: l, workspace: workspace, lifetime: lifetime, until: until, throttle: throttleKeyOf(workspace, tokens)}
-	if c, ok := l.purses.takeForRequest(now, until, workspace, tokens); ok {
+	if c, ok := l.creditAccounts.takeForRequest(now, until, workspace, tokens); ok {
 		a.charged = c
 		return a.admission(ctx, tokens)
 	}
@@ -180,7 +180,7 @@
 
 // extraTokens returns how many tokens are charged ahead with a request, zero if the workspace has few requests here.
 func (l *Limiter) extraTokens(now time.Time, workspace string, tokens int64, part Limit) int64 {
-	extra := int64(min(l.purses.demand(now, workspace)*aheadTime.Seconds(), part.BurstTokens/maxExtraDivisor))
+	extra := int64(min(l.creditAccounts.demand(now, workspace)*aheadTime.Seconds(), part.BurstTokens/maxExtraDivisor))
 	if extra < 2*tokens {
 		return 0
 	}
@@ -261,7 +261,7 @@
 	defer end.Stop()
 	for a.missing > 0 {
 		now := time.Now()
-		taken, changed := a.limiter.purses.takeOrWait(now, later(a.until, now), a.workspace, int64(a.missing)*a.piece)
+		taken, changed := a.limiter.creditAccounts.takeOrWait(now, later(a.until, now), a.workspace, int64(a.missing)*a.piece)
 		if changed == nil {
 			a.charged = append(a.charged, taken...)
 			a.missing = 0
@@ -326,13 +326,13 @@
 	select {
 	case <-f.answered:
 	case <-timer.C:
-		if !f.leave() {
+		if !f.abandon() {
 			a.limiter.memory.recordLate(time.Now(), f.keeper)
 			a.unanswered++
 			return masticcall.ChargeAnswer{}, false
 		}
 	case <-ctx.Done():
-		if !f.leave() {
+		if !f.abandon() {
 			a.unanswered++
 			return masticcall.ChargeAnswer{}, false
 		}
--- a/masticbucket/memory.go
+++ b/masticbucket/memory.go
@@ -52,8 +52,8 @@
 	clear(m.loggedUntil)
 }
 
-// isNews reports whether the end of a keeper is to be logged.
-func (m *memory) isNews(now time.Time, h Host) bool {
+// shouldLog reports whether the end of a keeper is to be logged.
+func (m *memory) shouldLog(now time.Time, h Host) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if now.Before(m.loggedUntil[h.Name]) {
--- a/masticbucket/throttle.go
+++ b/masticbucket/throttle.go
@@ -26,6 +26,8 @@
 type throttles struct {
 	mutex  sync.Mutex
 	counts map[throttleKey]*throttle
+	// random returns numbers from 0 to 1, as rand.Float64 does.
+	random func() float64
 }
 
 // throttleKey is a workspace and the number of bits of a request's tokens: keepers that have no tokens for a long request
@@ -45,7 +47,9 @@
 	at                 time.Time
 }
 
-func newThrottles() *throttles { return &throttles{counts: map[throttleKey]*throttle{}} }
+func newThrottles() *throttles {
+	return &throttles{counts: map[throttleKey]*throttle{}, random: rand.Float64}
+}
 
 func (t *throttle) decay(now time.Time) {
 	passed := now.Sub(t.at)
@@ -66,7 +70,7 @@
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	refuses := x.of(now, k).refuses()
-	return refuses > 0 && rand.Float64() < refuses
+	return refuses > 0 && x.random() < refuses
 }
 
 // record counts a request that was admitted, or refused for the rate.
@@ -85,7 +89,7 @@
 func (x *throttles) returnDelay(now time.Time, k throttleKey, delay time.Duration) time.Duration {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	return delay + time.Duration(rand.Float64()*x.of(now, k).refuses()*float64(overloadReturnTime))
+	return delay + time.Duration(x.random()*x.of(now, k).refuses()*float64(overloadReturnTime))
 }
 
 // of returns the counts of k at now. The caller holds the mutex.
--- a/masticroute/events.go
+++ b/masticroute/events.go
@@ -15,7 +15,7 @@
 	}
 	if reset {
 		r.cacheIndex.Reset(slot)
-		r.addNews(Touch{Server: name, Reset: true})
+		r.addCacheChange(Touch{Server: name, Reset: true})
 	}
 	for _, e := range events {
 		changed, gone := r.cacheIndex.ApplyPart(now, slot, e)
@@ -25,16 +25,16 @@
 		if !gone {
 			r.finishedReadings++
 		}
-		r.addNews(Touch{Server: name, Pieces: changed, Gone: gone})
+		r.addCacheChange(Touch{Server: name, Pieces: changed, Gone: gone})
 	}
 }
 
-// maxNews bounds the touches from cache events between two reports. It leaves room for placements.
-const maxNews = maxTouches / 2
+// maxCacheChanges bounds the touches from cache events between two reports. It leaves room for placements.
+const maxCacheChanges = maxTouches / 2
 
-// addNews adds t to the next report to other hosts, if there is room; a reset always.
-func (r *Router) addNews(t Touch) {
-	if r.shared && r.shards == nil && (t.Reset || len(r.unsentTouches) < maxNews) {
+// addCacheChange adds t to the next report to other hosts, if there is room; a reset always.
+func (r *Router) addCacheChange(t Touch) {
+	if r.shared && r.shards == nil && (t.Reset || len(r.unsentTouches) < maxCacheChanges) {
 		r.unsentTouches = append(r.unsentTouches, t)
 	}
 }
