--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -43,7 +43,7 @@
 	origins masticcall.Origins
 	// traffic places requests while a rollout moves them to another version; nil without rollouts.
 	traffic  *masticrollout.Traffic
-	inTouch  func(now time.Time) bool
+	leased   func(now time.Time) bool
 	backends BackendProtocol
 	callers  CallerProtocol
 	// bodies bounds the bodies of all calls together.
--- a/masticrelay/rollout.go
+++ b/masticrelay/rollout.go
@@ -23,10 +23,10 @@
 	maxPlacements = 4
 )
 
-// WithTraffic sets what places requests while the traffic of a service moves to another software version. inTouch reports
-// whether this host's word from control is recent.
-func WithTraffic(t *masticrollout.Traffic, inTouch func(now time.Time) bool) Option {
-	return func(c *Relay) { c.traffic, c.inTouch = t, inTouch }
+// WithTraffic sets what places requests while the traffic of a service moves to another software version. leased reports
+// whether this host has a valid view lease.
+func WithTraffic(t *masticrollout.Traffic, leased func(now time.Time) bool) Option {
+	return func(c *Relay) { c.traffic, c.leased = t, leased }
 }
 
 // assign has the dispatcher assign a backend server other than the unavailable ones, of a version that may get the attempt.
@@ -64,8 +64,8 @@
 	now, software := time.Now(), r.allowedSoftware()
 	p, err := r.relay.traffic.Begin(now, masticrollout.Ask{
 		Service: r.pool.Name, Bound: r.origin.bound, Repeated: r.placed, Random: rand.Float64(),
-		First:   first && r.attempts == 0 && software == r.origin.bound,
-		InTouch: r.relay.inTouch(now),
+		First:  first && r.attempts == 0 && software == r.origin.bound,
+		Leased: r.relay.leased(now),
 	})
 	if err == nil && software.Required && p.Software.Allows(software.Version) {
 		p.Software = software
--- a/masticrollout/fleet_test.go
+++ b/masticrollout/fleet_test.go
@@ -216,7 +216,7 @@
 
 func (s *simulation) request(at time.Duration, h *simulatedHost) {
 	for first := true; ; first = false {
-		p, err := h.traffic.Begin(s.time(at), Ask{Service: simulatedService, First: first, Repeated: false, InTouch: at-h.lastTouch < leaseLifetime, Random: s.random.Float64()})
+		p, err := h.traffic.Begin(s.time(at), Ask{Service: simulatedService, First: first, Repeated: false, Leased: at-h.lastTouch < leaseLifetime, Random: s.random.Float64()})
 		if err != nil {
 			panic(err)
 		}
--- a/masticrollout/traffic.go
+++ b/masticrollout/traffic.go
@@ -121,8 +121,8 @@
 	First bool
 	// Repeated reports that a request was counted before: this is a further attempt.
 	Repeated bool
-	// InTouch reports that the host's word from control is recent.
-	InTouch bool
+	// Leased reports that the host has a valid view lease.
+	Leased bool
 	// Random is drawn from 0 to 1.
 	Random float64
 }
@@ -178,7 +178,7 @@
 	}
 	switch r.Step {
 	case masticview.RolloutObserve, masticview.RolloutLoad, masticview.RolloutConfirm, masticview.RolloutTrial:
-		if q.First && q.InTouch && q.Random*masticview.WholeShare < float64(r.Share) && s.targets > len(s.avoid) && s.allows() {
+		if q.First && q.Leased && q.Random*masticview.WholeShare < float64(r.Share) && s.targets > len(s.avoid) && s.allows() {
 			p.Software, p.Avoid = masticcall.OnlySoftware(r.Target), s.avoid
 			p.target, p.reserved, p.Sampled = true, true, true
 			return nil
@@ -209,7 +209,7 @@
 		allowed = !p.target
 	case masticview.RolloutObserve, masticview.RolloutLoad, masticview.RolloutConfirm, masticview.RolloutTrial:
 		p.reserved = p.target
-		allowed = !p.target || q.InTouch && s.allows()
+		allowed = !p.target || q.Leased && s.allows()
 	case masticview.RolloutClose, masticview.RolloutCompleted:
 		allowed = p.target
 	}
--- a/masticrollout/traffic_test.go
+++ b/masticrollout/traffic_test.go
@@ -60,7 +60,7 @@
 func TestVersionsAllowedInEachStep(t *testing.T) {
 	c := qt.New(t)
 	p := newPlacing(c)
-	first := Ask{First: true, InTouch: true}
+	first := Ask{First: true, Leased: true}
 	c.Assert(p.allowed(first), qt.Equals, "v1v2", qt.Commentf("without a rollout"))
 	for _, x := range []struct {
 		step                                      masticview.RolloutStep
@@ -78,10 +78,10 @@
 	} {
 		p.step(x.step, 10)
 		c.Check(p.allowed(first), qt.Equals, x.first, qt.Commentf("%s", x.step))
-		c.Check(p.allowed(Ask{InTouch: true, Repeated: true}), qt.Equals, x.repeated, qt.Commentf("%s, sent again", x.step))
+		c.Check(p.allowed(Ask{Leased: true, Repeated: true}), qt.Equals, x.repeated, qt.Commentf("%s, sent again", x.step))
 		c.Check(p.allowed(Ask{First: true}), qt.Equals, x.silent, qt.Commentf("%s, without control", x.step))
-		c.Check(p.allowed(Ask{InTouch: true, Bound: masticcall.OnlySoftware("v1")}), qt.Equals, x.oldStream, qt.Commentf("%s, stream of v1", x.step))
-		c.Check(p.allowed(Ask{InTouch: true, Bound: masticcall.OnlySoftware("v2")}), qt.Equals, x.newer, qt.Commentf("%s, stream of v2", x.step))
+		c.Check(p.allowed(Ask{Leased: true, Bound: masticcall.OnlySoftware("v1")}), qt.Equals, x.oldStream, qt.Commentf("%s, stream of v1", x.step))
+		c.Check(p.allowed(Ask{Leased: true, Bound: masticcall.OnlySoftware("v2")}), qt.Equals, x.newer, qt.Commentf("%s, stream of v2", x.step))
 	}
 }
 
@@ -91,7 +91,7 @@
 	c := qt.New(t)
 	p := newPlacing(c)
 	p.step(masticview.RolloutObserve, 2)
-	first := Ask{Service: "huvo", First: true, InTouch: true}
+	first := Ask{Service: "huvo", First: true, Leased: true}
 	for range 2 {
 		x, err := p.traffic.Begin(p.at, first)
 		c.Assert(err, qt.IsNil)
@@ -113,7 +113,7 @@
 	other := masticview.Host{Name: "g", Address: "b", State: masticview.HostLive, Weight: 1}
 	p.view = p.view.WithHost(other).WithRevision(2)
 	p.step(masticview.RolloutObserve, 4)
-	first := Ask{Service: "huvo", First: true, InTouch: true}
+	first := Ask{Service: "huvo", First: true, Leased: true}
 	for range 2 {
 		x, err := p.traffic.Begin(p.at, first)
 		c.Assert(err, qt.IsNil)
@@ -131,7 +131,7 @@
 func TestRequestOfBeforeTheOrderIsPlacedAgain(t *testing.T) {
 	c := qt.New(t)
 	p := newPlacing(c)
-	x, err := p.traffic.Begin(p.at, Ask{Service: "huvo", First: true, InTouch: true})
+	x, err := p.traffic.Begin(p.at, Ask{Service: "huvo", First: true, Leased: true})
 	c.Assert(err, qt.IsNil)
 	p.step(masticview.RolloutObserve, 2)
 	c.Assert(x.Assigned(p.at, newServer), qt.IsFalse)
@@ -151,7 +151,7 @@
 	} {
 		p := newPlacing(c)
 		p.step(x.from, 10)
-		placement, err := p.traffic.Begin(p.at, Ask{Service: "huvo", First: true, InTouch: true})
+		placement, err := p.traffic.Begin(p.at, Ask{Service: "huvo", First: true, Leased: true})
 		c.Assert(err, qt.IsNil)
 		c.Assert(placement.Software.Allows(x.server.Software), qt.IsTrue)
 		p.step(x.to, 10)
