--- a/masticcontrol/rollout_test.go
+++ b/masticcontrol/rollout_test.go
@@ -40,7 +40,7 @@
 
 func (r *rolloutTraffic) request() {
 	now := time.Now()
-	p, err := r.traffic.Begin(now, masticrollout.Ask{Service: "huvo", First: true, InTouch: true, Random: float64(now.UnixMicro()%1000) / 1000})
+	p, err := r.traffic.Begin(now, masticrollout.Ask{Service: "huvo", First: true, Leased: true, Random: float64(now.UnixMicro()%1000) / 1000})
 	if err != nil {
 		return
 	}
