Learners are promoted while entries are committed

Cause, from the leader's log: it proposed no promotion, since a learner counted as caught up only at an instant in which it had stored every committed entry. With bounded batches of the control loop, entries are committed all the time under load, and the learner always lacks those under way.

A learner may now lack 64 committed entries. That is safe: a quorum of the former voters has every committed entry, and no candidate without one can get a quorum of the new list.

--- a/masticquorum/progress.go
+++ b/masticquorum/progress.go
@@ -215,8 +215,13 @@
 	return now.Before(p.answeredRoundSentAt.Add(c.electionTimeout))
 }
 
-// caughtUp reports whether the member is responsive and has stored every committed entry and
-// the first entry of the term durably.
+// maxLearnerLag is the number of committed entries that a member may lack to count as caught up. While entries are committed
+// all the time, a learner always lacks those under way, and one that had to have all was not promoted for 10 s. Its vote
+// needs no more: a quorum of the former voters has every committed entry.
+const maxLearnerLag = 64
+
+// caughtUp reports whether the member is responsive and has stored the first entry of the term and, but for
+// maxLearnerLag, every committed entry durably.
 func (c *Core) caughtUp(now time.Time, p *progress) bool {
-	return p.storage != "" && p.match >= c.commit && p.match >= c.termStart && c.responsive(now, p)
+	return p.storage != "" && p.match+maxLearnerLag >= c.commit && p.match >= c.termStart && c.responsive(now, p)
 }
