--- a/masticquorum/caughtup_test.go
+++ b/masticquorum/caughtup_test.go
@@ -12,7 +12,8 @@
 func TestLearnerIsNotPromotedWhileEntriesAreCommitted(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1_000, 0)
-	core := &Core{commit: 1_000, termStart: 900}
+	core := &Core{commit: 1_000}
+	core.termStart = 900
 	core.electionTimeout = time.Second
 	for match, caughtUp := range map[uint64]bool{1_000: true, 999: true, 1_000 - maxLearnerLag: true, 1_000 - maxLearnerLag - 1: false, 0: false} {
 		p := &progress{storage: "s", match: match, answeredRoundSentAt: now}
