The own path checks callers and deadlines right before it sends

Callers of the own path saw, as on the relay path before, that a host short of processor time sent requests to servers after they had closed their connections, and after the deadline: only the relay path asked the socket. Cause: masticgate relied on the background read and the timers of net/http.

The gate now makes the same checks after each wait, watches the connection while a request runs, and counts deadlines from the arrival of the bytes. masticengine.Call has BeforeSend, called once net/http has a connection. An order goes on after its caller has left, as before.

--- a/masticengine/call.go
+++ b/masticengine/call.go
@@ -65,6 +65,9 @@
 	Once bool
 	// Content is the content in reports of ended servers.
 	Content masticcall.Content
+	// BeforeSend, when set, is called once there is a connection, right before the first byte is sent on it. Nothing is sent
+	// if it returns an error.
+	BeforeSend func() error
 	// Check, when set, is called periodically; its error ends the call.
 	Check func() error
 	// BeforeWait, when set, is called before a stream waits for more data; its error ends the
--- a/masticengine/conn.go
+++ b/masticengine/conn.go
@@ -67,10 +67,6 @@
 	uses      []connUse
 }
 
-func (t *sendTrace) hooks() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: t.gotConn}
-}
-
 func (t *sendTrace) gotConn(i httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -112,9 +112,7 @@
 	if x.call.Query != "" {
 		url += "?" + x.call.Query
 	}
-	hooks := x.trace.hooks()
-	hooks.Got1xxResponse = x.observeInformational
-	ctx := httptrace.WithClientTrace(x.ctx, hooks)
+	ctx := httptrace.WithClientTrace(x.ctx, &httptrace.ClientTrace{GotConn: x.gotConn, Got1xxResponse: x.observeInformational})
 	q, err := http.NewRequestWithContext(ctx, x.call.Method, url, bytes.NewReader(x.call.Body))
 	if err != nil {
 		return nil, err
@@ -126,6 +124,18 @@
 	return q, nil
 }
 
+// gotConn records the connection that net/http assigned and calls Call.BeforeSend. net/http calls it before it writes.
+func (x *exchange) gotConn(i httptrace.GotConnInfo) {
+	x.trace.gotConn(i)
+	if x.call.BeforeSend == nil {
+		return
+	}
+	if err := x.call.BeforeSend(); err != nil {
+		x.cancel(masticerror.From(err))
+		x.trace.stop()
+	}
+}
+
 // transport returns the single-use transport for calls that must not be repeated, and for plain services
 // whose answers do not state the request's ID: on a used connection, a second copy of an earlier answer
 // could not be told from the answer to this call.
--- a/masticgate/fake_test.go
+++ b/masticgate/fake_test.go
@@ -189,7 +189,7 @@
 	views    *fakeViews
 	results  []masticcall.Result
 	acquired []masticcall.Request
-	// beforeAcquire, if not nil, is called at the start of each Acquire.
+	// beforeAcquire, if not nil, is called at the start of each Acquire and AcquireService.
 	beforeAcquire func()
 	// full makes requests wait until their context ends.
 	full bool
@@ -222,6 +222,9 @@
 }
 
 func (f *fakeDispatcher) AcquireService(ctx context.Context, service masticview.Service, avoid []string) (masticcall.Assignment, error) {
+	if f.beforeAcquire != nil {
+		f.beforeAcquire()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.full {
--- a/masticgate/fixture_test.go
+++ b/masticgate/fixture_test.go
@@ -108,6 +108,7 @@
 	b.gate = g
 	b.server = httptest.NewUnstartedServer(g)
 	b.server.Config.ReadHeaderTimeout = g.NewServer().ReadHeaderTimeout
+	b.server.Config.ConnContext = g.NewServer().ConnContext
 	b.server.Config.MaxHeaderBytes = g.NewServer().MaxHeaderBytes
 	b.server.Start()
 	b.t.Cleanup(func() { b.c.Check(b.engine.AnswerBytes(), qt.Equals, int64(0)) })
--- a/masticgate/gate.go
+++ b/masticgate/gate.go
@@ -9,6 +9,7 @@
 
 	"masticladder/masticbody"
 	"masticladder/masticcall"
+	"masticladder/masticcaller"
 	"masticladder/masticengine"
 	"masticladder/masticerror"
 	"masticladder/masticretry"
@@ -71,6 +72,7 @@
 func (g *Gate) NewServer() *http.Server {
 	return &http.Server{
 		Handler:           g,
+		ConnContext:       masticcaller.WithConnection,
 		ReadHeaderTimeout: millis(g.limits.HeaderMillis),
 		IdleTimeout:       millis(g.limits.IdleMillis),
 		MaxHeaderBytes:    g.limits.MaxHeaderBytes,
--- a/masticgate/inbound.go
+++ b/masticgate/inbound.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"masticladder/masticbody"
+	"masticladder/masticcaller"
 	"masticladder/masticdrain"
 	"masticladder/masticengine"
 	"masticladder/masticerror"
@@ -43,7 +44,9 @@
 	request            *http.Request
 	writer             http.ResponseWriter
 	responseController *http.ResponseController
-	identity           identity
+	// connection is that of the caller, nil if its state is unknown.
+	connection *masticcaller.Connection
+	identity   identity
 	// body is nil before the body is read.
 	body *masticbody.Reader
 	// answers are the answers of backend servers, which finish releases.
@@ -51,6 +54,7 @@
 	// service and model are set once they are known to be configured names.
 	service string
 	model   string
+	// started is when the request's bytes arrived. The caller's deadline counts from then.
 	started time.Time
 	// running is nil for requests that a drain does not wait for.
 	running *masticdrain.Request
@@ -59,13 +63,15 @@
 }
 
 func (g *Gate) newInbound(w http.ResponseWriter, r *http.Request) *inbound {
+	connection := masticcaller.FromContext(r.Context())
 	q := &inbound{
 		gate:               g,
 		id:                 newRequestID(),
 		request:            r,
 		writer:             w,
 		responseController: http.NewResponseController(w),
-		started:            g.now(),
+		connection:         connection,
+		started:            g.now().Add(-connection.SinceData()),
 	}
 	w.Header().Set(HeaderRequestID, q.id)
 	if g.drain.isLeaving() {
--- a/masticgate/model.go
+++ b/masticgate/model.go
@@ -59,6 +59,8 @@
 	defer cancel()
 	ctx, scope := q.gate.drain.plan.Sent(ctx)
 	defer scope.End()
+	ctx, watch := q.connection.Watch(ctx)
+	defer watch.Stop()
 	m := newModelCall(q, p, q.deadline())
 	q.admit(p.model, q.deadline())
 	m.finish(m.run(ctx))
@@ -200,9 +202,13 @@
 	return a, nil
 }
 
-// recheck checks the key, the profile's model and the quarantine against the newest view.
+// recheck checks the caller's connection and the deadline, and the key, the profile's model and the quarantine against the
+// newest view.
 func (m *modelCall) recheck() *masticerror.Error {
 	g := m.inbound.gate
+	if e := m.inbound.waitingError(m.request.Deadline); e != nil {
+		return e
+	}
 	if e := g.recheck(m.inbound.identity, m.prompt.allowedBy); e != nil {
 		return e
 	}
--- a/masticgate/order.go
+++ b/masticgate/order.go
@@ -26,13 +26,13 @@
 // disconnects, so that the outcome is recorded for a resend.
 func (c *serviceCall) serveOrder() {
 	q := c.inbound
-	deadline := q.started.Add(millis(q.gate.limits.OrderMillis))
-	q.admit(c.service.Name, deadline)
-	if e := q.gate.drain.orderError(deadline); e != nil {
+	c.deadline = q.started.Add(millis(q.gate.limits.OrderMillis))
+	q.admit(c.service.Name, c.deadline)
+	if e := q.gate.drain.orderError(c.deadline); e != nil {
 		q.refuse(e)
 		return
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(q.request.Context()), deadline)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(q.request.Context()), c.deadline)
 	defer cancel()
 	ctx, scope := q.gate.drain.plan.Sent(ctx)
 	defer scope.End()
@@ -46,7 +46,6 @@
 		o := keyedOrder{
 			serviceCall: c,
 			key:         masticcall.OrderKey{Workspace: q.identity.profile.Workspace, IdempotencyKey: key},
-			deadline:    deadline,
 		}
 		o.run(ctx)
 	}
@@ -79,8 +78,7 @@
 // keyedOrder is an order whose outcome is recorded under an idempotency key.
 type keyedOrder struct {
 	*serviceCall
-	key      masticcall.OrderKey
-	deadline time.Time
+	key masticcall.OrderKey
 }
 
 // digest returns the digest of the call's content, by which the ledger refuses a key that is
--- a/masticgate/service.go
+++ b/masticgate/service.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"masticladder/masticcall"
 	"masticladder/masticdrain"
@@ -21,6 +22,7 @@
 	service     masticview.Service
 	path        string
 	body        []byte
+	deadline    time.Time
 	avoid       []string
 	server      string
 	serverOwner string
@@ -40,7 +42,8 @@
 		return
 	}
 	if c.service.Idempotent {
-		q.admit(c.service.Name, q.deadline())
+		c.deadline = q.deadline()
+		q.admit(c.service.Name, c.deadline)
 		c.serveIdempotent()
 		return
 	}
@@ -96,10 +99,13 @@
 
 func (c *serviceCall) allowedBy(p masticview.Profile) bool { return p.AllowsService(c.service.Name) }
 
-// recheck checks the quarantine, and the key again unless the service was open at the start and
+// recheck checks the caller's connection, the deadline and the quarantine, and the key again unless the service was open at the start and
 // still is.
 func (c *serviceCall) recheck() *masticerror.Error {
 	g := c.inbound.gate
+	if e := c.waitingError(); e != nil {
+		return e
+	}
 	if e := g.quarantineError(c.content); e != nil {
 		return e
 	}
@@ -147,16 +153,17 @@
 	c.server, c.serverOwner = a.Server().Name, a.Server().Owner
 	c.inbound.waitForAnswer(c.server)
 	answer, err := c.inbound.gate.engine.Do(ctx, masticengine.Call{
-		Server:    a.Server(),
-		RequestID: c.inbound.id,
-		Method:    c.inbound.request.Method,
-		Path:      c.path,
-		Query:     c.inbound.request.URL.RawQuery,
-		Header:    c.inbound.request.Header,
-		Body:      c.body,
-		Workspace: c.inbound.identity.profile.Workspace,
-		Once:      !c.service.Idempotent,
-		Content:   c.content,
+		Server:     a.Server(),
+		RequestID:  c.inbound.id,
+		Method:     c.inbound.request.Method,
+		Path:       c.path,
+		Query:      c.inbound.request.URL.RawQuery,
+		Header:     c.inbound.request.Header,
+		Body:       c.body,
+		Workspace:  c.inbound.identity.profile.Workspace,
+		Once:       !c.service.Idempotent,
+		Content:    c.content,
+		BeforeSend: c.beforeSend,
 	})
 	c.releaseHold(err == nil)
 	if err != nil {
@@ -181,10 +188,12 @@
 
 // serveIdempotent serves a call that may be sent to several backend servers until one answers.
 func (c *serviceCall) serveIdempotent() {
-	ctx, cancel := context.WithDeadline(c.inbound.request.Context(), c.inbound.deadline())
+	ctx, cancel := context.WithDeadline(c.inbound.request.Context(), c.deadline)
 	defer cancel()
 	ctx, scope := c.inbound.gate.drain.plan.Sent(ctx)
 	defer scope.End()
+	ctx, watch := c.inbound.connection.Watch(ctx)
+	defer watch.Stop()
 	answer, e := c.sendWithRetries(ctx)
 	if e != nil {
 		c.fail(e)
