A malformed cache event costs only itself

One event that could not be decoded made the host discard the page and read it again each second without end, so that nothing more was learned of that server's cache. Malformed events are now left out and counted (events_malformed).

--- a/masticevents/cursor.go
+++ b/masticevents/cursor.go
@@ -19,6 +19,8 @@
 	// Lost reports that events before those of the page are missing.
 	Lost   bool
 	Events []Event
+	// Malformed is the number of events that could not be decoded.
+	Malformed int
 }
 
 // Cursor is the position in the events of one server. It is immutable.
--- a/masticevents/reader.go
+++ b/masticevents/reader.go
@@ -67,23 +67,23 @@
 	running atomic.Int64
 	group   sync.WaitGroup
 	stop    chan struct{}
-	// calls, failures, events, lost and resets count calls, those that failed, events, pages with a gap and
-	// restarts of servers.
-	calls, failures, events, lost, resets metrics.Counter
+	// calls, failures, events, malformed, lost and resets count calls, those that failed, events, events that could not be
+	// decoded, pages with a gap and restarts of servers.
+	calls, failures, events, malformed, lost, resets metrics.Counter
 }
 
 // New returns the readers of the named host.
 func New(host string, view func() masticview.View, source Source, sink Sink, log logrus.FieldLogger) *Readers {
 	return &Readers{
 		host: host, view: view, source: source, sink: sink, log: log, readers: map[string]*reader{}, stop: make(chan struct{}),
-		calls: metrics.NewCounter(), failures: metrics.NewCounter(), events: metrics.NewCounter(), lost: metrics.NewCounter(), resets: metrics.NewCounter(),
+		calls: metrics.NewCounter(), failures: metrics.NewCounter(), events: metrics.NewCounter(), malformed: metrics.NewCounter(), lost: metrics.NewCounter(), resets: metrics.NewCounter(),
 	}
 }
 
 // Register adds the counters to r.
 func (r *Readers) Register(registry metrics.Registry) error {
 	for name, c := range map[string]metrics.Counter{
-		"events.calls": r.calls, "events.failures": r.failures, "events.read": r.events, "events.lost": r.lost, "events.restarts": r.resets,
+		"events.calls": r.calls, "events.failures": r.failures, "events.read": r.events, "events.malformed": r.malformed, "events.lost": r.lost, "events.restarts": r.resets,
 	} {
 		if err := registry.Register(name, c); err != nil {
 			return err
@@ -199,6 +199,7 @@
 	next, batch := x.cursor.WithPage(page)
 	x.cursor = next
 	r.events.Inc(int64(len(batch.Events)))
+	r.malformed.Inc(int64(page.Malformed))
 	if page.Lost {
 		r.lost.Inc(1)
 	}
