A control host with a replaced folder does not count itself a voter

Status has Voter, which compares the storage too.

TestHostWithReplacedStorageIsNoVoter failed before.

--- a/masticcontrol/control.go
+++ b/masticcontrol/control.go
@@ -111,7 +111,7 @@
 // Address returns the bound address.
 func (c *Control) Address() string { return c.server.Address() }
 
-// Joined reports whether this host is a voter and knows the leader. A host that has not joined
+// Joined reports whether this host is a voter, with its present storage, and knows the leader. A host that has not joined
 // asks the leader to make it a voter.
 func (c *Control) Joined() bool { return c.loop.joined.Load() }
 
--- a/masticcontrol/fulldisk_soak_test.go
+++ b/masticcontrol/fulldisk_soak_test.go
@@ -29,6 +29,8 @@
 	maxFullMillis, maxPauseMillis = 1200, 400
 	// soakReopenDelay is the time after which control is opened again, as in masticdaemon.
 	soakReopenDelay = 500 * time.Millisecond
+	// soakJoinInterval and soakJoinTimeout are those with which a host that is no voter asks to be one, as in masticdaemon.
+	soakJoinInterval, soakJoinTimeout = 300 * time.Millisecond, 2 * time.Second
 	// soakDocumentBytes is the size of the large changes beside the full disks.
 	soakDocumentBytes = 60 << 10
 )
@@ -38,6 +40,9 @@
 	cluster *cluster
 	node    *node
 	members []*masticproto.Member
+	// joiner asks for the host, own, to be made a voter.
+	joiner  *client
+	own     *masticproto.Member
 	stopped chan struct{}
 	running sync.WaitGroup
 	// openings is the number of times that control was opened or failed to open.
@@ -48,13 +53,43 @@
 	failure error
 }
 
-func (c *cluster) reopen(name string, members []*masticproto.Member) *reopener {
-	r := &reopener{cluster: c, node: c.nodes[name], members: members, stopped: make(chan struct{})}
-	r.running.Add(1)
+func (c *cluster) reopen(name string, joiner *client, members []*masticproto.Member) *reopener {
+	own := &masticproto.Member{Id: name, Voter: true, Address: c.nodes[name].relay.address()}
+	r := &reopener{cluster: c, node: c.nodes[name], joiner: joiner, own: own, members: members, stopped: make(chan struct{})}
+	r.running.Add(2)
 	go r.run()
+	go r.joinLoop()
 	return r
 }
 
+// joinLoop asks for the host to be made a voter while it is none. A leader that was restarted after it demoted a host without
+// files does not know that the host is to be promoted again.
+func (r *reopener) joinLoop() {
+	defer r.running.Done()
+	for {
+		select {
+		case <-r.stopped:
+			return
+		case <-time.After(soakJoinInterval):
+		}
+		if r.isOpen() && !r.joined() {
+			r.join()
+		}
+	}
+}
+
+func (r *reopener) join() {
+	ctx, cancel := context.WithTimeout(context.Background(), soakJoinTimeout)
+	defer cancel()
+	_ = r.joiner.Operator().ChangeMember(ctx, r.own.GetId(), r.own)
+}
+
+func (r *reopener) isOpen() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.control != nil
+}
+
 func (r *reopener) run() {
 	defer r.running.Done()
 	for r.keep(r.runOnce()) {
@@ -166,6 +201,7 @@
 	hosts   map[string]*reopener
 	agents  []*client
 	emptied string
+	joiner  *client
 }
 
 func newFullDiskSoak(t *testing.T, hosts int, seed uint64) *fullDiskSoak {
@@ -174,13 +210,13 @@
 		names[i] = string(rune('a' + i))
 	}
 	c := newCluster(t, names, masticcontrol.WithDiskBytes(testDiskBytes), masticcontrol.WithSnapshotEntries(40, 10))
-	s := &fullDiskSoak{cluster: c, random: rand.New(rand.NewPCG(seed, uint64(hosts))), disks: map[string]*disk{}, hosts: map[string]*reopener{}}
+	s := &fullDiskSoak{cluster: c, random: rand.New(rand.NewPCG(seed, uint64(hosts))), disks: map[string]*disk{}, hosts: map[string]*reopener{}, joiner: c.agent(90)}
 	for _, name := range names {
 		d := newDisk()
 		d.set(func(d *disk) { d.capacity = testDiskBytes })
 		s.disks[name] = d
 		c.nodes[name].options = []masticcontrol.Option{masticcontrol.WithStoreOptions(masticstore.WithFileSystem(d))}
-		s.hosts[name] = c.reopen(name, c.members())
+		s.hosts[name] = c.reopen(name, s.joiner, c.members())
 	}
 	t.Cleanup(s.stop)
 	return s
@@ -203,7 +239,7 @@
 		s.disks[name].set(func(d *disk) { clear(d.files) })
 		members = nil
 	}
-	s.hosts[name] = s.reopen(name, members)
+	s.hosts[name] = s.reopen(name, s.joiner, members)
 }
 
 // leaderName returns the current leader, "" if no agent reaches one at once.
--- a/masticcontrol/loop.go
+++ b/masticcontrol/loop.go
@@ -63,7 +63,7 @@
 	relay          *renewalRelay
 	// batchTime is the time of the current batch, deadline the time at which the next one is due.
 	batchTime, deadline time.Time
-	// joined reports that this host is a voter and knows the leader.
+	// joined reports that this host is a voter, with its present storage, and knows the leader.
 	joined atomic.Bool
 
 	// startedAt is when the loop was created. heardLeader reports that a leader was known since, or that maxReplay has passed.
@@ -172,9 +172,8 @@
 func (l *loop) storeRole() {
 	l.listReader.leading.Store(l.status.LeaseHeld)
 	l.relay.setLeader(l.status)
-	own := memberOf(l.status.Members, l.id)
 	l.counters.recordRole(l.status.Term, l.status.LeaseHeld)
-	l.joined.Store(own.GetVoter() && l.status.Leader != "")
+	l.joined.Store(l.status.Voter && l.status.Leader != "")
 }
 
 func (l *loop) startBackground() {
--- a/masticquorum/contract.go
+++ b/masticquorum/contract.go
@@ -56,6 +56,9 @@
 	// SnapshotIndex is the index of the last entry that the latest snapshot covers.
 	SnapshotIndex uint64
 	Members       []*masticproto.Member
+	// Voter reports that this host is a voter with its present storage. A host whose storage was replaced is listed as a
+	// voter until the leader demotes it, but its vote does not count.
+	Voter bool
 	// ChangePending reports that the latest member change is not yet committed.
 	ChangePending bool
 	// Peers describes the other members, in the order of Members. It is empty unless Leading.
--- a/masticquorum/core.go
+++ b/masticquorum/core.go
@@ -182,6 +182,7 @@
 		LastIndex:     c.log.lastIndex(),
 		SnapshotIndex: c.snapshot.GetIndex(),
 		Members:       c.currentMembers().members,
+		Voter:         c.currentMembers().isVoter(c.id, c.storage),
 		ChangePending: c.currentMembers().index > c.commit,
 	}
 	if s.Leading {
--- a/masticquorum/step_test.go
+++ b/masticquorum/step_test.go
@@ -275,3 +275,19 @@
 	}
 	c.Assert(a.ProposeMemberChange(now, Change{Kind: ChangeDemote, ID: "c"}), qt.IsNil)
 }
+
+// TestHostWithReplacedStorageIsNoVoter guards against a host that lost its files and takes itself for a voter because the list still
+// names its former storage: if the next host is emptied then, no quorum is left.
+func TestHostWithReplacedStorageIsNoVoter(t *testing.T) {
+	for storage, want := range map[string]bool{"a": true, "new": false} {
+		c := qt.New(t)
+		members := []*masticproto.Member{{Id: "a", Voter: true, Storage: "a"}, {Id: "b", Voter: true, Storage: "b"}, {Id: "c", Voter: true, Storage: "c"}}
+		core, err := New(
+			WithID("a"), WithStorageIncarnation(storage), WithStartTime(timeAt(0)),
+			WithSnapshot(&masticproto.Snapshot{Index: 1, Term: 1, Members: &masticproto.Members{Members: members}}),
+			WithElectionTimeout(testElectionTimeout), WithHeartbeatInterval(testHeartbeatInterval),
+		)
+		c.Assert(err, qt.IsNil)
+		c.Assert(core.Status(timeAt(0)).Voter, qt.Equals, want)
+	}
+}
