--- a/masticagent/reporter.go
+++ b/masticagent/reporter.go
@@ -92,9 +92,9 @@
 	r.sendUsage(ctx)
 }
 
-// sendSuspects sends pending suspect reports, the oldest first. Goroutines may send concurrently: a report that
-// is committed again has no effect, since it has an ID. An attempt is short, so that the ages which a report states hold when it is
-// committed.
+// sendSuspects sends pending suspect reports, the oldest first. Goroutines may send concurrently: the ID of a failure shows
+// that it is committed again, and reports of completed requests and live servers say the same twice. An attempt is short,
+// so that the ages which a report states hold when it is committed.
 func (r *reporter) sendSuspects(ctx context.Context) error {
 	for {
 		if sent, err := r.sendFirstSuspects(ctx); err != nil || !sent {
--- a/masticcontrol/queues.go
+++ b/masticcontrol/queues.go
@@ -4,15 +4,16 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
-	"masticladder/masticclock"
 
+	"masticladder/masticclock"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
 	"masticladder/masticring"
 )
 
 const (
-	// maxWaitingReports bounds the reports of failed backend servers that wait for the loop; others are rejected at once. Crashes of many servers bring hundreds of them a second, and hosts report again what was rejected.
+	// maxWaitingReports bounds the reports of failed backend servers that wait for the loop; others are rejected at once. Crashes
+	// of many servers bring hundreds of them a second, and hosts report again what was rejected.
 	maxWaitingReports = 64
 	// maxBatchReports bounds the reports that one batch proposes, maxOpenReports those that are proposed and not applied yet.
 	maxBatchReports = 16
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -76,16 +76,6 @@
 // a host that cannot reach the control group keeps serving from its last view.
 func WithLease(v masticcall.Views) Option { return func(c *Relay) { c.lease = v } }
 
-// WithFreshness makes the relay refuse calls as not run that it would reject for their route or key while it knows that its view is
-// outdated.
-func WithFreshness(f Freshness) Option { return func(c *Relay) { c.freshness = f } }
-
-// Freshness tells whether the host's view is the newest one.
-type Freshness interface {
-	// Outdated reports whether the host knows of a newer view than its own.
-	Outdated() bool
-}
-
 // WithLimiter sets the limiter, which admits requests within the rates of their workspaces.
 func WithLimiter(l masticcall.Limiter) Option { return func(c *Relay) { c.limiter = l } }
 
@@ -381,16 +371,6 @@
 
 func (f *firstDocument) close() { close(f.available) }
 
-// outdatedOr returns err, or a refusal to be retried soon if the host knows that a newer view than its own exists: the newest document
-// may have the route or the key.
-func (c *Relay) outdatedOr(err *masticerror.Error) *masticerror.Error {
-	if c.freshness == nil || !c.freshness.Outdated() {
-		return err
-	}
-	c.metrics.outdated.Inc(1)
-	return unavailable(c, masticerror.KindNoLease, "this host does not have the newest view yet: %s", err.Message())
-}
-
 // leaseError returns a refusal if calls need a view lease and this host's has ended.
 func (c *Relay) leaseError() *masticerror.Error {
 	if c.lease != nil && !c.lease.Leased(masticclock.Now()) {
--- a/masticrelay/rollout.go
+++ b/masticrelay/rollout.go
@@ -105,7 +105,7 @@
 	default:
 		o.Bad = true
 	}
-	r.relay.metrics.recordVersion(r.relay.traffic.Part(r.pool.Name, server.Software), o)
+	r.relay.metrics.recordVersion(r.relay.traffic.Role(r.pool.Name, server.Software), o)
 	r.endPlacement(o)
 }
 
@@ -118,14 +118,43 @@
 	return server.Zone
 }
 
-// recordVersion counts an attempt while its service has a rollout: part is "target" or "other".
-func (m *requestMetrics) recordVersion(part string, o masticrollout.Outcome) {
-	if part == "" || o.Unknown {
+// recordVersion counts an attempt while its service has a rollout: role is "target" or "other".
+func (m *requestMetrics) recordVersion(role string, o masticrollout.Outcome) {
+	if role == "" || o.Unknown {
 		return
 	}
 	outcome := "good"
 	if o.Bad {
 		outcome = "bad"
 	}
-	metrics.GetOrRegisterCounter("rollout."+part+"."+outcome, m.registry).Inc(1)
+	metrics.GetOrRegisterCounter("rollout."+role+"."+outcome, m.registry).Inc(1)
+}
+
+// assignAny has the dispatcher assign a backend server other than the unavailable ones, of an allowed version.
+func (r *requestState) assignAny(ctx context.Context, unavailable []string, software masticcall.Software) (masticcall.Assignment, error) {
+	avoid := append(r.avoid[:len(r.avoid):len(r.avoid)], unavailable...)
+	if !r.pool.Engine {
+		return r.relay.dispatcher.AcquireService(ctx, withSoftware(r.relay.table.Load(), r.service, software), avoid)
+	}
+	firstTokenDeadline := r.call.Received.Add(r.route.TargetLatency)
+	return r.relay.dispatcher.Acquire(ctx, masticcall.Request{
+		ID:                 r.call.ID,
+		Workspace:          cacheScope(r.workspace),
+		Owner:              r.workspace.Name,
+		Priority:           max(0, r.route.Priority),
+		Weight:             1,
+		Model:              masticview.PoolModel(r.pool.Name, r.call.Model),
+		Class:              class(r.call),
+		Weights:            r.call.Model,
+		Levels:             r.call.Levels,
+		PromptTokens:       r.call.InputTokens,
+		OutputTokens:       r.call.OutputTokens,
+		Digest:             r.content.Digest,
+		FirstTokenDeadline: firstTokenDeadline,
+		Deadline:           r.deadline,
+		ServerWaitDeadline: r.call.Received.Add(r.route.TargetLatency / usableTimeoutDivisor),
+		Avoid:              avoid,
+		Software:           software,
+		Attempt:            0,
+	})
 }
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -272,35 +272,6 @@
 	return a, nil
 }
 
-// assignAny has the dispatcher assign a backend server other than the unavailable ones, of an allowed version.
-func (r *requestState) assignAny(ctx context.Context, unavailable []string, software masticcall.Software) (masticcall.Assignment, error) {
-	avoid := append(r.avoid[:len(r.avoid):len(r.avoid)], unavailable...)
-	if !r.pool.Engine {
-		return r.relay.dispatcher.AcquireService(ctx, withSoftware(r.relay.table.Load(), r.service, software), avoid)
-	}
-	firstTokenDeadline := r.call.Received.Add(r.route.TargetLatency)
-	return r.relay.dispatcher.Acquire(ctx, masticcall.Request{
-		ID:                 r.call.ID,
-		Workspace:          cacheScope(r.workspace),
-		Owner:              r.workspace.Name,
-		Priority:           max(0, r.route.Priority),
-		Weight:             1,
-		Model:              masticview.PoolModel(r.pool.Name, r.call.Model),
-		Class:              class(r.call),
-		Weights:            r.call.Model,
-		Levels:             r.call.Levels,
-		PromptTokens:       r.call.InputTokens,
-		OutputTokens:       r.call.OutputTokens,
-		Digest:             r.content.Digest,
-		FirstTokenDeadline: firstTokenDeadline,
-		Deadline:           r.deadline,
-		ServerWaitDeadline: r.call.Received.Add(r.route.TargetLatency / usableTimeoutDivisor),
-		Avoid:              avoid,
-		Software:           software,
-		Attempt:            0,
-	})
-}
-
 // attempt sends the request to the assigned backend server and relays the response.
 func (r *requestState) attempt(ctx context.Context, a masticcall.Assignment) *masticbackend.Failure {
 	server := a.Server()
--- a/masticrollout/plan.go
+++ b/masticrollout/plan.go
@@ -9,7 +9,7 @@
 	"masticladder/masticview"
 )
 
-// The parts of the time from the order to the deadline at which steps are taken. A version may become bad late, so that
+// Fractions of the time from the order to the deadline at which steps are taken. A version may become bad late, so that
 // it is observed for more than half of the time; the old servers need some of the rest to complete what runs.
 const (
 	observeFrom    = 0.04
@@ -23,7 +23,7 @@
 	trialFuture    = 0.4
 	trialInDoubt   = 0.15
 	minObservePart = 0.12
-	// minDrainPart has the version show for a moment how it does with all of the traffic.
+	// minDrainPart is the least time for which the version is judged with all of the traffic.
 	minDrainPart    = 0.07
 	closeFrom       = 0.82
 	lastChance      = 0.965
@@ -31,6 +31,8 @@
 	minObserveShare = 0.01
 	maxObserveShare = 0.25
 	maxLoadShare    = 0.5
+	// trialFrom is the index of the first server that the trial loads: another one than in the load step.
+	trialFrom = 1
 	// minFocus is the least number of servers that get the load of an old one each. With more than one, the allowance is
 	// used up before hosts have counted enough answers under that load.
 	minFocus = 1
@@ -133,8 +135,8 @@
 	return mostFraction * (p.bounds.ExposureShare*float64(p.decision.Totals.Requests) + p.bounds.ExposureSlack)
 }
 
-// part returns the part of the time from the order to the deadline that has passed, and inStep that since the step.
-func (p *planner) part() float64 {
+// elapsed returns the fraction of the time from the order to the deadline that has passed, and inStep that since the step.
+func (p *planner) elapsed() float64 {
 	r := p.situation.Rollout
 	return float64(p.now.Sub(r.OrderedAt)) / float64(max(1, r.Span()))
 }
@@ -155,7 +157,7 @@
 		p.step(masticview.RolloutRolledBack, 0, nil, "deadline: "+p.stalledBy())
 	case !p.situation.Heard:
 	case r.Step == masticview.RolloutWait:
-		if len(s.Targets) > 0 && p.part() >= observeFrom && p.part() <= skipTrialFrom {
+		if len(s.Targets) > 0 && p.elapsed() >= observeFrom && p.elapsed() <= skipTrialFrom {
 			p.step(masticview.RolloutObserve, p.observeShare(observeBudget, loadFrom), nil, "servers of the target version are listed")
 			p.allow(observeBudget)
 		}
@@ -168,7 +170,7 @@
 	case r.Step == masticview.RolloutTrial:
 		p.afterTrial()
 	case r.Step == masticview.RolloutDrain:
-		if p.situation.Confirmed && p.inStep() >= minDrainPart || p.part() >= closeFrom {
+		if p.situation.Confirmed && p.inStep() >= minDrainPart || p.elapsed() >= closeFrom {
 			p.step(masticview.RolloutClose, 1, nil, "new requests go to the target version")
 		}
 	case r.Step == masticview.RolloutClose && p.situation.Confirmed:
@@ -186,12 +188,12 @@
 // goes on. With the requests so far alone, versions of which 15 % of the answers fail were not known as bad in time.
 func (p *planner) mostOfTrial() float64 {
 	requests := float64(p.decision.Totals.Requests)
-	left := requests / max(observeFrom, p.part()) * max(0, 1-p.part())
+	left := requests / max(observeFrom, p.elapsed()) * max(0, 1-p.elapsed())
 	return p.most() + mostFraction*p.bounds.ExposureShare*trialFuture*left
 }
 
 func (p *planner) afterObserve() {
-	if p.inStep() < minObservePart || p.part() < loadFrom && p.inStep() < loadFrom-observeFrom {
+	if p.inStep() < minObservePart || p.elapsed() < loadFrom && p.inStep() < loadFrom-observeFrom {
 		return
 	}
 	focus, share := p.focus(0)
@@ -217,12 +219,12 @@
 	if !p.proven() || !p.carries() {
 		return
 	}
-	if p.part() >= skipTrialFrom {
+	if p.elapsed() >= skipTrialFrom {
 		// Leaders ended or servers came late: there is no time left for the trial.
 		p.step(masticview.RolloutDrain, 1, nil, "the target version is as good as the others")
 		return
 	}
-	focus, share := p.focus(minFocus)
+	focus, share := p.focus(trialFrom)
 	p.step(masticview.RolloutTrial, share, focus, "the target version is as good as the others so far")
 	p.decision.Next = p.decision.Next.WithAllowance(int64(p.mostOfTrial()))
 }
@@ -232,7 +234,7 @@
 func (p *planner) afterTrial() {
 	v := p.decision.Verdict
 	switch {
-	case p.part() < trialEnd && (p.inStep() < trialPart || v.Doubt && p.inStep() < trialInDoubt):
+	case p.elapsed() < trialEnd && (p.inStep() < trialPart || v.Doubt && p.inStep() < trialInDoubt):
 	case v.Evidence >= lastEvidence && v.Suspect == "":
 		p.step(masticview.RolloutRolledBack, 0, nil, v.text())
 	default:
@@ -254,14 +256,14 @@
 
 // planned returns the number of requests that the target version may get by the deadline, by the requests so far.
 func (p *planner) planned() float64 {
-	requests := float64(p.decision.Totals.Requests) / max(observeFrom, min(1, p.part()))
+	requests := float64(p.decision.Totals.Requests) / max(observeFrom, min(1, p.elapsed()))
 	return aimFraction * (p.bounds.ExposureShare*requests + p.bounds.ExposureSlack)
 }
 
 // observeShare returns the share by which an observation until the given part of the time uses the given part of the
 // planned exposure.
 func (p *planner) observeShare(budget, until float64) float64 {
-	requests := float64(p.decision.Totals.Requests) / max(observeFrom, p.part()) * max(minObservePart, until-p.part())
+	requests := float64(p.decision.Totals.Requests) / max(observeFrom, p.elapsed()) * max(minObservePart, until-p.elapsed())
 	left := budget*p.planned() - float64(p.decision.Totals.Exposed)
 	return min(maxObserveShare, max(minObserveShare, left/max(1, requests)))
 }
@@ -271,9 +273,9 @@
 	t := p.decision.Totals
 	enough := min(enoughAnswers, enoughShare*float64(t.Requests))
 	switch {
-	case p.part() < drainFrom || p.inStep() < minConfirmPart || len(p.situation.Servers.Targets) == 0:
+	case p.elapsed() < drainFrom || p.inStep() < minConfirmPart || len(p.situation.Servers.Targets) == 0:
 		return false
-	case p.part() < skipTrialFrom:
+	case p.elapsed() < skipTrialFrom:
 		return float64(t.Answers) >= enough
 	default:
 		return float64(t.Answers) >= enough/2
--- a/masticrollout/traffic.go
+++ b/masticrollout/traffic.go
@@ -279,8 +279,8 @@
 	}
 }
 
-// Part returns "target" or "other" for a version of a service whose rollout runs, and the empty string otherwise.
-func (t *Traffic) Part(service, version string) string {
+// Role returns "target" or "other" for a version of a service whose rollout runs, and the empty string otherwise.
+func (t *Traffic) Role(service, version string) string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	switch s := t.service(service); {
@@ -317,7 +317,7 @@
 	// Route and Stratum name like requests: only these are compared.
 	Route, Stratum string
 	// Bad reports a failure. Unknown reports that the attempt says nothing of the server: its caller went away, or the
-	// server was full.
+	// server stated when it takes requests again.
 	Bad, Unknown bool
 	Latency      time.Duration
 }
--- a/masticroute/rejections.go
+++ b/masticroute/rejections.go
@@ -8,7 +8,7 @@
 	firstFullTime = 50 * time.Millisecond
 	maxFullTime   = 400 * time.Millisecond
 	// fullQueueWait is the wait that is expected at a server that has rejected a request; it falls by the time that passes. In the
-	// replay of site H without coordinators, 400 ms gave 4,000 rejections, 800 ms 2,600, and without a wait there were 6,300.
+	// replay of an overloaded site without coordinators (masticschedule), 400 ms gave 4,000 rejections, 800 ms 2,600, and without a wait there were 6,300.
 	fullQueueWait = 800 * time.Millisecond
 	// maxCountedRejections is how many rejections in a row may count as failures. More of them show a server that is full or
 	// executes an order; one with a fault rejects requests among others that it answers.
--- a/masticsuspect/tracker.go
+++ b/masticsuspect/tracker.go
@@ -20,7 +20,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -40,43 +39,6 @@
 	MaxRecords = 16_384
 )
 
-// record is a request that ran on backend servers when they failed.
-type record struct {
-	// incarnations are those that have ended, lost those of which that is not known.
-	incarnations, lost []string
-	quarantineAfter    int
-	expiresUnixMs      int64
-}
-
-// failures returns the number of servers that failed under the request.
-func (r record) failures() int { return len(r.incarnations) + len(r.lost) }
-
-// suspect reports whether one more ended incarnation would quarantine the request.
-func (r record) suspect() bool { return r.failures() >= r.quarantineAfter-1 }
-
-// withFailure returns a copy that contains incarnation, as lost or ended.
-func (r record) withFailure(incarnation string, lost bool) record {
-	r = r.without(incarnation)
-	if lost {
-		r.lost = append(r.lost, incarnation)
-	} else {
-		r.incarnations = append(r.incarnations, incarnation)
-	}
-	return r
-}
-
-// without returns a copy without incarnation.
-func (r record) without(incarnation string) record {
-	same := func(x string) bool { return x == incarnation }
-	r.incarnations = slices.DeleteFunc(slices.Clone(r.incarnations), same)
-	r.lost = slices.DeleteFunc(slices.Clone(r.lost), same)
-	return r
-}
-
-func (r record) contains(incarnation string) bool {
-	return slices.Contains(r.incarnations, incarnation) || slices.Contains(r.lost, incarnation)
-}
-
 // Tracker is the set of recorded requests and holds. It is not safe for concurrent use.
 type Tracker struct {
 	records     map[masticview.Digest]record
@@ -194,22 +156,6 @@
 	}
 }
 
-// recordExpiresAt returns when the record of a request expires, and false if there is none.
-func (t *Tracker) recordExpiresAt(d masticview.Digest) (int64, bool) {
-	r, ok := t.records[d]
-	return r.expiresUnixMs, ok
-}
-
-func (t *Tracker) recordExpiries() iter.Seq2[masticview.Digest, int64] {
-	return func(yield func(masticview.Digest, int64) bool) {
-		for d, r := range t.records {
-			if !yield(d, r.expiresUnixMs) {
-				return
-			}
-		}
-	}
-}
-
 // FingerprintOf returns the fingerprint of a set of one suspect. That of several is the exclusive or of theirs.
 func FingerprintOf(d masticview.Digest) uint64 { return binary.BigEndian.Uint64(d[:]) }
 
@@ -431,16 +377,6 @@
 	t.expireHolds(now)
 }
 
-func (t *Tracker) expireRecords(now time.Time) {
-	for {
-		d, ok := t.recordExpiry.takeDue(now.UnixMilli(), t.recordExpiresAt, &t.visited)
-		if !ok {
-			return
-		}
-		t.remove(d)
-	}
-}
-
 func (t *Tracker) sortedDigests() []masticview.Digest {
 	out := make([]masticview.Digest, 0, len(t.records))
 	for d := range t.records {
