The evidence of a rollout is bounded by all kinds of answers together

The oldest slices are merged above 32,768 kinds now, further answers are counted without their stratum and then in leftOut of the log line of a step.

--- a/masticcontrol/rollout.go
+++ b/masticcontrol/rollout.go
@@ -94,7 +94,7 @@
 		WithField("step", next.Step).WithField("former", s.Rollout.Step).WithField("reason", next.Reason).
 		WithField("share", next.Share).WithField("allowance", next.Allowance).WithField("focus", next.Focus).
 		WithField("requests", t.Requests).WithField("exposed", t.Exposed).WithField("answers", t.Answers).WithField("bad", t.Bad).
-		WithField("otherAnswers", t.OtherAnswers).WithField("otherBad", t.OtherBad).WithField("runningOther", t.RunningOther).
+		WithField("otherAnswers", t.OtherAnswers).WithField("otherBad", t.OtherBad).WithField("runningOther", t.RunningOther).WithField("leftOut", t.LeftOut).
 		WithField("evidenceAgeMillis", t.OldestAge.Milliseconds()).WithField("evidence", v.Evidence).WithField("suspect", v.Suspect).
 		WithField("targets", len(s.Servers.Targets)).WithField("others", s.Servers.Others).
 		WithField("leftMillis", next.Deadline.Sub(now).Milliseconds()).WithField("error", err).Info("rollout step")
--- a/masticrollout/evidence.go
+++ b/masticrollout/evidence.go
@@ -1,6 +1,7 @@
 package masticrollout
 
 import (
+	"slices"
 	"time"
 
 	"masticladder/masticproto"
@@ -11,8 +12,11 @@
 	// maxSlices bounds the slices of time, and minSlice is the least length of one: hosts report each 0.2 s.
 	maxSlices = 40
 	minSlice  = time.Second
-	// maxCells bounds the kinds of like answers in one slice, over all hosts.
+	// maxCells bounds the kinds of like answers in one slice, over all hosts: further answers are counted without their stratum,
+	// and above twice as many not at all.
 	maxCells = 4096
+	// maxTotalCells bounds those of all slices but the last together, at some 350 bytes each: the oldest slices are merged.
+	maxTotalCells = 1 << 15
 )
 
 // Evidence sums what hosts have counted of one rollout. It is not safe for concurrent use.
@@ -25,6 +29,9 @@
 	slices []slice
 	// loaded is that of new slices.
 	loaded bool
+	// cells is the number of kinds of answers in all slices, leftOut that of answers that were not counted.
+	cells   int
+	leftOut int64
 }
 
 // hostEvidence is the last report of a host.
@@ -85,21 +92,49 @@
 	cells := current.cells
 	for _, r := range rows {
 		k := keyOf(r)
-		c, ok := cells[k]
-		if !ok && len(cells) >= maxCells {
-			continue
-		}
 		x, y := countsOf(r), countsOf(before[k])
 		x.subtract(&y)
 		if x == (counts{}) {
 			continue
 		}
-		if !ok {
-			c = new(counts)
-			cells[k] = c
+		if c := e.cell(cells, k); c != nil {
+			c.add(&x)
+		} else {
+			e.leftOut += x.total()
+		}
+	}
+}
+
+// mergeOldest merges the two oldest slices.
+func (e *Evidence) mergeOldest() {
+	first, second := &e.slices[0], e.slices[1]
+	for k, c := range second.cells {
+		if x := e.cell(first.cells, k); x != nil {
+			x.add(c)
+		} else {
+			e.leftOut += c.total()
 		}
-		c.add(&x)
 	}
+	e.cells -= len(second.cells)
+	first.loaded, first.long = first.loaded && second.loaded, true
+	e.slices = slices.Delete(e.slices, 1, 2)
+}
+
+// cell returns the counts of answers of a kind, of their route and server if there are many kinds, and nil if there are too many.
+func (e *Evidence) cell(cells map[rowKey]*counts, k rowKey) *counts {
+	c, ok := cells[k]
+	switch {
+	case ok:
+		return c
+	case len(cells) >= maxCells && k.stratum != "":
+		return e.cell(cells, rowKey{k.route, "", k.server})
+	case len(cells) >= 2*maxCells:
+		return nil
+	}
+	c = new(counts)
+	cells[k] = c
+	e.cells++
+	return c
 }
 
 func keyOf(r *masticproto.RolloutRow) rowKey {
@@ -120,6 +155,9 @@
 		s.long = s.long || now.Sub(s.at) > minSlice
 		return s
 	}
+	for e.cells >= maxTotalCells && len(e.slices) > 2 {
+		e.mergeOldest()
+	}
 	e.slices = append(e.slices, slice{at: now, cells: map[rowKey]*counts{}, loaded: e.loaded})
 	return &e.slices[len(e.slices)-1]
 }
@@ -141,13 +179,15 @@
 	Answers, Bad, OtherAnswers, OtherBad int64
 	// RunningTarget and RunningOther count the requests that run or wait.
 	RunningTarget, RunningOther int64
+	// LeftOut counts the answers that were not compared, of too many kinds.
+	LeftOut int64
 	// OldestAge is the age of the oldest last report of a host.
 	OldestAge time.Duration
 }
 
 // Totals returns the sums of all reports.
 func (e *Evidence) Totals(now time.Time) Totals {
-	t := Totals{}
+	t := Totals{LeftOut: e.leftOut}
 	for _, h := range e.hosts {
 		t.Requests += h.earlierRequests + h.report.GetRequests()
 		t.Exposed += h.earlierExposed + h.report.GetExposed()
--- a/masticrollout/traffic.go
+++ b/masticrollout/traffic.go
@@ -349,10 +349,10 @@
 	switch {
 	case ok:
 		return row
-	case len(s.rows) >= 2*maxRows:
-		return nil
 	case len(s.rows) >= maxRows && k.stratum != "":
 		return s.row(rowKey{k.route, "", k.server})
+	case len(s.rows) >= 2*maxRows:
+		return nil
 	}
 	row = new(counts)
 	s.rows[k] = row
