Tokens of a stalled host expire with their keeper's

The lifetime of tokens that a keeper had granted began when the request's goroutine handled the answer. On a host without processor time that is seconds after the keeper took them, when its bucket has filled again, so that the workspace got more than its burst. The lifetime begins 80 ms after the question at the latest now, the time for which a request waits for an answer. TestTokensOfStalledHostExpire: 3.23 s before for an answer that is handled after 3 s, 0.31 s now.

--- a/masticbucket/attempt.go
+++ b/masticbucket/attempt.go
@@ -93,14 +93,12 @@
 		if a.missing == 0 || a.unanswered >= maxUnanswered || a.maxAsked > 0 && a.asked >= a.maxAsked {
 			break
 		}
+		sentAt := time.Now()
 		answer, ok := a.chargeAt(ctx, h, wait)
 		switch {
 		case !ok:
 		case answer.Admitted:
-			now := time.Now()
-			a.charged = append(a.charged, credit{
-				keeper: h, tokens: a.piece, usableAt: now.Add(answer.Delay), expiresAt: now.Add(a.lifetime + answer.Delay),
-			})
+			a.charged = append(a.charged, newCredit(h, a.piece, sentAt, time.Now(), a.lifetime, answer.Delay))
 			a.missing--
 		default:
 			a.delays[h.Name] = answer.Delay
--- a/masticbucket/creditaccount.go
+++ b/masticbucket/creditaccount.go
@@ -15,6 +15,17 @@
 	usableAt, expiresAt time.Time
 }
 
+// newCredit returns the credit of a charge that was sent at sentAt and whose answer was handled at now. On a host without processor
+// time that may be long after the keeper took the tokens, so that the lifetime begins chargeTimeout after the question at the
+// latest.
+func newCredit(keeper Host, tokens int64, sentAt, now time.Time, lifetime, delay time.Duration) credit {
+	begin := now
+	if last := sentAt.Add(chargeTimeout); now.After(last) {
+		begin = last
+	}
+	return credit{keeper: keeper, tokens: tokens, usableAt: now.Add(delay), expiresAt: begin.Add(lifetime + delay)}
+}
+
 // creditAccount holds the credits of one workspace that no request has used yet: tokens charged ahead, and answers that
 // came after their requests had given up.
 type creditAccount struct {
--- a/masticbucket/creditaccount_test.go
+++ b/masticbucket/creditaccount_test.go
@@ -70,3 +70,20 @@
 	c.Assert(got, qt.Equals, int64(3500))
 	c.Assert(k.buckets["w"].level, qt.Equals, 7750.0-3500-20)
 }
+
+// TestTokensOfStalledHostExpire guards against a host without processor time that uses tokens long after their keeper took them: the
+// bucket has filled again meanwhile, and the workspace gets more than its burst.
+func TestTokensOfStalledHostExpire(t *testing.T) {
+	c := qt.New(t)
+	sentAt := time.UnixMilli(1_000_000)
+	const lifetime, delay = 200 * time.Millisecond, 30 * time.Millisecond
+	for handled, want := range map[time.Duration]time.Duration{
+		5 * time.Millisecond: 235 * time.Millisecond,
+		chargeTimeout:        chargeTimeout + lifetime + delay,
+		3 * time.Second:      chargeTimeout + lifetime + delay,
+	} {
+		x := newCredit(Host{}, 1, sentAt, sentAt.Add(handled), lifetime, delay)
+		c.Check(x.expiresAt.Sub(sentAt), qt.Equals, want)
+		c.Check(x.usableAt.Sub(sentAt), qt.Equals, handled+delay)
+	}
+}
