Orders of rollouts and members are read within 16 KiB and a budget

The operators' API read up to 4 MiB of such a request into a decoder whose memory nothing counted, beside the connection's own bytes. They are read like changes now.

--- a/masticadmin/rollout.go
+++ b/masticadmin/rollout.go
@@ -31,8 +31,8 @@
 
 func (s *Server) orderRollout(w http.ResponseWriter, r *http.Request) {
 	var o RolloutOrder
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		writeError(w, masticerror.New(masticerror.KindBadRequest, "the order cannot be read: %v", err))
+	if err := s.readSmall(w, r, &o); err != nil {
+		writeError(w, err)
 		return
 	}
 	if s.rollouts == nil {
--- a/masticadmin/server.go
+++ b/masticadmin/server.go
@@ -176,6 +176,23 @@
 	return p, nil
 }
 
+// maxSmallBytes is the maximum size of the body of a request other than a change. Names have 256 bytes at most.
+const maxSmallBytes = 16 << 10
+
+// readSmall decodes the body of a request other than a change.
+func (s *Server) readSmall(w http.ResponseWriter, r *http.Request, into any) error {
+	body := s.bodies.Reader(http.MaxBytesReader(w, r.Body, maxSmallBytes))
+	defer body.Release()
+	b, err := body.ReadAll(r.ContentLength, 0)
+	if err != nil {
+		return bodyError(err)
+	}
+	if err := json.Unmarshal(b, into); err != nil {
+		return masticerror.New(masticerror.KindBadRequest, "the request cannot be read: %v", err)
+	}
+	return nil
+}
+
 func bodyError(err error) error {
 	if errors.Is(err, masticbody.ErrBudget) {
 		return masticerror.New(masticerror.KindOverloaded, "this host holds as many requests as it may")
@@ -194,8 +211,8 @@
 
 func (s *Server) putMember(w http.ResponseWriter, r *http.Request) {
 	var m memberRequest
-	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
-		writeError(w, masticerror.New(masticerror.KindBadRequest, "the member cannot be read: %v", err))
+	if err := s.readSmall(w, r, &m); err != nil {
+		writeError(w, err)
 		return
 	}
 	host := r.PathValue("host")
