--- a/review/standins-2/lab2.py
+++ b/review/standins-2/lab2.py
@@ -17,7 +17,7 @@
 BOUNDS = {
     "seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackTimeoutMs": 4000, "catchUpS": 4, "drainTimeoutMs": 3000,
     "gracePeriodS": 8, "lossSlackMs": 200, "configApplyMs": 2000, "downgradeSlackMs": 250, "maxSkewMs": 5000,
-    "failClosed": False, "revokeMs": 5000, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 56,
+    "failClosed": False, "revokeMs": 5000, "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 54,
     "quotaWindowS": 8, "quotaOverage": 0.1, "quotaSlack": 190000, "recoveryS": 12, "maxTransitMs": 120, "reuseWindowS": 10,
     "requireFencing": True, "leaseMs": 3000, "thawSlackMs": 300, "versionMs": 6000, "versionAllMs": 8400, "ttl_max_s": 5,
 }
