review/9: the loss of one seed at the first start stops the system for good

CONFIG: no leader is ever elected, no desired state is acknowledged and no request is served after one of three seeds is lost 0.1 s after the start.

--- a/review/standins-2/lab2.py
+++ b/review/standins-2/lab2.py
@@ -185,6 +185,8 @@
         self.processes, self.workers, self.runs = {}, [], []
         # extra_entry is bytes that another writer has put into the list, None for none.
         self.extra_entry = None
+        # bootstrap is set while the whole system starts for the first time.
+        self.bootstrap = True
         self.cores = ["%s.%d" % (self.block, 1 + i) for i in range(cores)]
         self.fronts = ["%s.%d" % (self.block, 21 + i) for i in range(fronts)]
         self.cloud_ip = self.block + ".90"
@@ -207,7 +209,7 @@
             "nodeName": "%s-%s" % (role, ip), "role": role, "instanceClass": "core" if control else "frontend",
             "serves": ["control_plane", "directory"] if control else ["frontend"], "ip": ip, "zone": zone, "region": "r",
             "zones": {z: "r" for z in ZONES}, "listen": listen, "internalPortRange": [PORT_PEER, PORT_PEER + 15],
-            "seedNodes": ["%s:%d" % (c, PORT_CONTROL) for c in self.cores[:3]], "bootstrap": True, "lossCounts": control,
+            "seedNodes": ["%s:%d" % (c, PORT_CONTROL) for c in self.cores[:3]], "bootstrap": self.bootstrap, "lossCounts": control,
             "limits": {"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 128 if control else 0},
             "dataDir": data if control else None, "discovery": "cloud_api", "entryPoint": "directory", "heartbeatMs": 1200,
             "contracts": ["base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants", "quota"],
