--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -110,10 +110,9 @@
         lab.processes[ip].send_signal(signal.SIGTERM)
     for ip in lab.cores:
         try:
-            async with asyncio.timeout(lab2.BOUNDS["gracePeriodS"]):
-                await lab.processes[ip].wait()
+            await asyncio.wait_for(lab.processes[ip].wait(), lab2.BOUNDS["gracePeriodS"])
             lab.note("control process %s ended after SIGTERM" % ip)
-        except TimeoutError:
+        except asyncio.TimeoutError:
             lab.note("control process %s still runs gracePeriodS after SIGTERM" % ip)
     return not late and (not after or sum(x[1] for x in after) * 4 >= len(after))
 
--- a/review/standins-2/lab2.py
+++ b/review/standins-2/lab2.py
@@ -77,31 +77,33 @@
 
 async def call(address, method, path, body=b"", fields=None, timeout=2.0, host=None):
     """Sends one request on a new channel. Returns (status, fields, body, cut); the status is 0 without an answer."""
-    writer = None
     try:
-        async with asyncio.timeout(timeout):
-            ip, port = address.rsplit(":", 1)
-            reader, writer = await asyncio.open_connection(ip, int(port))
-            head = "%s %s HTTP/1.1\r\nHost: %s\r\n" % (method, path, host or address)
-            for name, value in (fields or {}).items():
-                head += "%s: %s\r\n" % (name, value)
-            if body or method != "GET":
-                head += "Content-Length: %d\r\n" % len(body)
-            writer.write(head.encode() + b"\r\n" + body)
-            await writer.drain()
-            first = await read_head(reader)
-            if first is None:
-                return 0, {}, b"", True
-            status = int(first[0].split(" ")[1])
-            try:
-                return status, first[1], await read_body(reader, first[1], True), False
-            except (asyncio.IncompleteReadError, ConnectionError, OSError):
-                return status, first[1], b"", True
-    except (TimeoutError, ConnectionError, OSError, ValueError, IndexError):
+        return await asyncio.wait_for(exchange(address, method, path, body, fields or {}, host or address), timeout)
+    except (asyncio.TimeoutError, ConnectionError, OSError, ValueError, IndexError):
         return 0, {}, b"", True
+
+
+async def exchange(address, method, path, body, fields, host):
+    ip, port = address.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    try:
+        head = "%s %s HTTP/1.1\r\nHost: %s\r\n" % (method, path, host)
+        for name, value in fields.items():
+            head += "%s: %s\r\n" % (name, value)
+        if body or method != "GET":
+            head += "Content-Length: %d\r\n" % len(body)
+        writer.write(head.encode() + b"\r\n" + body)
+        await writer.drain()
+        first = await read_head(reader)
+        if first is None:
+            return 0, {}, b"", True
+        status = int(first[0].split(" ")[1])
+        try:
+            return status, first[1], await read_body(reader, first[1], True), False
+        except (asyncio.IncompleteReadError, ConnectionError, OSError):
+            return status, first[1], b"", True
     finally:
-        if writer is not None:
-            writer.close()
+        writer.close()
 
 
 class Worker:
@@ -312,12 +314,13 @@
 
     async def run():
         lab = Lab(folder)
+        # A run that is ended from outside ends its processes too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
-            async with asyncio.timeout(110):
-                held = await case(lab, trouble)
+            held = await asyncio.wait_for(case(lab, trouble), 108)
             lab.note("the rule %s (TROUBLE=%d)" % ("held" if held else "was broken", trouble))
             return 0 if held else 1
-        except (CouldNotRun, TimeoutError, OSError) as e:
+        except (CouldNotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as e:
             lab.note("the case could not run: %r" % e)
             print("could not run: %r" % e, file=sys.stderr)
             return 2
