--- a/review/standins-2/lab2.py
+++ b/review/standins-2/lab2.py
@@ -144,7 +144,8 @@
                 body = await read_body(reader, first[1])
                 if not await self.answer(writer, method, path, first[1], body):
                     return
-        except (ConnectionError, OSError, asyncio.IncompleteReadError):
+        except (ConnectionError, OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # The channel or the run has ended.
             pass
         finally:
             self.channels.discard(writer)
