A damaged entry of the list or of a report no longer stops its reader

Callers saw requests go on to draining servers and, once these had left, no request served: an entry of the list of backend servers had lacked its end for three seconds, and the leader never read the list again.

Cause: ArrayReader followed strings and brackets only. At a colon, a comma or a closing brace where an element should begin it returned an empty value without reading a byte, and was called again at the same byte. An entry that lacks its brace takes the list's bracket as its own and leads there. An entry cut off inside a string or an array took the entries behind it.

Values are checked against the grammar of JSON byte by byte now; each step reads a byte or fails. For the list, the reader returns to the begin of a damaged entry and goes on at the next object behind a comma; the list ends at the bracket behind which the rest of the page can be read. What is read again is bounded, and a list of which entries may be missing is partial. Reports are read by the same code: a damaged one is an error.

--- a/masticjson/array.go
+++ b/masticjson/array.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
+	"slices"
 )
 
 // errNoObject means that what is read is no object with the expected members.
@@ -13,167 +15,243 @@
 // maxMembers bounds the members beside the array that are kept.
 const maxMembers = 64
 
-// ArrayReader reads an object that has one long array, element by element. It checks no element, so that one that
-// cannot be decoded does not affect the others, and keeps at most one in memory.
+// ArrayReader reads an object that has one long array, element by element, and keeps at most one element in memory. The
+// types of elements aren't checked, so that one that cannot be decoded does not affect the others.
 type ArrayReader struct {
-	reader *bufio.Reader
+	values valueReader
 	// array is the name of the member with the array.
 	array string
-	// maxBytes bounds an element, and the value of any other member.
-	maxBytes int
-	// Skipped counts the elements and members over the bound.
+	// skipsDamaged allows elements that are no objects or whose bytes are damaged.
+	skipsDamaged bool
+	// comma reports that the last element has a comma behind it.
+	comma bool
+	// incomplete reports that elements next to a damaged one may be missing.
+	incomplete bool
+	// Skipped counts the elements and members over the bound, and the damaged elements.
 	Skipped int
 }
 
+// ArrayOption sets one property of an ArrayReader.
+type ArrayOption func(*ArrayReader)
+
+// WithDamagedElementsSkipped lets an ArrayReader skip the elements that are no objects, or whose bytes are no JSON, for
+// example because they were cut off. The other elements must be objects. Where one of them begins is only certain
+// up to maxRewindBytes after the begin of a damaged one; Read returns an error if that is exceeded.
+func WithDamagedElementsSkipped(maxRewindBytes int) ArrayOption {
+	return func(a *ArrayReader) { a.skipsDamaged, a.values.input.maxBytes = true, maxRewindBytes }
+}
+
 // NewArrayReader returns a reader of an object whose member array has the elements. Values of more than maxBytes are
 // skipped.
-func NewArrayReader(r io.Reader, array string, maxBytes int) *ArrayReader {
-	return &ArrayReader{reader: bufio.NewReader(r), array: array, maxBytes: maxBytes}
+func NewArrayReader(r io.Reader, array string, maxBytes int, options ...ArrayOption) *ArrayReader {
+	a := &ArrayReader{values: valueReader{input: window{reader: bufio.NewReader(r)}, maxBytes: maxBytes}, array: array}
+	for _, o := range options {
+		o(a)
+	}
+	return a
 }
 
 // Read calls f with each element and returns the other members. The element is valid until f returns. After an error,
 // elements may be missing.
 func (a *ArrayReader) Read(f func(element json.RawMessage)) (Object, error) {
 	o := Object{}
-	if c, err := a.next(); err != nil || c != '{' {
+	if c, err := a.values.input.next(); err != nil || c != '{' {
 		return o, errors.Join(errNoObject, err)
 	}
+	err := a.members(o, f)
+	if err == nil && a.incomplete {
+		err = errMalformed
+	}
+	return o, err
+}
+
+// members reads the members up to the end of the object, with the array.
+func (a *ArrayReader) members(o Object, f func(json.RawMessage)) error {
+	c, err := a.values.input.peek()
+	if err == nil && c == '}' {
+		return a.rest(o)
+	}
+	for ; err == nil; err = a.values.expect(',') {
+		name, err := a.name()
+		if err != nil {
+			return err
+		}
+		if name == a.array {
+			if c, err := a.values.input.peek(); err != nil || c == '[' {
+				return errors.Join(err, a.elements(o, f))
+			}
+		}
+		if err := a.member(o, name); err != nil {
+			return err
+		}
+		if c, err := a.values.input.peek(); err != nil || c == '}' {
+			return errors.Join(err, a.rest(o))
+		}
+	}
+	return err
+}
+
+// rest reads what follows a member, up to the end of the input. It holds no array of elements.
+func (a *ArrayReader) rest(o Object) error {
 	for {
-		c, err := a.next()
+		c, err := a.values.input.next()
 		switch {
 		case err != nil:
-			return o, err
+			return err
 		case c == '}':
-			return o, nil
-		case c == ',':
-			continue
-		case c != '"':
-			return o, errNoObject
+			return a.ended()
+		case c != ',':
+			return errMalformed
+		}
+		name, err := a.name()
+		if err != nil {
+			return err
+		}
+		if name == a.array {
+			return errMalformed
 		}
-		if err := a.member(o, f); err != nil {
-			return o, err
+		if err := a.member(o, name); err != nil {
+			return err
 		}
 	}
 }
 
-// member reads one member, whose name begins.
-func (a *ArrayReader) member(o Object, f func(json.RawMessage)) error {
-	if err := a.reader.UnreadByte(); err != nil {
+// ended checks that the input has only white space left, if damaged elements are skipped: else the bracket before may
+// be that of an element.
+func (a *ArrayReader) ended() error {
+	if !a.skipsDamaged {
+		return nil
+	}
+	switch _, err := a.values.input.next(); err {
+	case errTruncated:
+		return nil
+	case nil:
+		return errMalformed
+	default:
 		return err
 	}
-	quoted, _, err := a.value()
+}
+
+// name reads the name of a member and the colon.
+func (a *ArrayReader) name() (string, error) {
+	c, err := a.values.input.peek()
 	if err != nil {
-		return err
+		return "", err
 	}
-	var name string
-	if err := json.Unmarshal(quoted, &name); err != nil {
-		return err
+	if c != '"' {
+		return "", errMalformed
 	}
-	if c, err := a.next(); err != nil || c != ':' {
-		return errors.Join(errNoObject, err)
+	quoted, _, err := a.values.value()
+	if err != nil {
+		return "", err
 	}
-	if name == a.array {
-		return a.elements(f)
+	var name string
+	if err := json.Unmarshal(quoted, &name); err != nil {
+		return "", errMalformed
 	}
-	raw, fits, err := a.value()
+	return name, a.values.expect(':')
+}
+
+// member reads the value of a member that is not the array.
+func (a *ArrayReader) member(o Object, name string) error {
+	raw, fits, err := a.values.value()
 	switch {
+	case err != nil:
+		return err
 	case fits && len(o) < maxMembers:
-		o[name] = raw
-	case fits:
+		o[name] = slices.Clone(raw)
+	default:
 		a.Skipped++
 	}
-	return err
+	return nil
 }
 
-// elements reads the array. A member that is no array has no elements.
-func (a *ArrayReader) elements(f func(json.RawMessage)) error {
-	c, err := a.next()
-	if err != nil {
-		return err
-	}
-	if c != '[' {
-		if err := a.reader.UnreadByte(); err != nil {
-			return err
-		}
-		_, _, err := a.value()
+// elements reads the array and the rest of the object.
+func (a *ArrayReader) elements(o Object, f func(json.RawMessage)) error {
+	if err := a.values.expect('['); err != nil {
 		return err
 	}
-	for {
-		c, err := a.next()
-		switch {
-		case err != nil:
-			return err
-		case c == ']':
-			return nil
-		case c == ',':
-			continue
+	for a.comma = false; ; {
+		ended, err := a.element(o, f)
+		if errors.Is(err, errMalformed) && a.skipsDamaged {
+			err = a.skipDamaged()
 		}
-		if err := a.reader.UnreadByte(); err != nil {
+		if err != nil || ended {
 			return err
 		}
-		raw, fits, err := a.value()
-		if err != nil {
-			return err
-		}
-		if fits {
-			f(raw)
-		}
 	}
 }
 
-// next returns the next byte that is no white space.
-func (a *ArrayReader) next() (byte, error) {
-	for {
-		c, err := a.reader.ReadByte()
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil || c != ' ' && c != '\t' && c != '\n' && c != '\r' {
-			return c, err
-		}
+// element reads one element with its comma, or the end of the array with the rest of the object. It reports whether all
+// has been read.
+func (a *ArrayReader) element(o Object, f func(json.RawMessage)) (bool, error) {
+	a.values.input.mark()
+	c, err := a.values.input.peek()
+	if err != nil {
+		return false, err
+	}
+	a.values.input.mark()
+	if c == ']' && (!a.comma || a.skipsDamaged) {
+		return a.endOfArray(o)
 	}
+	if c != '{' && a.skipsDamaged {
+		return false, errMalformed
+	}
+	raw, fits, err := a.values.value()
+	if err != nil {
+		return false, err
+	}
+	// A value that nothing follows is a damaged element together with the rest of the input.
+	if c, err = a.values.input.peek(); err != nil {
+		return false, err
+	}
+	if a.comma = c == ','; a.comma {
+		_, err = a.values.input.ReadByte()
+	} else if c != ']' {
+		err = errMalformed
+	}
+	if err != nil {
+		return false, err
+	}
+	if fits {
+		f(raw)
+	} else {
+		a.Skipped++
+	}
+	return false, nil
 }
 
-// value reads one value and reports whether it is within the bound. It follows strings and brackets only, without
-// recursion.
-func (a *ArrayReader) value() (json.RawMessage, bool, error) {
-	var raw json.RawMessage
-	c, err := a.next()
-	depth, inString, escaped, fits := 0, false, false, true
-	for ; err == nil; c, err = a.reader.ReadByte() {
-		ends := false
-		switch {
-		case inString:
-			inString = escaped || c != '"'
-			escaped = !escaped && c == '\\'
-			ends = !inString && depth == 0
-		case c == '"':
-			inString = true
-		case c == '{' || c == '[':
-			depth++
-		case depth == 0 && (c == ',' || c == '}' || c == ']' || c == ':' || c == ' ' || c == '\t' || c == '\n' || c == '\r'):
-			return a.bounded(raw, fits, a.reader.UnreadByte())
-		case c == '}' || c == ']':
-			depth--
-			ends = depth == 0
-		}
-		if fits = fits && len(raw) < a.maxBytes; fits {
-			raw = append(raw, c)
-		}
-		if ends {
-			return a.bounded(raw, fits, nil)
-		}
+// endOfArray reads the bracket that ends the array, and the rest of the object. A bracket with something else behind it
+// belongs to a damaged element.
+func (a *ArrayReader) endOfArray(o Object) (bool, error) {
+	if _, err := a.values.input.ReadByte(); err != nil {
+		return false, err
 	}
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
+	others := maps.Clone(o)
+	if err := a.rest(others); err != nil {
+		return false, err
 	}
-	return nil, false, err
+	maps.Copy(o, others)
+	return true, nil
 }
 
-func (a *ArrayReader) bounded(raw json.RawMessage, fits bool, err error) (json.RawMessage, bool, error) {
-	if !fits {
-		a.Skipped++
-		return nil, false, err
+// skipDamaged moves from the marked byte, with which a damaged element begins, to the next place at which an element
+// or the end of the array may begin.
+func (a *ArrayReader) skipDamaged() error {
+	a.Skipped++
+	atMark := a.values.input.rewind()
+	a.incomplete = a.incomplete || !atMark
+	for previous := byte(0); ; {
+		c, err := a.values.input.ReadByte()
+		switch {
+		case err != nil:
+			return err
+		case !atMark && (c == ']' || c == '{' && previous == ','):
+			return a.values.input.UnreadByte()
+		}
+		atMark = false
+		if !isSpace(c) {
+			previous = c
+		}
 	}
-	return raw, true, err
 }
--- a/masticjson/array_test.go
+++ b/masticjson/array_test.go
@@ -80,3 +80,31 @@
 		}
 	})
 }
+
+// TestDamagedValueIsReadWithoutEnd: a byte with which no value begins was neither read nor refused.
+func TestDamagedValueIsReadWithoutEnd(t *testing.T) {
+	c := qt.New(t)
+	for _, element := range []string{":", "}", "1 2", "-", "tru", `{"a"}`, `{"a":}`, `{"a":1,}`, `{,}`, `{1:2}`, `{"a":1]`, `[1}`, `[1,]`, `"\x"`, `"\u00g0"`, "\"\n\""} {
+		text := `{"list":[{"x":1},` + element + `,{"y":2}],"next":null}`
+		_, _, _, err := readArray(text, 1000)
+		c.Assert(err, qt.ErrorIs, errMalformed, qt.Commentf("%s", text))
+		var elements []string
+		a := NewArrayReader(strings.NewReader(text), "list", 1000, WithDamagedElementsSkipped(1000))
+		o, err := a.Read(func(raw json.RawMessage) { elements = append(elements, string(raw)) })
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", text))
+		c.Assert(elements, qt.DeepEquals, []string{`{"x":1}`, `{"y":2}`}, qt.Commentf("%s", text))
+		c.Assert(string(o["next"]), qt.Equals, "null")
+		c.Assert(a.Skipped > 0, qt.IsTrue)
+	}
+}
+
+// TestDamageBeyondTheRewindIsReported checks that elements which are lost beside a large damaged one are not taken for gone.
+func TestDamageBeyondTheRewindIsReported(t *testing.T) {
+	c := qt.New(t)
+	text := `{"list":[{"x":1},{"a":"` + strings.Repeat("a", 5000) + `,{"y":2},{"z":3}],"next":null}`
+	var elements []string
+	a := NewArrayReader(strings.NewReader(text), "list", 1000, WithDamagedElementsSkipped(1000))
+	_, err := a.Read(func(raw json.RawMessage) { elements = append(elements, string(raw)) })
+	c.Assert(err, qt.ErrorIs, errMalformed)
+	c.Assert(elements, qt.DeepEquals, []string{`{"x":1}`, `{"z":3}`})
+}
