The prompts of a workspace that becomes isolated are no longer shared

Cause: engines and stores find cached prompts by a salt alone. The salt of all workspaces that are not isolated was the same for ever, and cached prompts name neither the workspace that made them nor a document.

The view counts generations of that salt now: it changes with the document that isolates a workspace whose prompts are shared, also one that was removed meanwhile.

The log line of a document names the generation.

--- a/masticrelay/rank.go
+++ b/masticrelay/rank.go
@@ -30,16 +30,11 @@
 	return masticview.ClassLong
 }
 
-// salt returns the cache salt of a workspace for a version of the weights.
-func salt(w masticdocument.Workspace, version string) string {
-	return masticcall.CacheSalt(cacheScope(w), version)
-}
-
-// cacheScope returns the name under which the dispatcher records where prompts are believed to
-// be cached. Workspaces that share cached prompts share these records.
-func cacheScope(w masticdocument.Workspace) string {
+// cacheScope returns the scope in which cached prompts of a workspace are shared under view v. The dispatcher records
+// under it where prompts are believed to be cached.
+func cacheScope(v masticview.View, w masticdocument.Workspace) string {
 	if w.Isolated {
-		return w.Name
+		return masticcall.IsolatedScope(w.Name)
 	}
-	return ""
+	return masticcall.SharedScope(v.CacheGeneration())
 }
--- a/masticrelay/rank_test.go
+++ b/masticrelay/rank_test.go
@@ -5,7 +5,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"masticladder/masticcall"
 	"masticladder/masticdocument"
+	"masticladder/masticview"
 )
 
 // TestSaltsKeepIsolatedWorkspacesAndWeightsApart checks that engines and stores, which check neither,
@@ -15,9 +17,10 @@
 	seen := map[string]bool{}
 	for _, w := range []masticdocument.Workspace{{Name: "a", Isolated: true}, {Name: "b", Isolated: true}, {Name: "shared"}, {}} {
 		for _, version := range []string{"1", "2"} {
-			seen[salt(w, version)] = true
+			seen[masticcall.CacheSalt(cacheScope(masticview.View{}, w), version)] = true
 		}
 	}
 	c.Assert(seen, qt.HasLen, 6)
-	c.Assert(salt(masticdocument.Workspace{Name: "x"}, "1"), qt.Equals, salt(masticdocument.Workspace{Name: "y"}, "1"))
+	x, y := masticdocument.Workspace{Name: "x"}, masticdocument.Workspace{Name: "y"}
+	c.Assert(cacheScope(masticview.View{}, x), qt.Equals, cacheScope(masticview.View{}, y))
 }
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -180,7 +180,7 @@
 		}
 		t.index = masticdocument.NewIndex(d)
 		c.log.WithField("number", d.Number).WithField("revision", v.Revision()).
-			WithField("routes", len(d.Routes)).WithField("workspaces", len(d.Workspaces)).Info("document in force")
+			WithField("routes", len(d.Routes)).WithField("workspaces", len(d.Workspaces)).WithField("cacheGeneration", v.CacheGeneration()).Info("document in force")
 	}
 	for _, s := range v.Servers() {
 		if s.Kind != masticview.ServerService || s.State != masticview.ServerActive {
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -202,6 +202,7 @@
 	h := c.Header.Clone()
 	h.Set("Id", c.ID)
 	h.Set("Workspace", a.Workspace)
+	h.Set("Salt", a.Salt)
 	if a.LastEventID != "" {
 		h.Set("Last-Event-Id", a.LastEventID)
 	}
--- a/masticrelay/rollout.go
+++ b/masticrelay/rollout.go
@@ -139,7 +139,7 @@
 	firstTokenDeadline := r.call.Received.Add(r.route.TargetLatency)
 	return r.relay.dispatcher.Acquire(ctx, masticcall.Request{
 		ID:                 r.call.ID,
-		Workspace:          cacheScope(r.workspace),
+		Workspace:          r.cacheScope,
 		Owner:              r.workspace.Name,
 		Priority:           max(0, r.route.Priority),
 		Weight:             1,
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -57,6 +57,8 @@
 	workspace masticdocument.Workspace
 	pool      masticdocument.Pool
 	service   masticview.Service
+	// cacheScope is that of the workspace under the view of the last check.
+	cacheScope string
 
 	// content identifies the request over all hosts and callers' retries, and what it has in common with
 	// others.
@@ -165,6 +167,7 @@
 	if r.workspace, ok = r.authenticate(t); !ok {
 		return c.outdatedOr(errUnknownKey())
 	}
+	r.cacheScope = cacheScope(t.view, r.workspace)
 	r.deadline = deadlineOf(route, r.call)
 	r.call.Running.Set(r.call.Running.Progress().WithRoute(route.Name, r.deadline))
 	if err := c.endError(route, r.deadline); err != nil {
@@ -336,7 +339,7 @@
 	}
 	if r.pool.Engine {
 		version := server.VersionOf(r.call.Model)
-		attempt.Priority, attempt.Salt, attempt.Weights = priority(r.route, r.workspace), salt(r.workspace, version), version
+		attempt.Priority, attempt.Salt, attempt.Weights = priority(r.route, r.workspace), masticcall.CacheSalt(r.cacheScope, version), version
 		attempt.FetchAddress, attempt.SaveAddress = a.FetchAddress(), a.SaveAddress()
 	}
 	answer, f := r.send(ctx, attempt)
--- a/masticview/draft.go
+++ b/masticview/draft.go
@@ -19,6 +19,7 @@
 	quarantines tableEdit[Digest, Quarantine]
 	weights     tableEdit[string, Weights]
 	document    *masticproto.Document
+	sharing     cacheSharing
 
 	baseSoftware tableEdit[string, string]
 	rollouts     tableEdit[string, Rollout]
@@ -37,6 +38,7 @@
 		quarantines: newTableEdit(v.quarantines),
 		weights:     newTableEdit(v.weights),
 		document:    v.document,
+		sharing:     v.sharing,
 
 		baseSoftware: newTableEdit(v.baseSoftware),
 		rollouts:     newTableEdit(v.rollouts),
@@ -77,6 +79,7 @@
 // putVersioned replaces the document and the weights for which c has a higher number or version.
 func (d *draft) putVersioned(c *masticproto.ViewChange) {
 	if p := c.GetDocument(); p != nil && p.GetNumber() > d.document.GetNumber() {
+		d.sharing = d.sharing.withDocument(d.document, p)
 		d.document = p
 	}
 	for _, p := range c.GetWeights() {
@@ -138,6 +141,7 @@
 		quarantines: d.quarantines.table,
 		weights:     d.weights.table,
 		document:    d.document,
+		sharing:     d.sharing,
 
 		baseSoftware: d.baseSoftware.table,
 		rollouts:     d.rollouts.table,
--- a/masticview/snapshot.go
+++ b/masticview/snapshot.go
@@ -5,7 +5,8 @@
 // Snapshot returns the whole view as a protobuf message with the items in a fixed order.
 func (v View) Snapshot() *masticproto.ViewSnapshot {
 	return &masticproto.ViewSnapshot{
-		Revision: v.revision,
+		Revision:     v.revision,
+		CacheSharing: v.sharing.toProto(),
 		Items: &masticproto.ViewChange{
 			Workspaces:  encode(v.Workspaces(), Workspace.ToProto),
 			Profiles:    encode(v.Profiles(), Profile.ToProto),
@@ -30,6 +31,7 @@
 	if err := d.put(s.GetItems()); err != nil {
 		return View{}, err
 	}
+	d.sharing = cacheSharingFromProto(s.GetCacheSharing())
 	return d.view().WithRevision(s.GetRevision()), nil
 }
 
--- a/masticview/view.go
+++ b/masticview/view.go
@@ -22,6 +22,7 @@
 	quarantines table[Digest, Quarantine]
 	weights     table[string, Weights]
 	document    *masticproto.Document
+	sharing     cacheSharing
 	// baseSoftware is by service.
 	baseSoftware table[string, string]
 	// rollouts is by service.
