A waiting request is sent with the cache salt of the newest document

What was seen, in a test: a request that waited for a server while a document made a workspace isolated was sent with the salt of the document under which it had come, and used, or made, prompts that are no longer shared.

The cache scope is taken from the view under which the request is checked after it got its server, as its key is. Evidence: TestWaitingRequestUsesPromptsOfIsolatedWorkspace failed before in both cases.

--- a/masticrelay/access.go
+++ b/masticrelay/access.go
@@ -32,9 +32,11 @@
 	if err := r.relay.leaseError(); err != nil {
 		return err
 	}
-	if w, ok := r.authenticate(t); !ok || w.Name != r.workspace.Name {
+	w, ok := r.authenticate(t)
+	if !ok || w.Name != r.workspace.Name {
 		return r.relay.outdatedOr(errUnknownKey())
 	}
+	r.cacheScope = cacheScope(t.view, w)
 	if !r.mayHaveRun {
 		// The drain may have begun while the request waited.
 		if err := r.relay.endError(r.route, r.deadline); err != nil {
--- a/masticrelay/isolation_test.go
+++ b/masticrelay/isolation_test.go
@@ -126,3 +126,23 @@
 	}
 	c.Assert(slices.Compact(salts), qt.HasLen, 1)
 }
+
+// TestWaitingRequestUsesPromptsOfIsolatedWorkspace: a request that waited for a server while a workspace became isolated used the salt of
+// the document under which it had come.
+func TestWaitingRequestUsesPromptsOfIsolatedWorkspace(t *testing.T) {
+	for _, waiting := range []string{"a", "b"} {
+		t.Run(waiting, func(t *testing.T) {
+			c := qt.New(t)
+			h := newCacheHost(c)
+			h.view = sharing{"a": false, "b": false}.apply(c, h.view, 2)
+			h.relay.SetView(h.view)
+			before := h.send(c, "a")
+			h.dispatcher.beforeAssign = func(int) {
+				h.view = sharing{"a": true, "b": false}.apply(c, h.view, 3)
+				h.relay.SetView(h.view)
+				h.dispatcher.beforeAssign = nil
+			}
+			c.Assert(h.send(c, waiting), qt.Not(qt.Equals), before)
+		})
+	}
+}
