Streams whose caller's key moved go on at the version that began them

Cause: which version began a stream is recorded under its workspace, service and request ID. After the move, the take-up asked under the new workspace and found no record, and a stream without a record counts as one of the base version. It was the same when a workspace was renamed, and when a route became public or ceased to be.

A stream is recorded and found under two keys now: with the caller's API key and with its workspace, or, without an API key, with the workspace and the path. No other caller has these. The workspace's key is the same as before, so that hosts of the version before find it.

--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -71,7 +71,10 @@
 	busy     map[masticcall.StreamKey]bool
 }
 
-// originRecord implements masticcall.Recording.
+// originRecords implements masticcall.Recording for the records of a stream.
+type originRecords []*originRecord
+
+// originRecord is the record of a key.
 type originRecord struct {
 	software string
 	// done is closed when the record was acknowledged or refused, with err.
@@ -129,10 +132,19 @@
 	}
 }
 
-// Record queues a record.
-func (o *origins) Record(k masticcall.StreamKey, software string) masticcall.Recording {
+// Record queues the records of a stream.
+func (o *origins) Record(keys masticcall.StreamKeys, software string) masticcall.Recording {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	all := make(originRecords, 0, len(keys))
+	for _, k := range keys {
+		all = append(all, o.record(k, software))
+	}
+	return all
+}
+
+// record queues a record. The mutex is held.
+func (o *origins) record(k masticcall.StreamKey, software string) *originRecord {
 	if r, ok := o.records[k]; ok && r.software == software {
 		return r
 	}
@@ -148,50 +160,68 @@
 	return r
 }
 
-// Wait waits until the record is acknowledged.
-func (r *originRecord) Wait(ctx context.Context) error {
-	select {
-	case <-r.done:
-		return r.err
-	case <-ctx.Done():
-		return ctx.Err()
+// Wait waits until all records are acknowledged.
+func (all originRecords) Wait(ctx context.Context) error {
+	for _, r := range all {
+		select {
+		case <-r.done:
+			if r.err != nil {
+				return r.err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
+	return nil
 }
 
-// End stops renewing a record.
-func (o *origins) End(k masticcall.StreamKey, forget bool) {
+// End stops renewing the records of a stream.
+func (o *origins) End(keys masticcall.StreamKeys, forget bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	delete(o.records, k)
-	if forget && len(o.ended) < maxEndedOrigins {
-		// Without a report the record is dropped with the second tick.
-		o.ended = append(o.ended, endedOrigin{k, masticclock.Now().Add(originEndDelay)})
+	for _, k := range keys {
+		delete(o.records, k)
+		if forget && len(o.ended) < maxEndedOrigins {
+			// Without a report the record is dropped with the second tick.
+			o.ended = append(o.ended, endedOrigin{k, masticclock.Now().Add(originEndDelay)})
+		}
 	}
 }
 
 // Find answers from this host's own records or asks the control group.
-func (o *origins) Find(ctx context.Context, k masticcall.StreamKey, service string) (masticcall.StreamOrigin, error) {
-	q := &originQuestion{key: k, service: service, answer: make(chan masticcall.StreamOrigin, 1), ctx: ctx}
-	if software, ok := o.ask(q); ok {
+func (o *origins) Find(ctx context.Context, keys masticcall.StreamKeys, service string) (masticcall.StreamOrigin, error) {
+	questions := make([]*originQuestion, 0, len(keys))
+	for _, k := range keys {
+		questions = append(questions, &originQuestion{key: k, service: service, answer: make(chan masticcall.StreamOrigin, 1), ctx: ctx})
+	}
+	if software, ok := o.ask(questions...); ok {
 		return masticcall.StreamOrigin{Software: software, Recorded: true, ByItself: true}, nil
 	}
-	select {
-	case a := <-q.answer:
-		return a, nil
-	case <-ctx.Done():
-		return masticcall.StreamOrigin{}, masticerror.New(masticerror.KindNoQuorum, "the control group did not say in time which version began the stream")
+	var found masticcall.StreamOrigin
+	for _, q := range questions {
+		select {
+		case found = <-q.answer:
+		case <-ctx.Done():
+			return masticcall.StreamOrigin{}, masticerror.New(masticerror.KindNoQuorum, "the control group did not say in time which version began the stream")
+		}
+		if found.Recorded {
+			break
+		}
 	}
+	return found, nil
 }
 
-// ask queues a question, unless this host has an acknowledged record itself.
-func (o *origins) ask(q *originQuestion) (string, bool) {
+// ask queues questions on one stream, unless this host has an acknowledged record itself.
+func (o *origins) ask(questions ...*originQuestion) (string, bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if r, ok := o.records[q.key]; ok && r.acknowledged {
-		return r.software, true
+	for _, q := range questions {
+		if r, ok := o.records[q.key]; ok && r.acknowledged {
+			return r.software, true
+		}
 	}
 	if len(o.asked) < maxOrigins {
-		o.asked = append(o.asked, q)
+		o.asked = append(o.asked, questions...)
 		o.signal()
 	}
 	return "", false
--- a/masticcall/origin.go
+++ b/masticcall/origin.go
@@ -29,11 +29,35 @@
 // StreamKey identifies a stream over all hosts and all attempts of its caller.
 type StreamKey [16]byte
 
-// StreamKeyOf returns the key of the stream whose first event the request with the given ID brought. The
+// StreamKeys are the keys of one stream, by the properties of its caller that a later attempt may share. Documents change
+// some of them: they move API keys to other workspaces, rename workspaces, replace API keys and make routes public.
+type StreamKeys []StreamKey
+
+// Marks of stream keys that have no workspace. No name begins with such a byte, which is not UTF-8.
+const (
+	markAPIKey = "\xff"
+	markPath   = "\xfe"
+)
+
+// StreamKeyOf returns the key of the stream of a service whose first event the request with the given ID brought. The
 // workspace is part of it, so that no caller can name a stream of another one.
 func StreamKeyOf(workspace, service, request string) StreamKey {
+	return streamKey(workspace, service, request)
+}
+
+// StreamKeyOfAPIKey is StreamKeyOf for the callers that use the API key with the given digest.
+func StreamKeyOfAPIKey(digest [sha256.Size]byte, service, request string) StreamKey {
+	return streamKey(markAPIKey+string(digest[:]), service, request)
+}
+
+// StreamKeyOfPath is StreamKeyOf for the callers of a path of a host that is, or was, public.
+func StreamKeyOfPath(host, path, service, request string) StreamKey {
+	return streamKey(markPath+host, path, service, request)
+}
+
+func streamKey(parts ...string) StreamKey {
 	h := sha256.New()
-	for _, part := range []string{workspace, service, request} {
+	for _, part := range parts {
 		// Writing to a hash does not fail.
 		_, _ = io.WriteString(h, part+"\x00")
 	}
@@ -55,15 +79,15 @@
 type Origins interface {
 	// Available reports whether streams can be recorded now.
 	Available() bool
-	// Record records that a stream is begun by a version. The stream's first event may be passed on once
-	// Wait of the result has returned nil. A record replaces an earlier one of the same stream, and is renewed
+	// Record records under each key that a stream is begun by a version. The stream's first event may be passed on
+	// once Wait of the result has returned nil. A record replaces an earlier one of the same key, and is renewed
 	// until End.
-	Record(k StreamKey, software string) Recording
+	Record(keys StreamKeys, software string) Recording
 	// End states that the host no longer serves the stream. With forget, no caller can take it up any more.
-	End(k StreamKey, forget bool)
-	// Find returns the version that began a stream of a service. The error has kind noQuorum if that cannot be
-	// told now.
-	Find(ctx context.Context, k StreamKey, service string) (StreamOrigin, error)
+	End(keys StreamKeys, forget bool)
+	// Find returns the version that began a stream of a service: that of the first key with a record. The error has
+	// kind noQuorum if that cannot be told now.
+	Find(ctx context.Context, keys StreamKeys, service string) (StreamOrigin, error)
 }
 
 // Recording is a record that may not be acknowledged yet.
--- a/masticrelay/log.go
+++ b/masticrelay/log.go
@@ -75,7 +75,7 @@
 	}
 	t := r.relay.table.Load()
 	r.relay.log.WithFields(logrus.Fields{
-		"request": r.call.ID, "resumes": cut(r.call.Resumes), "lastEvent": cut(r.call.LastEventID), "pool": r.pool.Name, "stream": fmt.Sprintf("%x", r.origin.key[:6]),
+		"request": r.call.ID, "resumes": cut(r.call.Resumes), "lastEvent": cut(r.call.LastEventID), "pool": r.pool.Name, "stream": fmt.Sprintf("%x", r.origin.keys[0][:6]),
 		"software": found.Software, "source": source, "askedMillis": time.Since(began).Milliseconds(), "revision": t.view.Revision(),
 		"servers": t.software[r.pool.Name].servers[found.Software], "cause": err,
 	}).Info("origin of a stream")
--- a/masticrelay/origin.go
+++ b/masticrelay/origin.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"masticladder/masticbackend"
@@ -57,8 +59,8 @@
 type streamOrigin struct {
 	// bound allows the servers that can continue the stream; it allows all until the first event.
 	bound masticcall.Software
-	// key names the stream to all hosts, of a take-up that of the request which began it.
-	key masticcall.StreamKey
+	// keys name the stream to all hosts, of a take-up that of the request which began it.
+	keys masticcall.StreamKeys
 	// recording is the record of the running attempt, nil if it needs none or the stream is bound.
 	recording masticcall.Recording
 	// recorded reports that some attempt had a record, so that the next one needs one too.
@@ -73,6 +75,29 @@
 // takesUp reports whether the request takes up a stream that broke.
 func (r *requestState) takesUp() bool { return r.call.LastEventID != "" || r.call.Resumes != "" }
 
+// streamKeys returns the keys under which the stream that the request with the given ID began is recorded: by the API key,
+// which the caller keeps if a document moves it or renames its workspace, and by the workspace, whose API keys
+// documents replace. A caller without an API key may need one when the route is no longer public.
+func (r *requestState) streamKeys(request string) masticcall.StreamKeys {
+	workspace := masticcall.StreamKeyOf(r.workspace.Name, r.pool.Name, request)
+	if r.call.HasKey {
+		return masticcall.StreamKeys{masticcall.StreamKeyOfAPIKey(r.call.Key, r.pool.Name, request), workspace}
+	}
+	return masticcall.StreamKeys{workspace, r.pathStreamKey(request)}
+}
+
+// formerStreamKeys returns the keys under which the stream that the request takes up may have been recorded.
+func (r *requestState) formerStreamKeys() masticcall.StreamKeys {
+	if !r.call.HasKey {
+		return r.origin.keys
+	}
+	return append(slices.Clone(r.origin.keys), r.pathStreamKey(r.call.Resumes))
+}
+
+func (r *requestState) pathStreamKey(request string) masticcall.StreamKey {
+	return masticcall.StreamKeyOfPath(strings.ToLower(r.call.Host), r.call.Path, r.pool.Name, request)
+}
+
 // findOrigin binds a request that takes up a stream to the version that began it, or returns why that cannot be
 // told.
 func (r *requestState) findOrigin(ctx context.Context, t *routingTable) *masticerror.Error {
@@ -80,10 +105,10 @@
 		return nil
 	}
 	if !r.takesUp() {
-		r.origin.key = masticcall.StreamKeyOf(r.workspace.Name, r.pool.Name, r.call.ID)
+		r.origin.keys = r.streamKeys(r.call.ID)
 		return nil
 	}
-	r.origin.key = masticcall.StreamKeyOf(r.workspace.Name, r.pool.Name, r.call.Resumes)
+	r.origin.keys = r.streamKeys(r.call.Resumes)
 	software := t.software[r.pool.Name]
 	if r.call.Resumes == "" {
 		version, only := software.single()
@@ -96,7 +121,7 @@
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	began := time.Now()
-	found, err := r.relay.origins.Find(ctx, r.origin.key, r.pool.Name)
+	found, err := r.relay.origins.Find(ctx, r.formerStreamKeys(), r.pool.Name)
 	if err != nil {
 		r.logOrigin(found, began, err)
 		e := masticerror.From(err)
@@ -110,7 +135,7 @@
 	}
 	if found.Recorded {
 		// The record is renewed from here, whatever becomes of the host that wrote it.
-		r.relay.origins.Record(r.origin.key, found.Software)
+		r.relay.origins.Record(r.origin.keys, found.Software)
 	}
 	return nil
 }
@@ -147,7 +172,7 @@
 		return
 	}
 	r.origin.recorded = true
-	r.origin.recording = r.relay.origins.Record(r.origin.key, server.Software)
+	r.origin.recording = r.relay.origins.Record(r.origin.keys, server.Software)
 }
 
 // confirmOrigin checks, before the first event of an attempt is passed on, that the server has the version that
@@ -248,7 +273,7 @@
 	if !r.origin.recorded {
 		return
 	}
-	r.relay.origins.End(r.origin.key, err == nil || !r.takesUp() && !r.headerWritten)
+	r.relay.origins.End(r.origin.keys, err == nil || !r.takesUp() && !r.headerWritten)
 }
 
 // withSoftware returns service with the servers that s allows.
