A request whose key moves while it waits goes on

The request becomes one of the workspace that holds its key now: its server is told that name, and that workspace is charged. What the former one was charged is returned, unless a server may have run the request. A withdrawn key is still refused.

--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -57,6 +57,8 @@
 	workspace masticdocument.Workspace
 	pool      masticdocument.Pool
 	service   masticview.Service
+	// admission is the quota that the request took from its workspace, nil if that has no rate.
+	admission masticcall.Admission
 	// cacheScope is that of the workspace under the view of the last check.
 	cacheScope string
 
@@ -128,15 +130,13 @@
 	if err := r.waitingError(time.Now()); err != nil {
 		return err
 	}
-	admission, err := r.acquireQuota(ctx)
-	if err != nil {
+	var err *masticerror.Error
+	if r.admission, err = r.acquireQuota(ctx, r.workspace); err != nil {
 		return err
 	}
 	r.relay.recordFirstAttempt(r.pool.Name)
 	e := r.sendWithRetries(ctx)
-	if admission != nil {
-		admission.Settle(r.usedTokens(e))
-	}
+	r.settleQuota(r.usedTokens(e))
 	return e
 }
 
@@ -192,16 +192,16 @@
 	return c
 }
 
-// acquireQuota takes the request's tokens from its workspace's quota. The admission is nil if
-// the workspace has no rate.
-func (r *requestState) acquireQuota(ctx context.Context) (masticcall.Admission, *masticerror.Error) {
-	if !r.workspace.Limited() {
+// acquireQuota takes the request's tokens from the quota of workspace w. The admission is nil if
+// w has no rate.
+func (r *requestState) acquireQuota(ctx context.Context, w masticdocument.Workspace) (masticcall.Admission, *masticerror.Error) {
+	if !w.Limited() {
 		return nil, nil
 	}
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, began.Add(quotaTimeout))
 	defer cancel()
-	a, err := r.relay.limiter.Admit(ctx, r.workspace.Name, r.call.tokens(r.workspace), began.Add(tokenWait))
+	a, err := r.relay.limiter.Admit(ctx, w.Name, r.call.tokens(w), began.Add(tokenWait))
 	r.relay.metrics.quotaWait.Update(time.Since(began).Milliseconds())
 	if err != nil {
 		return nil, masticerror.From(err)
@@ -209,6 +209,13 @@
 	return a, nil
 }
 
+// settleQuota returns what the request did not use of its tokens.
+func (r *requestState) settleQuota(usedTokens int64) {
+	if r.admission != nil {
+		r.admission.Settle(usedTokens)
+	}
+}
+
 // sendWithRetries sends the request until it is answered or may not be retried.
 func (r *requestState) sendWithRetries(ctx context.Context) *masticerror.Error {
 	for {
@@ -261,14 +268,14 @@
 // acquireExcept assigns a backend server other than the unavailable ones. The request is checked
 // against the newest view before and after the wait for one.
 func (r *requestState) acquireExcept(ctx context.Context, unavailable []string) (masticcall.Assignment, error) {
-	if err := r.recheck(); err != nil {
+	if err := r.recheck(ctx); err != nil {
 		return nil, err
 	}
 	a, err := r.assign(ctx, unavailable)
 	if err != nil {
 		return nil, err
 	}
-	if err := r.recheck(); err != nil {
+	if err := r.recheck(ctx); err != nil {
 		a.Done(time.Now(), masticcall.Result{Failure: string(masticerror.KindCancelled)})
 		return nil, err
 	}
