The depth of a value in a list or report is bounded

A value that is nested without an end kept one byte for each level, up to the size of the input (16 MiB of a list, by reading). Beyond 1 MiB it counts as damaged now. The reading of members before the array is written as one loop.

--- a/masticjson/array.go
+++ b/masticjson/array.go
@@ -67,28 +67,33 @@
 
 // members reads the members up to the end of the object, with the array.
 func (a *ArrayReader) members(o Object, f func(json.RawMessage)) error {
-	c, err := a.values.input.peek()
-	if err == nil && c == '}' {
-		return a.rest(o)
-	}
-	for ; err == nil; err = a.values.expect(',') {
-		name, err := a.name()
+	for first := true; ; first = false {
+		c, err := a.values.input.peek()
 		if err != nil {
 			return err
 		}
-		if name == a.array {
-			if c, err := a.values.input.peek(); err != nil || c == '[' {
-				return errors.Join(err, a.elements(o, f))
+		if c == '}' {
+			return a.rest(o)
+		}
+		if !first {
+			if err := a.values.expect(','); err != nil {
+				return err
 			}
 		}
-		if err := a.member(o, name); err != nil {
+		name, err := a.name()
+		if err != nil {
+			return err
+		}
+		if c, err = a.values.input.peek(); err != nil {
 			return err
 		}
-		if c, err := a.values.input.peek(); err != nil || c == '}' {
-			return errors.Join(err, a.rest(o))
+		if name == a.array && c == '[' {
+			return a.elements(o, f)
+		}
+		if err := a.member(o, name); err != nil {
+			return err
 		}
 	}
-	return err
 }
 
 // rest reads what follows a member, up to the end of the input. It holds no array of elements.
--- a/masticjson/value.go
+++ b/masticjson/value.go
@@ -5,8 +5,12 @@
 	"strings"
 )
 
-// maxLiteralBytes bounds a number. Those of encoding/json have no bound, but no field needs longer ones.
-const maxLiteralBytes = 4 << 10
+const (
+	// maxLiteralBytes bounds a number. Those of encoding/json have no bound, but no field needs longer ones.
+	maxLiteralBytes = 4 << 10
+	// maxNesting bounds the depth of a value, and so the memory of one without an end.
+	maxNesting = 1 << 20
+)
 
 // valueReader reads values and checks their syntax byte by byte, without recursion, so that it stops at the first byte
 // that is damaged. It keeps at most maxBytes of a value.
@@ -48,6 +52,9 @@
 		}
 		switch c {
 		case '{', '[':
+			if len(v.nesting) == maxNesting {
+				return errMalformed
+			}
 			v.nesting = append(v.nesting, c)
 		case '"':
 			return v.text()
