A trial whose server falls silent is known before the next one runs

The part was never quarantined.

Cause: the trial of a silent server ends with its request's deadline, or when its caller leaves, and was put down to the caller. Its server was not checked and its hold ended at once, so that the next trial ran before anything was known.

A trial that is given up without an answer has its server checked, and its hold is released once there is a verdict, in the background. Holds outlast their request's deadline by a second for this.

--- a/masticdetector/attempt.go
+++ b/masticdetector/attempt.go
@@ -68,8 +68,11 @@
 
 // Failed records that the attempt failed as it does if the server ends: its connection broke or its
 // answer is no proper one. It waits for a verdict until ctx ends.
-func (a *Attempt) Failed(ctx context.Context) masticcall.Verdict {
-	w, decided := a.detector.fail(a, false)
+func (a *Attempt) Failed(ctx context.Context) masticcall.Verdict { return a.awaitVerdict(ctx, false) }
+
+// awaitVerdict records that the attempt failed, has its server checked and waits for a verdict until ctx ends.
+func (a *Attempt) awaitVerdict(ctx context.Context, abandoned bool) masticcall.Verdict {
+	w, decided := a.detector.fail(a, abandoned, true)
 	if w == nil {
 		return masticcall.VerdictUnknown
 	}
@@ -84,7 +87,13 @@
 
 // Abandoned records that the request was given up, because its deadline passed or its caller left. The
 // server is not checked for it.
-func (a *Attempt) Abandoned() { a.detector.fail(a, true) }
+func (a *Attempt) Abandoned() { a.detector.fail(a, true, false) }
+
+// AbandonedTrial is Abandoned for a request that ran as a trial: the server is checked, since its silence may be
+// its end. It waits for a verdict until ctx ends.
+func (a *Attempt) AbandonedTrial(ctx context.Context) masticcall.Verdict {
+	return a.awaitVerdict(ctx, true)
+}
 
 // Refused records that the server's host refused a connection.
 func (a *Attempt) Refused() {
--- a/masticdetector/detector.go
+++ b/masticdetector/detector.go
@@ -83,9 +83,9 @@
 	d.checks.Wait()
 }
 
-// fail records that a failed. It returns the watch of its server, nil if too many servers are watched,
-// and a channel that is closed when there is a verdict.
-func (d *Detector) fail(a *Attempt, abandoned bool) (*watch, <-chan struct{}) {
+// fail records that a failed, and has its server checked if checked. It returns the watch of the server, nil if too many
+// are watched, and a channel that is closed when there is a verdict.
+func (d *Detector) fail(a *Attempt, abandoned, checked bool) (*watch, <-chan struct{}) {
 	d.mutex.Lock()
 	now := d.now()
 	d.attempts.remove(a)
@@ -94,7 +94,7 @@
 		d.mutex.Unlock()
 		return nil, nil
 	}
-	if w.episode.fail(now, abandoned) {
+	if w.episode.fail(now, checked) {
 		w.restart()
 	}
 	var reports []masticcall.ServerReport
@@ -181,7 +181,7 @@
 			continue
 		}
 		if w := d.watch(now, a.server, a.incarnation, a.sentAt); w != nil {
-			w.episode.fail(now, true)
+			w.episode.fail(now, false)
 		}
 	}
 	reports := map[*watch][]masticcall.ServerReport{}
--- a/masticdetector/detector_test.go
+++ b/masticdetector/detector_test.go
@@ -120,7 +120,7 @@
 func TestFailuresOfLiveServerAreChecked(t *testing.T) {
 	inBubble(t, func(c *qt.C, d *Detector, s *fakeServer) {
 		for request := range 100 {
-			d.fail(begin(d, request), false)
+			d.fail(begin(d, request), false, true)
 		}
 		time.Sleep(time.Minute)
 		checks, reports := s.counts()
--- a/masticdetector/episode.go
+++ b/masticdetector/episode.go
@@ -88,14 +88,14 @@
 }
 
 // fail applies that a request failed at now, after which nothing is known of the server until the next
-// sign. It returns whether the checks begin again; for a request that was given up they do not.
-func (e *episode) fail(now time.Time, abandoned bool) (restart bool) {
+// sign. It returns whether the checks begin again, if the server is to be checked.
+func (e *episode) fail(now time.Time, checked bool) (restart bool) {
 	isFirst := e.verdict == masticcall.VerdictAlive || e.failedAt.IsZero()
 	if isFirst {
 		e.verdict, e.failedAt = masticcall.VerdictUnknown, now
 	}
 	e.lastFailureAt = now
-	if abandoned || e.active && !isFirst {
+	if !checked || e.active && !isFirst {
 		return false
 	}
 	e.active, e.checks, e.checksFrom = true, 0, now
--- a/masticdetector/episode_test.go
+++ b/masticdetector/episode_test.go
@@ -87,7 +87,7 @@
 	}
 	switch {
 	case v.request > 0:
-		e.fail(now, v.abandoned)
+		e.fail(now, !v.abandoned)
 		return e.blame(now, masticcall.FailedRequest{Content: masticcall.Content{Digest: digest(v.request)}, SentAt: at(v.sentAt)}, v.abandoned)
 	case v.planned:
 		e.server.State = masticview.ServerLeaving
--- a/mastichold/hold.go
+++ b/mastichold/hold.go
@@ -19,6 +19,10 @@
 // time, to tell whether the part is harmless.
 const turnTimeout = 500 * time.Millisecond
 
+// verdictTime is how long a hold outlasts the deadline of its request, so that it is known whether its server has ended before
+// another request with the same part runs.
+const verdictTime = time.Second
+
 // Request is a request for which a backend server is acquired.
 type Request struct {
 	// Holds is nil if no request is ever suspected.
@@ -128,7 +132,7 @@
 		ctx, cancel = context.WithTimeout(ctx, r.Timeout)
 		defer cancel()
 	}
-	return r.Holds.Hold(ctx, r.Content, server, r.Deadline)
+	return r.Holds.Hold(ctx, r.Content, server, r.Deadline.Add(verdictTime))
 }
 
 // sleep waits for d. It returns the context's error if that ends first.
--- a/mastichold/hold_test.go
+++ b/mastichold/hold_test.go
@@ -21,6 +21,8 @@
 	// heldUntil is when the hold of another suspect on a server ends.
 	heldUntil map[string]time.Time
 	err       error
+	// deadline is that of the last hold.
+	deadline time.Time
 }
 
 func (h *fakeHolds) Suspected(masticcall.Content) bool { return h.suspected }
@@ -29,7 +31,8 @@
 
 func (h *fakeHolds) EndTurn(masticcall.Content) {}
 
-func (h *fakeHolds) Hold(_ context.Context, _ masticcall.Content, server string, _ time.Time) (masticcall.HoldOutcome, time.Duration, error) {
+func (h *fakeHolds) Hold(_ context.Context, _ masticcall.Content, server string, deadline time.Time) (masticcall.HoldOutcome, time.Duration, error) {
+	h.deadline = deadline
 	if h.err != nil || time.Now().Before(h.heldUntil[server]) {
 		return masticcall.HoldServerBusy, 0, h.err
 	}
@@ -108,3 +111,15 @@
 		})
 	}
 }
+
+// TestHoldEndsBeforeItsServerIsKnownToHaveEnded: the hold of a request that was given up at its deadline ended with it, and another
+// request with the same part ran before the failure was reported.
+func TestHoldEndsBeforeItsServerIsKnownToHaveEnded(t *testing.T) {
+	c := qt.New(t)
+	deadline := time.Now().Add(time.Minute)
+	holds, servers := &fakeHolds{suspected: true}, &fakeServers{names: []string{"a"}}
+	_, held, err := Acquire(t.Context(), Request{Holds: holds, Deadline: deadline, Acquire: servers.acquire, Now: time.Now})
+	c.Assert(err, qt.IsNil)
+	c.Assert(held, qt.IsTrue)
+	c.Assert(holds.deadline.After(deadline.Add(500*time.Millisecond)), qt.IsTrue)
+}
--- a/masticrelay/liveness.go
+++ b/masticrelay/liveness.go
@@ -69,7 +69,8 @@
 func (noReports) Report(masticcall.ServerReport) {}
 
 // observe passes what the attempt showed of its server to the detector. It returns the verdict on the
-// server, which is unknown if the attempt did not fail as it does when a server ends.
+// server, which is unknown if the attempt did not fail as it does when a server ends. A trial that was given up is
+// left to endTrial.
 func (r *requestState) observe(ctx context.Context, a *masticdetector.Attempt, f *masticbackend.Failure) masticcall.Verdict {
 	switch {
 	case f == nil:
@@ -78,7 +79,9 @@
 		a.Refused()
 	case !f.Sent || f.Answered:
 		a.End()
-	case f.Err.Kind() == masticerror.KindDeadline || f.Err.Kind() == masticerror.KindCancelled || f.Err.Kind() == masticerror.KindDraining:
+	case r.held && givenUp(f):
+		// endTrial ends the attempt.
+	case givenUp(f) || f.Err.Kind() == masticerror.KindDraining:
 		a.Abandoned()
 	default:
 		return r.failed(ctx, a)
@@ -86,6 +89,53 @@
 	return masticcall.VerdictUnknown
 }
 
+// givenUp reports whether the request ended without an answer because its deadline passed or its caller left.
+func givenUp(f *masticbackend.Failure) bool {
+	return f.Sent && !f.Answered && !f.Refused && (f.Err.Kind() == masticerror.KindDeadline || f.Err.Kind() == masticerror.KindCancelled)
+}
+
+// trial is a request with a hold that was given up before its server had answered.
+type trial struct {
+	relay   *Relay
+	attempt *masticdetector.Attempt
+	content masticcall.Content
+	server  string
+}
+
+// endTrial releases the hold of an attempt. If the request was given up, it does so in the background, once it is known whether the
+// server has ended: its silence may be its end, and the next trial of the same part would end another one.
+func (r *requestState) endTrial(a *masticdetector.Attempt, server string, f *masticbackend.Failure) {
+	if f != nil && givenUp(f) {
+		if r.relay.beginTrialEnd() {
+			go (&trial{relay: r.relay, attempt: a, content: r.content, server: server}).run()
+			return
+		}
+		a.Abandoned()
+	}
+	r.relay.holds.Release(r.content, server, f == nil && succeeded(r.status))
+}
+
+// beginTrialEnd counts a trial that was given up. It reports false if the relay closes.
+func (c *Relay) beginTrialEnd() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closing.Err() != nil {
+		return false
+	}
+	c.trials.Add(1)
+	return true
+}
+
+func (t *trial) run() {
+	defer t.relay.trials.Done()
+	ctx, cancel := context.WithTimeout(t.relay.closing, heldVerdictTimeout)
+	defer cancel()
+	verdict := t.attempt.AbandonedTrial(ctx)
+	t.relay.log.WithField("content", t.content.Digest.Short()).WithField("parts", t.content.ShortParts()).WithField("server", t.server).
+		WithField("verdict", verdict.String()).Info("trial given up")
+	t.relay.holds.Release(t.content, t.server, false)
+}
+
 // succeeded reports whether a server that gives status has worked on the whole request.
 func succeeded(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -53,7 +53,12 @@
 	log     logrus.FieldLogger
 	metrics *requestMetrics
 
-	detector      *masticdetector.Detector
+	detector *masticdetector.Detector
+	// trials counts the trials that were given up and whose holds are not released yet. closing is cancelled with the
+	// mutex held, after which none is added.
+	trials        sync.WaitGroup
+	closing       context.Context
+	cancel        context.CancelFunc
 	table         atomic.Pointer[routingTable]
 	firstDocument firstDocument
 
@@ -140,6 +145,7 @@
 		metrics:       newRequestMetrics(metrics.NewRegistry()),
 		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	c.closing, c.cancel = context.WithCancel(context.Background())
 	for _, o := range options {
 		o(c)
 	}
@@ -152,7 +158,13 @@
 }
 
 // Close ends the checks of failed backend servers.
-func (c *Relay) Close() { c.detector.Close() }
+func (c *Relay) Close() {
+	c.mutex.Lock()
+	c.cancel()
+	c.mutex.Unlock()
+	c.trials.Wait()
+	c.detector.Close()
+}
 
 // routingTable is what requests are served from under one view. It is immutable.
 type routingTable struct {
--- a/masticrelay/relay_test.go
+++ b/masticrelay/relay_test.go
@@ -28,7 +28,7 @@
 
 // rawServer answers each request with the next scripted response, as raw bytes. "ID" in it is
 // replaced by the request's identifier, and "CUT" at its end closes the connection. "END" closes
-// the listener too.
+// the listener too, and "HANG" leaves the request without an answer.
 type rawServer struct {
 	listener net.Listener
 	mutex    sync.Mutex
@@ -36,6 +36,8 @@
 	requests []*http.Request
 	bodies   []string
 	running  sync.WaitGroup
+	// closed is closed at the end of the test.
+	closed chan struct{}
 	// checks is the number of liveness checks, connections that of accepted connections.
 	checks, connections atomic.Int64
 }
@@ -43,11 +45,12 @@
 func newRawServer(c *qt.C, answers ...string) *rawServer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	s := &rawServer{listener: l, answers: answers}
+	s := &rawServer{listener: l, answers: answers, closed: make(chan struct{})}
 	s.running.Add(1)
 	go s.run()
 	c.Cleanup(func() {
 		_ = l.Close()
+		close(s.closed)
 		s.running.Wait()
 	})
 	return s
@@ -94,6 +97,10 @@
 		if !ok {
 			return
 		}
+		if answer == "HANG" {
+			<-r.server.closed
+			return
+		}
 		if answer == "END" {
 			_ = r.server.listener.Close()
 			return
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -307,7 +307,7 @@
 		r.logAttempt(server, f, time.Since(sentAt), verdict)
 	}
 	if r.held {
-		r.relay.holds.Release(r.content, server.Name, f == nil && succeeded(r.status))
+		r.endTrial(watched, server.Name, f)
 		r.held = false
 	}
 	return f
