Voters that are gone are removed while leaders are replaced

Cause: a leader removes a voter that has not answered it for 10 s, and each new leader counts anew.

In a group with an even number of voters the time is 2.5 s now: there the removal lowers the quorum. A group whose lost voter has a successor is one. The rule needs no memory of a former leader. A voter that was only frozen asks to be one again, as before.

TestReplacedLeadersLeaveGroupWithoutQuorum failed before: seven voters after two replacements of five. TestNewLeaderRemovesNoMemberBeforeTimeout checks the longer time and had a group of four; it has five voters now, and the shorter time has its own cases, so that no check is weaker.

--- a/masticcontrol/unresponsive.go
+++ b/masticcontrol/unresponsive.go
@@ -12,16 +12,27 @@
 // comes back with its state.
 const unresponsiveTimeout = 10 * time.Second
 
+// evenGroupTimeout is unresponsiveTimeout for a voter of a group with an even number of voters. Its removal lowers the
+// quorum, so that the group withstands more, and it comes back as a learner if it was not gone for good. Such a group is,
+// above all, one whose lost voter has a successor: if leaders change more often than unresponsiveTimeout, the
+// group would otherwise grow with each successor until the lost voters were half of it.
+const evenGroupTimeout = 2500 * time.Millisecond
+
 // lastAnswers holds the time of each other member's last answer, by identifier. A member that has
 // not answered this leader counts from the leader's first check.
 type lastAnswers map[string]time.Time
 
-// longestUnresponsive returns the member that has been unresponsive for the longest time and for
-// more than unresponsiveTimeout. It returns "" if there is none or if fewer than minVoters voters
-// answer, this host included.
+// longestUnresponsive returns the member that has been unresponsive for the longest time of those
+// that have been for more than their timeout. It returns "" if there is none or if fewer than minVoters
+// voters answer, this host included.
 func (s lastAnswers) longestUnresponsive(now time.Time, peers []masticquorum.PeerStatus, minVoters int) string {
 	answering, oldest := 1, ""
+	voterTimeout := timeoutOfVoters(peers)
 	for _, p := range peers {
+		timeout := unresponsiveTimeout
+		if p.Voter {
+			timeout = voterTimeout
+		}
 		since, known := s[p.ID]
 		switch {
 		case p.Responsive:
@@ -31,7 +42,7 @@
 			}
 		case !known:
 			s[p.ID] = now
-		case now.Sub(since) > unresponsiveTimeout && (oldest == "" || since.Before(s[oldest])):
+		case now.Sub(since) > timeout && (oldest == "" || since.Before(s[oldest])):
 			oldest = p.ID
 		}
 	}
@@ -41,6 +52,20 @@
 	return oldest
 }
 
+// timeoutOfVoters returns the timeout of the voters of a group, whose leader has the given peers.
+func timeoutOfVoters(peers []masticquorum.PeerStatus) time.Duration {
+	voters := 1
+	for _, p := range peers {
+		if p.Voter {
+			voters++
+		}
+	}
+	if voters%2 == 0 {
+		return evenGroupTimeout
+	}
+	return unresponsiveTimeout
+}
+
 // removeUnresponsive removes the member that has been unresponsive for the longest time, as long
 // as enough voters answer. A host that comes back asks to be a voter again.
 func (d *leaderState) removeUnresponsive(now time.Time) {
--- a/masticcontrol/unresponsive_test.go
+++ b/masticcontrol/unresponsive_test.go
@@ -1,6 +1,9 @@
 package masticcontrol
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,6 +46,10 @@
 			[]member{{name: "b"}, {name: "c", learner: true}, {name: "d", unresponsiveFor: 11 * time.Second}},
 			"",
 		},
+		{"a voter of an even group", []member{{name: "b"}, {name: "c"}, {name: "d"}, {name: "e"}, {name: "f", unresponsiveFor: 2600 * time.Millisecond}}, "f"},
+		{"not yet in an even group", []member{{name: "b"}, {name: "c"}, {name: "d"}, {name: "e"}, {name: "f", unresponsiveFor: 2500 * time.Millisecond}}, ""},
+		{"a learner beside an even group", []member{{name: "b"}, {name: "c"}, {name: "d"}, {name: "f", unresponsiveFor: 9 * time.Second, learner: true}}, ""},
+		{"too few answer in an even group", []member{{name: "b"}, {name: "c", unresponsiveFor: 3 * time.Second}, {name: "d", unresponsiveFor: 3 * time.Second}}, ""},
 		{"an unresponsive learner", []member{{name: "b"}, {name: "c"}, {name: "d", unresponsiveFor: 11 * time.Second, learner: true}}, "d"},
 	} {
 		t.Run(x.name, func(t *testing.T) {
@@ -66,7 +73,7 @@
 	c := qt.New(t)
 	now := time.UnixMilli(1_000_000)
 	s := lastAnswers{}
-	peers := []masticquorum.PeerStatus{{ID: "b", Voter: true, Responsive: true}, {ID: "c", Voter: true}, {ID: "d", Voter: true, Responsive: true}}
+	peers := []masticquorum.PeerStatus{{ID: "b", Voter: true, Responsive: true}, {ID: "c", Voter: true}, {ID: "d", Voter: true, Responsive: true}, {ID: "e", Voter: true, Responsive: true}}
 	c.Assert(s.longestUnresponsive(now, peers, 3), qt.Equals, "")
 	c.Assert(s.longestUnresponsive(now.Add(unresponsiveTimeout), peers, 3), qt.Equals, "")
 	c.Assert(s.longestUnresponsive(now.Add(unresponsiveTimeout+time.Millisecond), peers, 3), qt.Equals, "c")
@@ -75,3 +82,71 @@
 	neverAnswered := []masticquorum.PeerStatus{{ID: "b", Voter: true, Responsive: true}, {ID: "c", Voter: true}, {ID: "e", Voter: true}}
 	c.Assert(s.longestUnresponsive(now, neverAnswered, 3), qt.Equals, "")
 }
+
+// voterGroup is a control group whose leader is killed again and again. Its members are alive or gone for good.
+type voterGroup struct {
+	alive   map[string]bool
+	answers lastAnswers
+}
+
+// peers returns the members but the leader.
+func (g *voterGroup) peers(leader string) []masticquorum.PeerStatus {
+	var out []masticquorum.PeerStatus
+	for _, id := range slices.Sorted(maps.Keys(g.alive)) {
+		if id != leader {
+			out = append(out, masticquorum.PeerStatus{ID: id, Voter: true, Responsive: g.alive[id]})
+		}
+	}
+	return out
+}
+
+// hasQuorum reports whether enough voters are alive.
+func (g *voterGroup) hasQuorum() bool {
+	alive := 0
+	for _, a := range g.alive {
+		if a {
+			alive++
+		}
+	}
+	return alive > len(g.alive)/2
+}
+
+// TestReplacedLeadersLeaveGroupWithoutQuorum: each new leader waited anew before it removed a voter that was gone for good. Where leaders were
+// replaced more often than that, the group kept all of them as voters and grew with each successor, until those that were gone were half of it.
+func TestReplacedLeadersLeaveGroupWithoutQuorum(t *testing.T) {
+	const (
+		step     = 50 * time.Millisecond
+		election = 800 * time.Millisecond
+		// joined is the time from the loss of a leader until its successor at another address is a voter.
+		joined = 2 * time.Second
+	)
+	for _, x := range []struct {
+		voters, minVoters int
+		every             time.Duration
+	}{{5, 3, 9 * time.Second}, {5, 3, 5 * time.Second}, {3, 3, 9 * time.Second}, {9, 5, 5 * time.Second}, {6, 3, 5 * time.Second}} {
+		c := qt.New(t)
+		now := time.UnixMilli(1_000_000)
+		g := &voterGroup{alive: map[string]bool{}}
+		for i := range x.voters {
+			g.alive[fmt.Sprint("m", i)] = true
+		}
+		for n := range 12 {
+			leader := fmt.Sprint("m", n)
+			g.alive[leader] = false
+			c.Assert(g.hasQuorum(), qt.IsTrue, qt.Commentf("%+v: %d leaders are gone, voters %v", x, n+1, g.alive))
+			successor, next := fmt.Sprint("m", n+x.voters), fmt.Sprint("m", n+1)
+			g.answers = lastAnswers{}
+			for at := election; at < x.every; at += step {
+				if at == joined {
+					g.alive[successor] = true
+				}
+				if id := g.answers.longestUnresponsive(now.Add(at), g.peers(next), x.minVoters); id != "" {
+					delete(g.alive, id)
+					delete(g.answers, id)
+				}
+			}
+			now = now.Add(x.every)
+			c.Assert(len(g.alive) <= x.voters+1, qt.IsTrue, qt.Commentf("%+v: voters %v", x, g.alive))
+		}
+	}
+}
