A request whose key moves is checked again after the wait for its quota

Found by reading. A waiting request whose key had moved waited up to 250 ms for the quota of its new workspace, and was then sent without another look: its caller may have left, and the key may have moved on or been withdrawn. Its stream was recorded under the former workspace and the API key alone, so that another key of the new workspace did not find it. A host took a stream whose first key had room among its records and whose second one had none.

The request is checked anew after the wait; its stream gets the key of the new workspace too; a host begins a stream of another than the base version only with room for all keys.

Evidence: TestKeyThatMovesOnIsServedUnderItsFormerWorkspace fails without the second check; TestStreamOfMovedKeyIsFoundByItsNewWorkspace covers the key.

--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// originBatch bounds the streams of one command, maxOrigins those of this host that are recorded or asked
+	// originBatch bounds the keys of streams of one command, maxOrigins those of this host that are recorded or asked
 	// for at once.
 	originBatch = 512
 	maxOrigins  = 8192
@@ -119,7 +119,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.refill(now, o.agent.View().HostCount())
-	return !now.Before(o.failedUntil) && o.tokens >= 1 && len(o.records) < maxOrigins
+	return !now.Before(o.failedUntil) && o.tokens >= 1 && len(o.records) <= maxOrigins-masticcall.MaxStreamKeys
 }
 
 // refill adds the tokens since the last call. The mutex is held.
--- a/masticcall/origin.go
+++ b/masticcall/origin.go
@@ -33,6 +33,9 @@
 // some of them: they move API keys to other workspaces, rename workspaces, replace API keys and make routes public.
 type StreamKeys []StreamKey
 
+// MaxStreamKeys is the number of keys of a stream whose API key moved once.
+const MaxStreamKeys = 3
+
 // Marks of stream keys that have no workspace. No name begins with such a byte, which is not UTF-8.
 const (
 	markAPIKey = "\xff"
--- a/masticrelay/access.go
+++ b/masticrelay/access.go
@@ -45,6 +45,7 @@
 	}
 	r.settleQuota(used)
 	r.workspace, r.admission = w, admission
+	r.addStreamKeys()
 	return nil
 }
 
@@ -71,6 +72,8 @@
 		if err := r.moveTo(ctx, t, w); err != nil {
 			return err
 		}
+		// The caller may have left, and the key may have moved on, while the request waited for its quota.
+		return r.recheck(ctx)
 	}
 	r.cacheScope = cacheScope(t.view, w)
 	if !r.mayHaveRun {
--- a/masticrelay/movedkey_test.go
+++ b/masticrelay/movedkey_test.go
@@ -57,6 +57,50 @@
 	return d
 }
 
+// changingLimiter changes the document while a request waits for the quota of yard.
+type changingLimiter struct {
+	accounts
+	change func()
+}
+
+func (l *changingLimiter) Admit(ctx context.Context, workspace string, tokens int64, by time.Time) (masticcall.Admission, error) {
+	if workspace == "yard" {
+		l.change()
+	}
+	return l.accounts.Admit(ctx, workspace, tokens, by)
+}
+
+// TestKeyThatMovesOnIsServedUnderItsFormerWorkspace: after the wait for the quota of the new workspace, nothing looked whether the key had moved on
+// or was withdrawn, or the caller had left.
+func TestKeyThatMovesOnIsServedUnderItsFormerWorkspace(t *testing.T) {
+	c := qt.New(t)
+	server := newRawServer(c, okAnswer, okAnswer)
+	b := newFixture(c, once, server)
+	view, number := masticview.View{}, int64(1)
+	change := func(name string) {
+		number++
+		next, err := view.Apply(viewChange(movedDocument(number, once, name, false)), time.Now())
+		c.Assert(err, qt.IsNil)
+		view = next
+		b.relay.SetView(view)
+	}
+	change("mill")
+	limits := &changingLimiter{accounts: accounts{admitted: map[string]int64{}, used: map[string]int64{}}, change: func() { change("third") }}
+	b.relay.limiter = limits
+	b.dispatcher.beforeAssign = func(int) { change("yard") }
+	status, _, _ := b.send(c)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(server.received()[0].Header.Get("Workspace"), qt.Equals, "third")
+	c.Assert(limits.used, qt.DeepEquals, map[string]int64{"mill": 0, "yard": 0, "third": 7})
+
+	change("mill")
+	limits.change = func() { change("") }
+	status, _, _ = b.send(c)
+	c.Assert(status, qt.Equals, http.StatusUnauthorized)
+	c.Assert(server.received(), qt.HasLen, 1)
+	c.Assert(limits.open, qt.Equals, 0)
+}
+
 // TestKeyThatMovesWhileItsRequestWaitsIsRefused: a request that waited for a server while a document moved its key to another workspace
 // was answered 401, after which no caller asks again. It runs as a request of the new workspace, which is charged for it.
 func TestKeyThatMovesWhileItsRequestWaitsIsRefused(t *testing.T) {
--- a/masticrelay/origin.go
+++ b/masticrelay/origin.go
@@ -86,6 +86,25 @@
 	return masticcall.StreamKeys{workspace, r.pathStreamKey(request)}
 }
 
+// addStreamKeys adds the keys of the request's present workspace to those of its stream.
+func (r *requestState) addStreamKeys() {
+	if !r.keepsOrigin() {
+		return
+	}
+	request := r.call.ID
+	if r.takesUp() {
+		request = r.call.Resumes
+	}
+	for _, k := range r.streamKeys(request) {
+		if !slices.Contains(r.origin.keys, k) {
+			r.origin.keys = append(slices.Clone(r.origin.keys), k)
+		}
+	}
+	if r.origin.recorded && r.origin.bound.Required {
+		r.relay.origins.Record(r.origin.keys, r.origin.bound.Version)
+	}
+}
+
 // formerStreamKeys returns the keys under which the stream that the request takes up may have been recorded.
 func (r *requestState) formerStreamKeys() masticcall.StreamKeys {
 	if !r.call.HasKey {
--- a/masticrelay/streamkey_test.go
+++ b/masticrelay/streamkey_test.go
@@ -42,3 +42,20 @@
 		c.Check(slices.Contains(began.origin.keys, began.streamKeys("another")[0]), qt.IsFalse)
 	}
 }
+
+// TestStreamOfMovedKeyIsFoundByItsNewWorkspace: a stream that began after its caller's key had moved was recorded under the former workspace,
+// so that another key of the new one did not find it.
+func TestStreamOfMovedKeyIsFoundByItsNewWorkspace(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(c, safe, newRawServer(c))
+	b.relay.origins = unusedOrigins{}
+	r := callerOf("mill", "k1", "/a/x")
+	r.relay, r.route, r.call.Resumes, r.call.ID = b.relay, masticdocument.Route{Resumable: true}, "", "id"
+	r.workspace.Name = "yard"
+	r.addStreamKeys()
+	c.Assert(len(r.origin.keys) <= masticcall.MaxStreamKeys, qt.IsTrue)
+	for _, other := range []*requestState{callerOf("mill", "k2", "/a/x"), callerOf("yard", "k3", "/a/x"), callerOf("third", "k1", "/a/x")} {
+		found := slices.ContainsFunc(r.origin.keys, func(k masticcall.StreamKey) bool { return slices.Contains(other.formerStreamKeys(), k) })
+		c.Check(found, qt.IsTrue, qt.Commentf("%s", other.workspace.Name))
+	}
+}
