A leader's time without checks is not the silence of its voters

Found by reading. A leader that had not run for some seconds, for lack of processor time, and that still led, counted them as silence of the voters whose answers it had not read yet. With 2.5 s in groups with an even number of voters that is a short time. A gap of over 0.5 s between two checks does not count now.

--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -37,6 +37,8 @@
 	skippedEntries int
 	// lastAnswers holds the time of each member's last answer.
 	lastAnswers lastAnswers
+	// membersCheckedAt is when they were checked last.
+	membersCheckedAt time.Time
 	// unreachableFraction is the fraction of unreachable hosts, by weight, at the last check.
 	unreachableFraction float64
 	// orders is cancelled when the leader lease is not held any more, before another host can lead.
--- a/masticcontrol/unresponsive.go
+++ b/masticcontrol/unresponsive.go
@@ -12,16 +12,30 @@
 // comes back with its state.
 const unresponsiveTimeout = 10 * time.Second
 
-// evenGroupTimeout is unresponsiveTimeout for a voter of a group with an even number of voters. Its removal lowers the
-// quorum, so that the group withstands more, and it comes back as a learner if it was not gone for good. Such a group is,
-// above all, one whose lost voter has a successor: if leaders change more often than unresponsiveTimeout, the
-// group would otherwise grow with each successor until the lost voters were half of it.
+// evenGroupTimeout is unresponsiveTimeout for voters of a group with an even number of voters, where a removal lowers the
+// quorum. Otherwise a group whose leaders are replaced more often than unresponsiveTimeout would grow with each
+// successor, until the lost voters were half of it.
 const evenGroupTimeout = 2500 * time.Millisecond
 
+// maxCheckGap is the time between two checks from which the time between them does not count, since the leader itself
+// may have had no processor time to read answers.
+const maxCheckGap = 500 * time.Millisecond
+
 // lastAnswers holds the time of each other member's last answer, by identifier. A member that has
 // not answered this leader counts from the leader's first check.
 type lastAnswers map[string]time.Time
 
+// withoutGap leaves a long time between two checks out of all times without an answer.
+func (s lastAnswers) withoutGap(checkedAt, now time.Time) {
+	gap := now.Sub(checkedAt)
+	if gap <= maxCheckGap {
+		return
+	}
+	for id, at := range s {
+		s[id] = at.Add(gap)
+	}
+}
+
 // longestUnresponsive returns the member that has been unresponsive for the longest time of those
 // that have been for more than their timeout. It returns "" if there is none or if fewer than minVoters
 // voters answer, this host included.
@@ -72,6 +86,8 @@
 	if d.loop.minResponsiveVoters == 0 {
 		return
 	}
+	d.lastAnswers.withoutGap(d.membersCheckedAt, now)
+	d.membersCheckedAt = now
 	oldest := d.lastAnswers.longestUnresponsive(now, d.loop.status.Peers, d.loop.minResponsiveVoters)
 	if oldest == "" {
 		return
--- a/masticcontrol/unresponsive_test.go
+++ b/masticcontrol/unresponsive_test.go
@@ -150,3 +150,19 @@
 		}
 	}
 }
+
+// TestLeaderWithoutProcessorTimeRemovesVoters: a leader that had not run for longer than the timeout counted that time as the silence of those
+// voters whose answers it had not read yet.
+func TestLeaderWithoutProcessorTimeRemovesVoters(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_000_000)
+	peers := []masticquorum.PeerStatus{{ID: "b", Voter: true, Responsive: true}, {ID: "c", Voter: true, Responsive: true}, {ID: "d", Voter: true, Responsive: true}}
+	s := lastAnswers{}
+	c.Assert(s.longestUnresponsive(now, peers, 3), qt.Equals, "")
+	peers[2].Responsive = false
+	s.withoutGap(now, now.Add(maxCheckGap))
+	s.withoutGap(now, now.Add(4*time.Second))
+	now = now.Add(4 * time.Second)
+	c.Assert(s.longestUnresponsive(now, peers, 3), qt.Equals, "")
+	c.Assert(s.longestUnresponsive(now.Add(evenGroupTimeout+time.Millisecond), peers, 3), qt.Equals, "d")
+}
