--- a/masticjson/array_test.go
+++ b/masticjson/array_test.go
@@ -108,3 +108,30 @@
 	c.Assert(err, qt.ErrorIs, errMalformed)
 	c.Assert(elements, qt.DeepEquals, []string{`{"x":1}`, `{"z":3}`})
 }
+
+// FuzzArrayReader checks that any bytes are read to an end, and that no element between two others affects them, but by hiding the begin of an
+// element behind its own.
+func FuzzArrayReader(f *testing.F) {
+	for _, seed := range []string{"", ":", `{"a":`, `{"a":"`, `{"a":[1`, `],"b":1`, `}`, `"\u00`, "[[[", "\xff\x00", `{"a":{}}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, element []byte) {
+		text := `{"list":[{"x":1},` + string(element) + `,{"y":2}],"next":null}`
+		_, _, _, _ = readArray(text, 1000)
+		_, _, _, _ = readArray(string(element), 1000)
+		var elements []string
+		a := NewArrayReader(strings.NewReader(text), "list", 1<<20, WithDamagedElementsSkipped(1<<20))
+		o, err := a.Read(func(raw json.RawMessage) {
+			if !json.Valid(raw) {
+				t.Fatalf("%q is no element", raw)
+			}
+			elements = append(elements, string(raw))
+		})
+		if err != nil {
+			t.Skip("partial")
+		}
+		if len(elements) < 1 || elements[0] != `{"x":1}` || elements[len(elements)-1] != `{"y":2}` && !strings.HasSuffix(elements[len(elements)-1], `,{"y":2}]}`) || string(o["next"]) != "null" {
+			t.Fatalf("%q: %q, %v", text, elements, o)
+		}
+	})
+}
