--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -91,13 +91,6 @@
 	at  time.Time
 }
 
-type originQuestion struct {
-	key     masticcall.StreamKey
-	service string
-	answer  chan masticcall.StreamOrigin
-	ctx     context.Context
-}
-
 func newOrigins(a *Agent) *origins {
 	return &origins{
 		agent: a, wake: make(chan struct{}, 1), records: map[masticcall.StreamKey]*originRecord{},
@@ -188,45 +181,6 @@
 	}
 }
 
-// Find answers from this host's own records or asks the control group.
-func (o *origins) Find(ctx context.Context, keys masticcall.StreamKeys, service string) (masticcall.StreamOrigin, error) {
-	questions := make([]*originQuestion, 0, len(keys))
-	for _, k := range keys {
-		questions = append(questions, &originQuestion{key: k, service: service, answer: make(chan masticcall.StreamOrigin, 1), ctx: ctx})
-	}
-	if software, ok := o.ask(questions...); ok {
-		return masticcall.StreamOrigin{Software: software, Recorded: true, ByItself: true}, nil
-	}
-	var found masticcall.StreamOrigin
-	for _, q := range questions {
-		select {
-		case found = <-q.answer:
-		case <-ctx.Done():
-			return masticcall.StreamOrigin{}, masticerror.New(masticerror.KindNoQuorum, "the control group did not say in time which version began the stream")
-		}
-		if found.Recorded {
-			break
-		}
-	}
-	return found, nil
-}
-
-// ask queues questions on one stream, unless this host has an acknowledged record itself.
-func (o *origins) ask(questions ...*originQuestion) (string, bool) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	for _, q := range questions {
-		if r, ok := o.records[q.key]; ok && r.acknowledged {
-			return r.software, true
-		}
-	}
-	if len(o.asked) < maxOrigins {
-		o.asked = append(o.asked, questions...)
-		o.signal()
-	}
-	return "", false
-}
-
 // signal wakes the sender.
 func (o *origins) signal() {
 	select {
