A trial on the product's own path has its silent server checked too

The call says whether it is held. If so, its server is checked before the failure is returned, and with it before the hold is released, for one probe's timeout at most.

Evidence: TestTrialOfSilentEngineIsNotReported failed before. checkEnded takes how the attempt failed, so that TestEndsOfUnnamedIncarnationsAreDistinct passes it; what it checks is the same.

--- a/masticengine/call.go
+++ b/masticengine/call.go
@@ -63,8 +63,10 @@
 	Sequence masticstream.Sequence
 	// Once ensures that the request is sent on at most one connection.
 	Once bool
-	// Content is the content in reports of ended servers.
+	// Content is the content in reports of ended servers. Held reports that the call has a hold of its server, which is
+	// released afterwards.
 	Content masticcall.Content
+	Held    bool
 	// BeforeSend, when set, is called once there is a connection, right before the first byte is sent on it. Nothing is sent
 	// if it returns an error.
 	BeforeSend func() error
--- a/masticengine/ended_test.go
+++ b/masticengine/ended_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,3 +125,46 @@
 		qt.Assert(t, q.URL.RequestURI(), qt.Equals, "*")
 	}
 }
+
+// silentEngine answers neither model requests nor, once it has fallen silent, anything else.
+type silentEngine struct {
+	silent atomic.Bool
+	ended  chan struct{}
+}
+
+func (s *silentEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		s.silent.Store(true)
+	}
+	if s.silent.Load() {
+		<-s.ended
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(HeaderIncarnation, "one")
+}
+
+// TestTrialOfSilentEngineIsNotReported: a call with a hold that got no answer until its caller gave it up was put down to the caller, and
+// the hold ended before anything was known of the server.
+func TestTrialOfSilentEngineIsNotReported(t *testing.T) {
+	for _, held := range []bool{true, false} {
+		c := qt.New(t)
+		var verdicts verdictRecorder
+		client := New(WithServerEnded(verdicts.report))
+		e := &silentEngine{ended: make(chan struct{})}
+		server, err := masticfake.Serve(e)
+		c.Assert(err, qt.IsNil)
+		call := Call{
+			Server:    masticview.Server{Name: "engine-1", Kind: masticview.ServerEngine, URL: server.URL()},
+			RequestID: "r", Method: http.MethodPost, Path: "/v1/completions", Held: held,
+		}
+		c.Assert(client.ensureIncarnation(t.Context(), call.Server), qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		_, err = client.Do(ctx, call)
+		cancel()
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(verdicts.contains(masticcall.VerdictLost), qt.Equals, held)
+		close(e.ended)
+		client.Close()
+		server.Down()
+	}
+}
--- a/masticengine/exchange.go
+++ b/masticengine/exchange.go
@@ -159,7 +159,7 @@
 }
 
 // fail stops sending the request and returns the failure for err. Unless the call was ended by its
-// caller or a timeout, it also checks whether the server's incarnation has ended.
+// caller or a timeout, or if it has a hold, it also checks whether the server's incarnation has ended.
 func (x *exchange) fail(err error) *Failure {
 	sent := x.trace.stop() || x.answer != nil
 	f := &Failure{Err: classify(x.ctx, err, sent), Sent: sent}
@@ -170,20 +170,22 @@
 	f.Incarnation = x.running.incarnation
 	switch {
 	case !sent:
-	case x.ctx.Err() != nil:
+	case x.ctx.Err() != nil && !x.call.Held:
 		x.running.attempt.Abandoned()
+	case x.ctx.Err() != nil:
+		f.ServerEnded = x.checkEnded(x.running.attempt.AbandonedTrial)
 	default:
-		f.ServerEnded = x.checkEnded()
+		f.ServerEnded = x.checkEnded(x.running.attempt.Failed)
 	}
 	return f
 }
 
-// checkEnded reports the failed call to the detector, and returns whether the server has ended or is
+// checkEnded reports the failed call to the detector by failed, and returns whether the server has ended or is
 // lost.
-func (x *exchange) checkEnded() bool {
+func (x *exchange) checkEnded(failed func(context.Context) masticcall.Verdict) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), millis(x.client.limits.ProbeTimeoutMillis))
 	defer cancel()
-	switch x.running.attempt.Failed(ctx) {
+	switch failed(ctx) {
 	case masticcall.VerdictLost, masticcall.VerdictEnded:
 		return true
 	default:
--- a/masticengine/incarnation_test.go
+++ b/masticengine/incarnation_test.go
@@ -58,7 +58,7 @@
 	for range 2 {
 		x := &exchange{client: client, call: call, running: client.addRunning(call)}
 		server.Down()
-		c.Assert(x.checkEnded(), qt.IsTrue)
+		c.Assert(x.checkEnded(x.running.attempt.Failed), qt.IsTrue)
 		c.Assert(server.Up(), qt.IsNil)
 		c.Assert(client.ensureIncarnation(context.Background(), call.Server), qt.IsNil)
 	}
--- a/masticgate/relay.go
+++ b/masticgate/relay.go
@@ -96,6 +96,7 @@
 		CacheSalt:  a.CacheSalt(),
 		Sequence:   m.sequence,
 		Content:    m.prompt.content,
+		Held:       m.held,
 		BeforeSend: m.beforeSend,
 		Check:      m.inbound.gate.accessCheck(m.inbound.identity, m.prompt.allowedBy),
 		BeforeWait: m.flushPending,
--- a/masticgate/service.go
+++ b/masticgate/service.go
@@ -163,6 +163,7 @@
 		Workspace:  c.inbound.identity.profile.Workspace,
 		Once:       !c.service.Idempotent,
 		Content:    c.content,
+		Held:       c.held,
 		BeforeSend: c.beforeSend,
 	})
 	c.releaseHold(err == nil)
