Silence of control members is counted over all leaders

What callers saw: on deployments that tolerate the loss of two hosts, two control hosts that were replaced at the same moment, every 9 s, ended the control group for good after the fourth round: the configuration could neither be read nor changed ("no config in time; version 16 was acked").

Cause: each leader counted the silence of a voter from its own first check, 10 s, or 2.5 s in groups of an even number. Two successors for two lost voters leave the number odd, so that no voter was removed where leaders changed within 10 s; and none at all where they changed within 2.5 s. Besides, a voter counted as silent whose answers came later than their round lasts, and a voter was removed only while minResponsiveVoters answered, which a group of 2f+1 hosts seldom has while hosts are replaced.

Now heartbeats name the members that the leader does not hear from, with the time of their silence. A follower that becomes the leader goes on from there; it waits for two election timeouts for answers of its own. A voter that is silent for 2.5 s is removed whatever the group's number, as long as a quorum answers and 2f+1 voters remain, so that a quorum still has f+1 disks. Any answer ends a silence. The list is advice only: what is proposed and how it is committed has not changed, so that no step lets two groups decide. A member that answers costs no bytes.

Ruled out: a target size of the group (nobody knows the number of hosts, and a planned successor comes before its predecessor goes), and removal and promotion in one entry (majorities of both lists need not meet).

--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -35,10 +35,6 @@
 	listIndex uint64
 	// skippedEntries is the number of entries of the list that were skipped at its last reading.
 	skippedEntries int
-	// lastAnswers holds the time of each member's last answer.
-	lastAnswers lastAnswers
-	// membersCheckedAt is when they were checked last.
-	membersCheckedAt time.Time
 	// unreachableFraction is the fraction of unreachable hosts, by weight, at the last check.
 	unreachableFraction float64
 	// orders is cancelled when the leader lease is not held any more, before another host can lead.
@@ -95,7 +91,6 @@
 	d.orders, d.cancelOrders = context.WithCancel(l.background)
 	d.renewals = newRenewals(now)
 	d.baseSoftware.goneSince = map[string]time.Time{}
-	d.lastAnswers = lastAnswers{}
 	d.rollouts = newRollouts()
 	d.workspaces, d.seenRevision = map[string]bool{}, view.Revision()
 	for _, name := range l.workspaceNames() {
--- a/masticcontrol/option.go
+++ b/masticcontrol/option.go
@@ -144,9 +144,8 @@
 // WithQuotaSlack adds tokens to the burst of each workspace in the document.
 func WithQuotaSlack(tokens int64) Option { return func(s *settings) { s.quotaSlack = tokens } }
 
-// WithVoterRemoval makes the leader remove a member that has been unresponsive for longer than
-// unresponsiveTimeout, as long as at least minResponsiveVoters voters answer, the leader
-// included. Without it only operators remove members.
+// WithVoterRemoval makes the leader remove a member that masticquorum.Core.UnresponsiveMember names, as
+// long as at least minResponsiveVoters voters answer, the leader included. Without it only operators remove members.
 func WithVoterRemoval(minResponsiveVoters int) Option {
 	return func(s *settings) { s.minResponsiveVoters = minResponsiveVoters }
 }
--- a/masticquorum/change.go
+++ b/masticquorum/change.go
@@ -61,7 +61,7 @@
 		Kind:  masticproto.EntryKind_ENTRY_MEMBERS,
 		Data:  data,
 	})
-	c.syncProgress()
+	c.syncProgress(now)
 	c.maybeCommit()
 	return nil
 }
--- a/masticquorum/contract.go
+++ b/masticquorum/contract.go
@@ -82,4 +82,7 @@
 	// Responsive reports that the member answered a heartbeat round which was sent within
 	// the last election timeout.
 	Responsive bool
+	// AnsweredAt is when the member last answered this leader, or one before it as far as that is known. Late answers
+	// count as well.
+	AnsweredAt time.Time
 }
--- a/masticquorum/core.go
+++ b/masticquorum/core.go
@@ -49,6 +49,8 @@
 	// because the leader's lease relies on it.
 	refuseVotesUntil time.Time
 	electionDeadline time.Time
+	// silentSince has the time of the last answer of each member that the last leader named as silent.
+	silentSince map[string]time.Time
 	leaderState
 }
 
@@ -200,6 +202,9 @@
 		c.term = term
 		c.vote = candidate{}
 	}
+	if c.role == roleLeader {
+		c.recordSilence(now, c.silentMembers(now))
+	}
 	if c.role != roleFollower {
 		c.role = roleFollower
 		c.resetElectionDeadline(now)
--- a/masticquorum/follower.go
+++ b/masticquorum/follower.go
@@ -21,6 +21,7 @@
 	c.becomeFollower(now, m.GetTerm(), m.GetFrom())
 	c.resetElectionDeadline(now)
 	c.refuseVotesUntil = now.Add(c.electionTimeout)
+	c.recordSilence(now, m.GetSilent())
 	if m.GetKind() == masticproto.MessageKind_MESSAGE_SNAPSHOT {
 		c.installSnapshot(m)
 		return
--- a/masticquorum/leader.go
+++ b/masticquorum/leader.go
@@ -12,7 +12,9 @@
 
 // leaderState is the part of the state that only a leader has.
 type leaderState struct {
-	progress          map[string]*progress
+	progress map[string]*progress
+	// silent are the members that the heartbeats name as silent.
+	silent            []*masticproto.SilentMember
 	leaderSince       time.Time
 	heartbeatDeadline time.Time
 	round             uint64
@@ -35,7 +37,7 @@
 		leaderSince: now,
 		termStart:   first.GetIndex(),
 	}
-	c.syncProgress()
+	c.syncProgress(now)
 	c.appendEntry(first)
 	c.broadcastHeartbeat(now)
 }
@@ -63,6 +65,7 @@
 
 // tickLeader steps down if no quorum has answered in time, and sends the heartbeats that are due.
 func (c *Core) tickLeader(now time.Time) {
+	c.excludeDelay(now)
 	if !now.Before(c.quorumDeadline(now)) {
 		c.becomeFollower(now, c.term, "")
 		return
@@ -75,6 +78,7 @@
 // broadcastHeartbeat starts a heartbeat round and sends it to every other member.
 func (c *Core) broadcastHeartbeat(now time.Time) {
 	c.startRound(now)
+	c.silent = c.silentMembers(now)
 	for _, m := range c.currentMembers().members {
 		if p := c.progress[m.GetId()]; p != nil {
 			c.sendHeartbeat(now, p)
--- a/masticquorum/network_test.go
+++ b/masticquorum/network_test.go
@@ -109,7 +109,8 @@
 	leaders map[uint64]string
 	failure string
 	// actions are the kinds of step from which a random history is drawn.
-	actions []string
+	actions                            []string
+	electionTimeout, heartbeatInterval time.Duration
 	// lostUnbound reports that a disk was lost before the voters' storage was bound.
 	lostUnbound bool
 }
@@ -121,10 +122,12 @@
 		blocked:    make(map[[2]string]bool),
 		leaders:    make(map[uint64]string),
 		maxLatency: testMaxLatency,
+
+		electionTimeout: testElectionTimeout, heartbeatInterval: testHeartbeatInterval,
 	}
 	n.now = n.start
-	for i := range voters + others {
-		n.hosts = append(n.hosts, &host{id: fmt.Sprintf("h%d", i), clockRate: 0.97 + 0.06*n.random.Float64()})
+	for range voters + others {
+		n.newHost()
 	}
 	for _, h := range n.hosts[:voters] {
 		n.bootstrap = append(n.bootstrap, &masticproto.Member{Id: h.id, Voter: true})
@@ -136,6 +139,13 @@
 	return n
 }
 
+// newHost adds a host, which is started by replaceDisk.
+func (n *network) newHost() *host {
+	h := &host{id: fmt.Sprintf("h%d", len(n.hosts)), clockRate: 0.97 + 0.06*n.random.Float64()}
+	n.hosts = append(n.hosts, h)
+	return h
+}
+
 func (n *network) fail(format string, args ...any) {
 	if n.failure == "" {
 		n.failure = n.now.Sub(n.start).String() + ": " + fmt.Sprintf(format, args...)
@@ -164,7 +174,7 @@
 	c, err := New(
 		WithID(h.id), WithStorageIncarnation(h.disk.storage), WithGroup(7), WithMembers(members),
 		WithHardState(h.disk.hardState), WithEntries(h.disk.entries), WithSnapshot(h.disk.snapshot),
-		WithElectionTimeout(testElectionTimeout), WithHeartbeatInterval(testHeartbeatInterval),
+		WithElectionTimeout(n.electionTimeout), WithHeartbeatInterval(n.heartbeatInterval),
 		WithMaxAppendBytes(3*entryOverheadBytes), WithMaxInFlight(3), WithRetainedEntries(2),
 		WithSeed(n.random.Uint64()), WithStartTime(n.clock(h)),
 	)
--- a/masticquorum/progress.go
+++ b/masticquorum/progress.go
@@ -17,8 +17,11 @@
 	storage string
 	// answeredRoundSentAt is the time at which the latest round that the member answered was sent.
 	answeredRoundSentAt time.Time
-	match               uint64
-	next                uint64
+	// answeredAt is when the member's last answer arrived, whatever its round, at this leader or at one before it. A member
+	// of which no silence is known counts from the time at which the leader began to send to it.
+	answeredAt time.Time
+	match      uint64
+	next       uint64
 	// probing is set until the member confirms the entry before next. While it is set, only
 	// one append is sent at a time.
 	probing   bool
@@ -32,13 +35,13 @@
 	snapshotDeadline time.Time
 }
 
-func newProgress(id string, next uint64) *progress {
-	return &progress{id: id, next: next, probing: true}
+func newProgress(id string, next uint64, answeredAt time.Time) *progress {
+	return &progress{id: id, next: next, probing: true, answeredAt: answeredAt}
 }
 
 // syncProgress adds progress for new members of the current list and removes that of hosts
 // which are no longer members.
-func (c *Core) syncProgress() {
+func (c *Core) syncProgress(now time.Time) {
 	for id := range c.progress {
 		if c.currentMembers().find(id) == nil {
 			delete(c.progress, id)
@@ -46,7 +49,7 @@
 	}
 	for _, m := range c.currentMembers().members {
 		if m.GetId() != c.id && c.progress[m.GetId()] == nil {
-			c.progress[m.GetId()] = newProgress(m.GetId(), c.log.lastIndex()+1)
+			c.progress[m.GetId()] = newProgress(m.GetId(), c.log.lastIndex()+1, c.lastAnswer(now, m.GetId()))
 		}
 	}
 }
@@ -69,10 +72,11 @@
 		p.storage = m.GetStorage()
 	}
 	if p.storage != m.GetStorage() {
-		p = newProgress(p.id, c.log.lastIndex()+1)
+		p = newProgress(p.id, c.log.lastIndex()+1, now)
 		p.storage = m.GetStorage()
 		c.progress[p.id] = p
 	}
+	p.answeredAt = now
 	if sentAt, ok := c.roundSentAt(m.GetRound()); ok && sentAt.After(p.answeredRoundSentAt) {
 		p.answeredRoundSentAt = sentAt
 	}
@@ -173,6 +177,7 @@
 		Entries: entries,
 		Commit:  c.commit,
 		Round:   c.round,
+		Silent:  c.silent,
 	})
 }
 
@@ -186,6 +191,7 @@
 		Term:     c.term,
 		Round:    c.round,
 		Snapshot: c.snapshot,
+		Silent:   c.silent,
 	})
 }
 
@@ -205,6 +211,7 @@
 			StorageReplaced:    m.GetVoter() && p.storage != "" && m.GetStorage() != "" && p.storage != m.GetStorage(),
 			CaughtUp:           !m.GetVoter() && c.caughtUp(now, p),
 			Responsive:         c.responsive(now, p),
+			AnsweredAt:         p.answeredAt,
 		})
 	}
 	return peers
