The control group is founded by a quorum of its founders

Cause: until a leader has bound each voter to its data folder, the election needed the vote of every founder, since a vote may come from a new folder that replaced the one that had voted otherwise.

The list of founders is given to a host at its first start only, so that a host without it has lost its folder. Messages now say whether their sender still has the folder with the list; only such a folder counts for a voter that is not bound yet. No founder can therefore vote twice in a term, and a quorum is enough. Hosts whose settings give the list again keep the former rule.

Ruled out: the former rule less one vote, with the missing founder as a learner. A history of TestFoundersElectTwoLeadersInOneTerm ended it: the group had two voters until the third was back, and the loss of one stopped it.

--- a/masticcontrol/control.go
+++ b/masticcontrol/control.go
@@ -84,7 +84,11 @@
 }
 
 func (s *settings) newCore(loaded masticstore.Loaded) (*masticquorum.Core, error) {
-	return masticquorum.New(
+	var options []masticquorum.Option
+	if s.membersGivenOnce {
+		options = append(options, masticquorum.WithMembersGivenOnce())
+	}
+	return masticquorum.New(append(options,
 		masticquorum.WithID(s.id),
 		masticquorum.WithStorageIncarnation(loaded.Storage),
 		masticquorum.WithMembers(s.members),
@@ -97,7 +101,7 @@
 		masticquorum.WithMaxUncommittedBytes((&space{diskBytes: s.diskBytes}).maxUncommittedBytes()),
 		masticquorum.WithSeed(s.seed),
 		masticquorum.WithStartTime(masticclock.Now()),
-	)
+	)...)
 }
 
 func newState(loaded masticstore.Loaded) (*masticstate.State, error) {
--- a/masticcontrol/option.go
+++ b/masticcontrol/option.go
@@ -30,6 +30,7 @@
 	folder              string
 	address             string
 	members             []*masticproto.Member
+	membersGivenOnce    bool
 	wire                *masticwire.Wire
 	log                 logrus.FieldLogger
 	electionTimeout     time.Duration
@@ -84,6 +85,10 @@
 	return func(s *settings) { s.members = members }
 }
 
+// WithMembersGivenOnce states that a host is given the initial members at its first start only. A quorum of them then founds the
+// group.
+func WithMembersGivenOnce() Option { return func(s *settings) { s.membersGivenOnce = true } }
+
 // WithWire sets the transport to other hosts.
 func WithWire(w *masticwire.Wire) Option { return func(s *settings) { s.wire = w } }
 
--- a/masticdaemon/nodeopen.go
+++ b/masticdaemon/nodeopen.go
@@ -47,6 +47,7 @@
 		masticcontrol.WithFolder(s.Folder),
 		masticcontrol.WithAddress(s.Peer),
 		masticcontrol.WithMembers(initialNodeMembers(s)...),
+		masticcontrol.WithMembersGivenOnce(),
 		masticcontrol.WithWire(n.wire),
 		masticcontrol.WithLog(n.log),
 		masticcontrol.WithCounters(&n.counters),
--- a/masticquorum/caughtup_test.go
+++ b/masticquorum/caughtup_test.go
@@ -16,9 +16,9 @@
 	core.termStart = 900
 	core.electionTimeout = time.Second
 	for match, caughtUp := range map[uint64]bool{1_000: true, 999: true, 1_000 - maxLearnerLag: true, 1_000 - maxLearnerLag - 1: false, 0: false} {
-		p := &progress{storage: "s", match: match, answeredRoundSentAt: now}
+		p := &progress{dataFolder: dataFolder{storage: "s"}, match: match, answeredRoundSentAt: now}
 		c.Check(core.caughtUp(now, p), qt.Equals, caughtUp, qt.Commentf("match %d", match))
 	}
 	core.termStart = 990
-	c.Check(core.caughtUp(now, &progress{storage: "s", match: 989, answeredRoundSentAt: now}), qt.IsFalse)
+	c.Check(core.caughtUp(now, &progress{dataFolder: dataFolder{storage: "s"}, match: 989, answeredRoundSentAt: now}), qt.IsFalse)
 }
--- a/masticquorum/change.go
+++ b/masticquorum/change.go
@@ -122,7 +122,7 @@
 	answering := 0
 	for _, m := range list.voters() {
 		p := c.progress[m.GetId()]
-		if m.GetId() == c.id || (p != nil && list.isVoter(p.id, p.storage) && c.responsive(now, p)) {
+		if m.GetId() == c.id || (p != nil && list.isVoter(p.id, p.dataFolder) && c.responsive(now, p)) {
 			answering++
 		}
 	}
--- a/masticquorum/core.go
+++ b/masticquorum/core.go
@@ -43,8 +43,8 @@
 	snapshot        *masticproto.Snapshot
 	pendingSnapshot *masticproto.Snapshot
 	messages        []*masticproto.QuorumMessage
-	// votes maps each host that granted its vote or pre-vote to its storage incarnation.
-	votes map[string]string
+	// votes maps each host that granted its vote or pre-vote to its data folder.
+	votes map[string]dataFolder
 	// refuseVotesUntil is the time before which this host grants no vote or pre-vote,
 	// because the leader's lease relies on it.
 	refuseVotesUntil time.Time
@@ -184,7 +184,7 @@
 		LastIndex:     c.log.lastIndex(),
 		SnapshotIndex: c.snapshot.GetIndex(),
 		Members:       c.currentMembers().members,
-		Voter:         c.currentMembers().isVoter(c.id, c.storage),
+		Voter:         c.currentMembers().isVoter(c.id, c.folder()),
 		ChangePending: c.currentMembers().index > c.commit,
 	}
 	if s.Leading {
@@ -226,7 +226,7 @@
 // soleVoter reports whether this host is the only voter. A leader cannot remove or demote
 // itself, so no other host can be leader while this host's log has it as the only voter.
 func (c *Core) soleVoter() bool {
-	return len(c.currentMembers().voters()) == 1 && c.currentMembers().isVoter(c.id, c.storage)
+	return len(c.currentMembers().voters()) == 1 && c.currentMembers().isVoter(c.id, c.folder())
 }
 
 // send queues a message until the next Ready.
@@ -234,5 +234,6 @@
 	m.Group = c.group
 	m.From = c.id
 	m.Storage = c.storage
+	m.Founder = len(c.bootstrap) > 0
 	c.messages = append(c.messages, m)
 }
--- a/masticquorum/election.go
+++ b/masticquorum/election.go
@@ -18,7 +18,7 @@
 func (c *Core) campaign(now time.Time) {
 	c.resetElectionDeadline(now)
 	c.leader = ""
-	if !c.currentMembers().isVoter(c.id, c.storage) {
+	if !c.currentMembers().isVoter(c.id, c.folder()) {
 		return
 	}
 	if c.soleVoter() {
@@ -26,7 +26,7 @@
 		return
 	}
 	c.role = rolePreCandidate
-	c.votes = map[string]string{c.id: c.storage}
+	c.votes = map[string]dataFolder{c.id: c.folder()}
 	c.requestVotes(masticproto.MessageKind_MESSAGE_PRE_VOTE, c.term+1)
 }
 
@@ -37,7 +37,7 @@
 	c.leader = ""
 	c.term++
 	c.vote = candidate{id: c.id, storage: c.storage}
-	c.votes = map[string]string{c.id: c.storage}
+	c.votes = map[string]dataFolder{c.id: c.folder()}
 	if c.elected() {
 		c.becomeLeader(now)
 		return
@@ -63,12 +63,12 @@
 // elected reports whether the granted votes or pre-votes reach the election quorum.
 func (c *Core) elected() bool {
 	granted := 0
-	for id, storage := range c.votes {
-		if c.currentMembers().isVoter(id, storage) {
+	for id, folder := range c.votes {
+		if c.currentMembers().isVoter(id, folder) {
 			granted++
 		}
 	}
-	return granted >= c.currentMembers().electionQuorum()
+	return granted >= c.electionQuorum()
 }
 
 // handlePreVote answers whether this host would vote for the sender. It changes neither term nor vote.
@@ -130,12 +130,12 @@
 	}
 	switch {
 	case pre && c.role == rolePreCandidate && m.GetTerm() == c.term+1:
-		c.votes[m.GetFrom()] = m.GetStorage()
+		c.votes[m.GetFrom()] = c.folderOf(m)
 		if c.elected() {
 			c.becomeCandidate(now)
 		}
 	case !pre && c.role == roleCandidate && m.GetTerm() == c.term:
-		c.votes[m.GetFrom()] = m.GetStorage()
+		c.votes[m.GetFrom()] = c.folderOf(m)
 		if c.elected() {
 			c.becomeLeader(now)
 		}
--- a/masticquorum/leader.go
+++ b/masticquorum/leader.go
@@ -44,7 +44,7 @@
 
 // termEntry returns the first entry of the term. It is empty if the storage of every voter is
 // bound. Otherwise it is the member list that binds each voter to the storage from which it
-// voted; all voters have voted then, because the election needs the vote of each.
+// voted. Voters that have not voted stay unbound.
 func (c *Core) termEntry() *masticproto.Entry {
 	e := &masticproto.Entry{Index: c.log.lastIndex() + 1, Term: c.term, Kind: masticproto.EntryKind_ENTRY_EMPTY}
 	if c.currentMembers().storageBound() {
@@ -52,8 +52,12 @@
 	}
 	list := c.currentMembers()
 	for _, m := range c.currentMembers().voters() {
+		vote, voted := c.votes[m.GetId()]
+		if !voted || !list.isVoter(m.GetId(), vote) {
+			continue
+		}
 		b := proto.CloneOf(m)
-		b.Storage = c.votes[m.GetId()]
+		b.Storage = vote.storage
 		list = list.with(e.GetIndex(), b)
 	}
 	if data, err := list.encode(); err == nil {
@@ -137,7 +141,7 @@
 	if m.GetId() == c.id {
 		return c.log.stable
 	}
-	if p := c.progress[m.GetId()]; p != nil && c.currentMembers().isVoter(m.GetId(), p.storage) {
+	if p := c.progress[m.GetId()]; p != nil && c.currentMembers().isVoter(m.GetId(), p.dataFolder) {
 		return p.match
 	}
 	return 0
--- a/masticquorum/lease.go
+++ b/masticquorum/lease.go
@@ -55,7 +55,7 @@
 	if m.GetId() == c.id {
 		return now
 	}
-	if p := c.progress[m.GetId()]; p != nil && c.currentMembers().isVoter(m.GetId(), p.storage) {
+	if p := c.progress[m.GetId()]; p != nil && c.currentMembers().isVoter(m.GetId(), p.dataFolder) {
 		return p.answeredRoundSentAt
 	}
 	return time.Time{}
--- a/masticquorum/member.go
+++ b/masticquorum/member.go
@@ -47,23 +47,45 @@
 // quorum returns the number of voters needed to commit an entry or to extend the leader lease.
 func (l memberList) quorum() int { return len(l.voters())/2 + 1 }
 
+// dataFolder identifies the data folder of a host.
+type dataFolder struct {
+	// storage is its incarnation.
+	storage string
+	// founder reports that a host cannot have another one that counts in the initial list.
+	founder bool
+}
+
+// folder returns this host's data folder. Unless the initial list is given once, a replaced folder can't be told from the first one.
+func (c *Core) folder() dataFolder {
+	return dataFolder{storage: c.storage, founder: len(c.bootstrap) > 0 || !c.membersGivenOnce}
+}
+
+// folderOf returns the data folder of the sender of a message.
+func (c *Core) folderOf(m *masticproto.QuorumMessage) dataFolder {
+	return dataFolder{storage: m.GetStorage(), founder: m.GetFounder() || !c.membersGivenOnce}
+}
+
 // electionQuorum returns the number of votes needed to elect a leader. While the storage of a
 // voter is not bound, its vote may come from a new data folder that replaced a lost one, so
-// every voter has to vote.
-func (l memberList) electionQuorum() int {
-	if !l.storageBound() {
-		return len(l.voters())
+// every voter has to vote. If the initial list is given once, such a vote does not count.
+func (c *Core) electionQuorum() int {
+	list := c.currentMembers()
+	if !c.membersGivenOnce && !list.storageBound() {
+		return len(list.voters())
 	}
-	return l.quorum()
+	return list.quorum()
 }
 
-// isVoter reports whether id is a voter whose storage is unbound or bound to the given one.
-func (l memberList) isVoter(id, storage string) bool {
+// isVoter reports whether id is a voter that is bound to the given data folder, or is not bound and may have no other.
+func (l memberList) isVoter(id string, f dataFolder) bool {
 	m := l.find(id)
 	if m == nil || !m.GetVoter() {
 		return false
 	}
-	return m.GetStorage() == "" || m.GetStorage() == storage
+	if m.GetStorage() == "" {
+		return f.founder
+	}
+	return m.GetStorage() == f.storage
 }
 
 // with returns a list at index in which m replaces the member with the same ID or is added.
--- a/masticquorum/network_test.go
+++ b/masticquorum/network_test.go
@@ -25,7 +25,9 @@
 
 // disk is the durable state of a host. Its save method does what masticstore does, without files.
 type disk struct {
-	storage   string
+	storage string
+	// first is set for the first disk of a host.
+	first     bool
 	hardState *masticproto.HardState
 	entries   []*masticproto.Entry
 	snapshot  *masticproto.Snapshot
@@ -111,6 +113,8 @@
 	// actions are the kinds of step from which a random history is drawn.
 	actions                            []string
 	electionTimeout, heartbeatInterval time.Duration
+	// membersGivenOnce is set in a network whose initial list is given only to the first disk of a host.
+	membersGivenOnce bool
 	// lostUnbound reports that a disk was lost before the voters' storage was bound.
 	lostUnbound bool
 }
@@ -160,24 +164,28 @@
 // to the first disk of a host.
 func (n *network) replaceDisk(h *host) {
 	n.storageCount++
-	h.disk = &disk{storage: fmt.Sprintf("s%d", n.storageCount)}
+	h.disk = &disk{storage: fmt.Sprintf("s%d", n.storageCount), first: h.disk == nil}
 	n.restart(h)
 }
 
 // restart replaces the host's core by a new one that starts from its disk.
 func (n *network) restart(h *host) {
 	var members []*masticproto.Member
-	first := len(n.bootstrap) > 1 || n.storageCount <= len(n.hosts)
+	first := (len(n.bootstrap) > 1 && !n.membersGivenOnce) || h.disk.first
+	var once []Option
+	if n.membersGivenOnce {
+		once = append(once, WithMembersGivenOnce())
+	}
 	if first && slices.ContainsFunc(n.bootstrap, func(m *masticproto.Member) bool { return m.GetId() == h.id }) {
 		members = n.bootstrap
 	}
-	c, err := New(
+	c, err := New(append(once,
 		WithID(h.id), WithStorageIncarnation(h.disk.storage), WithGroup(7), WithMembers(members),
 		WithHardState(h.disk.hardState), WithEntries(h.disk.entries), WithSnapshot(h.disk.snapshot),
 		WithElectionTimeout(n.electionTimeout), WithHeartbeatInterval(n.heartbeatInterval),
 		WithMaxAppendBytes(3*entryOverheadBytes), WithMaxInFlight(3), WithRetainedEntries(2),
 		WithSeed(n.random.Uint64()), WithStartTime(n.clock(h)),
-	)
+	)...)
 	if err != nil {
 		n.fail("%s does not start: %v", h.id, err)
 		return
--- a/masticquorum/option.go
+++ b/masticquorum/option.go
@@ -22,6 +22,7 @@
 	storage             string
 	group               uint32
 	members             []*masticproto.Member
+	membersGivenOnce    bool
 	storedHardState     *masticproto.HardState
 	entries             []*masticproto.Entry
 	snapshot            *masticproto.Snapshot
@@ -58,6 +59,11 @@
 	return func(s *settings) { s.members = members }
 }
 
+// WithMembersGivenOnce states that the list of WithMembers is given to each host at its first start only, so that a host
+// that lost its data folder has none. Until the storage of a voter is bound, only the folder with which it was given the list
+// counts, and the first election needs a quorum.
+func WithMembersGivenOnce() Option { return func(s *settings) { s.membersGivenOnce = true } }
+
 // WithHardState sets the stored hard state: term, vote and initial members.
 func WithHardState(hardState *masticproto.HardState) Option {
 	return func(s *settings) { s.storedHardState = hardState }
--- a/masticquorum/progress.go
+++ b/masticquorum/progress.go
@@ -13,8 +13,9 @@
 
 // progress is a leader's view of another member's log.
 type progress struct {
-	id      string
-	storage string
+	id string
+	// dataFolder is that of the member's latest answer.
+	dataFolder
 	// answeredRoundSentAt is the time at which the latest round that the member answered was sent.
 	answeredRoundSentAt time.Time
 	// answeredAt is when the member's last answer arrived, whatever its round, at this leader or at one before it. A member
@@ -69,11 +70,11 @@
 	}
 	p := c.progress[m.GetFrom()]
 	if p.storage == "" {
-		p.storage = m.GetStorage()
+		p.dataFolder = c.folderOf(m)
 	}
 	if p.storage != m.GetStorage() {
 		p = newProgress(p.id, c.log.lastIndex()+1, now)
-		p.storage = m.GetStorage()
+		p.dataFolder = c.folderOf(m)
 		c.progress[p.id] = p
 	}
 	p.answeredAt = now
@@ -208,7 +209,7 @@
 			Voter:              m.GetVoter(),
 			Match:              p.match,
 			StorageIncarnation: p.storage,
-			StorageReplaced:    m.GetVoter() && p.storage != "" && m.GetStorage() != "" && p.storage != m.GetStorage(),
+			StorageReplaced:    m.GetVoter() && p.storage != "" && !c.currentMembers().isVoter(p.id, p.dataFolder),
 			CaughtUp:           !m.GetVoter() && c.caughtUp(now, p),
 			Responsive:         c.responsive(now, p),
 			AnsweredAt:         p.answeredAt,
--- a/masticquorum/property_test.go
+++ b/masticquorum/property_test.go
@@ -187,7 +187,10 @@
 // runRandomHistory runs a random sequence of proposals, repairs and faults on simulated hosts.
 func runRandomHistory(t *rapid.T) {
 	voters := rapid.SampledFrom([]int{3, 3, 3, 5, 2, 1}).Draw(t, "voters")
-	n := newNetwork(rapid.Uint64().Draw(t, "seed"), voters, 2)
+	runFaults(t, newNetwork(rapid.Uint64().Draw(t, "seed"), voters, 2))
+}
+
+func runFaults(t *rapid.T, n *network) {
 	n.run(4 * testElectionTimeout)
 	n.actions = n.chooseActions()
 	steps := rapid.IntRange(10, 60).Draw(t, "steps")
@@ -204,3 +207,10 @@
 }
 
 func TestRandomFaultHistories(t *testing.T) { rapid.Check(t, runRandomHistory) }
+
+// TestRandomFaultHistoriesOfFounders is the same for a group whose initial list is given once.
+func TestRandomFaultHistoriesOfFounders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		runFaults(t, newFounding(rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")))
+	})
+}
