A member that is added again counts its silence from then

A leader used what its predecessor had named as silent for members that were added later, too. One that had been removed and asked to be a voter again would have been removed before it could answer.

TestHostThatIsAddedAgainIsRemovedAtOnce fails without the change. The option and the setting say what they are now: the number of voters that remain.

--- a/masticcontrol/option.go
+++ b/masticcontrol/option.go
@@ -26,36 +26,36 @@
 )
 
 type settings struct {
-	id                  string
-	folder              string
-	address             string
-	members             []*masticproto.Member
-	membersGivenOnce    bool
-	wire                *masticwire.Wire
-	log                 logrus.FieldLogger
-	electionTimeout     time.Duration
-	heartbeatInterval   time.Duration
-	viewLeaseLifetime   time.Duration
-	inForceMargin       time.Duration
-	tickInterval        time.Duration
-	snapshotEntries     uint64
-	retainedEntries     uint64
-	diskBytes           int64
-	batchCalls          int
-	seed                uint64
-	storeOptions        []masticstore.Option
-	placeOptions        []masticplace.Option
-	loader              Loader
-	loadSenders         int
-	pushInterval        time.Duration
-	lister              Lister
-	listInterval        time.Duration
-	quotaSlack          int64
-	minResponsiveVoters int
-	counters            *Counters
-	outageShares        outageShares
-	receive             func(*masticproto.PeerRequest)
-	rolloutBounds       masticrollout.Bounds
+	id                string
+	folder            string
+	address           string
+	members           []*masticproto.Member
+	membersGivenOnce  bool
+	wire              *masticwire.Wire
+	log               logrus.FieldLogger
+	electionTimeout   time.Duration
+	heartbeatInterval time.Duration
+	viewLeaseLifetime time.Duration
+	inForceMargin     time.Duration
+	tickInterval      time.Duration
+	snapshotEntries   uint64
+	retainedEntries   uint64
+	diskBytes         int64
+	batchCalls        int
+	seed              uint64
+	storeOptions      []masticstore.Option
+	placeOptions      []masticplace.Option
+	loader            Loader
+	loadSenders       int
+	pushInterval      time.Duration
+	lister            Lister
+	listInterval      time.Duration
+	quotaSlack        int64
+	minVoters         int
+	counters          *Counters
+	outageShares      outageShares
+	receive           func(*masticproto.PeerRequest)
+	rolloutBounds     masticrollout.Bounds
 }
 
 // Option sets one property of a Control.
@@ -150,9 +150,9 @@
 func WithQuotaSlack(tokens int64) Option { return func(s *settings) { s.quotaSlack = tokens } }
 
 // WithVoterRemoval makes the leader remove a member that masticquorum.Core.UnresponsiveMember names, as
-// long as at least minResponsiveVoters voters answer, the leader included. Without it only operators remove members.
-func WithVoterRemoval(minResponsiveVoters int) Option {
-	return func(s *settings) { s.minResponsiveVoters = minResponsiveVoters }
+// long as at least minVoters voters remain, the leader included. Without it only operators remove members.
+func WithVoterRemoval(minVoters int) Option {
+	return func(s *settings) { s.minVoters = minVoters }
 }
 
 // WithOutageShares sets what hosts that cannot reach the leader admit without grants. fraction is the
--- a/masticcontrol/unresponsive.go
+++ b/masticcontrol/unresponsive.go
@@ -7,12 +7,12 @@
 )
 
 // removeUnresponsive removes the member that has been unresponsive for the longest time, as long
-// as enough voters answer. A host that comes back asks to be a voter again.
+// as enough voters remain. A host that comes back asks to be a voter again.
 func (d *leaderState) removeUnresponsive(now time.Time) {
-	if d.loop.minResponsiveVoters == 0 {
+	if d.loop.minVoters == 0 {
 		return
 	}
-	id := d.loop.core.UnresponsiveMember(now, d.loop.minResponsiveVoters)
+	id := d.loop.core.UnresponsiveMember(now, d.loop.minVoters)
 	if id == "" {
 		return
 	}
--- a/masticdaemon/nodesettings.go
+++ b/masticdaemon/nodesettings.go
@@ -53,8 +53,8 @@
 	Rollout masticrollout.Bounds
 	// FailClosed makes the host refuse callers while it cannot reach the control group.
 	FailClosed bool
-	// VoterRemovalThreshold is the number of voters, this host included, that must answer for an
-	// unresponsive member, voter or learner, to be removed.
+	// VoterRemovalThreshold is the number of voters, this host included, that must remain when an
+	// unresponsive voter is removed.
 	VoterRemovalThreshold int
 	// LoadTimeout is the timeout of a load of weights.
 	LoadTimeout time.Duration
--- a/masticquorum/core.go
+++ b/masticquorum/core.go
@@ -49,7 +49,8 @@
 	// because the leader's lease relies on it.
 	refuseVotesUntil time.Time
 	electionDeadline time.Time
-	// silentSince has the time of the last answer of each member that the last leader named as silent.
+	// silentSince has the time of the last answer of each member that the last leader named as silent. This host uses it once,
+	// when it becomes the leader: a member that is added later counts from then.
 	silentSince map[string]time.Time
 	leaderState
 }
--- a/masticquorum/leader.go
+++ b/masticquorum/leader.go
@@ -38,6 +38,7 @@
 		termStart:   first.GetIndex(),
 	}
 	c.syncProgress(now)
+	c.silentSince = nil
 	c.appendEntry(first)
 	c.broadcastHeartbeat(now)
 }
--- a/masticquorum/member.go
+++ b/masticquorum/member.go
@@ -51,7 +51,8 @@
 type dataFolder struct {
 	// storage is its incarnation.
 	storage string
-	// founder reports that a host cannot have another one that counts in the initial list.
+	// founder reports that it may count for a voter that is not bound to a folder: the host was given the initial list with
+	// it, or may be given the list again.
 	founder bool
 }
 
@@ -76,7 +77,7 @@
 	return list.quorum()
 }
 
-// isVoter reports whether id is a voter that is bound to the given data folder, or is not bound and may have no other.
+// isVoter reports whether id is a voter that is bound to the given data folder, or one that is not bound and has the folder of a founder.
 func (l memberList) isVoter(id string, f dataFolder) bool {
 	m := l.find(id)
 	if m == nil || !m.GetVoter() {
--- a/masticquorum/unresponsive_test.go
+++ b/masticquorum/unresponsive_test.go
@@ -182,6 +182,21 @@
 	c.Assert(g.core.silent[0].GetSilenceMillis() > 9000, qt.IsTrue)
 }
 
+// TestHostThatIsAddedAgainIsRemovedAtOnce: a member that a former leader had named as silent, and that was removed and added again, would count as silent
+// since then and be removed before it could answer.
+func TestHostThatIsAddedAgainIsRemovedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	g := newUnresponsiveGroup(c, &masticproto.SilentMember{Id: "h1", SilenceMillis: uint64(learnerTimeout.Milliseconds())})
+	g.silent["h1"] = true
+	g.runUntilLeader()
+	g.run(observationTimeouts * 300 * time.Millisecond)
+	c.Assert(g.core.ProposeMemberChange(g.now, Change{Kind: ChangeRemove, ID: "h1"}), qt.IsNil)
+	g.process()
+	g.run(20 * time.Millisecond)
+	c.Assert(g.core.ProposeMemberChange(g.now, Change{Kind: ChangeAdd, ID: "h1"}), qt.IsNil)
+	c.Assert(g.core.UnresponsiveMember(g.now, 3), qt.Equals, "")
+}
+
 // TestVoterThatAnswersLateIsRemoved: a voter whose answers came after the end of their round, as it had little processor time or a slow
 // disk, counted as one that is gone.
 func TestVoterThatAnswersLateIsRemoved(t *testing.T) {
