Records of streams last until their callers' deadline

Cause: a host ended the record of a stream as soon as it had written the whole answer, and the control group dropped it 5 s later. Proxies, sockets and clients hold what was written for longer than that. A take-up found no record then, and a stream without a record counts as begun by the base version. A host's report could also only be made while the host ran, so that records depended on which host ended when.

Why this works: the record carries the time for which its caller may take the stream up, the rest of its deadline. The control group drops it itself, on a clock that is part of the replicated state: the leader states in each batch how much time has passed since its last one. The sum is never more than the time that has passed, whatever leader was elected, frozen or restarted, so that no record is dropped early. Records are neither renewed nor reported as ended any more, but for streams of which the caller got nothing. A record that was not written yet when its stream ends is still written. A take-up extends the record to its own deadline.

TestRecordLastsUntilItsStreamEnds and TestEndedStreamIsDroppedLater asked for the fault.

--- a/masticagent/originbatch.go
+++ b/masticagent/originbatch.go
@@ -1,6 +1,9 @@
 package masticagent
 
 import (
+	"math"
+	"time"
+
 	"masticladder/masticcall"
 	"masticladder/masticproto"
 )
@@ -14,7 +17,7 @@
 }
 
 // encode returns the command of the batch without its sequence.
-func (b *pendingOriginBatch) encode() *masticproto.StreamOrigins {
+func (b *pendingOriginBatch) encode(now time.Time) *masticproto.StreamOrigins {
 	out := &masticproto.StreamOrigins{}
 	bySoftware := map[string]*masticproto.BegunStreams{}
 	for k, r := range b.records {
@@ -25,6 +28,7 @@
 			out.Begun = append(out.Begun, x)
 		}
 		x.Keys = append(x.Keys, k[:]...)
+		x.LifetimesMs = append(x.LifetimesMs, lifetimeMs(r.deadline.Sub(now)))
 	}
 	for _, k := range b.ended {
 		out.Ended = append(out.Ended, k[:]...)
@@ -34,3 +38,8 @@
 	}
 	return out
 }
+
+// lifetimeMs returns a time in milliseconds, rounded up.
+func lifetimeMs(d time.Duration) uint32 {
+	return uint32(min(max(0, d.Milliseconds()+1), math.MaxUint32))
+}
--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -25,16 +25,10 @@
 	originTimeout        = time.Second
 	// originCooldown is the time after a batch without an answer in which new streams begin at the base version.
 	originCooldown = 500 * time.Millisecond
-	// originRenewInterval is the time after which the record of a running stream is written again: the control
-	// group drops records with the second tick after they were written.
-	originRenewInterval = 20 * time.Second
 	// originIdleInterval is the time between two reports of ended streams that no other batch carried, on large
 	// sites originIdlePerHost for each host.
 	originIdleInterval = time.Second
 	originIdlePerHost  = 20 * time.Millisecond
-	// originEndDelay is the time from when an answer was sent as a whole until its record is dropped: the caller
-	// may have lost the end of it, and takes the stream up once it has noticed.
-	originEndDelay = 5 * time.Second
 	// originSenders is the number of batches that are under way at once: a record that had to wait for the
 	// commit before it would come after most first events.
 	originSenders = 4
@@ -52,11 +46,11 @@
 	wake  chan struct{}
 
 	mutex sync.Mutex
-	// records are the streams that this host serves and that the control group has recorded or is to.
+	// records are the streams that this host serves, and those that it has served and whose record was not acknowledged yet.
 	records map[masticcall.StreamKey]*originRecord
 	// unsent are the keys of records to write, ended those to drop, asked the open questions.
 	unsent []masticcall.StreamKey
-	ended  []endedOrigin
+	ended  []masticcall.StreamKey
 	asked  []*originQuestion
 	// failedUntil is the end of the cooldown after a batch without an answer, zero after one with an answer.
 	failedUntil time.Time
@@ -80,15 +74,11 @@
 	// done is closed when the record was acknowledged or refused, with err.
 	done chan struct{}
 	err  error
-	// acknowledged reports that the control group has it; queued that it is in unsent or on its way.
-	acknowledged, queued bool
-	renewAt              time.Time
-}
-
-// endedOrigin is a record to drop at a time.
-type endedOrigin struct {
-	key masticcall.StreamKey
-	at  time.Time
+	// acknowledged reports that the control group has it; queued that it is in unsent or on its way; ended that the host
+	// does not serve the stream any more.
+	acknowledged, queued, ended bool
+	// deadline is the end of the record, written that of the batch under way or the last one.
+	deadline, written time.Time
 }
 
 func newOrigins(a *Agent) *origins {
@@ -126,33 +116,46 @@
 }
 
 // Record queues the records of a stream.
-func (o *origins) Record(keys masticcall.StreamKeys, software string) masticcall.Recording {
+func (o *origins) Record(keys masticcall.StreamKeys, software string, deadline time.Time) masticcall.Recording {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	all := make(originRecords, 0, len(keys))
 	for _, k := range keys {
-		all = append(all, o.record(k, software))
+		all = append(all, o.record(k, software, deadline))
 	}
 	return all
 }
 
 // record queues a record. The mutex is held.
-func (o *origins) record(k masticcall.StreamKey, software string) *originRecord {
+func (o *origins) record(k masticcall.StreamKey, software string, deadline time.Time) *originRecord {
 	if r, ok := o.records[k]; ok && r.software == software {
+		r.ended = false
+		if deadline.After(r.deadline) {
+			r.deadline = deadline
+			o.queue(k, r)
+		}
 		return r
 	}
-	r := &originRecord{software: software, done: make(chan struct{}), queued: true}
+	r := &originRecord{software: software, done: make(chan struct{}), deadline: deadline}
 	if len(o.records) >= maxOrigins {
 		r.err = masticerror.New(masticerror.KindOverloaded, "this host has as many streams to record as it may")
 		close(r.done)
 		return r
 	}
 	o.records[k] = r
-	o.unsent = append(o.unsent, k)
-	o.signal()
+	o.queue(k, r)
 	return r
 }
 
+// queue queues the record of a key, unless it is queued or on its way. The mutex is held.
+func (o *origins) queue(k masticcall.StreamKey, r *originRecord) {
+	if !r.queued {
+		r.queued = true
+		o.unsent = append(o.unsent, k)
+		o.signal()
+	}
+}
+
 // Wait waits until all records are acknowledged.
 func (all originRecords) Wait(ctx context.Context) error {
 	for _, r := range all {
@@ -168,15 +171,21 @@
 	return nil
 }
 
-// End stops renewing the records of a stream.
+// End states that this host does not serve a stream any more. Its record stays until its deadline, unless it is to be forgotten.
 func (o *origins) End(keys masticcall.StreamKeys, forget bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	for _, k := range keys {
+		r, ok := o.records[k]
+		if ok && r.queued && !forget {
+			// It is still to be written.
+			r.ended = true
+			continue
+		}
 		delete(o.records, k)
 		if forget && len(o.ended) < maxEndedOrigins {
-			// Without a report the record is dropped with the second tick.
-			o.ended = append(o.ended, endedOrigin{k, masticclock.Now().Add(originEndDelay)})
+			// Without a report the record is dropped at its deadline.
+			o.ended = append(o.ended, k)
 		}
 	}
 }
@@ -197,7 +206,6 @@
 	for {
 		select {
 		case <-ticker.C:
-			o.renew(masticclock.Now())
 		case <-o.wake:
 		case <-ctx.Done():
 			return
@@ -214,18 +222,6 @@
 	}
 }
 
-// renew queues the records of running streams that are due.
-func (o *origins) renew(now time.Time) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	for k, r := range o.records {
-		if r.acknowledged && !r.queued && !now.Before(r.renewAt) {
-			r.queued = true
-			o.unsent = append(o.unsent, k)
-		}
-	}
-}
-
 // take removes the next batch from what is queued, nil if nothing is that may be sent now.
 func (o *origins) take(now time.Time) *pendingOriginBatch {
 	o.mutex.Lock()
@@ -234,8 +230,13 @@
 	var due []masticcall.StreamKey
 	due, o.unsent = o.idle(o.unsent)
 	for _, k := range due {
-		if r, ok := o.records[k]; ok {
-			b.records[k] = r
+		r, ok := o.records[k]
+		if ok && r.ended && !now.Before(r.deadline) {
+			delete(o.records, k)
+			continue
+		}
+		if ok {
+			b.records[k], r.written = r, r.deadline
 		}
 	}
 	n := min(len(o.asked), originBatch)
@@ -246,7 +247,7 @@
 	}
 	o.asked = append([]*originQuestion(nil), o.asked[n:]...)
 	if len(b.records)+len(b.asked) > 0 || !now.Before(o.idleAt) {
-		b.ended = o.takeEnded(now)
+		b.ended = o.takeEnded()
 		o.idleAt = now.Add(max(originIdleInterval, time.Duration(o.agent.View().HostCount())*originIdlePerHost))
 	}
 	if len(b.records)+len(b.ended)+len(b.asked) == 0 {
@@ -263,24 +264,22 @@
 	for _, k := range b.ended {
 		o.busy[k] = true
 	}
-	b.command = b.encode()
+	b.command = b.encode(now)
 	b.command.Host, b.command.Incarnation, b.command.Sequence = o.agent.host, o.agent.incarnation, o.sequence
 	b.command.Oldest = slices.Min(slices.Collect(maps.Keys(o.underWay)))
 	return b
 }
 
-// takeEnded removes the keys of records whose time to be dropped has come. Those of streams that this host
-// serves again are left out. The mutex is held.
-func (o *origins) takeEnded(now time.Time) []masticcall.StreamKey {
-	n := 0
+// takeEnded removes the keys of records to drop. Those of streams that this host serves again are left out. The mutex is held.
+func (o *origins) takeEnded() []masticcall.StreamKey {
+	n := min(len(o.ended), originBatch)
 	var due []masticcall.StreamKey
-	for ; n < len(o.ended) && n < originBatch && !now.Before(o.ended[n].at); n++ {
-		k := o.ended[n].key
+	for _, k := range o.ended[:n] {
 		if _, served := o.records[k]; !served && !o.busy[k] {
 			due = append(due, k)
 		}
 	}
-	o.ended = o.ended[n:]
+	o.ended = append([]masticcall.StreamKey(nil), o.ended[n:]...)
 	return due
 }
 
@@ -316,7 +315,7 @@
 		o.requeue(b)
 		return false
 	}
-	o.acknowledge(now, b, answer)
+	o.acknowledge(b, answer)
 	return true
 }
 
@@ -345,7 +344,7 @@
 }
 
 // acknowledge applies the answer to a batch. The mutex is held.
-func (o *origins) acknowledge(now time.Time, b *pendingOriginBatch, answer *masticproto.CommandAnswer) {
+func (o *origins) acknowledge(b *pendingOriginBatch, answer *masticproto.CommandAnswer) {
 	refused := answer.GetUnrecorded()
 	const size = len(masticcall.StreamKey{})
 	for ; len(refused) >= size; refused = refused[size:] {
@@ -359,12 +358,8 @@
 			}
 		}
 	}
-	for _, r := range b.records {
-		r.queued, r.renewAt = false, now.Add(originRenewInterval)
-		if !r.acknowledged {
-			r.acknowledged = true
-			close(r.done)
-		}
+	for k, r := range b.records {
+		o.confirm(k, r)
 	}
 	for i, q := range b.asked {
 		if i < len(answer.GetOrigins()) {
@@ -373,3 +368,22 @@
 		}
 	}
 }
+
+// confirm applies that the control group has a record. The mutex is held.
+func (o *origins) confirm(k masticcall.StreamKey, r *originRecord) {
+	r.queued = false
+	if !r.acknowledged {
+		r.acknowledged = true
+		close(r.done)
+	}
+	if o.records[k] != r {
+		return
+	}
+	switch {
+	case r.deadline.After(r.written):
+		// It was extended meanwhile.
+		o.queue(k, r)
+	case r.ended:
+		delete(o.records, k)
+	}
+}
--- a/masticagent/origins_test.go
+++ b/masticagent/origins_test.go
@@ -11,6 +11,9 @@
 	"masticladder/masticproto"
 )
 
+// inOneMinute is a deadline of streams.
+var inOneMinute = time.Unix(1060, 0)
+
 // TestBatchesOfStreamsAreShared checks that all hosts of a large site together send the leader no more batches
 // than it takes, and that a few hosts are not bounded.
 func TestBatchesOfStreamsAreShared(t *testing.T) {
@@ -44,44 +47,77 @@
 	c.Assert(err, qt.IsNil)
 	o, now := a.origins, time.Unix(1000, 0)
 	one, two := masticcall.StreamKeyOf("mill", "engines", "1"), masticcall.StreamKeyOf("mill", "engines", "2")
-	o.Record(masticcall.StreamKeys{one}, "v2")
+	o.Record(masticcall.StreamKeys{one}, "v2", inOneMinute)
 	first := o.take(now)
-	o.Record(masticcall.StreamKeys{one}, "v1")
-	o.Record(masticcall.StreamKeys{two}, "v2")
+	o.Record(masticcall.StreamKeys{one}, "v1", inOneMinute)
+	o.Record(masticcall.StreamKeys{two}, "v2", inOneMinute)
 	second := o.take(now)
 	c.Assert(second.records, qt.HasLen, 1)
 	c.Assert(second.records[two], qt.IsNotNil)
 	c.Assert(second.command.GetOldest(), qt.Equals, first.command.GetSequence())
 	o.release(first)
-	o.acknowledge(now, first, nil)
+	o.acknowledge(first, nil)
 	third := o.take(now)
 	c.Assert(third.records[one].software, qt.Equals, "v1")
 	c.Assert(third.command.GetOldest(), qt.Equals, second.command.GetSequence())
 	o.release(second)
-	o.acknowledge(now, second, nil)
+	o.acknowledge(second, nil)
 	_, known := o.ask(&originQuestion{key: two, service: "engines"})
 	c.Assert(known, qt.IsTrue)
 	_, known = o.ask(&originQuestion{key: one, service: "engines"})
 	c.Assert(known, qt.IsFalse, qt.Commentf("not acknowledged yet"))
 }
 
-// TestEndedStreamIsDroppedLater checks that the record of an answer that was sent whole is kept for a time, and
-// for longer if the stream is served again meanwhile.
-func TestEndedStreamIsDroppedLater(t *testing.T) {
+// TestRecordIsDroppedAtTheEndOfItsStream: the host had the record dropped once it had sent the whole answer, which the caller had not
+// read yet.
+func TestRecordIsDroppedAtTheEndOfItsStream(t *testing.T) {
 	c := qt.New(t)
 	a, err := New(WithHost("h"), WithControlPeers("127.0.0.1:1"))
 	c.Assert(err, qt.IsNil)
-	o := a.origins
-	one, two := masticcall.StreamKeyOf("mill", "engines", "1"), masticcall.StreamKeyOf("mill", "engines", "2")
-	now := time.Now()
-	for _, k := range []masticcall.StreamKey{one, two} {
-		o.Record(masticcall.StreamKeys{k}, "v2")
-		o.End(masticcall.StreamKeys{k}, true)
-	}
-	c.Assert(o.take(now), qt.IsNil)
-	o.Record(masticcall.StreamKeys{two}, "v2")
-	b := o.take(now.Add(originEndDelay + 2*time.Second))
-	c.Assert(b.ended, qt.DeepEquals, []masticcall.StreamKey{one})
+	o, now := a.origins, time.Unix(1000, 0)
+	sent, unsent, none := masticcall.StreamKeyOf("mill", "engines", "1"), masticcall.StreamKeyOf("mill", "engines", "2"), masticcall.StreamKeyOf("mill", "engines", "3")
+	o.Record(masticcall.StreamKeys{sent, none}, "v2", now.Add(8*time.Second))
+	b := o.take(now)
+	c.Assert(b.command.GetBegun()[0].GetLifetimesMs(), qt.DeepEquals, []uint32{8001, 8001})
+	o.release(b)
+	o.acknowledge(b, nil)
+	o.Record(masticcall.StreamKeys{unsent}, "v2", now.Add(8*time.Second))
+	o.End(masticcall.StreamKeys{sent, unsent}, false)
+	o.End(masticcall.StreamKeys{none}, true)
+
+	b = o.take(now.Add(5 * time.Second))
+	c.Assert(b.ended, qt.DeepEquals, []masticcall.StreamKey{none}, qt.Commentf("its caller got nothing"))
+	c.Assert(b.command.GetBegun()[0].GetKeys(), qt.DeepEquals, unsent[:], qt.Commentf("a record that was not written when its stream ended"))
+	c.Assert(b.command.GetBegun()[0].GetLifetimesMs(), qt.DeepEquals, []uint32{3001})
+	o.release(b)
+	o.requeue(b)
+	b = o.take(now.Add(6 * time.Second))
+	c.Assert(b.command.GetBegun()[0].GetKeys(), qt.DeepEquals, unsent[:], qt.Commentf("its batch had no answer"))
+	o.release(b)
+	o.acknowledge(b, nil)
+	c.Assert(o.records, qt.HasLen, 0)
+	c.Assert(o.take(now.Add(time.Hour)), qt.IsNil)
+}
+
+// TestTakenUpStreamExtendsItsRecord checks that a later deadline of a stream is written, also if its record is under way.
+func TestTakenUpStreamExtendsItsRecord(t *testing.T) {
+	c := qt.New(t)
+	a, err := New(WithHost("h"), WithControlPeers("127.0.0.1:1"))
+	c.Assert(err, qt.IsNil)
+	o, now := a.origins, time.Unix(1000, 0)
+	one := masticcall.StreamKeyOf("mill", "engines", "1")
+	o.Record(masticcall.StreamKeys{one}, "v2", now.Add(time.Second))
+	b := o.take(now)
+	recording := o.Record(masticcall.StreamKeys{one}, "v2", now.Add(3*time.Second))
+	o.End(masticcall.StreamKeys{one}, false)
+	o.release(b)
+	o.acknowledge(b, nil)
+	c.Assert(recording.Wait(t.Context()), qt.IsNil)
+	b = o.take(now)
+	c.Assert(b.command.GetBegun()[0].GetLifetimesMs(), qt.DeepEquals, []uint32{3001})
+	o.release(b)
+	o.acknowledge(b, nil)
+	c.Assert(o.records, qt.HasLen, 0)
 }
 
 // TestRecordsAreAvailableAgainAfterFailure: a host that had no streams to record after control was back did not
@@ -105,14 +141,14 @@
 	c.Assert(err, qt.IsNil)
 	o, now := a.origins, time.Unix(1000, 0)
 	one, two, none := masticcall.StreamKeyOf("mill", "engines", "1"), masticcall.StreamKeyOf("yard", "engines", "1"), masticcall.StreamKeyOf("none", "engines", "1")
-	recording := o.Record(masticcall.StreamKeys{one, two}, "v2")
+	recording := o.Record(masticcall.StreamKeys{one, two}, "v2", inOneMinute)
 	b := o.take(now)
 	c.Assert(b.records, qt.HasLen, 2)
 	late, cancel := context.WithCancel(t.Context())
 	cancel()
 	c.Assert(recording.Wait(late), qt.ErrorIs, context.Canceled)
 	o.release(b)
-	o.acknowledge(now, b, nil)
+	o.acknowledge(b, nil)
 	c.Assert(recording.Wait(t.Context()), qt.IsNil)
 	for _, keys := range []masticcall.StreamKeys{{one}, {two}, {none, two}} {
 		found, err := o.Find(t.Context(), keys, "engines")
@@ -120,11 +156,11 @@
 		c.Assert(found, qt.Equals, masticcall.StreamOrigin{Software: "v2", Recorded: true, ByItself: true})
 	}
 
-	refused := o.Record(masticcall.StreamKeys{one, none}, "v2")
+	refused := o.Record(masticcall.StreamKeys{one, none}, "v2", inOneMinute)
 	b = o.take(now)
 	c.Assert(b.records, qt.HasLen, 1)
 	o.release(b)
-	o.acknowledge(now, b, &masticproto.CommandAnswer{Unrecorded: none[:]})
+	o.acknowledge(b, &masticproto.CommandAnswer{Unrecorded: none[:]})
 	c.Assert(refused.Wait(t.Context()), qt.IsNotNil)
 }
 
@@ -152,7 +188,7 @@
 		}
 		c.Assert(b.asked, qt.HasLen, 2)
 		o.release(b)
-		o.acknowledge(time.Unix(1000, 0), b, &masticproto.CommandAnswer{Origins: x.answers})
+		o.acknowledge(b, &masticproto.CommandAnswer{Origins: x.answers})
 		c.Assert(<-q.found, qt.Equals, x.found)
 	}
 }
--- a/masticcall/origin.go
+++ b/masticcall/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"io"
+	"time"
 )
 
 // Software restricts which backend servers may run a request by the version of their software. The zero value
@@ -83,10 +84,10 @@
 	// Available reports whether streams can be recorded now.
 	Available() bool
 	// Record records under each key that a stream is begun by a version. The stream's first event may be passed on
-	// once Wait of the result has returned nil. A record replaces an earlier one of the same key, and is renewed
-	// until End.
-	Record(keys StreamKeys, software string) Recording
-	// End states that the host no longer serves the stream. With forget, no caller can take it up any more.
+	// once Wait of the result has returned nil. A record replaces an earlier one of the same key. It lasts until the
+	// deadline of the stream's caller, whatever becomes of this host.
+	Record(keys StreamKeys, software string, deadline time.Time) Recording
+	// End states that the host no longer serves the stream. With forget, no caller can take it up.
 	End(keys StreamKeys, forget bool)
 	// Find returns the version that began a stream of a service: that of the first key with a record. The error has
 	// kind noQuorum if that cannot be told now.
--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -29,6 +29,8 @@
 	pendingPublishes []pendingPublish
 	memberRequests   []memberRequest
 	nextTick         time.Time
+	// originsAt is when the last command was proposed that advances the clock of the records of streams.
+	originsAt time.Time
 	// placement is nil if the host is configured without a loader.
 	placement *placement
 	// listIndex is the log index of the last change proposed from the list of backend servers.
@@ -87,7 +89,7 @@
 	for _, h := range view.Hosts() {
 		hosts = append(hosts, h.Name)
 	}
-	d := &leaderState{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval), workload: workload{since: now}}
+	d := &leaderState{loop: l, term: l.status.Term, nextTick: now.Add(l.tickInterval), originsAt: now, workload: workload{since: now}}
 	d.orders, d.cancelOrders = context.WithCancel(l.background)
 	d.renewals = newRenewals(now)
 	d.baseSoftware.goneSince = map[string]time.Time{}
@@ -156,6 +158,9 @@
 		return
 	}
 	addWait(command.GetSuspect(), now.Sub(c.receivedAt))
+	if o := command.GetOrigins(); o != nil {
+		o.ElapsedUs = d.elapsedUs(now)
+	}
 	index, term, err := d.loop.propose(now, command)
 	if err != nil {
 		c.fail(err)
@@ -164,6 +169,14 @@
 	d.loop.addProposal(index, proposal{call: c, term: term})
 }
 
+// elapsedUs returns the microseconds since its last call, or since the term began. A command that is lost slows the clock of the records
+// of streams, and no command makes it fast: what a former leader proposed and this one has was proposed before the term.
+func (d *leaderState) elapsedUs(now time.Time) int64 {
+	elapsed := max(0, now.Sub(d.originsAt)).Microseconds()
+	d.originsAt = d.originsAt.Add(time.Duration(elapsed) * time.Microsecond)
+	return elapsed
+}
+
 // isNews reports whether the view does not say yet that the incarnation is leaving. Many hosts hear a
 // leaving server at the same time.
 func (d *leaderState) isNews(l *masticproto.ServerLeaving) bool {
@@ -200,7 +213,7 @@
 	if !now.Before(d.nextTick) {
 		d.nextTick = now.Add(d.loop.tickInterval)
 		d.grantor.RemoveExpired(now)
-		_, _, _ = d.loop.propose(now, &masticproto.Command{Kind: &masticproto.Command_Tick{Tick: &masticproto.Tick{}}})
+		_, _, _ = d.loop.propose(now, &masticproto.Command{Kind: &masticproto.Command_Tick{Tick: &masticproto.Tick{ElapsedUs: d.elapsedUs(now)}}})
 	}
 }
 
--- a/masticorigin/records.go
+++ b/masticorigin/records.go
@@ -3,6 +3,8 @@
 package masticorigin
 
 import (
+	"time"
+
 	"masticladder/masticcall"
 	"masticladder/masticproto"
 )
@@ -10,16 +12,27 @@
 // DefaultMaxRecords bounds the records.
 const DefaultMaxRecords = 150_000
 
-// Records holds the versions of streams. A record is dropped when its stream has ended, or with the second
-// Rotate after it was last written. It is not safe for concurrent use.
+// DefaultLifetime is how long a record lasts whose host does not state a lifetime.
+const DefaultLifetime = 2 * time.Minute
+
+// Records holds the versions of streams for as long as callers may take them up, on a clock that the commands of the log advance. The
+// clock is never ahead of the time that has passed, so that no record is dropped early, whatever leads or restarts. It is not safe for
+// concurrent use.
 type Records struct {
-	current, previous               map[masticcall.StreamKey]record
+	records map[masticcall.StreamKey]record
+	// expiring holds the keys of records by the second of the clock in which they expire. A record that was extended is in several.
+	expiring                        map[int64][]masticcall.StreamKey
 	currentSenders, previousSenders map[string]sender
 	maxRecords                      int
+	clock                           time.Duration
 }
 
 // record is the version of a stream and the host that wrote it last.
-type record struct{ software, host string }
+type record struct {
+	software, host string
+	// expiresAt is the second of the clock in which it is dropped.
+	expiresAt int64
+}
 
 // sender is the oldest batch of a host that still counts.
 type sender struct {
@@ -36,7 +49,7 @@
 // New returns empty Records.
 func New(options ...Option) *Records {
 	r := &Records{
-		current: map[masticcall.StreamKey]record{}, previous: map[masticcall.StreamKey]record{},
+		records: map[masticcall.StreamKey]record{}, expiring: map[int64][]masticcall.StreamKey{},
 		currentSenders: map[string]sender{}, previousSenders: map[string]sender{}, maxRecords: DefaultMaxRecords,
 	}
 	for _, o := range options {
@@ -49,10 +62,13 @@
 // are full, or the host no longer waits for the batch. Batches of a host may arrive in any order; no two that it
 // waits for at the same time have a key in common.
 func (r *Records) Apply(b *masticproto.StreamOrigins) []masticcall.StreamKey {
+	r.advance(b.GetElapsedUs())
 	if r.counts(b) {
 		for _, x := range b.GetBegun() {
+			n := 0
 			for k := range keys(x.GetKeys()) {
-				r.put(k, record{x.GetSoftware(), b.GetHost()})
+				r.put(k, record{x.GetSoftware(), b.GetHost(), r.expiry(x.GetLifetimesMs(), n)})
+				n++
 			}
 		}
 		for k := range keys(b.GetEnded()) {
@@ -87,46 +103,76 @@
 	return true
 }
 
-// put writes a record. No record of another stream is dropped for it.
+// put writes a record. It lasts at least as long as the one that it replaces. No record of another stream is dropped for it.
 func (r *Records) put(k masticcall.StreamKey, x record) {
-	if _, known := r.Find(k); !known && r.Len() >= r.maxRecords {
+	old, known := r.records[k]
+	if !known && r.Len() >= r.maxRecords {
 		return
 	}
-	delete(r.previous, k)
-	r.current[k] = x
+	x.expiresAt = max(x.expiresAt, old.expiresAt)
+	r.records[k] = x
+	if x.expiresAt != old.expiresAt {
+		r.expiring[x.expiresAt] = append(r.expiring[x.expiresAt], k)
+	}
 }
 
 // end drops a record, unless another host has written it since: its caller has taken the stream up there.
 func (r *Records) end(k masticcall.StreamKey, host string) {
-	if x, ok := r.get(k); ok && x.host == host {
-		delete(r.current, k)
-		delete(r.previous, k)
+	if x, ok := r.records[k]; ok && x.host == host {
+		delete(r.records, k)
 	}
 }
 
 // Find returns the recorded version of a stream.
 func (r *Records) Find(k masticcall.StreamKey) (string, bool) {
-	x, ok := r.get(k)
+	x, ok := r.records[k]
 	return x.software, ok
 }
 
-func (r *Records) get(k masticcall.StreamKey) (record, bool) {
-	if x, ok := r.current[k]; ok {
-		return x, true
-	}
-	x, ok := r.previous[k]
-	return x, ok
-}
-
 // Len returns the number of records.
-func (r *Records) Len() int { return len(r.current) + len(r.previous) }
+func (r *Records) Len() int { return len(r.records) }
 
-// Rotate drops the records that were not written since the last Rotate but one.
-func (r *Records) Rotate() {
-	r.previous, r.current = r.current, map[masticcall.StreamKey]record{}
+// Tick advances the clock by some microseconds and drops the senders that have sent nothing since the last Tick but one.
+func (r *Records) Tick(elapsedUs int64) {
+	r.advance(elapsedUs)
 	r.previousSenders, r.currentSenders = r.currentSenders, map[string]sender{}
 }
 
+const msPerSecond = 1000
+
+func (r *Records) nowMs() int64 { return r.clock.Milliseconds() }
+
+func (r *Records) second() int64 { return r.nowMs() / msPerSecond }
+
+// expiry returns when the record of the nth key of a group expires: in the first second of the clock that begins after its lifetime.
+func (r *Records) expiry(lifetimesMs []uint32, n int) int64 {
+	lifetime := DefaultLifetime.Milliseconds()
+	if n < len(lifetimesMs) {
+		lifetime = int64(lifetimesMs[n])
+	}
+	return (r.nowMs()+lifetime)/msPerSecond + 1
+}
+
+// advance advances the clock and drops the records that have expired.
+func (r *Records) advance(elapsedUs int64) {
+	before := r.second()
+	r.clock += time.Duration(max(0, elapsedUs)) * time.Microsecond
+	if r.second() == before {
+		return
+	}
+	for second, all := range r.expiring {
+		if second > r.second() {
+			continue
+		}
+		for _, k := range all {
+			if x, ok := r.records[k]; ok && x.expiresAt <= r.second() {
+				delete(r.records, k)
+			}
+		}
+		delete(r.expiring, second)
+	}
+}
+
 // keys yields the keys that are stored one after the other. A rest that is no key is left out.
 func keys(b []byte) func(yield func(masticcall.StreamKey) bool) {
 	const size = len(masticcall.StreamKey{})
--- a/masticorigin/records_test.go
+++ b/masticorigin/records_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/proto"
 
 	"masticladder/masticcall"
@@ -23,9 +26,17 @@
 	return out
 }
 
+// testLifetime is the lifetime of all records of a batch, in milliseconds.
+const testLifetime = 8000
+
 func begun(host string, sequence uint64, software string, all ...masticcall.StreamKey) *masticproto.StreamOrigins {
+	var lifetimes []uint32
+	for range all {
+		lifetimes = append(lifetimes, testLifetime)
+	}
 	return &masticproto.StreamOrigins{
-		Host: host, Incarnation: "i", Sequence: sequence, Oldest: sequence, Begun: []*masticproto.BegunStreams{{Software: software, Keys: encode(all...)}},
+		Host: host, Incarnation: "i", Sequence: sequence, Oldest: sequence,
+		Begun: []*masticproto.BegunStreams{{Software: software, Keys: encode(all...), LifetimesMs: lifetimes}},
 	}
 }
 
@@ -33,7 +44,12 @@
 	return &masticproto.StreamOrigins{Host: host, Incarnation: "i", Sequence: sequence, Ended: encode(all...)}
 }
 
-func TestRecordLastsUntilItsStreamEnds(t *testing.T) {
+func (r *Records) advanceBy(d time.Duration) {
+	r.Apply(&masticproto.StreamOrigins{Host: "clock", ElapsedUs: d.Microseconds()})
+}
+
+// TestRecordOfRunningTakeUpTimeIsDropped: records were dropped while callers could still take their streams up.
+func TestRecordOfRunningTakeUpTimeIsDropped(t *testing.T) {
 	c := qt.New(t)
 	r := New()
 	c.Assert(r.Apply(begun("h", 1, "v2", keyOf(1), keyOf(2))), qt.HasLen, 0)
@@ -43,15 +59,46 @@
 	r.Apply(ended("h", 2, keyOf(1)))
 	_, ok = r.Find(keyOf(1))
 	c.Assert(ok, qt.IsFalse)
-	r.Rotate()
+	r.Tick(testLifetime / 2 * 1000)
+	r.Tick(0)
+	r.Tick(0)
 	_, ok = r.Find(keyOf(2))
 	c.Assert(ok, qt.IsTrue)
-	r.Apply(begun("h", 3, "v2", keyOf(2)))
-	r.Rotate()
+	r.Apply(begun("g", 3, "v2", keyOf(2)))
+	r.advanceBy(testLifetime * time.Millisecond)
 	_, ok = r.Find(keyOf(2))
-	c.Assert(ok, qt.IsTrue, qt.Commentf("a renewed record"))
-	r.Rotate()
+	c.Assert(ok, qt.IsTrue, qt.Commentf("an extended record"))
+	r.advanceBy(2 * time.Second)
 	c.Assert(r.Len(), qt.Equals, 0)
+	c.Assert(r.expiring, qt.HasLen, 0)
+}
+
+// TestRecordLastsForItsLifetime checks that no record is dropped before its lifetime has passed on the clock, nor more than 1 s after
+// it, whatever snapshots are restored meanwhile.
+func TestRecordLastsForItsLifetime(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		r := New()
+		r.advanceBy(time.Duration(random.IntN(5_000_000)) * time.Microsecond)
+		b := begun("h", 1, "v2", keyOf(1))
+		lifetime := random.IntN(5000)
+		b.Begun[0].LifetimesMs[0] = uint32(lifetime)
+		r.Apply(b)
+		for passed := time.Duration(0); passed < time.Duration(lifetime)*time.Millisecond; {
+			_, ok := r.Find(keyOf(1))
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("after %s of %d ms", passed, lifetime))
+			step := time.Duration(random.IntN(900_000)) * time.Microsecond
+			r.advanceBy(step)
+			passed += step
+			if random.IntN(3) == 0 {
+				next := Restore(r.Snapshot())
+				qt.Assert(t, next.records, qt.CmpEquals(cmp.AllowUnexported(record{})), r.records)
+				r = next
+			}
+		}
+		r.advanceBy(time.Second + time.Millisecond)
+		qt.Assert(t, r.Len(), qt.Equals, 0)
+	}
 }
 
 // TestFullRecordsRefuseNewStreams checks that made-up streams push no other record out.
@@ -96,7 +143,7 @@
 	c := qt.New(t)
 	r := New()
 	r.Apply(begun("h", 5, "v2", keyOf(1), keyOf(2)))
-	r.Rotate()
+	r.Tick(1500)
 	r.Apply(begun("g", 6, "v3", keyOf(3)))
 	next := Restore(r.Snapshot())
 	c.Assert(proto.Equal(next.Snapshot(), r.Snapshot()), qt.IsTrue)
--- a/masticorigin/snapshot.go
+++ b/masticorigin/snapshot.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"masticladder/masticcall"
 	"masticladder/masticproto"
@@ -12,45 +13,53 @@
 
 // Snapshot returns all records, in a fixed order.
 func (r *Records) Snapshot() *masticproto.OriginSnapshot {
-	return &masticproto.OriginSnapshot{
-		Current: encodeRecords(r.current), Previous: encodeRecords(r.previous),
-		CurrentSenders: encodeSenders(r.currentSenders), PreviousSenders: encodeSenders(r.previousSenders),
+	p := &masticproto.OriginSnapshot{
+		Current: r.encodeRecords(), CurrentSenders: encodeSenders(r.currentSenders), PreviousSenders: encodeSenders(r.previousSenders),
+		ClockUs: r.clock.Microseconds(),
 	}
+	return p
 }
 
 // Restore returns the records in p, empty ones for nil.
 func Restore(p *masticproto.OriginSnapshot, options ...Option) *Records {
 	r := New(options...)
-	decodeRecords(r.current, p.GetCurrent())
-	decodeRecords(r.previous, p.GetPrevious())
+	r.clock = time.Duration(p.GetClockUs()) * time.Microsecond
+	r.decodeRecords(p.GetCurrent())
+	r.decodeRecords(p.GetPrevious())
 	decodeSenders(r.currentSenders, p.GetCurrentSenders())
 	decodeSenders(r.previousSenders, p.GetPreviousSenders())
 	return r
 }
 
-func encodeRecords(records map[masticcall.StreamKey]record) []*masticproto.BegunStreams {
-	groups := map[record][]masticcall.StreamKey{}
-	for k, x := range records {
-		groups[x] = append(groups[x], k)
+func (r *Records) encodeRecords() []*masticproto.BegunStreams {
+	type group struct{ software, host string }
+	groups := map[group][]masticcall.StreamKey{}
+	for k, x := range r.records {
+		g := group{x.software, x.host}
+		groups[g] = append(groups[g], k)
 	}
-	inOrder := func(a, b record) int { return cmp.Or(cmp.Compare(a.software, b.software), cmp.Compare(a.host, b.host)) }
+	inOrder := func(a, b group) int { return cmp.Or(cmp.Compare(a.software, b.software), cmp.Compare(a.host, b.host)) }
 	var out []*masticproto.BegunStreams
-	for _, x := range slices.SortedFunc(maps.Keys(groups), inOrder) {
-		all := groups[x]
+	for _, g := range slices.SortedFunc(maps.Keys(groups), inOrder) {
+		all := groups[g]
 		slices.SortFunc(all, func(a, b masticcall.StreamKey) int { return bytes.Compare(a[:], b[:]) })
-		p := &masticproto.BegunStreams{Software: x.software, Host: x.host}
+		p := &masticproto.BegunStreams{Software: g.software, Host: g.host}
 		for _, k := range all {
 			p.Keys = append(p.Keys, k[:]...)
+			// A lifetime from which expiry returns the same second.
+			p.LifetimesMs = append(p.LifetimesMs, uint32(max(0, (r.records[k].expiresAt-1)*msPerSecond-r.nowMs())))
 		}
 		out = append(out, p)
 	}
 	return out
 }
 
-func decodeRecords(into map[masticcall.StreamKey]record, all []*masticproto.BegunStreams) {
+func (r *Records) decodeRecords(all []*masticproto.BegunStreams) {
 	for _, x := range all {
+		n := 0
 		for k := range keys(x.GetKeys()) {
-			into[k] = record{x.GetSoftware(), x.GetHost()}
+			r.put(k, record{x.GetSoftware(), x.GetHost(), r.expiry(x.GetLifetimesMs(), n)})
+			n++
 		}
 	}
 }
--- a/masticrelay/origin.go
+++ b/masticrelay/origin.go
@@ -101,7 +101,7 @@
 		}
 	}
 	if r.origin.recorded && r.origin.bound.Required {
-		r.relay.origins.Record(r.origin.keys, r.origin.bound.Version)
+		r.relay.origins.Record(r.origin.keys, r.origin.bound.Version, r.deadline)
 	}
 }
 
@@ -153,8 +153,7 @@
 			WithRetryAfter(noVersionRetryAfter + r.relay.retryAfter()))
 	}
 	if found.Recorded {
-		// The record is renewed from here, whatever becomes of the host that wrote it.
-		r.relay.origins.Record(r.origin.keys, found.Software)
+		r.relay.origins.Record(r.origin.keys, found.Software, r.deadline)
 	}
 	return nil
 }
@@ -191,7 +190,7 @@
 		return
 	}
 	r.origin.recorded = true
-	r.origin.recording = r.relay.origins.Record(r.origin.keys, server.Software)
+	r.origin.recording = r.relay.origins.Record(r.origin.keys, server.Software, r.deadline)
 }
 
 // confirmOrigin checks, before the first event of an attempt is passed on, that the server has the version that
@@ -286,13 +285,13 @@
 	}
 }
 
-// endOrigin ends the record of the stream. It is forgotten if the caller has no reason to take the stream up:
-// it got all of it, or no event.
-func (r *requestState) endOrigin(err *masticerror.Error) {
+// endOrigin ends the record of the stream. It is forgotten only if the caller got nothing of the stream: what was sent may still be on
+// its way, and a caller whose connection breaks meanwhile takes the stream up.
+func (r *requestState) endOrigin() {
 	if !r.origin.recorded {
 		return
 	}
-	r.relay.origins.End(r.origin.keys, err == nil || !r.takesUp() && !r.headerWritten)
+	r.relay.origins.End(r.origin.keys, !r.takesUp() && !r.headerWritten)
 }
 
 // withSoftware returns service with the servers that s allows.
--- a/masticrelay/serve.go
+++ b/masticrelay/serve.go
@@ -106,7 +106,7 @@
 	defer r.events.memory.Release()
 	err := r.serve(ctx)
 	r.endPlacement(masticrollout.Outcome{Unknown: true})
-	r.endOrigin(err)
+	r.endOrigin()
 	r.logOutcome(err)
 	c.metrics.recordOutcome(r, err, time.Now())
 	switch {
--- a/masticstate/property_test.go
+++ b/masticstate/property_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"masticladder/masticcall"
 	"masticladder/masticerror"
 	"masticladder/masticproto"
 	"masticladder/masticview"
@@ -52,7 +53,7 @@
 	attempt := pick(g.t, "attempt", uint64(1), 2, 3)
 	k := pick(g.t, "key", "x", "y", "0195a1b2-c3d4-7000-8000-000000000000")
 	untilMs := g.at + pick(g.t, "soon", int64(1000), 120_000)
-	switch pick(g.t, "kind", 0, 0, 0, 1, 1, 2, 3, 4, 5, 6, 6, 7, 8, 9, 10) {
+	switch pick(g.t, "kind", 0, 0, 0, 1, 1, 2, 3, 4, 5, 6, 6, 7, 8, 9, 10, 11, 11) {
 	case 0:
 		c.Kind = &masticproto.Command_Publish{Publish: g.publish()}
 	case 1:
@@ -73,12 +74,27 @@
 		c.Kind = &masticproto.Command_SuspectEnd{SuspectEnd: &masticproto.SuspectEnd{Digest: g.digest(), Server: "s1", Host: g.host(), Incarnation: incarnation, Completed: attempt == 1}}
 	case 9:
 		c.Kind = &masticproto.Command_Load{Load: &masticproto.LoadOrder{Server: "s1", Model: k, FenceTerm: attempt, FenceSequence: 1, DeadlineUnixMs: untilMs, Done: incarnation == "1"}}
+	case 10:
+		c.Kind = &masticproto.Command_Origins{Origins: g.origins(incarnation, attempt)}
 	default:
-		c.Kind = &masticproto.Command_Tick{Tick: &masticproto.Tick{}}
+		c.Kind = &masticproto.Command_Tick{Tick: &masticproto.Tick{ElapsedUs: int64(attempt) * 700_000}}
 	}
 	return c
 }
 
+// origins draws a batch that records a stream, drops the record of another one and asks for a third.
+func (g *commandGenerator) origins(incarnation string, sequence uint64) *masticproto.StreamOrigins {
+	key := func(name string) []byte {
+		k := masticcall.StreamKeyOf("mill", "pool", pick(g.t, name, "1", "2", "3"))
+		return k[:]
+	}
+	return &masticproto.StreamOrigins{
+		Host: g.host(), Incarnation: incarnation, Sequence: sequence, Oldest: sequence - 1, ElapsedUs: int64(sequence) * 300_000,
+		Begun: []*masticproto.BegunStreams{{Software: "v" + incarnation, Keys: key("begun"), LifetimesMs: []uint32{uint32(sequence) * 500}}},
+		Ended: key("ended"), Asked: []*masticproto.AskedStream{{Key: key("asked"), Service: "pool"}},
+	}
+}
+
 // usage draws a report with cumulative counters.
 func (g *commandGenerator) usage(incarnation string) *masticproto.UsageReport {
 	g.epoch++
--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -126,7 +126,7 @@
 	case *masticproto.Command_StepRollout:
 		return s.stepRollout(k.StepRollout)
 	case *masticproto.Command_Tick:
-		s.origins.Rotate()
+		s.origins.Tick(k.Tick.GetElapsedUs())
 		s.usage.Close(s.now)
 		s.suspects.Expire(s.now)
 		return TickResult{}
