A stream without a record is bound to the base version only if no other can have begun it

While a host cannot reach the control group and the base version has no server, streams begin at the only other version without a record; - the timeout of a route was lowered: the base version is replaced after twice the timeout of the present document, and streams of the former document last longer; - its caller did not name it: it went on at the only version, though another one had servers a moment ago.

Cause: "without a record" was taken for "begun by the present base version".

Why this works: the replicated state knows since when the base version of a service has been the base and has had servers, since when it has been the only version, and how long streams of the present and of former documents may be taken up. As long as another version may have begun a stream without a record, a take-up is refused with noServer; the base version is replaced by the longer time too. For that time after such a change, hosts record streams of the base version as well, so that those can be taken up; their first events do not wait.

A caller that names no stream asks the control group now, and gets 503 instead of 400 if only another version than the base version has servers.

--- a/masticagent/originbatch.go
+++ b/masticagent/originbatch.go
@@ -34,7 +34,7 @@
 		out.Ended = append(out.Ended, k[:]...)
 	}
 	for _, q := range b.asked {
-		out.Asked = append(out.Asked, &masticproto.AskedStream{Key: q.key[:], Service: q.service})
+		out.Asked = append(out.Asked, &masticproto.AskedStream{Key: q.encodedKey(), Service: q.service})
 	}
 	return out
 }
--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -364,7 +364,7 @@
 	for i, q := range b.asked {
 		if i < len(answer.GetOrigins()) {
 			x := answer.GetOrigins()[i]
-			q.answer <- masticcall.StreamOrigin{Software: x.GetSoftware(), Recorded: x.GetRecorded()}
+			q.answer <- masticcall.StreamOrigin{Software: x.GetSoftware(), Recorded: x.GetRecorded(), Unknown: x.GetUnknown()}
 		}
 	}
 }
--- a/masticcall/origin.go
+++ b/masticcall/origin.go
@@ -74,6 +74,8 @@
 	// Recorded reports that the version was recorded for this stream. Otherwise it is the base version of the
 	// service.
 	Recorded bool
+	// Unknown reports that a stream without a record may have been begun by another version than the base version.
+	Unknown bool
 	// ByItself reports that this host knew it without asking the control group.
 	ByItself bool
 }
@@ -89,8 +91,9 @@
 	Record(keys StreamKeys, software string, deadline time.Time) Recording
 	// End states that the host no longer serves the stream. With forget, no caller can take it up.
 	End(keys StreamKeys, forget bool)
-	// Find returns the version that began a stream of a service: that of the first key with a record. The error has
-	// kind noQuorum if that cannot be told now.
+	// Find returns the version that began a stream of a service: that of the first key with a record. Without keys, it
+	// returns the version that began all streams that callers may still take up, if there is one. The error has kind
+	// noQuorum if that cannot be told now.
 	Find(ctx context.Context, keys StreamKeys, service string) (StreamOrigin, error)
 }
 
--- a/masticcontrol/basesoftware.go
+++ b/masticcontrol/basesoftware.go
@@ -31,12 +31,12 @@
 }
 
 // due returns the services that get another base version, with that version.
-func (b *baseSoftware) due(now time.Time, v masticview.View) map[string]string {
+func (b *baseSoftware) due(now time.Time, v masticview.View, takeUpTime time.Duration) map[string]string {
 	if now.Before(b.nextCheck) {
 		return nil
 	}
 	b.nextCheck = now.Add(baseSoftwareInterval)
-	retention := baseSoftwareRetention(v)
+	retention := max(minBaseSoftwareRetention, takeUpTimeouts*takeUpTime)
 	out := map[string]string{}
 	versions := v.SoftwareVersions()
 	for service := range b.goneSince {
@@ -62,20 +62,9 @@
 	return out
 }
 
-// baseSoftwareRetention returns how long callers may take up a stream after its last server has gone.
-func baseSoftwareRetention(v masticview.View) time.Duration {
-	longest := time.Duration(0)
-	for _, r := range v.Document().GetRoutes() {
-		if r.GetResumable() {
-			longest = max(longest, time.Duration(r.GetTimeoutMs())*time.Millisecond)
-		}
-	}
-	return max(minBaseSoftwareRetention, takeUpTimeouts*longest)
-}
-
 // proposeBaseSoftware proposes the base versions that are due.
 func (d *leaderState) proposeBaseSoftware(now time.Time) {
-	due := d.baseSoftware.due(now, d.loop.state.View())
+	due := d.baseSoftware.due(now, d.loop.state.View(), d.loop.state.TakeUpTime())
 	if len(due) == 0 {
 		return
 	}
--- a/masticcontrol/basesoftware_test.go
+++ b/masticcontrol/basesoftware_test.go
@@ -21,7 +21,7 @@
 	now := time.Unix(1000, 0)
 	step := func(v masticview.View, d time.Duration) map[string]string {
 		now = now.Add(d)
-		return b.due(now, v)
+		return b.due(now, v, 0)
 	}
 	c.Assert(step(gone, 0), qt.HasLen, 0)
 	c.Assert(step(gone, minBaseSoftwareRetention-time.Second), qt.HasLen, 0)
--- a/masticcontrol/commandresult.go
+++ b/masticcontrol/commandresult.go
@@ -87,7 +87,7 @@
 		a.Unrecorded = append(a.Unrecorded, k[:]...)
 	}
 	for _, o := range r.Origins {
-		a.Origins = append(a.Origins, &masticproto.StreamOrigin{Software: o.Software, Recorded: o.Recorded})
+		a.Origins = append(a.Origins, &masticproto.StreamOrigin{Software: o.Software, Recorded: o.Recorded, Unknown: o.Unknown})
 	}
 	return a
 }
--- a/masticorigin/records.go
+++ b/masticorigin/records.go
@@ -25,6 +25,7 @@
 	currentSenders, previousSenders map[string]sender
 	maxRecords                      int
 	clock                           time.Duration
+	versions                        versions
 }
 
 // record is the version of a stream and the host that wrote it last.
@@ -51,6 +52,7 @@
 	r := &Records{
 		records: map[masticcall.StreamKey]record{}, expiring: map[int64][]masticcall.StreamKey{},
 		currentSenders: map[string]sender{}, previousSenders: map[string]sender{}, maxRecords: DefaultMaxRecords,
+		versions: versions{services: map[string]serviceVersions{}},
 	}
 	for _, o := range options {
 		o(r)
--- a/masticorigin/snapshot.go
+++ b/masticorigin/snapshot.go
@@ -15,7 +15,14 @@
 func (r *Records) Snapshot() *masticproto.OriginSnapshot {
 	p := &masticproto.OriginSnapshot{
 		Current: r.encodeRecords(), CurrentSenders: encodeSenders(r.currentSenders), PreviousSenders: encodeSenders(r.previousSenders),
-		ClockUs: r.clock.Microseconds(),
+		ClockUs:   r.clock.Microseconds(),
+		LongestMs: r.versions.longestMs, FormerLongestMs: r.versions.formerLongestMs, FormerUntilMs: r.versions.formerUntilMs,
+	}
+	for _, service := range slices.Sorted(maps.Keys(r.versions.services)) {
+		x := r.versions.services[service]
+		p.Services = append(p.Services, &masticproto.ServiceVersions{
+			Service: service, Base: x.base, Served: x.served, ServedSinceMs: x.servedSinceMs, Sole: x.sole, SoleSinceMs: x.soleSinceMs,
+		})
 	}
 	return p
 }
@@ -28,6 +35,12 @@
 	r.decodeRecords(p.GetPrevious())
 	decodeSenders(r.currentSenders, p.GetCurrentSenders())
 	decodeSenders(r.previousSenders, p.GetPreviousSenders())
+	r.versions.longestMs, r.versions.formerLongestMs, r.versions.formerUntilMs = p.GetLongestMs(), p.GetFormerLongestMs(), p.GetFormerUntilMs()
+	for _, x := range p.GetServices() {
+		r.versions.services[x.GetService()] = serviceVersions{
+			base: x.GetBase(), served: x.GetServed(), servedSinceMs: x.GetServedSinceMs(), sole: x.GetSole(), soleSinceMs: x.GetSoleSinceMs(),
+		}
+	}
 	return r
 }
 
--- a/masticrelay/log.go
+++ b/masticrelay/log.go
@@ -72,15 +72,25 @@
 		source = "own"
 	case found.Recorded:
 		source = "record"
+	case found.Unknown:
+		source = "unknown"
 	}
 	t := r.relay.table.Load()
 	r.relay.log.WithFields(logrus.Fields{
-		"request": r.call.ID, "resumes": cut(r.call.Resumes), "lastEvent": cut(r.call.LastEventID), "pool": r.pool.Name, "stream": fmt.Sprintf("%x", r.origin.keys[0][:6]),
+		"request": r.call.ID, "resumes": cut(r.call.Resumes), "lastEvent": cut(r.call.LastEventID), "pool": r.pool.Name, "stream": r.shortStreamKey(),
 		"software": found.Software, "source": source, "askedMillis": time.Since(began).Milliseconds(), "revision": t.view.Revision(),
 		"servers": t.software[r.pool.Name].servers[found.Software], "cause": err,
 	}).Info("origin of a stream")
 }
 
+// shortStreamKey returns the begin of the stream's first key, empty if its caller does not name it.
+func (r *requestState) shortStreamKey() string {
+	if len(r.origin.keys) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%x", r.origin.keys[0][:6])
+}
+
 // maxLoggedBytes bounds a value of a caller in a line.
 const maxLoggedBytes = 64
 
--- a/masticrelay/origin.go
+++ b/masticrelay/origin.go
@@ -34,14 +34,25 @@
 	base string
 	// servers is the number of servers of each version, also of those that are leaving.
 	servers map[string]int
+	// recordedUntil is the time until which streams of the base version are recorded too: as long as the control group cannot tell
+	// that a stream without a record was begun by it.
+	recordedUntil time.Time
 }
 
-// serviceSoftwareOf returns the software versions of all services of a view.
-func serviceSoftwareOf(v masticview.View) map[string]serviceSoftware {
+// serviceSoftwareOf returns the software versions of all services of a view, from those of the view before. Streams that begin now may be
+// taken up until takeUpEnd.
+func serviceSoftwareOf(v masticview.View, before map[string]serviceSoftware, takeUpEnd time.Time) map[string]serviceSoftware {
 	out := map[string]serviceSoftware{}
 	for service, servers := range v.SoftwareVersions() {
 		base, _ := v.BaseSoftware(service)
-		out[service] = serviceSoftware{base: base, servers: servers}
+		next := serviceSoftware{base: base, servers: servers}
+		if old, known := before[service]; known {
+			next.recordedUntil = old.recordedUntil
+			if old.base != base || old.servers[base] == 0 && servers[base] > 0 {
+				next.recordedUntil = takeUpEnd
+			}
+		}
+		out[service] = next
 	}
 	return out
 }
@@ -127,27 +138,27 @@
 		r.origin.keys = r.streamKeys(r.call.ID)
 		return nil
 	}
-	r.origin.keys = r.streamKeys(r.call.Resumes)
-	software := t.software[r.pool.Name]
-	if r.call.Resumes == "" {
-		version, only := software.single()
-		if !only || version != software.base {
-			return r.refuseTakeUp(masticerror.New(masticerror.KindBadRequest, "the request does not name the one that began its stream, and several software versions serve"))
-		}
-		r.origin.bound = masticcall.OnlySoftware(version)
-		return nil
+	// A caller that does not name its stream may have begun any that still can be taken up.
+	var asked masticcall.StreamKeys
+	if r.call.Resumes != "" {
+		r.origin.keys = r.streamKeys(r.call.Resumes)
+		asked = r.formerStreamKeys()
+	} else if len(t.software[r.pool.Name].servers) > 1 {
+		return r.refuseTakeUp(masticerror.New(masticerror.KindBadRequest, "the request does not name the one that began its stream, and several software versions serve"))
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	began := time.Now()
-	found, err := r.relay.origins.Find(ctx, r.formerStreamKeys(), r.pool.Name)
+	found, err := r.relay.origins.Find(ctx, asked, r.pool.Name)
+	r.logOrigin(found, began, err)
 	if err != nil {
-		r.logOrigin(found, began, err)
-		e := masticerror.From(err)
-		return r.refuseTakeUp(e.WithRetryAfter(unknownRetryAfter + r.relay.retryAfter()))
+		return r.refuseTakeUp(masticerror.From(err).WithRetryAfter(unknownRetryAfter + r.relay.retryAfter()))
+	}
+	if found.Unknown {
+		return r.refuseTakeUp(masticerror.New(masticerror.KindNoServer, "it is not known which software version of %s began the stream", r.pool.Name).
+			WithRetryAfter(noVersionRetryAfter + r.relay.retryAfter()))
 	}
 	r.origin.bound, r.origin.recorded = masticcall.OnlySoftware(found.Software), found.Recorded
-	r.logOrigin(found, began, nil)
 	if r.relay.table.Load().software[r.pool.Name].servers[found.Software] == 0 {
 		return r.refuseTakeUp(masticerror.New(masticerror.KindNoServer, "no backend server has software %q, which began the stream", found.Software).
 			WithRetryAfter(noVersionRetryAfter + r.relay.retryAfter()))
@@ -185,12 +196,17 @@
 	if !r.keepsOrigin() || r.origin.bound.Required {
 		return
 	}
-	base, known := r.relay.table.Load().view.BaseSoftware(server.Service)
-	if !r.origin.recorded && known && base == server.Software {
+	software := r.relay.table.Load().software[server.Service]
+	isBase := software.base == server.Software && !r.origin.recorded
+	if isBase && (!time.Now().Before(software.recordedUntil) || !r.relay.origins.Available()) {
 		return
 	}
 	r.origin.recorded = true
-	r.origin.recording = r.relay.origins.Record(r.origin.keys, server.Software, r.deadline)
+	recording := r.relay.origins.Record(r.origin.keys, server.Software, r.deadline)
+	if !isBase {
+		// A stream of the base version need not wait: without a record it is refused to callers that take it up.
+		r.origin.recording = recording
+	}
 }
 
 // confirmOrigin checks, before the first event of an attempt is passed on, that the server has the version that
--- a/masticrelay/relay.go
+++ b/masticrelay/relay.go
@@ -178,8 +178,12 @@
 
 // SetView makes the relay serve from v.
 func (c *Relay) SetView(v masticview.View) {
-	t := &routingTable{view: v, services: map[string]masticview.Service{}, software: serviceSoftwareOf(v)}
 	old := c.table.Load()
+	t := &routingTable{view: v, services: map[string]masticview.Service{}}
+	if old != nil {
+		t.software = old.software
+	}
+	t.software = serviceSoftwareOf(v, t.software, time.Now().Add(v.TakeUpTime()))
 	switch {
 	case v.Document() == nil:
 	case old != nil && old.index.Number() == v.Document().GetNumber():
--- a/masticstate/state.go
+++ b/masticstate/state.go
@@ -141,7 +141,9 @@
 	if err != nil {
 		return err
 	}
+	before := s.view
 	s.view = next
+	s.observeVersions(before, c)
 	d := &masticproto.ViewDelta{Revision: next.Revision(), AtUnixMs: s.now.UnixMilli(), Change: c}
 	s.deltas = append(s.deltas, d)
 	s.deltaBytes += proto.Size(d)
--- a/masticview/software.go
+++ b/masticview/software.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"masticladder/masticproto"
 )
@@ -18,6 +19,17 @@
 	return v
 }
 
+// TakeUpTime returns the longest time for which the document lets callers take up a stream, zero if it does not.
+func (v View) TakeUpTime() time.Duration {
+	longest := time.Duration(0)
+	for _, r := range v.Document().GetRoutes() {
+		if r.GetResumable() {
+			longest = max(longest, time.Duration(r.GetTimeoutMs())*time.Millisecond)
+		}
+	}
+	return longest
+}
+
 // SoftwareVersions returns the number of servers of each software version, by service. Retired servers do not
 // count.
 func (v View) SoftwareVersions() map[string]map[string]int {
