Streams begin at the base version for a time after a record was refused

What callers saw: by reading and a test. While the control group has as many records as it may, each stream that a host begins at another version than the base version works on its first event, is refused its record and is sent again, which costs a run at a backend server and the time to it.

Cause: a refused record was not taken for a sign that the next one is refused too.

Why this works: for half a second after a refusal, as after a batch without an answer, streams begin at the base version. TestRefusedRecordsArePaused failed before.

--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -23,7 +23,8 @@
 	// originAttemptTimeout bounds one attempt to reach the leader with a batch, originTimeout all of them.
 	originAttemptTimeout = 300 * time.Millisecond
 	originTimeout        = time.Second
-	// originCooldown is the time after a batch without an answer in which new streams begin at the base version.
+	// originCooldown is the time after a batch without an answer, or a refused record, in which new streams begin at the
+	// base version.
 	originCooldown = 500 * time.Millisecond
 	// originIdleInterval is the time between two reports of ended streams that no other batch carried, on large
 	// sites originIdlePerHost for each host.
@@ -54,7 +55,9 @@
 	asked  []*originQuestion
 	// failedUntil is the end of the cooldown after a batch without an answer, zero after one with an answer.
 	failedUntil time.Time
-	sequence    uint64
+	// fullUntil is the end of the cooldown after the control group had no room for a record.
+	fullUntil time.Time
+	sequence  uint64
 	// tokens is the number of batches that this host may send at tokensAt, on large sites.
 	tokens   float64
 	tokensAt time.Time
@@ -102,7 +105,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.refill(now, o.agent.View().HostCount())
-	return !now.Before(o.failedUntil) && o.tokens >= 1 && len(o.records) <= maxOrigins-masticcall.MaxStreamKeys
+	return !now.Before(o.failedUntil) && !now.Before(o.fullUntil) && o.tokens >= 1 && len(o.records) <= maxOrigins-masticcall.MaxStreamKeys
 }
 
 // refill adds the tokens since the last call. The mutex is held.
@@ -315,7 +318,7 @@
 		o.requeue(b)
 		return false
 	}
-	o.acknowledge(b, answer)
+	o.acknowledge(now, b, answer)
 	return true
 }
 
@@ -344,18 +347,14 @@
 }
 
 // acknowledge applies the answer to a batch. The mutex is held.
-func (o *origins) acknowledge(b *pendingOriginBatch, answer *masticproto.CommandAnswer) {
+func (o *origins) acknowledge(now time.Time, b *pendingOriginBatch, answer *masticproto.CommandAnswer) {
 	refused := answer.GetUnrecorded()
 	const size = len(masticcall.StreamKey{})
 	for ; len(refused) >= size; refused = refused[size:] {
 		k := masticcall.StreamKey(refused[:size])
 		if r, ok := b.records[k]; ok && !r.acknowledged {
-			r.err = masticerror.New(masticerror.KindOverloaded, "the control group has as many streams recorded as it may")
-			close(r.done)
+			o.refuse(now, k, r)
 			delete(b.records, k)
-			if o.records[k] == r {
-				delete(o.records, k)
-			}
 		}
 	}
 	for k, r := range b.records {
@@ -369,6 +368,17 @@
 	}
 }
 
+// refuse ends a record that the control group did not take. New streams begin at the base version for a time, since the next ones
+// would be refused too. The mutex is held.
+func (o *origins) refuse(now time.Time, k masticcall.StreamKey, r *originRecord) {
+	r.err = masticerror.New(masticerror.KindOverloaded, "the control group has as many streams recorded as it may")
+	close(r.done)
+	if o.records[k] == r {
+		delete(o.records, k)
+	}
+	o.fullUntil = now.Add(originCooldown)
+}
+
 // confirm applies that the control group has a record. The mutex is held.
 func (o *origins) confirm(k masticcall.StreamKey, r *originRecord) {
 	r.queued = false
--- a/masticagent/origins_test.go
+++ b/masticagent/origins_test.go
@@ -56,12 +56,12 @@
 	c.Assert(second.records[two], qt.IsNotNil)
 	c.Assert(second.command.GetOldest(), qt.Equals, first.command.GetSequence())
 	o.release(first)
-	o.acknowledge(first, nil)
+	o.acknowledge(now, first, nil)
 	third := o.take(now)
 	c.Assert(third.records[one].software, qt.Equals, "v1")
 	c.Assert(third.command.GetOldest(), qt.Equals, second.command.GetSequence())
 	o.release(second)
-	o.acknowledge(second, nil)
+	o.acknowledge(now, second, nil)
 	_, known := o.ask(&originQuestion{key: two, service: "engines"})
 	c.Assert(known, qt.IsTrue)
 	_, known = o.ask(&originQuestion{key: one, service: "engines"})
@@ -80,7 +80,7 @@
 	b := o.take(now)
 	c.Assert(b.command.GetBegun()[0].GetLifetimesMs(), qt.DeepEquals, []uint32{8001, 8001})
 	o.release(b)
-	o.acknowledge(b, nil)
+	o.acknowledge(now, b, nil)
 	o.Record(masticcall.StreamKeys{unsent}, "v2", now.Add(8*time.Second))
 	o.End(masticcall.StreamKeys{sent, unsent}, false)
 	o.End(masticcall.StreamKeys{none}, true)
@@ -94,7 +94,7 @@
 	b = o.take(now.Add(6 * time.Second))
 	c.Assert(b.command.GetBegun()[0].GetKeys(), qt.DeepEquals, unsent[:], qt.Commentf("its batch had no answer"))
 	o.release(b)
-	o.acknowledge(b, nil)
+	o.acknowledge(now, b, nil)
 	c.Assert(o.records, qt.HasLen, 0)
 	c.Assert(o.take(now.Add(time.Hour)), qt.IsNil)
 }
@@ -111,15 +111,30 @@
 	recording := o.Record(masticcall.StreamKeys{one}, "v2", now.Add(3*time.Second))
 	o.End(masticcall.StreamKeys{one}, false)
 	o.release(b)
-	o.acknowledge(b, nil)
+	o.acknowledge(now, b, nil)
 	c.Assert(recording.Wait(t.Context()), qt.IsNil)
 	b = o.take(now)
 	c.Assert(b.command.GetBegun()[0].GetLifetimesMs(), qt.DeepEquals, []uint32{3001})
 	o.release(b)
-	o.acknowledge(b, nil)
+	o.acknowledge(now, b, nil)
 	c.Assert(o.records, qt.HasLen, 0)
 }
 
+// TestRefusedRecordsArePaused: streams went on to begin at versions whose records had no room, and each waited for nothing.
+func TestRefusedRecordsArePaused(t *testing.T) {
+	c := qt.New(t)
+	a, err := New(WithHost("h"), WithControlPeers("127.0.0.1:1"))
+	c.Assert(err, qt.IsNil)
+	o, now := a.origins, time.Unix(1000, 0)
+	one := masticcall.StreamKeyOf("mill", "engines", "1")
+	o.Record(masticcall.StreamKeys{one}, "v2", now.Add(time.Second))
+	b := o.take(now)
+	o.release(b)
+	o.acknowledge(now, b, &masticproto.CommandAnswer{Unrecorded: one[:]})
+	c.Assert(o.takesStream(now), qt.IsFalse)
+	c.Assert(o.takesStream(now.Add(originCooldown)), qt.IsTrue)
+}
+
 // TestRecordsAreAvailableAgainAfterFailure: a host that had no streams to record after control was back did not
 // notice it, and began streams at the base version only.
 func TestRecordsAreAvailableAgainAfterFailure(t *testing.T) {
@@ -148,7 +163,7 @@
 	cancel()
 	c.Assert(recording.Wait(late), qt.ErrorIs, context.Canceled)
 	o.release(b)
-	o.acknowledge(b, nil)
+	o.acknowledge(now, b, nil)
 	c.Assert(recording.Wait(t.Context()), qt.IsNil)
 	for _, keys := range []masticcall.StreamKeys{{one}, {two}, {none, two}} {
 		found, err := o.Find(t.Context(), keys, "engines")
@@ -160,7 +175,7 @@
 	b = o.take(now)
 	c.Assert(b.records, qt.HasLen, 1)
 	o.release(b)
-	o.acknowledge(b, &masticproto.CommandAnswer{Unrecorded: none[:]})
+	o.acknowledge(now, b, &masticproto.CommandAnswer{Unrecorded: none[:]})
 	c.Assert(refused.Wait(t.Context()), qt.IsNotNil)
 }
 
@@ -188,7 +203,7 @@
 		}
 		c.Assert(b.asked, qt.HasLen, 2)
 		o.release(b)
-		o.acknowledge(b, &masticproto.CommandAnswer{Origins: x.answers})
+		o.acknowledge(time.Unix(1000, 0), b, &masticproto.CommandAnswer{Origins: x.answers})
 		c.Assert(<-q.found, qt.Equals, x.found)
 	}
 }
