A pause that a backend server states outlasts the listing of its restart

Cause: what a server states is filed under the incarnation that the view has at that moment. A server that has restarted under its name states its pause before the view shows the restart; the listing of the restart then ended the pause, as one of the former process. In the other direction, a pause in the answer to a request that was assigned under the former incarnation was dropped. An answer does not say which process gave it.

Why this works: a pause holds for the server's name until its end. It ends with a listed restart only if that process started more than 10 s after the pause was stated, which the list tells by the server's clock; the view has that time now. So a long pause of a process that is gone does not withhold its successor, unless that followed within 10 s.

--- a/masticdispatch/notice.go
+++ b/masticdispatch/notice.go
@@ -49,7 +49,7 @@
 	if !c.pausedUntil.IsZero() {
 		log.WithField("pauseMillis", n.PausedUntil.Sub(now).Milliseconds()).Info("backend server wants no requests for a time")
 	}
-	if !c.leaving {
+	if !c.leaving || !n.Leaving {
 		return
 	}
 	log.Info("backend server states that it is leaving")
--- a/masticroute/notice.go
+++ b/masticroute/notice.go
@@ -2,13 +2,17 @@
 
 import "time"
 
-// Notice is what an incarnation of a backend server has stated about the requests that it takes from this
-// host. Each statement only narrows it, so that it does not depend on the order in which answers arrive.
+// Notice is what a backend server has stated about the requests that it takes from this host. Each statement only
+// narrows it, so that it does not depend on the order in which answers arrive.
 type Notice struct {
-	// Leaving reports that the server is being taken out of service.
+	// Leaving reports that the server is being taken out of service. It ends with the server's incarnation.
 	Leaving bool
-	// PausedUntil is the time until which the server wants no requests, zero if it never asked for that.
+	// PausedUntil is the time until which the server wants no requests, zero if it never asked for that. It outlasts the
+	// incarnation under which it was stated: an answer does not say which process gave it, and the view shows a
+	// restart late.
 	PausedUntil time.Time
+	// pausedAt is when the server last asked for that.
+	pausedAt time.Time
 }
 
 // WithLeaving returns n for a server that is leaving.
@@ -17,30 +21,45 @@
 	return n
 }
 
-// WithPause returns n for a server that wants no requests until the given time either.
-func (n Notice) WithPause(until time.Time) Notice {
+// WithPause returns n for a server that stated at now that it wants no requests until the given time either.
+func (n Notice) WithPause(now, until time.Time) Notice {
 	if until.After(n.PausedUntil) {
 		n.PausedUntil = until
 	}
+	if !until.IsZero() {
+		n.pausedAt = now
+	}
 	return n
 }
 
+// maxClockDifference bounds the difference between the clocks of a server and a host.
+const maxClockDifference = 10 * time.Second
+
+// WithRestart returns what may hold for another incarnation of the server, which started at the given time or, if that is
+// zero, at an unknown one. A pause ends only if the process has clearly started after it was stated.
+func (n Notice) WithRestart(startedAt time.Time) Notice {
+	if !startedAt.IsZero() && startedAt.After(n.pausedAt.Add(maxClockDifference)) {
+		return Notice{}
+	}
+	return Notice{PausedUntil: n.PausedUntil, pausedAt: n.pausedAt}
+}
+
 // Allows reports whether the server takes requests at now.
 func (n Notice) Allows(now time.Time) bool { return !n.Leaving && !now.Before(n.PausedUntil) }
 
-// ObserveNotice applies what an answer of an incarnation of a backend server stated, and reports whether
-// that changed what is known of it.
-func (r *Router) ObserveNotice(name, incarnation string, leaving bool, pausedUntil time.Time) (Notice, bool) {
+// ObserveNotice applies what an answer of a backend server stated, and reports whether that changed what is known of
+// it. incarnation is the listed one when the request was sent; another one may have answered.
+func (r *Router) ObserveNotice(now time.Time, name, incarnation string, leaving bool, pausedUntil time.Time) (Notice, bool) {
 	slot, ok := r.slots[name]
-	if !ok || r.servers[slot].info.Incarnation != incarnation {
+	if !ok {
 		return Notice{}, false
 	}
 	s := r.servers[slot]
-	next := s.notice.WithPause(pausedUntil)
-	if leaving {
+	next := s.notice.WithPause(now, pausedUntil)
+	if leaving && s.info.Incarnation == incarnation {
 		next = next.WithLeaving()
 	}
-	changed := next != s.notice
+	changed := next.Leaving != s.notice.Leaving || !next.PausedUntil.Equal(s.notice.PausedUntil)
 	s.notice = next
 	return next, changed
 }
--- a/masticroute/router.go
+++ b/masticroute/router.go
@@ -177,9 +177,12 @@
 			s.peerFailures, s.health, s.rejections = peerFailures{}, mastichealth.Server{}, rejections{}
 		}
 	}
-	if before.Incarnation != i.Incarnation || !r.shared && before.State != i.State {
+	switch {
+	case !r.shared && before.State != i.State:
 		// Where operators name the servers, their change of a state ends what the server stated before.
 		s.notice = Notice{}
+	case before.Incarnation != i.Incarnation:
+		s.notice = s.notice.WithRestart(i.StartedAt)
 	}
 	s.info, s.listed = i, true
 	if memoryTokens := r.memoryTokens[i.Service]; memoryTokens > 0 && memoryTokens != s.memoryTokens {
@@ -323,7 +326,7 @@
 	case mastichealth.Replaced:
 		r.cacheIndex.Reset(slot)
 		s.load.resetReport()
-		s.notice = Notice{}
+		s.notice = s.notice.WithRestart(time.Time{})
 	}
 	return true
 }
--- a/masticschedule/scheduler.go
+++ b/masticschedule/scheduler.go
@@ -313,7 +313,7 @@
 // ObserveNotice applies what an answer of an incarnation of a backend server stated of the requests that
 // it takes from this host. It reports whether that changed what is known of it.
 func (s *Scheduler) ObserveNotice(now time.Time, server, incarnation string, leaving bool, pausedUntil time.Time) (masticroute.Notice, bool) {
-	n, changed := s.router.ObserveNotice(server, incarnation, leaving, pausedUntil)
+	n, changed := s.router.ObserveNotice(now, server, incarnation, leaving, pausedUntil)
 	if changed {
 		s.scan(now)
 	}
--- a/masticview/codec.go
+++ b/masticview/codec.go
@@ -80,7 +80,7 @@
 		Name: s.Name, Kind: string(s.Kind), Url: s.URL, Owner: s.Owner, Zone: s.Zone, Models: s.Models,
 		WeightsVersion: s.WeightsVersion, ModelVersions: s.ModelVersions, LoadingModel: s.LoadingModel, ChecksFencing: s.ChecksFencing, State: string(s.State),
 		Service: s.Service, Incarnation: s.Incarnation, Slots: s.Slots,
-		StatedLeaving: s.StatedLeaving, Software: s.Software,
+		StatedLeaving: s.StatedLeaving, Software: s.Software, StartedUnixMs: unixMs(s.StartedAt),
 	}
 }
 
@@ -90,10 +90,26 @@
 		Name: p.GetName(), Kind: ServerKind(p.GetKind()), URL: p.GetUrl(), Owner: p.GetOwner(), Zone: p.GetZone(), Models: p.GetModels(),
 		WeightsVersion: p.GetWeightsVersion(), ModelVersions: p.GetModelVersions(), LoadingModel: p.GetLoadingModel(), ChecksFencing: p.GetChecksFencing(), State: ServerState(p.GetState()),
 		Service: p.GetService(), Incarnation: p.GetIncarnation(), Slots: p.GetSlots(),
-		StatedLeaving: p.GetStatedLeaving(), Software: p.GetSoftware(),
+		StatedLeaving: p.GetStatedLeaving(), Software: p.GetSoftware(), StartedAt: timeOfUnixMs(p.GetStartedUnixMs()),
 	}
 }
 
+// unixMs returns t in milliseconds since 1970, zero for the zero time.
+func unixMs(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// timeOfUnixMs is the inverse of unixMs.
+func timeOfUnixMs(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
 // ToProto returns s as a protobuf message, whose list of servers is that of s.
 func (s Service) ToProto() *masticproto.Service {
 	return &masticproto.Service{Name: s.Name, Servers: s.Servers, Repeatable: s.Idempotent, Open: s.Open}
--- a/masticview/server.go
+++ b/masticview/server.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // ServerState is the state of a backend server.
@@ -49,6 +50,8 @@
 	Service string `json:"service,omitempty"`
 	// Incarnation identifies one run of the server's process; empty if unknown.
 	Incarnation string `json:"incarnation,omitempty"`
+	// StartedAt is when the process of the incarnation started, on the server's clock; zero if unknown.
+	StartedAt time.Time `json:"startedAt,omitzero"`
 	// Slots is the number of requests that the server runs concurrently; zero if unknown.
 	Slots int64 `json:"slots,omitempty"`
 	// StatedLeaving reports that the incarnation stated in an answer that it is leaving. It holds whatever
