The stated rate of a server outlasts the listing of its restart

What callers saw: nothing yet; by reading and a test. A server that restarts and states a rate before the list shows its restart gets requests without a limit from each host once it is listed, until that host has its next answer: a large site has more hosts than the rate allows requests.

Why this works: the rate holds, on all hosts, until the first answer without one that was sent under the listed incarnation. A lower rate in the answer to a former assignment counts, an end of a rate there doesn't.

--- a/masticlimit/sharer.go
+++ b/masticlimit/sharer.go
@@ -60,27 +60,32 @@
 	}
 }
 
-// RemoveUnlisted forgets the servers that are not listed any more. The limit of a former incarnation
-// does not apply to a new one.
-func (s *Sharer) RemoveUnlisted() {
+// UpdateListed forgets the servers that are not listed any more. The limit of a server that has restarted holds until its
+// first answer without one: the new process may have stated it before it was listed, and all hosts would send it requests
+// without a limit until each has an answer.
+func (s *Sharer) UpdateListed() {
 	s.names = slices.DeleteFunc(s.names, func(name string) bool {
 		incarnation, ok := s.listed(name)
-		removed := !ok || incarnation != s.servers[name].statement.Incarnation
-		if removed {
-			delete(s.servers, name)
+		x := s.servers[name]
+		if ok && (incarnation == x.statement.Incarnation || x.statement.Limited) {
+			x.statement.Incarnation = incarnation
+			return false
 		}
-		return removed
+		delete(s.servers, name)
+		return true
 	})
 	s.nextStatement = 0
 }
 
-// Observe applies what an answer of an incarnation of a server stated, and reports whether that
-// changed what is known of its limit.
+// Observe applies what an answer of a server stated, and reports whether that changed what is known of its limit. incarnation
+// is the listed one when the request was sent. If another one is listed now, that may have answered: only a lower limit is
+// taken from the answer.
 func (s *Sharer) Observe(now time.Time, name, incarnation string, o Observation) bool {
 	current, ok := s.listed(name)
-	if !ok || current != incarnation {
+	if !ok || current != incarnation && !s.Statement(name).WithRate(o).isLower(s.Statement(name)) {
 		return false
 	}
+	incarnation = current
 	if x, known := s.servers[name]; known {
 		return x.observe(now, o)
 	}
--- a/masticroute/limit.go
+++ b/masticroute/limit.go
@@ -26,7 +26,7 @@
 
 // setLimitHosts passes the hosts of the view on to the limits.
 func (r *Router) setLimitHosts(all []masticview.Host) {
-	r.limits.RemoveUnlisted()
+	r.limits.UpdateListed()
 	var hosts []masticlimit.Host
 	for _, h := range all {
 		if h.Address != "" && (h.State == masticview.HostLive || h.State == masticview.HostLeaving) {
