The list wins over newer weights in the view after 4 s

Cause: an order that got no answer was carried out late, after the engine had restarted, and took it back to older weights. The leader lets the result of its own order go before the list, which lags, but without an end, so that the view kept the newer version and nothing was ordered any more.

Why this works: if the list has shown older weights than the view for 4 s, five times its stated lag, while no order to the server may be running, the view takes them, and the server is ordered again. Each newer order starts the time again, and a new leader counts anew.

--- a/masticcontrol/leader.go
+++ b/masticcontrol/leader.go
@@ -44,6 +44,7 @@
 	cancelOrders         context.CancelFunc
 	nextUnreachableCheck time.Time
 	baseSoftware         baseSoftware
+	olderWeights         olderWeights
 	workload             workload
 	rollouts             rollouts
 }
@@ -93,6 +94,7 @@
 	d.orders, d.cancelOrders = context.WithCancel(l.background)
 	d.renewals = newRenewals(now)
 	d.baseSoftware.goneSince = map[string]time.Time{}
+	d.olderWeights = olderWeights{}
 	d.rollouts = newRollouts()
 	d.workspaces, d.seenRevision = map[string]bool{}, view.Revision()
 	for _, name := range l.workspaceNames() {
--- a/masticcontrol/listing.go
+++ b/masticcontrol/listing.go
@@ -125,6 +125,7 @@
 				WithField("incarnation", next.Incarnation).WithField("software", next.Software).WithField("known", known).Info("backend server listed")
 		}
 	}
+	d.olderWeights.retain(names)
 	for _, s := range view.Servers() {
 		if !names[s.Name] && !listing.partial {
 			change.RemovedServers = append(change.RemovedServers, s.Name)
@@ -135,7 +136,7 @@
 }
 
 // reconcile returns the view's next entry for the listed server s. The list lags behind, so the
-// results of load orders to the same incarnation, and what it stated itself, take precedence over it.
+// results of load orders to the same incarnation, for maxListLag, and what it stated itself, take precedence over it.
 func (d *leaderState) reconcile(current masticview.Server, known bool, s masticview.Server) masticview.Server {
 	if !known || current.Incarnation != s.Incarnation {
 		return s
@@ -143,7 +144,7 @@
 	if current.StatedLeaving {
 		s = s.WithStatedLeaving()
 	}
-	s = withNewerWeights(s, current)
+	s = d.olderWeights.reconcile(d.loop.batchTime, withNewerWeights(s, current), s, d.placement.ordered(d.loop.batchTime, s.Name))
 	if s.State == masticview.ServerActive && current.State == masticview.ServerLoading && d.placement.ordered(d.loop.batchTime, s.Name) {
 		s = s.WithLoading(current.LoadingModel)
 	}
--- a/masticcontrol/listing_test.go
+++ b/masticcontrol/listing_test.go
@@ -62,7 +62,7 @@
 				p.planner.Request(masticplace.Load{Server: "i", ChecksFencing: true})
 				p.planner.Decide(now)
 			}
-			d := &leaderState{loop: &loop{batchTime: now}, placement: p}
+			d := &leaderState{loop: &loop{batchTime: now}, placement: p, olderWeights: olderWeights{}}
 			c.Assert(sameServer(d.reconcile(current, x.known, x.listed), x.want), qt.IsTrue)
 		})
 	}
@@ -72,7 +72,7 @@
 // own statement.
 func TestListUndoesWhatServerStated(t *testing.T) {
 	c := qt.New(t)
-	d := &leaderState{loop: &loop{batchTime: time.UnixMilli(1_000_000)}, placement: &placement{planner: masticplace.NewPlanner(1, time.UnixMilli(0))}}
+	d := &leaderState{loop: &loop{batchTime: time.UnixMilli(1_000_000)}, placement: &placement{planner: masticplace.NewPlanner(1, time.UnixMilli(0))}, olderWeights: olderWeights{}}
 	listed := masticview.Server{Name: "i", Incarnation: "1", State: masticview.ServerActive}
 	current := listed.WithStatedLeaving()
 	c.Assert(sameServer(d.reconcile(current, true, listed), current), qt.IsTrue)
@@ -100,7 +100,7 @@
 			p.planner.Request(masticplace.Load{Server: "i", ChecksFencing: true})
 			p.planner.Decide(now)
 		}
-		d := &leaderState{loop: &loop{batchTime: now}, placement: p}
+		d := &leaderState{loop: &loop{batchTime: now}, placement: p, olderWeights: olderWeights{}}
 		current, listed := server(t, "held"), server(t, "listed")
 		known := rapid.Bool().Draw(t, "known")
 		next := d.reconcile(current, known, listed)
