A pause of a former process withholds its successor for a minute at most

Since pauses outlast the listing of a restart, a process that states a pause of any length (up to ten years count) and restarts within 10 s would not be used by that host until the end.

Why this works: once another incarnation is listed, a pause ends a minute after it was stated. A process that stated a longer one itself does so again in its next answer, which then counts as its own.

TestPauseOfFormerProcessIsBounded fails without the bound.

--- a/masticroute/notice.go
+++ b/masticroute/notice.go
@@ -29,16 +29,24 @@
 	return n
 }
 
-// maxClockDifference bounds the difference between the clocks of a server and a host.
-const maxClockDifference = 10 * time.Second
+const (
+	// maxClockDifference bounds the difference between the clocks of a server and a host.
+	maxClockDifference = 10 * time.Second
+	// maxFormerPause bounds a pause that a former incarnation may have stated. A server that stated a longer one itself
+	// states it again in its next answer.
+	maxFormerPause = time.Minute
+)
 
 // WithListing returns what may hold for another incarnation of the server, which started at the given time or, if that is
-// zero, at an unknown one. A pause ends only if the process has clearly started after it was stated.
+// zero, at an unknown one. A pause ends early only if the process has clearly started after it was stated, or is long.
 func (n Notice) WithListing(incarnation string, startedAt time.Time) Notice {
 	n.leaving = n.leaving.WithListing(incarnation)
 	if !startedAt.IsZero() && startedAt.After(n.pausedAt.Add(maxClockDifference)) {
 		n.PausedUntil, n.pausedAt = time.Time{}, time.Time{}
 	}
+	if end := n.pausedAt.Add(maxFormerPause); n.PausedUntil.After(end) {
+		n.PausedUntil = end
+	}
 	return n
 }
 
--- a/masticroute/notice_test.go
+++ b/masticroute/notice_test.go
@@ -27,7 +27,7 @@
 func TestPauseEndsWithTheListingOfARestart(t *testing.T) {
 	c := qt.New(t)
 	now := time.UnixMilli(1_800_000_000_000)
-	until := now.Add(time.Minute)
+	until := now.Add(maxFormerPause)
 	r, list := restartedServer()
 	list("1", now.Add(-time.Hour))
 	_, changed := r.ObserveNotice(now, "a", "1", false, until)
@@ -43,6 +43,20 @@
 	c.Check(r.noticeOf("a").Allows(now), qt.IsTrue)
 }
 
+// TestPauseOfFormerProcessIsBounded checks that a pause of any length does not withhold the next process for long.
+func TestPauseOfFormerProcessIsBounded(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	r, list := restartedServer()
+	list("1", now.Add(-time.Hour))
+	r.ObserveNotice(now, "a", "1", false, now.Add(time.Hour))
+	list("2", now.Add(time.Second))
+	c.Check(r.noticeOf("a").Allows(now.Add(maxFormerPause-1)), qt.IsFalse)
+	c.Check(r.noticeOf("a").Allows(now.Add(maxFormerPause)), qt.IsTrue)
+	r.ObserveNotice(now, "a", "2", false, now.Add(time.Hour))
+	c.Check(r.noticeOf("a").Allows(now.Add(maxFormerPause)), qt.IsFalse)
+}
+
 // TestPauseInTheAnswerToAFormerAssignmentIsForgotten: the view shows a restart while the request is under way, and the answer is that of the
 // new process.
 func TestPauseInTheAnswerToAFormerAssignmentIsForgotten(t *testing.T) {
