Records of streams outlast their deadline by the time of a take-up under way

What callers saw: nothing; by reading. A caller that takes its stream up at the very end of its time may be answered after the record's deadline: its request takes longer to its host than the first one did, and the question is a commit. A stream without a record goes on at the base version.

Why this works: the record lasts 5 s longer than the deadline that the host knows, far more than the 0.7 s of the question and the transit of a request.

--- a/masticagent/originbatch.go
+++ b/masticagent/originbatch.go
@@ -28,7 +28,7 @@
 			out.Begun = append(out.Begun, x)
 		}
 		x.Keys = append(x.Keys, k[:]...)
-		x.LifetimesMs = append(x.LifetimesMs, lifetimeMs(r.deadline.Sub(now)))
+		x.LifetimesMs = append(x.LifetimesMs, lifetimeMs(r.deadline.Sub(now)+takeUpTransit))
 	}
 	for _, k := range b.ended {
 		out.Ended = append(out.Ended, k[:]...)
--- a/masticagent/origins.go
+++ b/masticagent/origins.go
@@ -26,6 +26,9 @@
 	// originCooldown is the time after a batch without an answer, or a refused record, in which new streams begin at the
 	// base version.
 	originCooldown = 500 * time.Millisecond
+	// takeUpTransit is how much later than the deadline that the host knows of a stream the question of a take-up may be
+	// answered, which its caller has sent in time.
+	takeUpTransit = 5 * time.Second
 	// originIdleInterval is the time between two reports of ended streams that no other batch carried, on large
 	// sites originIdlePerHost for each host.
 	originIdleInterval = time.Second
