--- a/masticorigin/versions.go
+++ b/masticorigin/versions.go
@@ -84,17 +84,17 @@
 func (r *Records) Origin(asked *masticproto.AskedStream, base string) masticcall.StreamOrigin {
 	x, known := r.versions.services[asked.GetService()]
 	if len(asked.GetKey()) == 0 {
-		return masticcall.StreamOrigin{Software: base, Unknown: !known || !x.sole || !r.lasts(x.soleSinceMs)}
+		return masticcall.StreamOrigin{Software: base, Unknown: !known || !x.sole || !r.haveEnded(x.soleSinceMs)}
 	}
 	if len(asked.GetKey()) == len(masticcall.StreamKey{}) {
 		if software, ok := r.Find(masticcall.StreamKey(asked.GetKey())); ok {
 			return masticcall.StreamOrigin{Software: software, Recorded: true}
 		}
 	}
-	return masticcall.StreamOrigin{Software: base, Unknown: known && !(x.served && r.lasts(x.servedSinceMs))}
+	return masticcall.StreamOrigin{Software: base, Unknown: known && !(x.served && r.haveEnded(x.servedSinceMs))}
 }
 
-// lasts reports whether all streams have ended that began before a time.
-func (r *Records) lasts(sinceMs int64) bool {
+// haveEnded reports whether all streams that began before a time can be taken up no more.
+func (r *Records) haveEnded(sinceMs int64) bool {
 	return sinceMs == always || r.nowMs()-sinceMs > r.takeUpMs()
 }
