The check of a leaving server ends though its answer states the leaving again

What callers saw: nothing; found in reading the diff. A server that states in the answers to checks too that it is leaving was checked twice a second by each host that had heard it, until it ended: each answer came after its check was sent, so that no check seemed to be newer than the statement.

Why this works: a check is compared with the first statement that it is to tell of. The last one counts only for the minute after which a server that no longer states it is used again.

TestLeavingEndsWithTheListingOfARestart/each_answer_to_a_check_states_it failed before.

--- a/masticroute/leaving.go
+++ b/masticroute/leaving.go
@@ -19,8 +19,9 @@
 // gave it, and the view shows a restart late, so that a check tells. It is immutable.
 type leaving struct {
 	stated bool
-	// statedAt is when the server last stated it.
-	statedAt time.Time
+	// statedAt is when the server stated it first, of the statements that a check is to tell of, and lastAt when last. A
+	// leaving server states it in the answers to checks too.
+	statedAt, lastAt time.Time
 	// incarnation is the one that stated it, empty if that is not known.
 	incarnation string
 	// restarted reports that another incarnation has been listed since.
@@ -34,14 +35,14 @@
 // WithStatement returns n for a server that stated at now that it is leaving. current reports that the request was sent
 // while the listed incarnation was listed, verified that checks are made.
 func (n leaving) WithStatement(now time.Time, current, verified bool) leaving {
-	n.statedAt = now
+	n.lastAt = now
 	switch {
-	case n.stated && !n.unverified && !n.restarted:
+	case n.stated && !n.restarted:
 		n.assumed = n.assumed && !current
 	case current:
-		return leaving{stated: true, statedAt: now, unverified: verified}
-	default:
-		n.stated, n.restarted, n.unverified = true, true, true
+		return leaving{stated: true, statedAt: now, lastAt: now, unverified: verified}
+	case !n.stated:
+		n.stated, n.restarted, n.unverified, n.statedAt = true, true, true, now
 	}
 	return n
 }
@@ -72,7 +73,7 @@
 	case n.restarted && answered == listed:
 		// The listed incarnation does not state it.
 		return leaving{}
-	case n.assumed && answered == listed && answered == n.incarnation && age > leavingTimeout:
+	case n.assumed && answered == listed && answered == n.incarnation && sentAt.Sub(n.lastAt) > leavingTimeout:
 		return leaving{}
 	}
 	return n
@@ -80,7 +81,7 @@
 
 // needsCheck reports whether a check is to tell whether the listed incarnation is leaving.
 func (n leaving) needsCheck(now time.Time, listed string) bool {
-	return n.stated && (n.unverified || n.assumed && n.incarnation == listed && now.Sub(n.statedAt) > leavingTimeout)
+	return n.stated && (n.unverified || n.assumed && n.incarnation == listed && now.Sub(n.lastAt) > leavingTimeout)
 }
 
 // Unverified returns the listed servers of which a check is to tell whether their incarnation is leaving.
--- a/masticroute/leaving_test.go
+++ b/masticroute/leaving_test.go
@@ -87,6 +87,13 @@
 			{after: soon, states: "2"},
 			{after: 2 * leavingTimeout},
 		}},
+		{"each answer to a check states it", []leavingStep{
+			{states: "1", unverified: true},
+			{after: soon, states: "1", answers: "1"},
+			{after: late, lists: "2", unverified: true},
+			{after: soon, states: "2", answers: "2", unverified: true},
+			{after: soon, states: "2", answers: "2"},
+		}},
 		{"a check that was sent before the statement", []leavingStep{
 			{states: "1", unverified: true},
 			{answers: "1", unverified: true},
@@ -107,7 +114,8 @@
 					r.ObserveNotice(now, "a", s.states, true, time.Time{})
 				}
 				if s.answers != "" {
-					r.ObserveCheck("a", s.answers, now)
+					// What the answer to a check states is observed when it has come, after the check was sent.
+					r.ObserveCheck("a", s.answers, now.Add(-time.Microsecond))
 				}
 				c.Check(r.noticeOf("a").Allows(now), qt.Equals, s.takes, qt.Commentf("step %d", i))
 				c.Check(len(r.Unverified(now)) == 1, qt.Equals, s.unverified, qt.Commentf("step %d", i))
